--- /dev/null
+++ b/Daemon/GatewayDaemon.cpp
@@ -0,0 +1,265 @@
+#include "GatewayDaemon.h"
+
+#include <LibCore/Log.h>
+#include <LibCore/Try.h>
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace auburnhitch {
+
+namespace {
+
+// Resolution of deadlines; well below the half second within which an answer is owed after one.
+constexpr Milliseconds kTickInterval{ 20 };
+constexpr Milliseconds kLogFlushInterval{ 100 };
+// The most addresses that an answer of the directory may hold.
+constexpr std::size_t kMaxAddresses = 64;
+// The last part of the grace is kept for leaving the loop and the process.
+constexpr Milliseconds kGraceReserve{ 400 };
+// Callers use an answer of the directory for its lifetime, and some for three times as long.
+constexpr int kLifetimesUntilForgotten = 3;
+// Parts of the sockets for callers; the rest is for endpoints, peers and the store.
+constexpr std::size_t kCallerPartOfSockets = 2;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kServiceUnavailable = 503;
+
+RelayServerLimits
+InnerLimits()
+{
+  RelayServerLimits limits;
+  limits.m_max_connections = 256;
+  limits.m_max_body_bytes = 1 << 10;
+  return limits;
+}
+
+}
+
+GatewayDaemon::GatewayDaemon(EventLoop& aLoop, const GatewaySettings& aSettings)
+  : m_loop(aLoop)
+  , m_settings(aSettings)
+  , m_gateway(aLoop, aSettings, m_dialect)
+  , m_adapter(aLoop, m_gateway, aSettings.m_store_address)
+  , m_beacons_sent_at(aLoop.Now())
+  , m_logs_flushed_at(aLoop.Now())
+  , m_tick(aLoop, kTickInterval, Timer::Repeat::Always, [this] { OnTick(); })
+{
+}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+absl::StatusOr<std::unique_ptr<GatewayDaemon>>
+GatewayDaemon::Create(EventLoop& aLoop, const GatewaySettings& aSettings)
+{
+  std::unique_ptr<GatewayDaemon> daemon(new GatewayDaemon(aLoop, aSettings));
+  TRY_STATUS(daemon->Listen());
+  LogOf("daemon").info("event=started host={} data_center={} incarnation={} callers={} peers={} "
+                       "store={}",
+                       aSettings.m_host.Value(),
+                       aSettings.m_data_center.Value(),
+                       daemon->m_gateway.Self().m_incarnation.Value(),
+                       aSettings.m_caller_address.Value(),
+                       aSettings.m_peer_address.Value(),
+                       aSettings.m_store_address.Value());
+  daemon->SendBeacons();
+  return daemon;
+}
+
+absl::Status
+GatewayDaemon::Listen()
+{
+  RelayServerLimits callers;
+  callers.m_max_connections = m_settings.m_max_sockets / kCallerPartOfSockets;
+  TRY_ASSIGN(m_callers,
+             RelayServer::Create(m_loop,
+                                 m_settings.m_caller_address,
+                                 callers,
+                                 [this](const RelayExchangePtr& aExchange) {
+                                   m_gateway.OnCallerRequest(aExchange);
+                                 }));
+  TRY_ASSIGN(m_readiness,
+             RelayServer::Create(m_loop,
+                                 m_settings.m_readiness_address,
+                                 InnerLimits(),
+                                 [this](const RelayExchangePtr& aExchange) {
+                                   OnReadinessRequest(*aExchange);
+                                 }));
+  TRY_ASSIGN(m_directory,
+             RelayServer::Create(m_loop,
+                                 m_settings.m_directory_address,
+                                 InnerLimits(),
+                                 [this](const RelayExchangePtr& aExchange) {
+                                   OnDirectoryRequest(*aExchange);
+                                 }));
+  TRY_ASSIGN(m_metrics,
+             RelayServer::Create(m_loop,
+                                 m_settings.m_metrics_address,
+                                 InnerLimits(),
+                                 [this](const RelayExchangePtr& aExchange) {
+                                   OnMetricsRequest(*aExchange);
+                                 }));
+  TRY_ASSIGN(m_beacons,
+             BeaconSocket::Create(m_loop,
+                                  m_settings.m_peer_address,
+                                  [this](const BeaconNews& aNews) { OnBeacon(aNews); }));
+  TRY_ASSIGN(m_links,
+             PeerLinkListener::Create(m_loop,
+                                      m_settings.m_peer_address,
+                                      [this](std::unique_ptr<PeerLink> aLink) {
+                                        m_gateway.OnLink(std::move(aLink));
+                                      }));
+  return absl::OkStatus();
+}
+
+void
+GatewayDaemon::OnReadinessRequest(RelayExchange& aExchange) const
+{
+  const bool is_ready = m_gateway.IsReady() && !m_gateway.IsLeaving();
+  aExchange.Reply(is_ready ? kOk : kServiceUnavailable, {}, "");
+}
+
+void
+GatewayDaemon::OnDirectoryRequest(RelayExchange& aExchange) const
+{
+  std::vector<SocketAddress> addresses = m_gateway.CallerAddresses();
+  if (addresses.empty()) {
+    aExchange.Reply(kServiceUnavailable, {}, "");
+    return;
+  }
+  // Its own address first, the rest as they come: callers pick at random.
+  addresses.resize(std::min(addresses.size(), kMaxAddresses));
+  nlohmann::json list = nlohmann::json::array();
+  for (const SocketAddress& address : addresses) {
+    list.push_back(address.Value());
+  }
+  constexpr double kMillisecondsPerSecond = 1'000;
+  const nlohmann::json answer{ { "addresses", list },
+                               { "ttl_s",
+                                 static_cast<double>(m_settings.m_directory_lifetime.count()) /
+                                   kMillisecondsPerSecond } };
+  aExchange.Reply(kOk, { { "Content-Type", "application/json" } }, answer.dump());
+}
+
+void
+GatewayDaemon::OnMetricsRequest(RelayExchange& aExchange)
+{
+  if (aExchange.Path() != "/metrics") {
+    aExchange.Reply(kNotFound, {}, "");
+    return;
+  }
+  GatewayLevels levels = m_gateway.Levels();
+  levels.m_caller_connections = m_callers->ConnectionCount();
+  levels.m_log_lines_dropped = DroppedLogLines();
+  aExchange.Reply(
+    kOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_gateway.Metrics().Serialize(levels));
+}
+
+void
+GatewayDaemon::OnBeacon(const BeaconNews& aNews)
+{
+  const bool is_unknown =
+    !m_gateway.Members().Find(aNews.m_member.m_host).has_value() &&
+    aNews.m_member.m_host != m_settings.m_host;
+  m_gateway.OnBeacon(aNews);
+  if (is_unknown) {
+    // A daemon that has just started learns of this one at once.
+    m_beacons->SendTo(aNews.m_member.m_peer_address, EncodeBeacon(m_gateway.News()));
+  }
+}
+
+void
+GatewayDaemon::SendBeacons()
+{
+  m_beacons_sent_at = m_loop.Now();
+  const std::string datagram = EncodeBeacon(m_gateway.News());
+  const std::vector<Member> known = m_gateway.Members().Known();
+  for (const Member& member : known) {
+    m_beacons->SendTo(member.m_peer_address, datagram);
+  }
+  if (known.empty()) {
+    for (const SocketAddress& seed : m_settings.m_seed_addresses) {
+      m_beacons->SendTo(seed, datagram);
+    }
+  }
+}
+
+void
+GatewayDaemon::OnTick()
+{
+  const TimePoint now = m_loop.Now();
+  m_gateway.Tick();
+  const bool is_ready = m_gateway.IsReady();
+  if (is_ready != m_was_ready) {
+    m_was_ready = is_ready;
+    LogOf("daemon").info("event=ready ready={}", is_ready);
+    SendBeacons();
+  }
+  if (m_gateway.Table() != m_applied_table) {
+    m_applied_table = m_gateway.Table();
+    const CallerLimits& granted = m_applied_table->Limits();
+    RelayServerLimits limits;
+    limits.m_max_connections = m_settings.m_max_sockets / kCallerPartOfSockets;
+    limits.m_max_head_bytes = granted.m_max_head_bytes;
+    limits.m_max_body_bytes = granted.m_max_body_bytes;
+    limits.m_head_timeout = granted.m_head_timeout;
+    limits.m_idle_timeout = granted.m_idle_timeout;
+    m_callers->SetLimits(limits);
+  }
+  if (now - m_beacons_sent_at >= m_gateway.BeaconInterval()) {
+    SendBeacons();
+  }
+  if (now - m_logs_flushed_at >= kLogFlushInterval) {
+    m_logs_flushed_at = now;
+    FlushLogs();
+  }
+  if (m_stop_begun_at) {
+    StopWhenIdle();
+  }
+}
+
+void
+GatewayDaemon::BeginStop()
+{
+  if (m_stop_begun_at) {
+    return;
+  }
+  m_stop_begun_at = m_loop.Now();
+  LogOf("daemon").info("event=stopping attempts={} grace_ms={}",
+                       m_gateway.AttemptCount(),
+                       m_settings.m_stop_grace.count());
+  m_gateway.BeginLeaving();
+  m_callers->CloseAfterAnswers();
+  m_adapter.Withdraw();
+  SendBeacons();
+}
+
+void
+GatewayDaemon::StopWhenIdle()
+{
+  const Duration passed = m_loop.Now() - *m_stop_begun_at;
+  const Milliseconds latest = m_settings.m_stop_grace - kGraceReserve;
+  const Milliseconds forgotten =
+    std::min(m_settings.m_directory_lifetime * kLifetimesUntilForgotten, latest);
+  const bool is_idle = m_gateway.AttemptCount() == 0 && m_callers->BusyCount() == 0;
+  if ((is_idle && passed >= forgotten) || passed >= latest) {
+    LogOf("daemon").info("event=stopped attempts={} after_ms={}",
+                         m_gateway.AttemptCount(),
+                         ToMilliseconds(passed));
+    m_loop.Stop();
+  }
+}
+
+void
+GatewayDaemon::Reload(const GatewaySettings& aSettings)
+{
+  InitializeLogs(aSettings.m_log_level);
+  GatewaySettings with_applied = m_settings;
+  with_applied.m_log_level = aSettings.m_log_level;
+  LogOf("daemon").info("event=reloaded log_level={} other_changes_wait_for_restart={}",
+                       aSettings.m_log_level,
+                       !(with_applied == aSettings));
+  m_settings.m_log_level = aSettings.m_log_level;
+}
+
+}
--- /dev/null
+++ b/Daemon/GatewayDaemon.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <LibCluster/Beacon.h>
+#include <LibGateway/Gateway.h>
+#include <LibGateway/GatewaySettings.h>
+#include <LibRelay/RelayServer.h>
+#include <absl/status/statusor.h>
+#include <memory>
+#include <platform/PlatformAdapter.h>
+#include <platform/PlatformDialect.h>
+
+namespace auburnhitch {
+
+/// One gateway process: ties the request path to the loop, the listening ports, the other daemons
+/// and the store. Not thread-safe.
+class GatewayDaemon
+{
+public:
+  /// Listens and begins to read the store. Fails when a port can't be had.
+  static absl::StatusOr<std::unique_ptr<GatewayDaemon>> Create(EventLoop& aLoop,
+                                                               const GatewaySettings& aSettings);
+  ~GatewayDaemon();
+  GatewayDaemon(const GatewayDaemon&) = delete;
+  GatewayDaemon& operator=(const GatewayDaemon&) = delete;
+
+  /// Takes no further callers, lets running work end, then stops the loop.
+  void BeginStop();
+  /// Takes over what may change while the process runs, and says what waits for the next start.
+  void Reload(const GatewaySettings& aSettings);
+
+private:
+  GatewayDaemon(EventLoop& aLoop, const GatewaySettings& aSettings);
+
+  absl::Status Listen();
+  void OnReadinessRequest(RelayExchange& aExchange) const;
+  void OnDirectoryRequest(RelayExchange& aExchange) const;
+  void OnMetricsRequest(RelayExchange& aExchange);
+  void OnBeacon(const BeaconNews& aNews);
+  void SendBeacons();
+  void OnTick();
+  void StopWhenIdle();
+
+  EventLoop& m_loop;
+  GatewaySettings m_settings;
+  PlatformDialect m_dialect;
+  Gateway m_gateway;
+  PlatformAdapter m_adapter;
+  std::unique_ptr<RelayServer> m_callers;
+  std::unique_ptr<RelayServer> m_readiness;
+  std::unique_ptr<RelayServer> m_directory;
+  std::unique_ptr<RelayServer> m_metrics;
+  std::unique_ptr<BeaconSocket> m_beacons;
+  std::unique_ptr<PeerLinkListener> m_links;
+  RoutingTablePtr m_applied_table;
+  TimePoint m_beacons_sent_at;
+  TimePoint m_logs_flushed_at;
+  std::optional<TimePoint> m_stop_begun_at;
+  bool m_was_ready = false;
+  Timer m_tick;
+};
+
+}
--- a/Daemon/main.cpp
+++ b/Daemon/main.cpp
@@ -1,4 +1,5 @@
 #include "Daemon.h"
+#include "GatewayDaemon.h"
 
 #include <CLI/CLI.hpp>
 #include <LibCore/Log.h>
@@ -8,12 +9,30 @@
 #include <iostream>
 #include <sstream>
 #include <sys/resource.h>
+#include <variant>
 
 namespace auburnhitch {
 
 namespace {
 
-absl::StatusOr<Settings>
+// Names the settings file when the command line does not.
+constexpr const char* kSettingsVariable = "AUBURNHITCH_BOOT";
+
+/// The settings of one of the two ways in which a daemon runs.
+using AnySettings = std::variant<Settings, GatewaySettings>;
+
+template<typename T>
+absl::StatusOr<AnySettings>
+CheckSettings(const Json& aJson, const std::string& aPath, Findings& aFindings)
+{
+  auto settings = T::FromJson(aJson, aFindings);
+  if (!settings) {
+    return aFindings.ToStatus(aPath);
+  }
+  return AnySettings(*std::move(settings));
+}
+
+absl::StatusOr<AnySettings>
 LoadSettings(const std::string& aPath)
 {
   std::ifstream file(aPath);
@@ -24,11 +43,12 @@
   text << file.rdbuf();
   Findings findings;
   const auto json = ParseJson(text.str(), findings);
-  auto settings = json ? Settings::FromJson(*json, findings) : std::nullopt;
-  if (!settings) {
+  if (!json) {
     return findings.ToStatus(aPath);
   }
-  return *std::move(settings);
+  const auto gateway = json->find("gateway");
+  return gateway != json->end() ? CheckSettings<GatewaySettings>(*gateway, aPath, findings)
+                                : CheckSettings<Settings>(*json, aPath, findings);
 }
 
 // Callers hold their connections open: the process needs as many descriptors as it may have.
@@ -43,9 +63,8 @@
 }
 
 absl::Status
-RunDaemon(const Settings& aSettings)
+Run(const Settings& aSettings, const std::string&)
 {
-  RaiseDescriptorLimit();
   InitializeLogs(aSettings.m_log_level);
   EventLoop loop;
   TRY_ASSIGN(const auto daemon, Daemon::Create(loop, aSettings));
@@ -53,7 +72,33 @@
   const SignalWatcher interrupt(loop, SIGINT, [&] { daemon->BeginDrain(); });
   FlushLogs();
   loop.Run();
+  return absl::OkStatus();
+}
+
+void
+ReloadGateway(GatewayDaemon& aDaemon, const std::string& aPath)
+{
+  const auto settings = LoadSettings(aPath);
+  if (!settings.ok() || !std::holds_alternative<GatewaySettings>(*settings)) {
+    LogOf("daemon").warn("event=reload-refused why=\"{}\"",
+                         settings.ok() ? "these are settings of another kind"
+                                       : std::string(settings.status().message()));
+    return;
+  }
+  aDaemon.Reload(std::get<GatewaySettings>(*settings));
+}
+
+absl::Status
+Run(const GatewaySettings& aSettings, const std::string& aPath)
+{
+  InitializeLogs(aSettings.m_log_level);
+  EventLoop loop;
+  TRY_ASSIGN(const auto daemon, GatewayDaemon::Create(loop, aSettings));
+  const SignalWatcher terminate(loop, SIGTERM, [&] { daemon->BeginStop(); });
+  const SignalWatcher interrupt(loop, SIGINT, [&] { daemon->BeginStop(); });
+  const SignalWatcher reload(loop, SIGHUP, [&] { ReloadGateway(*daemon, aPath); });
   FlushLogs();
+  loop.Run();
   return absl::OkStatus();
 }
 
@@ -67,7 +112,9 @@
   CLI::App app("auburnhitchd: schedules requests of callers onto engines and services");
   std::string settings_path;
   bool only_check = false;
-  app.add_option("--settings", settings_path, "The settings file, JSON")->required();
+  app.add_option("--settings", settings_path, "The settings file, JSON")
+    ->envname(auburnhitch::kSettingsVariable)
+    ->required();
   app.add_flag("--check-settings", only_check, "Check the settings, report all findings and exit");
   CLI11_PARSE(app, aArgumentCount, aArguments);
 
@@ -80,7 +127,10 @@
     std::cout << settings_path << ": correct\n";
     return 0;
   }
-  const absl::Status status = auburnhitch::RunDaemon(*settings);
+  auburnhitch::RaiseDescriptorLimit();
+  const absl::Status status =
+    std::visit([&](const auto& aKind) { return auburnhitch::Run(aKind, settings_path); }, *settings);
+  auburnhitch::FlushLogs();
   if (!status.ok()) {
     std::cerr << status.message() << "\n";
     return 1;
--- /dev/null
+++ b/Libraries/LibAllowance/QuotaLedger.cpp
@@ -0,0 +1,149 @@
+#include <LibAllowance/QuotaLedger.h>
+
+#include <algorithm>
+
+namespace auburnhitch {
+
+namespace {
+
+constexpr double kMillisecondsPerSecond = 1'000;
+
+double
+SecondsOf(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+}
+
+void
+QuotaLedger::SetDaemons(std::size_t aHeard, std::size_t aKnown)
+{
+  const std::size_t known = std::max({ aKnown, aHeard, std::size_t{ 1 } });
+  m_own_part = static_cast<double>(std::max(aHeard, std::size_t{ 1 })) / static_cast<double>(known);
+}
+
+void
+QuotaLedger::SetWorkspaces(const std::vector<RoutedWorkspace>& aWorkspaces, TimePoint aNow)
+{
+  absl::flat_hash_map<WorkspaceName, Bucket> buckets;
+  for (const RoutedWorkspace& workspace : aWorkspaces) {
+    const auto found = m_buckets.find(workspace.m_name);
+    Bucket bucket;
+    if (found != m_buckets.end()) {
+      bucket = found->second;
+      Fill(bucket, aNow);
+      bucket.m_tokens_per_second = workspace.m_tokens_per_second;
+      bucket.m_burst = workspace.m_burst_tokens;
+      bucket.m_level = std::min(bucket.m_level, static_cast<double>(bucket.m_burst));
+    } else {
+      bucket.m_tokens_per_second = workspace.m_tokens_per_second;
+      bucket.m_burst = workspace.m_burst_tokens;
+      bucket.m_level = static_cast<double>(bucket.m_burst) * m_own_part;
+      bucket.m_filled_at = aNow;
+    }
+    buckets.emplace(workspace.m_name, bucket);
+  }
+  m_buckets = std::move(buckets);
+}
+
+double
+QuotaLedger::FillPerSecond(const Bucket& aBucket) const
+{
+  return static_cast<double>(aBucket.m_tokens_per_second) * m_own_part;
+}
+
+double
+QuotaLedger::LevelAt(const Bucket& aBucket, TimePoint aNow) const
+{
+  const double filled = FillPerSecond(aBucket) * SecondsOf(aNow - aBucket.m_filled_at);
+  return std::min(static_cast<double>(aBucket.m_burst), aBucket.m_level + filled);
+}
+
+void
+QuotaLedger::Fill(Bucket& aBucket, TimePoint aNow)
+{
+  aBucket.m_level = LevelAt(aBucket, aNow);
+  aBucket.m_filled_at = aNow;
+}
+
+bool
+QuotaLedger::TrySpend(const WorkspaceName& aWorkspace, std::int64_t aTokens, TimePoint aNow)
+{
+  const auto found = m_buckets.find(aWorkspace);
+  if (found == m_buckets.end() || found->second.m_tokens_per_second == 0) {
+    return true;
+  }
+  Bucket& bucket = found->second;
+  Fill(bucket, aNow);
+  // A request larger than the bucket waits for a full one, or it would never be served.
+  const double needed = std::min(static_cast<double>(aTokens), static_cast<double>(bucket.m_burst));
+  if (bucket.m_level < needed) {
+    return false;
+  }
+  bucket.m_level -= static_cast<double>(aTokens);
+  bucket.m_own += aTokens;
+  return true;
+}
+
+void
+QuotaLedger::Refund(const WorkspaceName& aWorkspace, std::int64_t aTokens)
+{
+  const auto found = m_buckets.find(aWorkspace);
+  if (found == m_buckets.end() || found->second.m_tokens_per_second == 0) {
+    return;
+  }
+  found->second.m_level += static_cast<double>(aTokens);
+  found->second.m_own -= aTokens;
+}
+
+Milliseconds
+QuotaLedger::TimeUntil(const WorkspaceName& aWorkspace,
+                       std::int64_t aTokens,
+                       TimePoint aNow) const
+{
+  const auto found = m_buckets.find(aWorkspace);
+  if (found == m_buckets.end() || found->second.m_tokens_per_second == 0) {
+    return Milliseconds(0);
+  }
+  const Bucket& bucket = found->second;
+  const double needed = std::min(static_cast<double>(aTokens), static_cast<double>(bucket.m_burst));
+  const double missing = std::max(0.0, needed - LevelAt(bucket, aNow));
+  return Milliseconds(
+    static_cast<std::int64_t>(missing / FillPerSecond(bucket) * kMillisecondsPerSecond) + 1);
+}
+
+std::vector<WorkspaceSpending>
+QuotaLedger::OwnSpending() const
+{
+  std::vector<WorkspaceSpending> spending;
+  for (const auto& [name, bucket] : m_buckets) {
+    if (bucket.m_own != 0) {
+      spending.push_back({ name, bucket.m_own });
+    }
+  }
+  return spending;
+}
+
+void
+QuotaLedger::NotePeer(const Incarnation& aPeer,
+                      const std::vector<WorkspaceSpending>& aSpending,
+                      TimePoint aNow)
+{
+  const bool is_new = !m_peers.contains(aPeer);
+  auto& known = m_peers[aPeer];
+  for (const WorkspaceSpending& spending : aSpending) {
+    std::int64_t& last = known[spending.m_workspace];
+    const std::int64_t spent = spending.m_tokens - last;
+    last = spending.m_tokens;
+    const auto found = m_buckets.find(spending.m_workspace);
+    // What a daemon spent before it was first heard lies in the past by an unknown time.
+    if (is_new || found == m_buckets.end()) {
+      continue;
+    }
+    Fill(found->second, aNow);
+    found->second.m_level -= static_cast<double>(spent);
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibAllowance/include/LibAllowance/QuotaLedger.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibRouting/Route.h>
+#include <absl/container/flat_hash_map.h>
+#include <map>
+#include <vector>
+
+namespace auburnhitch {
+
+/// Tokens that one daemon has admitted for one workspace since its start.
+struct WorkspaceSpending
+{
+  WorkspaceName m_workspace;
+  std::int64_t m_tokens = 0;
+
+  auto operator<=>(const WorkspaceSpending&) const = default;
+};
+
+/// Keeps the quotas of workspaces over all daemons. Each daemon follows one bucket a workspace, from
+/// which its own spending and what other daemons tell of theirs is taken. The part of daemons that
+/// are not heard is left to them, so that a daemon that is cut off and those that miss it do not
+/// spend the same tokens. Answers the load of one workspace that sends many times its quota at all
+/// daemons. Pure: owns no clock. Not thread-safe.
+class QuotaLedger
+{
+public:
+  /// Tells how many daemons there are and how many of them are heard, with this one.
+  void SetDaemons(std::size_t aHeard, std::size_t aKnown);
+  /// Takes over the workspaces of a configuration. Buckets of workspaces that stay keep their level.
+  void SetWorkspaces(const std::vector<RoutedWorkspace>& aWorkspaces, TimePoint aNow);
+
+  /// Takes tokens if the quota allows it. True for workspaces without a quota.
+  bool TrySpend(const WorkspaceName& aWorkspace, std::int64_t aTokens, TimePoint aNow);
+  /// Gives back what was taken for a request that did not run.
+  void Refund(const WorkspaceName& aWorkspace, std::int64_t aTokens);
+  /// Time until the bucket holds the tokens.
+  Milliseconds TimeUntil(const WorkspaceName& aWorkspace,
+                         std::int64_t aTokens,
+                         TimePoint aNow) const;
+
+  /// What this daemon has spent since its start; only workspaces that were ever used.
+  std::vector<WorkspaceSpending> OwnSpending() const;
+  /// Takes what another daemon has spent since its start.
+  void NotePeer(const Incarnation& aPeer,
+                const std::vector<WorkspaceSpending>& aSpending,
+                TimePoint aNow);
+  /// Drops what is kept of a daemon that is gone for good.
+  void ForgetPeer(const Incarnation& aPeer) { m_peers.erase(aPeer); }
+
+private:
+  struct Bucket
+  {
+    std::int64_t m_tokens_per_second = 0;
+    std::int64_t m_burst = 0;
+    double m_level = 0;
+    TimePoint m_filled_at;
+    std::int64_t m_own = 0;
+  };
+
+  double FillPerSecond(const Bucket& aBucket) const;
+  double LevelAt(const Bucket& aBucket, TimePoint aNow) const;
+  void Fill(Bucket& aBucket, TimePoint aNow);
+
+  double m_own_part = 1.0;
+  absl::flat_hash_map<WorkspaceName, Bucket> m_buckets;
+  absl::flat_hash_map<Incarnation, absl::flat_hash_map<WorkspaceName, std::int64_t>> m_peers;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibBroker/PlaceMessages.cpp
@@ -0,0 +1,281 @@
+#include <LibBroker/PlaceMessages.h>
+
+#include <LibCore/JsonObjectReader.h>
+#include <array>
+#include <utility>
+
+namespace auburnhitch {
+
+namespace {
+
+/// Writes the fields of a message in order.
+class Writer
+{
+public:
+  explicit Writer(std::size_t aKind)
+    : m_json(Json::array({ aKind }))
+  {
+  }
+
+  template<typename Tag>
+  void operator()(const StrongString<Tag>& aValue)
+  {
+    m_json.push_back(aValue.Value());
+  }
+  void operator()(std::uint64_t aValue) { m_json.push_back(aValue); }
+  void operator()(int aValue) { m_json.push_back(aValue); }
+  void operator()(double aValue) { m_json.push_back(aValue); }
+  void operator()(Milliseconds aValue) { m_json.push_back(aValue.count()); }
+  void operator()(PlaceEnd aValue) { m_json.push_back(static_cast<int>(aValue)); }
+  void operator()(PlaceRefusalReason aValue) { m_json.push_back(static_cast<int>(aValue)); }
+  void operator()(const std::vector<EndpointId>& aValues)
+  {
+    Json ids = Json::array();
+    for (const EndpointId& id : aValues) {
+      ids.push_back(id.Value());
+    }
+    m_json.push_back(std::move(ids));
+  }
+
+  Json Take() { return std::move(m_json); }
+
+private:
+  Json m_json;
+};
+
+/// Reads the fields of a message in order; the first that is missing or of another type makes all
+/// of it unusable.
+class Reader
+{
+public:
+  explicit Reader(const Json& aJson)
+    : m_json(aJson)
+  {
+  }
+
+  template<typename Tag>
+  void operator()(StrongString<Tag>& aValue)
+  {
+    if (const Json* field = Next(); field != nullptr && Check(field->is_string())) {
+      aValue = StrongString<Tag>(field->get<std::string>());
+    }
+  }
+  void operator()(std::uint64_t& aValue)
+  {
+    if (const Json* field = Next(); field != nullptr && Check(field->is_number_unsigned())) {
+      aValue = field->get<std::uint64_t>();
+    }
+  }
+  void operator()(int& aValue)
+  {
+    constexpr std::int64_t kMost = 1'000'000;
+    if (const Json* field = Next(); field != nullptr && Check(IsWithin(*field, kMost))) {
+      aValue = field->get<int>();
+    }
+  }
+  void operator()(double& aValue)
+  {
+    constexpr double kMost = 1e9;
+    if (const Json* field = Next(); field != nullptr && Check(field->is_number())) {
+      aValue = field->get<double>();
+      Check(aValue >= 0 && aValue <= kMost);
+    }
+  }
+  void operator()(Milliseconds& aValue)
+  {
+    constexpr std::int64_t kMost = 24 * 60 * 60 * 1'000;
+    if (const Json* field = Next(); field != nullptr && Check(IsWithin(*field, kMost))) {
+      aValue = Milliseconds(field->get<std::int64_t>());
+    }
+  }
+  void operator()(PlaceEnd& aValue) { ReadEnum(aValue, static_cast<int>(PlaceEnd::Cancelled)); }
+  void operator()(PlaceRefusalReason& aValue)
+  {
+    ReadEnum(aValue, static_cast<int>(PlaceRefusalReason::NoEndpoint));
+  }
+  void operator()(std::vector<EndpointId>& aValues)
+  {
+    const Json* field = Next();
+    if (field == nullptr || !Check(field->is_array())) {
+      return;
+    }
+    for (const Json& id : *field) {
+      if (Check(id.is_string())) {
+        aValues.emplace_back(id.get<std::string>());
+      }
+    }
+  }
+
+  bool IsOk() const { return m_is_ok && m_next == m_json.size(); }
+
+private:
+  static bool IsWithin(const Json& aField, std::int64_t aMost)
+  {
+    return aField.is_number_integer() && aField.get<std::int64_t>() >= -aMost &&
+           aField.get<std::int64_t>() <= aMost;
+  }
+
+  const Json* Next()
+  {
+    if (!Check(m_next < m_json.size())) {
+      return nullptr;
+    }
+    return &m_json[m_next++];
+  }
+
+  bool Check(bool aCondition)
+  {
+    m_is_ok = m_is_ok && aCondition;
+    return aCondition;
+  }
+
+  template<typename Enum>
+  void ReadEnum(Enum& aValue, int aLast)
+  {
+    int number = 0;
+    (*this)(number);
+    if (Check(number >= 0 && number <= aLast)) {
+      aValue = static_cast<Enum>(number);
+    }
+  }
+
+  const Json& m_json;
+  std::size_t m_next = 1;
+  bool m_is_ok = true;
+};
+
+template<typename T, typename Message>
+concept Is = std::is_same_v<std::remove_const_t<T>, Message>;
+
+// The fields of each message, once for both directions.
+
+void
+Visit(auto& aVisit, Is<HelloMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_host);
+  aVisit(aMessage.m_incarnation);
+}
+
+void
+Visit(auto& aVisit, Is<AskMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_service);
+  aVisit(aMessage.m_number);
+  aVisit(aMessage.m_priority);
+  aVisit(aMessage.m_work.m_prompt_tokens);
+  aVisit(aMessage.m_work.m_output_tokens);
+  aVisit(aMessage.m_age);
+  aVisit(aMessage.m_to_objective);
+  aVisit(aMessage.m_to_abandoned);
+  aVisit(aMessage.m_data_center);
+  aVisit(aMessage.m_avoided);
+}
+
+void
+Visit(auto& aVisit, Is<WithdrawMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_service);
+  aVisit(aMessage.m_number);
+}
+
+void
+Visit(auto& aVisit, Is<HeldMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_service);
+  aVisit(aMessage.m_number);
+  aVisit(aMessage.m_endpoint);
+  aVisit(aMessage.m_work.m_prompt_tokens);
+  aVisit(aMessage.m_work.m_output_tokens);
+}
+
+void
+Visit(auto& aVisit, Is<StartedMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_service);
+  aVisit(aMessage.m_number);
+  aVisit(aMessage.m_endpoint);
+}
+
+void
+Visit(auto& aVisit, Is<EndedMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_service);
+  aVisit(aMessage.m_number);
+  aVisit(aMessage.m_endpoint);
+  aVisit(aMessage.m_end);
+}
+
+void
+Visit(auto& aVisit, Is<LeaveMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_service);
+}
+
+void
+Visit(auto& aVisit, Is<QueuedMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_number);
+}
+
+void
+Visit(auto& aVisit, Is<GrantMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_number);
+  aVisit(aMessage.m_endpoint);
+  aVisit(aMessage.m_expected);
+}
+
+void
+Visit(auto& aVisit, Is<RefuseMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_number);
+  aVisit(aMessage.m_reason);
+  aVisit(aMessage.m_retry_after);
+}
+
+template<typename Message>
+std::optional<PlaceMessage>
+Decode(const Json& aJson)
+{
+  Message message;
+  Reader reader(aJson);
+  Visit(reader, message);
+  if (!reader.IsOk()) {
+    return std::nullopt;
+  }
+  return message;
+}
+
+template<std::size_t... Kinds>
+std::optional<PlaceMessage>
+DecodeKind(std::size_t aKind, const Json& aJson, std::index_sequence<Kinds...>)
+{
+  using Decoder = std::optional<PlaceMessage> (*)(const Json&);
+  constexpr std::array<Decoder, sizeof...(Kinds)> kDecoders{
+    Decode<std::variant_alternative_t<Kinds, PlaceMessage>>...
+  };
+  return aKind < kDecoders.size() ? kDecoders[aKind](aJson) : std::nullopt;
+}
+
+}
+
+nlohmann::json
+EncodePlaceMessage(const PlaceMessage& aMessage)
+{
+  Writer writer(aMessage.index());
+  std::visit([&](const auto& aAlternative) { Visit(writer, aAlternative); }, aMessage);
+  return writer.Take();
+}
+
+std::optional<PlaceMessage>
+DecodePlaceMessage(const nlohmann::json& aJson)
+{
+  if (!aJson.is_array() || aJson.empty() || !aJson[0].is_number_unsigned()) {
+    return std::nullopt;
+  }
+  return DecodeKind(aJson[0].get<std::size_t>(),
+                    aJson,
+                    std::make_index_sequence<std::variant_size_v<PlaceMessage>>());
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCluster/Beacon.cpp
@@ -0,0 +1,197 @@
+#include <LibCluster/Beacon.h>
+
+#include <LibCore/Log.h>
+#include <LibCore/Try.h>
+#include <LibHttp/HttpServer.h>
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <event2/event.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace auburnhitch {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Changes with the layout; others are not understood.
+constexpr int kBeaconLayout = 1;
+constexpr std::size_t kBeaconFields = 11;
+// A datagram that fits into one packet of a usual network.
+constexpr std::size_t kMaxDatagramBytes = 1'400;
+// FIXME: with more active workspaces than this the spending of some is told too seldom; quotas of
+// many workspaces need a home for each.
+constexpr std::size_t kMaxSpendingEntries = 32;
+// Datagrams read in one turn, so that a flood cannot hold up the loop.
+constexpr int kMaxDatagramsPerTurn = 256;
+
+bool
+HasBeaconShape(const Json& aJson)
+{
+  if (!aJson.is_array() || aJson.size() != kBeaconFields || aJson[0] != kBeaconLayout) {
+    return false;
+  }
+  constexpr std::size_t kFirstText = 1;
+  constexpr std::size_t kFirstFlag = 6;
+  constexpr std::size_t kVersion = 9;
+  for (std::size_t i = kFirstText; i < kFirstFlag; ++i) {
+    if (!aJson[i].is_string()) {
+      return false;
+    }
+  }
+  for (std::size_t i = kFirstFlag; i < kVersion; ++i) {
+    if (!aJson[i].is_boolean()) {
+      return false;
+    }
+  }
+  return aJson[kVersion].is_number_integer() && aJson[kVersion + 1].is_array();
+}
+
+absl::StatusOr<sockaddr_in>
+ToSocketName(const SocketAddress& aAddress)
+{
+  TRY_ASSIGN(const auto address, SplitSocketAddress(aAddress));
+  sockaddr_in name{};
+  name.sin_family = AF_INET;
+  name.sin_port = htons(address.second);
+  inet_pton(AF_INET, address.first.c_str(), &name.sin_addr);
+  return name;
+}
+
+}
+
+std::string
+EncodeBeacon(const BeaconNews& aNews)
+{
+  Json spending = Json::array();
+  for (const WorkspaceSpending& entry : aNews.m_spending) {
+    if (spending.size() < kMaxSpendingEntries) {
+      spending.push_back(Json::array({ entry.m_workspace.Value(), entry.m_tokens }));
+    }
+  }
+  const Member& member = aNews.m_member;
+  const Json json = Json::array({ kBeaconLayout,
+                                  member.m_host.Value(),
+                                  member.m_incarnation.Value(),
+                                  member.m_data_center.Value(),
+                                  member.m_peer_address.Value(),
+                                  member.m_caller_address.Value(),
+                                  member.m_is_leaving,
+                                  member.m_is_ready,
+                                  member.m_is_current,
+                                  aNews.m_configuration_version,
+                                  spending });
+  std::string bytes;
+  Json::to_msgpack(json, bytes);
+  return bytes;
+}
+
+std::optional<BeaconNews>
+DecodeBeacon(absl::string_view aBytes)
+{
+  const Json json = Json::from_msgpack(aBytes.begin(), aBytes.end(), true, false);
+  if (!HasBeaconShape(json)) {
+    return std::nullopt;
+  }
+  BeaconNews news;
+  std::size_t field = 0;
+  const auto next = [&]() -> const Json& { return json[++field]; };
+  news.m_member.m_host = HostName(next().get<std::string>());
+  news.m_member.m_incarnation = Incarnation(next().get<std::string>());
+  news.m_member.m_data_center = DataCenterName(next().get<std::string>());
+  news.m_member.m_peer_address = SocketAddress(next().get<std::string>());
+  news.m_member.m_caller_address = SocketAddress(next().get<std::string>());
+  news.m_member.m_is_leaving = next().get<bool>();
+  news.m_member.m_is_ready = next().get<bool>();
+  news.m_member.m_is_current = next().get<bool>();
+  news.m_configuration_version = next().get<std::int64_t>();
+  for (const Json& entry : next()) {
+    if (!entry.is_array() || entry.size() != 2 || !entry[0].is_string() ||
+        !entry[1].is_number_integer()) {
+      return std::nullopt;
+    }
+    news.m_spending.push_back(
+      { WorkspaceName(entry[0].get<std::string>()), entry[1].get<std::int64_t>() });
+  }
+  return news;
+}
+
+BeaconSocket::BeaconSocket(int aSocket, Handler aHandler)
+  : m_socket(aSocket)
+  , m_handler(std::move(aHandler))
+{
+}
+
+absl::StatusOr<std::unique_ptr<BeaconSocket>>
+BeaconSocket::Create(EventLoop& aLoop, const SocketAddress& aAddress, Handler aHandler)
+{
+  TRY_ASSIGN(const sockaddr_in name, ToSocketName(aAddress));
+  const int number = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (number < 0) {
+    return absl::UnavailableError("can't open a datagram socket");
+  }
+  std::unique_ptr<BeaconSocket> beacon(new BeaconSocket(number, std::move(aHandler)));
+  if (bind(number, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) != 0) {
+    return absl::UnavailableError("can't take datagrams on " + aAddress.Value());
+  }
+  beacon->m_event =
+    event_new(aLoop.Base(), number, EV_READ | EV_PERSIST, OnReadable, beacon.get());
+  event_add(beacon->m_event, nullptr);
+  return beacon;
+}
+
+BeaconSocket::~BeaconSocket()
+{
+  if (m_event != nullptr) {
+    event_free(m_event);
+  }
+  close(m_socket);
+}
+
+void
+BeaconSocket::SendTo(const SocketAddress& aPeer, absl::string_view aDatagram)
+{
+  const auto name = ToSocketName(aPeer);
+  if (!name.ok()) {
+    LogOf("cluster").warn("event=beacon-unsent peer={} why={}",
+                          aPeer.Value(),
+                          std::string(name.status().message()));
+    return;
+  }
+  // A beacon that does not leave is like one that is lost: the next one follows.
+  sendto(m_socket,
+         aDatagram.data(),
+         aDatagram.size(),
+         MSG_DONTWAIT,
+         reinterpret_cast<const sockaddr*>(&*name),
+         sizeof(*name));
+}
+
+void
+BeaconSocket::OnReadable(int, short, void* aSelf)
+{
+  static_cast<BeaconSocket*>(aSelf)->Receive();
+}
+
+void
+BeaconSocket::Receive()
+{
+  std::array<char, kMaxDatagramBytes> buffer{};
+  for (int i = 0; i < kMaxDatagramsPerTurn; ++i) {
+    const ssize_t size = recv(m_socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (size < 0) {
+      return;
+    }
+    const auto news = DecodeBeacon({ buffer.data(), static_cast<std::size_t>(size) });
+    if (!news) {
+      LogOf("cluster").warn("event=beacon-malformed bytes={}", size);
+      continue;
+    }
+    m_handler(*news);
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCluster/Membership.cpp
@@ -0,0 +1,144 @@
+#include <LibCluster/Membership.h>
+
+#include <tuple>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace auburnhitch {
+
+namespace {
+
+std::uint64_t
+RankOf(const ServiceName& aService, const HostName& aHost)
+{
+  const std::string mixed = aService.Value() + '\0' + aHost.Value();
+  return XXH3_64bits(mixed.data(), mixed.size());
+}
+
+}
+
+void
+Membership::NoteListed(const Member& aMember)
+{
+  if (aMember.m_host == m_own) {
+    return;
+  }
+  Entry& known = m_members[aMember.m_host];
+  known.m_is_listed = true;
+  if (!known.m_heard_at) {
+    known.m_member = aMember;
+  }
+}
+
+void
+Membership::NoteUnlisted(const HostName& aHost)
+{
+  const auto found = m_members.find(aHost);
+  if (found == m_members.end()) {
+    return;
+  }
+  found->second.m_is_listed = false;
+  if (!found->second.m_heard_at) {
+    m_members.erase(found);
+  }
+}
+
+bool
+Membership::NoteHeard(const Member& aMember, TimePoint aNow)
+{
+  if (aMember.m_host == m_own) {
+    return false;
+  }
+  Entry& known = m_members[aMember.m_host];
+  const bool is_new = known.m_member.m_incarnation != aMember.m_incarnation;
+  if (is_new) {
+    known.m_distrusted_at = std::nullopt;
+  }
+  known.m_member = aMember;
+  known.m_heard_at = aNow;
+  return is_new;
+}
+
+void
+Membership::Distrust(const HostName& aHost, TimePoint aNow)
+{
+  const auto found = m_members.find(aHost);
+  if (found != m_members.end()) {
+    found->second.m_distrusted_at = aNow;
+  }
+}
+
+void
+Membership::Forget(TimePoint aNow)
+{
+  std::erase_if(m_members, [&](const auto& aEntry) {
+    const Entry& known = aEntry.second;
+    return !known.m_is_listed && known.m_heard_at &&
+           aNow - *known.m_heard_at > m_limits.m_forgotten_after;
+  });
+}
+
+bool
+Membership::IsHeard(const Entry& aKnown, TimePoint aNow) const
+{
+  return aKnown.m_heard_at && aNow - *aKnown.m_heard_at <= m_limits.m_heard_for;
+}
+
+bool
+Membership::IsHeard(const HostName& aHost, TimePoint aNow) const
+{
+  const auto found = m_members.find(aHost);
+  return found != m_members.end() && IsHeard(found->second, aNow);
+}
+
+std::vector<Member>
+Membership::Heard(TimePoint aNow) const
+{
+  std::vector<Member> heard;
+  for (const auto& [host, known] : m_members) {
+    if (IsHeard(known, aNow)) {
+      heard.push_back(known.m_member);
+    }
+  }
+  return heard;
+}
+
+std::vector<Member>
+Membership::Known() const
+{
+  std::vector<Member> known;
+  known.reserve(m_members.size());
+  for (const auto& [host, entry] : m_members) {
+    known.push_back(entry.m_member);
+  }
+  return known;
+}
+
+std::optional<Member>
+Membership::Find(const HostName& aHost) const
+{
+  const auto found = m_members.find(aHost);
+  return found == m_members.end() ? std::nullopt : std::optional(found->second.m_member);
+}
+
+Member
+Membership::HomeOf(const ServiceName& aService, const Member& aSelf, TimePoint aNow) const
+{
+  // A daemon that reads the store goes before one that does not, and any before one that leaves.
+  const auto order = [&](const Member& aMember) {
+    return std::tuple(!aMember.m_is_leaving && aMember.m_is_ready,
+                      aMember.m_is_current,
+                      RankOf(aService, aMember.m_host));
+  };
+  const Member* best = &aSelf;
+  for (const auto& [host, known] : m_members) {
+    const bool is_distrusted =
+      known.m_distrusted_at && aNow - *known.m_distrusted_at <= m_limits.m_distrusted_for;
+    if (IsHeard(known, aNow) && !is_distrusted && order(known.m_member) > order(*best)) {
+      best = &known.m_member;
+    }
+  }
+  return *best;
+}
+
+}
--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -1,16 +1,74 @@
 #include <LibCore/Log.h>
 
+#include <algorithm>
+#include <cerrno>
+#include <climits>
 #include <memory>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <poll.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
+#include <string>
+#include <unistd.h>
 
 namespace auburnhitch {
 
 namespace {
 
-std::shared_ptr<spdlog::sinks::sink>
+// A writer whose reader has stopped keeps this much and drops what comes after it.
+constexpr std::size_t kMaxBufferedBytes = 256 << 10;
+// Lines are written in groups of about this size, or when they are flushed.
+constexpr std::size_t kWriteBytes = 16 << 10;
+
+/// Writes lines to standard output without ever waiting for its reader. Lines that find no room are
+/// counted and dropped. Not thread-safe.
+class StandardOutputSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+{
+public:
+  std::uint64_t DroppedLines() const { return m_dropped; }
+
+protected:
+  void sink_it_(const spdlog::details::log_msg& aMessage) override
+  {
+    spdlog::memory_buf_t line;
+    formatter_->format(aMessage, line);
+    if (m_buffer.size() + line.size() > kMaxBufferedBytes) {
+      ++m_dropped;
+      return;
+    }
+    m_buffer.append(line.data(), line.size());
+    if (m_buffer.size() >= kWriteBytes) {
+      flush_();
+    }
+  }
+
+  void flush_() override
+  {
+    std::size_t written = 0;
+    while (written < m_buffer.size()) {
+      // A pipe that polls as writable takes this much without waiting.
+      const std::size_t part = std::min<std::size_t>(m_buffer.size() - written, PIPE_BUF);
+      pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+      if (poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0) {
+        break;
+      }
+      const ssize_t size = write(STDOUT_FILENO, m_buffer.data() + written, part);
+      if (size < 0 && errno != EINTR) {
+        break;
+      }
+      written += size < 0 ? 0 : static_cast<std::size_t>(size);
+    }
+    m_buffer.erase(0, written);
+  }
+
+private:
+  std::string m_buffer;
+  std::uint64_t m_dropped = 0;
+};
+
+std::shared_ptr<StandardOutputSink>
 SharedSink()
 {
-  static auto s_sink = std::make_shared<spdlog::sinks::stdout_sink_st>();
+  static auto s_sink = std::make_shared<StandardOutputSink>();
   return s_sink;
 }
 
@@ -36,6 +94,12 @@
   spdlog::set_level(spdlog::level::from_str(aLevel));
 }
 
+std::uint64_t
+DroppedLogLines()
+{
+  return SharedSink()->DroppedLines();
+}
+
 void
 FlushLogs()
 {
--- /dev/null
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -0,0 +1,383 @@
+#include <LibGateway/Gateway.h>
+
+#include <LibCore/Digest.h>
+#include <LibCore/Log.h>
+#include <algorithm>
+
+namespace auburnhitch {
+
+namespace {
+
+// Engines and services of the users say how long they keep a connection in whole seconds, so one
+// that says nothing may keep it for less than a second.
+constexpr Milliseconds kIdleLifetime{ 700 };
+constexpr std::size_t kMaxIdlePerEndpoint = 64;
+// A daemon that has no configuration yet gets one within a few hundred milliseconds.
+constexpr Milliseconds kRetryWithoutConfiguration{ 300 };
+// For how long a caller waits that does not say so.
+constexpr Milliseconds kDefaultPatience{ 30'000 };
+// A store that has not answered for this long may have news that this daemon lacks.
+constexpr Milliseconds kCurrentFor{ 1'500 };
+// How often what is known of the quiet endpoints is handed to the schedulers.
+constexpr Milliseconds kEndpointUpdateInterval{ 250 };
+// News to each of a few daemons; with more of them each hears of the others more seldom, so that
+// what a daemon sends grows no faster than their number.
+constexpr Milliseconds kBeaconInterval{ 200 };
+constexpr Milliseconds kBeaconIntervalPerDaemon{ 12 };
+// Beacons that may be lost in a row before a daemon counts as not heard.
+constexpr double kBeaconsUntilUnheard = 3.5;
+constexpr double kHeartbeatsUntilQuiet = 2;
+constexpr Milliseconds kReadingLag{ 700 };
+
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+
+EndpointRegistry::Limits
+RegistryLimits(const GatewaySettings& aSettings)
+{
+  EndpointRegistry::Limits limits;
+  limits.m_quiet_after =
+    Milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(aSettings.m_heartbeat.count()) * kHeartbeatsUntilQuiet)) +
+    kReadingLag;
+  return limits;
+}
+
+PlaceBroker::Limits
+BrokerLimits(const GatewaySettings& aSettings)
+{
+  PlaceBroker::Limits limits;
+  limits.m_scheduler.m_most_retry_after = aSettings.m_most_retry_after;
+  return limits;
+}
+
+}
+
+Gateway::Gateway(EventLoop& aLoop, const GatewaySettings& aSettings, const Dialect& aDialect)
+  : m_loop(aLoop)
+  , m_settings(aSettings)
+  , m_dialect(aDialect)
+  , m_incarnation(RandomName())
+  , m_registry(RegistryLimits(aSettings))
+  , m_membership(Membership::Limits(), aSettings.m_host)
+  , m_retry_budget(aSettings.m_retry_budget)
+  , m_client(aLoop, kIdleLifetime, kMaxIdlePerEndpoint)
+  , m_broker(BrokerLimits(aSettings),
+             PlaceBroker::Surroundings{
+               &aLoop,
+               &m_membership,
+               [this] { return Self(); },
+               [this](const ServiceName& aService) { return EndpointsOf(aService); } })
+  , m_surroundings{ &aLoop,     &m_client,         &m_broker,
+                    &m_registry, &m_retry_budget,  &m_quotas,
+                    &aDialect,   &m_metrics,       aSettings.m_data_center }
+  , m_endpoints_updated_at(aLoop.Now())
+{
+}
+
+Gateway::~Gateway() = default;
+
+Member
+Gateway::Self() const
+{
+  const bool is_current =
+    m_is_store_reachable || (m_store_lost_at && Now() - *m_store_lost_at < kCurrentFor);
+  return Member{ m_settings.m_host,
+                 m_incarnation,
+                 m_settings.m_data_center,
+                 m_settings.m_peer_address,
+                 m_settings.m_caller_address,
+                 m_is_leaving,
+                 IsReady(),
+                 is_current };
+}
+
+BeaconNews
+Gateway::News() const
+{
+  return BeaconNews{ Self(), m_table ? m_table->Version() : 0, m_quotas.OwnSpending() };
+}
+
+bool
+Gateway::IsReady() const
+{
+  return m_table != nullptr && m_registry.HasBeenRead();
+}
+
+void
+Gateway::SetRoutingTable(RoutingTablePtr aTable)
+{
+  if (m_table != nullptr && aTable->Version() <= m_table->Version()) {
+    return;
+  }
+  LogOf("config").info("event=in-force version={} before={} routes={} workspaces={}",
+                       aTable->Version(),
+                       m_table ? m_table->Version() : 0,
+                       aTable->Routes().size(),
+                       aTable->Workspaces().size());
+  m_table = std::move(aTable);
+  m_quotas.SetWorkspaces(m_table->Workspaces(), Now());
+}
+
+void
+Gateway::RenewEndpoint(const EndpointEntry& aEntry)
+{
+  OnRegistryChanges(m_registry.Renew(aEntry, Now()));
+}
+
+void
+Gateway::RemoveEndpoint(const EndpointId& aId)
+{
+  OnRegistryChanges(m_registry.Remove(aId, Now()));
+}
+
+void
+Gateway::ReplaceEndpoints(const std::vector<EndpointEntry>& aEntries)
+{
+  OnRegistryChanges(m_registry.Replace(aEntries, Now()));
+}
+
+void
+Gateway::NoteRegistryRead()
+{
+  m_registry.NoteRead(Now());
+}
+
+void
+Gateway::OnRegistryChanges(const EndpointRegistry::Changes& aChanges)
+{
+  if (aChanges.empty()) {
+    return;
+  }
+  for (const RegistryChange& change : aChanges) {
+    LogOf("registry").info("event={} endpoint={} service={} address={} places={} registry={}",
+                           NameOf(change.m_what),
+                           change.m_entry.m_id.Value(),
+                           change.m_entry.m_service.Value(),
+                           change.m_entry.m_address.Value(),
+                           change.m_entry.m_places,
+                           m_registry.Version());
+  }
+  m_broker.OnEndpointsChanged();
+}
+
+std::vector<PlaceEndpointInfo>
+Gateway::EndpointsOf(const ServiceName& aService) const
+{
+  std::vector<PlaceEndpointInfo> infos;
+  for (const EndpointEntry& entry : m_registry.UsableOf(aService)) {
+    infos.push_back(PlaceEndpointInfo{ entry.m_id,
+                                       entry.m_data_center,
+                                       entry.m_places,
+                                       entry.m_started_at_ms,
+                                       m_registry.IsQuiet(entry.m_id) });
+  }
+  return infos;
+}
+
+void
+Gateway::SetStoreReachable(bool aIsReachable, const std::string& aWhy)
+{
+  if (aIsReachable == m_is_store_reachable) {
+    return;
+  }
+  m_is_store_reachable = aIsReachable;
+  m_registry.SetStoreReachable(aIsReachable, Now());
+  if (aIsReachable) {
+    LogOf("store").info("event=regained why=\"{}\"", aWhy);
+  } else {
+    m_store_lost_at = Now();
+    LogOf("store").warn("event=lost why=\"{}\" config={} registry={}",
+                        aWhy,
+                        m_table ? m_table->Version() : 0,
+                        m_registry.Version());
+  }
+}
+
+void
+Gateway::OnBeacon(const BeaconNews& aNews)
+{
+  const HostName& host = aNews.m_member.m_host;
+  if (host == m_settings.m_host) {
+    return;
+  }
+  const bool was_heard = m_membership.IsHeard(host, Now());
+  const bool is_new = m_membership.NoteHeard(aNews.m_member, Now());
+  if (!was_heard || is_new) {
+    LogOf("cluster").info("event=peer-heard peer={} incarnation={} new={}",
+                          host.Value(),
+                          aNews.m_member.m_incarnation.Value(),
+                          is_new);
+  }
+  m_quotas.NotePeer(aNews.m_member.m_incarnation, aNews.m_spending, Now());
+}
+
+void
+Gateway::UpdateDaemonCounts()
+{
+  const std::size_t heard = m_membership.Heard(Now()).size();
+  const std::size_t known = m_membership.Known().size();
+  if (heard != m_heard) {
+    LogOf("cluster").info("event=peers-heard count={} before={} known={}", heard, m_heard, known);
+    m_heard = heard;
+  }
+  m_membership.SetHeardFor(Milliseconds(static_cast<std::int64_t>(
+    kBeaconsUntilUnheard * static_cast<double>(BeaconInterval().count()))));
+  m_quotas.SetDaemons(heard + 1, known + 1);
+  m_retry_budget.SetDaemons(known + 1);
+}
+
+Milliseconds
+Gateway::BeaconInterval() const
+{
+  return std::max(kBeaconInterval,
+                  kBeaconIntervalPerDaemon * static_cast<int>(m_membership.Known().size()));
+}
+
+void
+Gateway::Tick()
+{
+  const TimePoint now = Now();
+  std::vector<Attempt*> over;
+  for (const auto& [raw, attempt] : m_attempts) {
+    if (raw->EndAt() <= now) {
+      over.push_back(raw);
+    }
+  }
+  for (Attempt* attempt : over) {
+    attempt->OnTimeUp();
+  }
+  UpdateDaemonCounts();
+  m_membership.Forget(now);
+  OnRegistryChanges(m_registry.Expire(now));
+  if (now - m_endpoints_updated_at >= kEndpointUpdateInterval) {
+    m_endpoints_updated_at = now;
+    m_broker.OnEndpointsChanged();
+  }
+  m_broker.Tick();
+}
+
+void
+Gateway::BeginLeaving()
+{
+  m_is_leaving = true;
+}
+
+std::vector<SocketAddress>
+Gateway::CallerAddresses() const
+{
+  std::vector<SocketAddress> addresses;
+  if (IsReady() && !m_is_leaving) {
+    addresses.push_back(m_settings.m_caller_address);
+  }
+  for (const Member& member : m_membership.Heard(Now())) {
+    if (member.m_is_ready && !member.m_is_leaving) {
+      addresses.push_back(member.m_caller_address);
+    }
+  }
+  return addresses;
+}
+
+GatewayLevels
+Gateway::Levels() const
+{
+  const RelayClientCounts connections = m_client.Counts();
+  GatewayLevels levels;
+  levels.m_attempts = m_attempts.size();
+  levels.m_waiting_at_home = m_broker.WaitingCount();
+  levels.m_places_held_at_home = m_broker.HeldCount();
+  levels.m_endpoint_connections_idle = connections.m_idle;
+  levels.m_endpoint_connections_active = connections.m_active;
+  levels.m_peers_heard = m_heard;
+  levels.m_endpoints = m_registry.Size();
+  levels.m_configuration_version = m_table ? m_table->Version() : 0;
+  return levels;
+}
+
+void
+Gateway::Refuse(RelayExchange& aExchange,
+                int aStatus,
+                const std::string& aRequestId,
+                const char* aReason,
+                std::optional<Milliseconds> aRetryAfter)
+{
+  LogOf("request").info("event=refused request={} status={} reason={} retry_after_ms={} config={}",
+                        aRequestId.empty() ? "none" : aRequestId,
+                        aStatus,
+                        aReason,
+                        aRetryAfter ? aRetryAfter->count() : -1,
+                        m_table ? m_table->Version() : 0);
+  m_metrics.OnRefusedEarly(aReason);
+  aExchange.Reply(aStatus, m_dialect.OwnAnswer(aRequestId, aRetryAfter), "");
+}
+
+void
+Gateway::OnCallerRequest(const RelayExchangePtr& aExchange)
+{
+  auto head = m_dialect.Decode(aExchange->Head());
+  if (!head.ok()) {
+    LogOf("request").info("event=malformed why=\"{}\"", std::string(head.status().message()));
+    Refuse(*aExchange, kBadRequest, "", "malformed", std::nullopt);
+    return;
+  }
+  if (m_table == nullptr) {
+    Refuse(*aExchange,
+           kServiceUnavailable,
+           head->m_request_id,
+           "no-configuration",
+           kRetryWithoutConfiguration);
+    return;
+  }
+  Admit(aExchange, *std::move(head));
+}
+
+void
+Gateway::Admit(const RelayExchangePtr& aExchange, CallerRequestHead aHead)
+{
+  const TimePoint now = Now();
+  AdmittedRequest request;
+  request.m_table = m_table;
+  request.m_route = m_table->Match(aHead.m_host, aHead.m_path);
+  if (request.m_route == nullptr) {
+    Refuse(*aExchange, kNotFound, aHead.m_request_id, "no-route", std::nullopt);
+    return;
+  }
+  const Route& route = *request.m_route;
+  request.m_priority = route.m_priority;
+  const RoutedWorkspace* workspace = m_table->FindByKey(aHead.m_key);
+  if (m_table->HasWorkspaces() && !route.m_is_public) {
+    if (workspace == nullptr) {
+      Refuse(*aExchange, kUnauthorized, aHead.m_request_id, "unknown-key", std::nullopt);
+      return;
+    }
+    request.m_workspace = workspace->m_name;
+    request.m_priority = workspace->m_priority.value_or(route.m_priority);
+    request.m_quota_tokens = workspace->m_counts_tokens
+                               ? aHead.m_quota_tokens.value_or(workspace->m_default_tokens)
+                               : 1;
+    if (!m_quotas.TrySpend(workspace->m_name, request.m_quota_tokens, now)) {
+      Refuse(*aExchange,
+             kTooManyRequests,
+             aHead.m_request_id,
+             "over-quota",
+             m_quotas.TimeUntil(workspace->m_name, request.m_quota_tokens, now));
+      return;
+    }
+  }
+  request.m_service = RoutingTable::ServiceFor(route, aHead.m_request_id);
+  request.m_arrived_at = now;
+  request.m_end_at =
+    now + std::min(route.m_timeout, aHead.m_patience.value_or(kDefaultPatience));
+  request.m_head = std::move(aHead);
+  m_retry_budget.NoteRequest(request.m_service, now);
+  auto attempt = std::make_unique<Attempt>(
+    m_surroundings, aExchange, std::move(request), [this](Attempt* aDone) { m_attempts.erase(aDone); });
+  Attempt* raw = attempt.get();
+  m_attempts.emplace(raw, std::move(attempt));
+  raw->Begin();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -0,0 +1,121 @@
+#include <LibGateway/GatewayMetrics.h>
+
+#include <prometheus/text_serializer.h>
+
+namespace auburnhitch {
+
+namespace {
+
+// Around the objectives of the users' sheets, 0.15 to 0.8 s, and up to the longest deadline.
+const prometheus::Histogram::BucketBoundaries kLatencySeconds{ 0.01, 0.03, 0.1, 0.15, 0.3, 0.5,
+                                                               0.8,  1.5,  3,   5,    8 };
+
+double
+SecondsOf(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+}
+
+GatewayMetrics::GatewayMetrics()
+  : m_ended(prometheus::BuildCounter()
+              .Name("auburnhitch_attempts_ended_total")
+              .Help("Requests of callers, by service and outcome.")
+              .Register(m_registry))
+  , m_refused_early(prometheus::BuildCounter()
+                      .Name("auburnhitch_requests_refused_total")
+                      .Help("Requests refused before they had a service, by reason.")
+                      .Register(m_registry))
+  , m_sent(prometheus::BuildCounter()
+             .Name("auburnhitch_sends_total")
+             .Help("Requests written to endpoints, by service, the first or once more.")
+             .Register(m_registry))
+  , m_store_calls(prometheus::BuildCounter()
+                    .Name("auburnhitch_store_calls_total")
+                    .Help("Calls to the store, by call and outcome.")
+                    .Register(m_registry))
+  , m_latency(prometheus::BuildHistogram()
+                .Name("auburnhitch_attempt_seconds")
+                .Help("Time from a request's arrival to its last byte.")
+                .Register(m_registry))
+  , m_first_part(prometheus::BuildHistogram()
+                   .Name("auburnhitch_first_part_seconds")
+                   .Help("Time from a request's arrival to the first part of its answer.")
+                   .Register(m_registry))
+  , m_levels(prometheus::BuildGauge()
+               .Name("auburnhitch_level")
+               .Help("Present levels, by name.")
+               .Register(m_registry))
+{
+}
+
+void
+GatewayMetrics::OnAttemptEnded(const ServiceName& aService, const char* aOutcome, Duration aTook)
+{
+  auto& counter = m_ended_cache[Key(aService.Value(), aOutcome)];
+  if (counter == nullptr) {
+    counter = &m_ended.Add({ { "service", aService.Value() }, { "outcome", aOutcome } });
+  }
+  counter->Increment();
+  auto& histogram = m_latency_cache[Key(aService.Value(), aOutcome)];
+  if (histogram == nullptr) {
+    histogram = &m_latency.Add({ { "service", aService.Value() }, { "outcome", aOutcome } },
+                               kLatencySeconds);
+  }
+  histogram->Observe(SecondsOf(aTook));
+}
+
+void
+GatewayMetrics::OnFirstPart(const ServiceName& aService, Duration aTook)
+{
+  auto& histogram = m_first_part_cache[Key(aService.Value(), "")];
+  if (histogram == nullptr) {
+    histogram = &m_first_part.Add({ { "service", aService.Value() } }, kLatencySeconds);
+  }
+  histogram->Observe(SecondsOf(aTook));
+}
+
+void
+GatewayMetrics::OnRefusedEarly(const char* aReason)
+{
+  m_refused_early.Add({ { "reason", aReason } }).Increment();
+}
+
+void
+GatewayMetrics::OnSent(const ServiceName& aService, bool aIsRepeat)
+{
+  const char* kind = aIsRepeat ? "repeat" : "first";
+  auto& counter = m_sent_cache[Key(aService.Value(), kind)];
+  if (counter == nullptr) {
+    counter = &m_sent.Add({ { "service", aService.Value() }, { "send", kind } });
+  }
+  counter->Increment();
+}
+
+void
+GatewayMetrics::OnStoreCall(const char* aCall, const char* aOutcome)
+{
+  m_store_calls.Add({ { "call", aCall }, { "outcome", aOutcome } }).Increment();
+}
+
+std::string
+GatewayMetrics::Serialize(const GatewayLevels& aLevels)
+{
+  const auto set = [this](const char* aName, double aValue) {
+    m_levels.Add({ { "name", aName } }).Set(aValue);
+  };
+  set("attempts", static_cast<double>(aLevels.m_attempts));
+  set("waiting_at_home", static_cast<double>(aLevels.m_waiting_at_home));
+  set("places_held_at_home", static_cast<double>(aLevels.m_places_held_at_home));
+  set("caller_connections", static_cast<double>(aLevels.m_caller_connections));
+  set("endpoint_connections_idle", static_cast<double>(aLevels.m_endpoint_connections_idle));
+  set("endpoint_connections_active", static_cast<double>(aLevels.m_endpoint_connections_active));
+  set("peers_heard", static_cast<double>(aLevels.m_peers_heard));
+  set("endpoints", static_cast<double>(aLevels.m_endpoints));
+  set("configuration_version", static_cast<double>(aLevels.m_configuration_version));
+  set("log_lines_dropped", static_cast<double>(aLevels.m_log_lines_dropped));
+  return prometheus::TextSerializer().Serialize(m_registry.Collect());
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -0,0 +1,123 @@
+#include <LibGateway/GatewaySettings.h>
+
+#include <LibHttp/HttpServer.h>
+
+namespace auburnhitch {
+
+namespace {
+
+constexpr Milliseconds kHour{ 60 * 60 * 1'000 };
+constexpr std::int64_t kMostSockets = 1'000'000;
+// Descriptors that are left for files, the log and the libraries.
+constexpr std::int64_t kOtherDescriptors = 200;
+constexpr double kMillisecondsPerSecond = 1'000;
+
+SocketAddress
+ReadAddress(JsonObjectReader& aReader, const char* aKey, Findings& aFindings)
+{
+  SocketAddress address(aReader.RequiredString(aKey));
+  if (!address.IsEmpty()) {
+    const auto parsed = SplitSocketAddress(address);
+    if (!parsed.ok()) {
+      aFindings.Add(aReader.PlaceOf(aKey), std::string(parsed.status().message()));
+    }
+  }
+  return address;
+}
+
+/// A number of seconds, which may have a fraction.
+Milliseconds
+ReadSeconds(JsonObjectReader& aReader, const char* aKey, Milliseconds aDefault, Findings& aFindings)
+{
+  const Json* value = aReader.Member(aKey);
+  if (value == nullptr || value->is_null()) {
+    return aDefault;
+  }
+  const double seconds = value->is_number() ? value->get<double>() : -1;
+  if (seconds < 0 || seconds * kMillisecondsPerSecond > static_cast<double>(kHour.count())) {
+    aFindings.Add(aReader.PlaceOf(aKey), "must be a number of seconds from 0 to 3600");
+    return aDefault;
+  }
+  return Milliseconds(static_cast<std::int64_t>(seconds * kMillisecondsPerSecond));
+}
+
+double
+ReadNumber(JsonObjectReader& aReader, const char* aKey, double aDefault, Findings& aFindings)
+{
+  const Json* value = aReader.Member(aKey);
+  if (value == nullptr || value->is_null()) {
+    return aDefault;
+  }
+  constexpr double kMost = 1e9;
+  if (!value->is_number() || value->get<double>() < 0 || value->get<double>() > kMost) {
+    aFindings.Add(aReader.PlaceOf(aKey), "must be a number from 0 to 1000000000");
+    return aDefault;
+  }
+  return value->get<double>();
+}
+
+void
+ReadBounds(const Json& aJson, GatewaySettings& aSettings, Findings& aFindings)
+{
+  JsonObjectReader reader(aJson, "/bounds", aFindings);
+  const auto milliseconds = [&](const char* aKey, Milliseconds& aValue) {
+    const double number =
+      ReadNumber(reader, aKey, static_cast<double>(aValue.count()), aFindings);
+    aValue = Milliseconds(static_cast<std::int64_t>(number));
+  };
+  milliseconds("drain_ms", aSettings.m_drain_bound);
+  milliseconds("heartbeat_ms", aSettings.m_heartbeat);
+  aSettings.m_stop_grace = ReadSeconds(reader, "stop_grace_s", aSettings.m_stop_grace, aFindings);
+  aSettings.m_most_retry_after =
+    ReadSeconds(reader, "most_retry_after_s", aSettings.m_most_retry_after, aFindings);
+  aSettings.m_directory_lifetime = std::min(
+    aSettings.m_directory_lifetime,
+    ReadSeconds(reader, "directory_lifetime_s", aSettings.m_directory_lifetime, aFindings));
+  RetryBudgetLimits& budget = aSettings.m_retry_budget;
+  budget.m_ratio = ReadNumber(reader, "retry_ratio", budget.m_ratio, aFindings);
+  budget.m_slack = ReadNumber(reader, "retry_slack", budget.m_slack, aFindings);
+  budget.m_window = ReadSeconds(reader, "retry_window_s", budget.m_window, aFindings);
+}
+
+}
+
+std::optional<GatewaySettings>
+GatewaySettings::FromJson(const Json& aJson, Findings& aFindings)
+{
+  GatewaySettings settings;
+  JsonObjectReader reader(aJson, "", aFindings);
+  settings.m_host = HostName(reader.RequiredString("host"));
+  settings.m_data_center = DataCenterName(reader.RequiredString("data_center"));
+  settings.m_caller_address = ReadAddress(reader, "caller_address", aFindings);
+  settings.m_readiness_address = ReadAddress(reader, "readiness_address", aFindings);
+  settings.m_directory_address = ReadAddress(reader, "directory_address", aFindings);
+  settings.m_metrics_address = ReadAddress(reader, "metrics_address", aFindings);
+  settings.m_peer_address = ReadAddress(reader, "peer_address", aFindings);
+  settings.m_store_address = ReadAddress(reader, "store_address", aFindings);
+  settings.m_log_level = reader.OptionalString("log_level", settings.m_log_level);
+  reader.ForEach("seed_addresses", 0, [&](const Json& aElement, const std::string& aPlace) {
+    const SocketAddress address(aElement.is_string() ? aElement.get<std::string>() : "");
+    const auto parsed = SplitSocketAddress(address);
+    if (!parsed.ok()) {
+      aFindings.Add(aPlace, std::string(parsed.status().message()));
+      return;
+    }
+    settings.m_seed_addresses.push_back(address);
+  });
+  const std::int64_t descriptors = reader.OptionalInteger(
+    "max_descriptors",
+    static_cast<std::int64_t>(settings.m_max_sockets) + kOtherDescriptors,
+    2 * kOtherDescriptors,
+    kMostSockets);
+  settings.m_max_sockets = static_cast<std::size_t>(descriptors - kOtherDescriptors);
+  if (const Json* bounds = reader.Member("bounds")) {
+    ReadBounds(*bounds, settings, aFindings);
+  }
+  reader.RejectUnknownMembers();
+  if (!aFindings.IsEmpty()) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <LibCluster/Beacon.h>
+#include <LibGateway/Attempt.h>
+#include <LibGateway/GatewaySettings.h>
+#include <map>
+#include <memory>
+
+namespace auburnhitch {
+
+/// The request path of one daemon: which requests are admitted, and what this process believes of
+/// the configuration, the endpoints and the other daemons. Not thread-safe.
+class Gateway
+{
+public:
+  /// Precondition: the loop and the dialect outlive the gateway.
+  Gateway(EventLoop& aLoop, const GatewaySettings& aSettings, const Dialect& aDialect);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  // What a source of configuration and endpoints tells.
+
+  /// Takes over a configuration if it is newer than the present one.
+  void SetRoutingTable(RoutingTablePtr aTable);
+  void RenewEndpoint(const EndpointEntry& aEntry);
+  void RemoveEndpoint(const EndpointId& aId);
+  void ReplaceEndpoints(const std::vector<EndpointEntry>& aEntries);
+  /// Registrations have been read up to now.
+  void NoteRegistryRead();
+  void SetStoreReachable(bool aIsReachable, const std::string& aWhy);
+
+  // What other daemons tell.
+
+  void OnBeacon(const BeaconNews& aNews);
+  void NoteListed(const Member& aMember) { m_membership.NoteListed(aMember); }
+  void NoteUnlisted(const HostName& aHost) { m_membership.NoteUnlisted(aHost); }
+  void OnLink(std::unique_ptr<PeerLink> aLink) { m_broker.OnLink(std::move(aLink)); }
+
+  // Callers.
+
+  void OnCallerRequest(const RelayExchangePtr& aExchange);
+
+  /// Call every few ten milliseconds.
+  void Tick();
+  /// Takes no further callers; those that come all the same are still served.
+  void BeginLeaving();
+
+  bool IsReady() const;
+  bool IsLeaving() const { return m_is_leaving; }
+  Member Self() const;
+  BeaconNews News() const;
+  /// Addresses at which callers can be served, this daemon's own among them if it can.
+  std::vector<SocketAddress> CallerAddresses() const;
+  const Membership& Members() const { return m_membership; }
+  std::size_t AttemptCount() const { return m_attempts.size(); }
+  GatewayMetrics& Metrics() { return m_metrics; }
+  GatewayLevels Levels() const;
+  const RoutingTablePtr& Table() const { return m_table; }
+  /// How often the news are to be sent, by the number of daemons that get them.
+  Milliseconds BeaconInterval() const;
+
+private:
+  void Refuse(RelayExchange& aExchange,
+              int aStatus,
+              const std::string& aRequestId,
+              const char* aReason,
+              std::optional<Milliseconds> aRetryAfter);
+  void Admit(const RelayExchangePtr& aExchange, CallerRequestHead aHead);
+  std::vector<PlaceEndpointInfo> EndpointsOf(const ServiceName& aService) const;
+  void OnRegistryChanges(const EndpointRegistry::Changes& aChanges);
+  void UpdateDaemonCounts();
+  TimePoint Now() const { return m_loop.Now(); }
+
+  EventLoop& m_loop;
+  GatewaySettings m_settings;
+  const Dialect& m_dialect;
+  Incarnation m_incarnation;
+  bool m_is_leaving = false;
+  bool m_is_store_reachable = false;
+  std::optional<TimePoint> m_store_lost_at;
+  GatewayMetrics m_metrics;
+  RoutingTablePtr m_table;
+  EndpointRegistry m_registry;
+  Membership m_membership;
+  QuotaLedger m_quotas;
+  RetryBudget m_retry_budget;
+  RelayClient m_client;
+  PlaceBroker m_broker;
+  AttemptSurroundings m_surroundings;
+  std::map<Attempt*, std::unique_ptr<Attempt>> m_attempts;
+  std::size_t m_heard = 0;
+  TimePoint m_endpoints_updated_at;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <LibCore/StrongString.h>
+#include <LibCore/Time.h>
+#include <absl/container/flat_hash_map.h>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <string>
+
+namespace auburnhitch {
+
+/// Present levels, measured when metrics are asked for.
+struct GatewayLevels
+{
+  std::size_t m_attempts = 0;
+  std::size_t m_waiting_at_home = 0;
+  std::size_t m_places_held_at_home = 0;
+  std::size_t m_caller_connections = 0;
+  std::size_t m_endpoint_connections_idle = 0;
+  std::size_t m_endpoint_connections_active = 0;
+  std::size_t m_peers_heard = 0;
+  std::size_t m_endpoints = 0;
+  std::int64_t m_configuration_version = 0;
+  std::uint64_t m_log_lines_dropped = 0;
+
+  auto operator<=>(const GatewayLevels&) const = default;
+};
+
+/// Counters and histograms of the request path. Not thread-safe.
+class GatewayMetrics
+{
+public:
+  GatewayMetrics();
+
+  /// An attempt has got its final answer. aOutcome is one of a few fixed words.
+  void OnAttemptEnded(const ServiceName& aService, const char* aOutcome, Duration aTook);
+  /// The first part of an answer has been passed on.
+  void OnFirstPart(const ServiceName& aService, Duration aTook);
+  /// A request was refused before it had a service.
+  void OnRefusedEarly(const char* aReason);
+  void OnSent(const ServiceName& aService, bool aIsRepeat);
+  void OnStoreCall(const char* aCall, const char* aOutcome);
+
+  /// All metrics as text, in the format of the metrics address.
+  std::string Serialize(const GatewayLevels& aLevels);
+
+private:
+  using Key = std::pair<std::string, std::string>;
+
+  template<typename Metric>
+  using Cache = absl::flat_hash_map<Key, Metric*>;
+
+  prometheus::Registry m_registry;
+  prometheus::Family<prometheus::Counter>& m_ended;
+  prometheus::Family<prometheus::Counter>& m_refused_early;
+  prometheus::Family<prometheus::Counter>& m_sent;
+  prometheus::Family<prometheus::Counter>& m_store_calls;
+  prometheus::Family<prometheus::Histogram>& m_latency;
+  prometheus::Family<prometheus::Histogram>& m_first_part;
+  prometheus::Family<prometheus::Gauge>& m_levels;
+  Cache<prometheus::Counter> m_ended_cache;
+  Cache<prometheus::Counter> m_sent_cache;
+  Cache<prometheus::Histogram> m_latency_cache;
+  Cache<prometheus::Histogram> m_first_part_cache;
+};
+
+}
--- a/Libraries/LibHttp/EventLoop.cpp
+++ b/Libraries/LibHttp/EventLoop.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/EventLoop.h>
 
 #include <csignal>
+#include <ctime>
 #include <event2/event.h>
 #include <utility>
 
@@ -51,6 +52,14 @@
   event_base_loopbreak(m_base);
 }
 
+TimePoint
+EventLoop::Now() const
+{
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
 void
 EventLoop::Defer(std::function<void()> aCallback)
 {
--- a/Libraries/LibHttp/include/LibHttp/EventLoop.h
+++ b/Libraries/LibHttp/include/LibHttp/EventLoop.h
@@ -23,8 +23,9 @@
   void Run();
   /// Ends Run() after the callbacks of the present iteration.
   void Stop();
-  /// The monotonic clock, read now and not when the iteration began.
-  TimePoint Now() const { return std::chrono::steady_clock::now(); }
+  /// Time since the machine's start, read now and not when the iteration began. It counts the time
+  /// for which the machine was suspended, so that a deadline that passed meanwhile has passed.
+  TimePoint Now() const;
   event_base* Base() const { return m_base; }
 
   /// Runs the callback once, in a later iteration.
--- /dev/null
+++ b/Libraries/LibPlacement/PlaceQueue.cpp
@@ -0,0 +1,232 @@
+#include <LibPlacement/PlaceQueue.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace auburnhitch {
+
+namespace {
+
+// What a priority is worth against the one before it. The users' sheets put 1 to 2 and 1 to 8
+// between neighbours; the value only has to keep their order for work of like cost.
+constexpr double kWorthOfNextPriority = 1.0 / 3;
+// A late answer earns 0.3 to 0.5 of one in time on the users' sheets.
+constexpr double kWorthOfLate = 0.3;
+// A priority of which less than this part gets a place takes its turn right after work of the
+// first priority that can be in time. The users ask that no kind is served below a quarter as
+// often as all.
+constexpr double kLeastServedPart = 0.6;
+constexpr double kWorthOfTurn = 0.9;
+// Few arrivals say little about the part that is served.
+constexpr double kLeastArrivals = 4;
+// Span over which arrivals and turns are counted; about two bursts.
+constexpr double kDecaySeconds = 5;
+constexpr double kMillisecondsPerSecond = 1'000;
+
+TimePoint
+After(TimePoint aFrom, double aMs)
+{
+  return aFrom + std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(aMs));
+}
+
+}
+
+void
+PlaceQueue::Decay(Level& aLevel, TimePoint aNow) const
+{
+  const double passed = std::chrono::duration<double>(aNow - aLevel.m_decayed_at).count();
+  if (passed <= 0) {
+    return;
+  }
+  const double factor = std::exp(-passed / kDecaySeconds);
+  aLevel.m_arrived *= factor;
+  aLevel.m_served *= factor;
+  aLevel.m_arrived_ms *= factor;
+  aLevel.m_decayed_at = aNow;
+}
+
+void
+PlaceQueue::Push(WaitingPlace aWaiting, TimePoint aNow)
+{
+  const PlaceRequest& request = aWaiting.m_request;
+  Level& level = m_levels[request.m_priority];
+  Decay(level, aNow);
+  level.m_arrived += 1;
+  level.m_arrived_ms += aWaiting.m_place_ms;
+  PutBack(std::move(aWaiting));
+}
+
+void
+PlaceQueue::PutBack(WaitingPlace aWaiting)
+{
+  const PlaceRequest& request = aWaiting.m_request;
+  Level& level = m_levels[request.m_priority];
+  level.m_place_ms += aWaiting.m_place_ms;
+  level.m_in_time.emplace(request.m_objective_at, request.m_ticket);
+  m_index.insert_or_assign(request.m_ticket, std::move(aWaiting));
+}
+
+void
+PlaceQueue::Erase(const WaitingPlace& aWaiting)
+{
+  const PlaceRequest& request = aWaiting.m_request;
+  Level& level = m_levels[request.m_priority];
+  const Key key(request.m_objective_at, request.m_ticket);
+  level.m_in_time.erase(key);
+  level.m_late.erase(key);
+  level.m_place_ms -= aWaiting.m_place_ms;
+}
+
+std::optional<WaitingPlace>
+PlaceQueue::Remove(const PlaceTicket& aTicket)
+{
+  const auto found = m_index.find(aTicket);
+  if (found == m_index.end()) {
+    return std::nullopt;
+  }
+  WaitingPlace waiting = std::move(found->second);
+  m_index.erase(found);
+  Erase(waiting);
+  return waiting;
+}
+
+void
+PlaceQueue::MoveLate(Level& aLevel, TimePoint aNow)
+{
+  while (!aLevel.m_in_time.empty()) {
+    const Key head = *aLevel.m_in_time.begin();
+    const WaitingPlace& waiting = m_index.at(head.second);
+    if (After(aNow, waiting.m_first_ms) <= waiting.m_request.m_objective_at) {
+      return;
+    }
+    aLevel.m_in_time.erase(aLevel.m_in_time.begin());
+    aLevel.m_late.insert(head);
+  }
+}
+
+const PlaceTicket*
+PlaceQueue::HeadOf(const Level& aLevel) const
+{
+  if (!aLevel.m_in_time.empty()) {
+    return &aLevel.m_in_time.begin()->second;
+  }
+  return aLevel.m_late.empty() ? nullptr : &aLevel.m_late.begin()->second;
+}
+
+double
+PlaceQueue::ValueOf(int aPriority, const Level& aLevel) const
+{
+  const bool is_in_time = !aLevel.m_in_time.empty();
+  const bool is_starved = aLevel.m_arrived >= kLeastArrivals &&
+                          aLevel.m_served < kLeastServedPart * aLevel.m_arrived;
+  const double worth =
+    std::pow(kWorthOfNextPriority, aPriority) * (is_in_time ? 1.0 : kWorthOfLate);
+  return is_starved && is_in_time ? std::max(worth, kWorthOfTurn) : worth;
+}
+
+const WaitingPlace*
+PlaceQueue::Front(TimePoint aNow)
+{
+  const PlaceTicket* best = nullptr;
+  double best_value = -1;
+  for (auto& [priority, level] : m_levels) {
+    Decay(level, aNow);
+    MoveLate(level, aNow);
+    const PlaceTicket* head = HeadOf(level);
+    if (head == nullptr) {
+      continue;
+    }
+    const double value = ValueOf(priority, level);
+    if (value > best_value) {
+      best_value = value;
+      best = head;
+    }
+  }
+  return best == nullptr ? nullptr : &m_index.at(*best);
+}
+
+WaitingPlace
+PlaceQueue::PopFront(TimePoint aNow)
+{
+  WaitingPlace waiting = *Front(aNow);
+  m_levels[waiting.m_request.m_priority].m_served += 1;
+  Remove(waiting.m_request.m_ticket);
+  return waiting;
+}
+
+std::vector<WaitingPlace>
+PlaceQueue::TakeHopeless(TimePoint aNow)
+{
+  std::vector<WaitingPlace> hopeless;
+  std::vector<PlaceTicket> tickets;
+  for (const auto& [ticket, waiting] : m_index) {
+    if (After(aNow, waiting.m_first_ms) > waiting.m_request.m_abandoned_at) {
+      tickets.push_back(ticket);
+    }
+  }
+  hopeless.reserve(tickets.size());
+  for (const PlaceTicket& ticket : tickets) {
+    hopeless.push_back(*Remove(ticket));
+  }
+  return hopeless;
+}
+
+std::vector<WaitingPlace>
+PlaceQueue::TakeAll()
+{
+  std::vector<WaitingPlace> all;
+  all.reserve(m_index.size());
+  for (auto& [ticket, waiting] : m_index) {
+    all.push_back(std::move(waiting));
+  }
+  m_index.clear();
+  for (auto& [priority, level] : m_levels) {
+    level.m_in_time.clear();
+    level.m_late.clear();
+    level.m_place_ms = 0;
+  }
+  return all;
+}
+
+void
+PlaceQueue::RemoveDaemon(const Incarnation& aDaemon)
+{
+  std::vector<PlaceTicket> tickets;
+  for (const auto& [ticket, waiting] : m_index) {
+    if (ticket.m_daemon == aDaemon) {
+      tickets.push_back(ticket);
+    }
+  }
+  for (const PlaceTicket& ticket : tickets) {
+    Remove(ticket);
+  }
+}
+
+double
+PlaceQueue::PlaceMsAhead(int aPriority) const
+{
+  double ahead = 0;
+  for (const auto& [priority, level] : m_levels) {
+    if (priority <= aPriority) {
+      ahead += level.m_place_ms;
+    }
+  }
+  return ahead;
+}
+
+double
+PlaceQueue::LoadAbove(int aPriority, std::size_t aPlaces, TimePoint aNow) const
+{
+  double arrived_ms = 0;
+  for (const auto& [priority, level] : m_levels) {
+    if (priority < aPriority) {
+      const double passed = std::chrono::duration<double>(aNow - level.m_decayed_at).count();
+      arrived_ms += level.m_arrived_ms * std::exp(-std::max(0.0, passed) / kDecaySeconds);
+    }
+  }
+  const double places_ms =
+    static_cast<double>(std::max<std::size_t>(aPlaces, 1)) * kDecaySeconds * kMillisecondsPerSecond;
+  return arrived_ms / places_ms;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/PlaceScheduler.cpp
@@ -0,0 +1,306 @@
+#include <LibPlacement/PlaceScheduler.h>
+
+#include <absl/hash/hash.h>
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace auburnhitch {
+
+namespace {
+
+// Milliseconds of expected time that an endpoint in another data centre must be better by. Bytes
+// between data centres cost the users more than a few milliseconds within the objective.
+constexpr double kOtherDataCenterMs = 15;
+// Part of the time for which a place is held that counts beside the time to the first part: a
+// place at a slow endpoint is taken from later requests for longer.
+constexpr double kPartOfHoldingTime = 0.2;
+// What a failure rate of 1 above the usual costs, in milliseconds: more than any queueing.
+constexpr double kFailureMs = 3'000;
+// Refused callers are spread over this part of what they are told, so as not to return together.
+constexpr double kRetrySpread = 0.5;
+// Waiting may be expected to take up to this part of the time that the caller stays.
+constexpr double kPartOfPatience = 0.9;
+// Work of higher priorities is expected to leave at least this part of the places.
+constexpr double kLeastPartLeft = 0.1;
+
+}
+
+const char*
+NameOf(PlaceEnd aEnd)
+{
+  switch (aEnd) {
+    case PlaceEnd::Complete:
+      return "complete";
+    case PlaceEnd::Failed:
+      return "failed";
+    case PlaceEnd::Refused:
+      return "refused";
+    case PlaceEnd::Unreachable:
+      return "unreachable";
+    case PlaceEnd::Broken:
+      return "broken";
+    case PlaceEnd::Cancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+const char*
+NameOf(PlaceRefusalReason aReason)
+{
+  switch (aReason) {
+    case PlaceRefusalReason::Overloaded:
+      return "overloaded";
+    case PlaceRefusalReason::WaitedTooLong:
+      return "waited-too-long";
+    case PlaceRefusalReason::NoEndpoint:
+      return "no-endpoint";
+  }
+  return "unknown";
+}
+
+void
+PlaceScheduler::SetEndpoints(const std::vector<PlaceEndpointInfo>& aEndpoints, TimePoint aNow)
+{
+  std::vector<double> firsts;
+  std::vector<double> rests;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (endpoint.Times().HasLearned()) {
+      firsts.push_back(endpoint.Times().FirstSlowness());
+      rests.push_back(endpoint.Times().RestSlowness());
+    }
+  }
+  const auto median = [](std::vector<double>& aValues) {
+    if (aValues.empty()) {
+      return 1.0;
+    }
+    const auto middle = aValues.begin() + static_cast<std::ptrdiff_t>(aValues.size() / 2);
+    std::nth_element(aValues.begin(), middle, aValues.end());
+    return *middle;
+  };
+  const double usual_first = median(firsts);
+  const double usual_rest = median(rests);
+  std::map<EndpointId, PlaceEndpoint> endpoints;
+  for (const PlaceEndpointInfo& info : aEndpoints) {
+    auto found = m_endpoints.find(info.m_id);
+    if (found != m_endpoints.end() &&
+        found->second.Info().m_started_at_ms == info.m_started_at_ms) {
+      found->second.SetInfo(info);
+      endpoints.insert(m_endpoints.extract(found));
+      continue;
+    }
+    PlaceEndpoint fresh(info, aNow);
+    fresh.Times().SetPrior(usual_first, usual_rest);
+    endpoints.emplace(info.m_id, std::move(fresh));
+  }
+  m_endpoints = std::move(endpoints);
+}
+
+void
+PlaceScheduler::Ask(const PlaceRequest& aRequest, TimePoint aNow)
+{
+  WaitingPlace waiting{ aRequest, 0, 0 };
+  double least = -1;
+  double total = 0;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    const double first =
+      endpoint.Times().FirstSlowness() * ServiceTimeModel::ReferenceFirstMs(aRequest.m_work, 0);
+    least = least < 0 ? first : std::min(least, first);
+    total += endpoint.ExpectedTotalMs(aRequest.m_work);
+  }
+  waiting.m_first_ms = std::max(0.0, least);
+  waiting.m_place_ms =
+    m_endpoints.empty() ? 0 : total / static_cast<double>(m_endpoints.size());
+  m_queue.Push(std::move(waiting), aNow);
+  m_new.push_back(aRequest.m_ticket);
+}
+
+void
+PlaceScheduler::NoteHeld(const PlaceTicket& aTicket,
+                         const EndpointId& aEndpoint,
+                         const PlaceWork& aWork,
+                         TimePoint aNow)
+{
+  const auto found = m_endpoints.find(aEndpoint);
+  if (found != m_endpoints.end()) {
+    found->second.Hold(aTicket, aWork, aNow);
+  }
+}
+
+void
+PlaceScheduler::NoteStarted(const PlaceTicket& aTicket, const EndpointId& aEndpoint, TimePoint aNow)
+{
+  const auto found = m_endpoints.find(aEndpoint);
+  if (found != m_endpoints.end()) {
+    found->second.NoteStarted(aTicket, aNow);
+  }
+}
+
+void
+PlaceScheduler::NoteEnded(const PlaceTicket& aTicket,
+                          const EndpointId& aEndpoint,
+                          PlaceEnd aEnd,
+                          TimePoint aNow)
+{
+  const auto found = m_endpoints.find(aEndpoint);
+  if (found != m_endpoints.end()) {
+    found->second.NoteEnded(aTicket, aEnd, aNow);
+  }
+}
+
+void
+PlaceScheduler::ReleaseTicket(const PlaceTicket& aTicket, TimePoint aNow)
+{
+  for (auto& [id, endpoint] : m_endpoints) {
+    if (endpoint.NoteEnded(aTicket, PlaceEnd::Cancelled, aNow)) {
+      return;
+    }
+  }
+}
+
+void
+PlaceScheduler::ForgetDaemon(const Incarnation& aDaemon)
+{
+  m_queue.RemoveDaemon(aDaemon);
+  for (auto& [id, endpoint] : m_endpoints) {
+    endpoint.ReleaseDaemon(aDaemon);
+  }
+}
+
+std::size_t
+PlaceScheduler::HeldCount() const
+{
+  return std::accumulate(
+    m_endpoints.begin(), m_endpoints.end(), std::size_t{ 0 }, [](std::size_t aSum, const auto& aEntry) {
+      return aSum + aEntry.second.HeldCount();
+    });
+}
+
+std::size_t
+PlaceScheduler::PlaceCount(TimePoint aNow) const
+{
+  std::size_t places = 0;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    places += endpoint.IsSuspect(aNow) ? 0 : endpoint.Places(m_part, aNow);
+  }
+  return places;
+}
+
+double
+PlaceScheduler::ExpectedWaitMs(int aPriority, TimePoint aNow) const
+{
+  const std::size_t places = PlaceCount(aNow);
+  const double left =
+    std::max(kLeastPartLeft, 1.0 - m_queue.LoadAbove(aPriority, places, aNow));
+  return m_queue.PlaceMsAhead(aPriority) /
+         (static_cast<double>(std::max<std::size_t>(places, 1)) * left);
+}
+
+Milliseconds
+PlaceScheduler::RetryAfter(const PlaceRequest& aRequest, double aWaitMs) const
+{
+  constexpr std::uint64_t kSteps = 1'000;
+  const double point =
+    static_cast<double>(absl::HashOf(aRequest.m_ticket) % kSteps) / static_cast<double>(kSteps);
+  const auto spread = static_cast<std::int64_t>(aWaitMs * (1 + kRetrySpread * point));
+  return std::clamp(
+    Milliseconds(spread), m_limits.m_least_retry_after, m_limits.m_most_retry_after);
+}
+
+void
+PlaceScheduler::Refuse(const PlaceRequest& aRequest,
+                       PlaceRefusalReason aReason,
+                       TimePoint aNow,
+                       PlaceDecisions& aDecisions) const
+{
+  const double wait_ms = ExpectedWaitMs(aRequest.m_priority, aNow);
+  aDecisions.m_refusals.push_back({ aRequest.m_ticket, aReason, RetryAfter(aRequest, wait_ms) });
+}
+
+double
+PlaceScheduler::CostOf(const PlaceEndpoint& aEndpoint, const PlaceRequest& aRequest) const
+{
+  const bool is_elsewhere = aEndpoint.Info().m_data_center != aRequest.m_data_center;
+  return aEndpoint.ExpectedFirstMs(aRequest.m_work) +
+         kPartOfHoldingTime * aEndpoint.ExpectedTotalMs(aRequest.m_work) +
+         (is_elsewhere ? kOtherDataCenterMs : 0) + kFailureMs * aEndpoint.FailureRate();
+}
+
+PlaceEndpoint*
+PlaceScheduler::Choose(const WaitingPlace& aWaiting, TimePoint aNow)
+{
+  const PlaceRequest& request = aWaiting.m_request;
+  const bool has_trusted =
+    std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& aEntry) {
+      return !aEntry.second.IsSuspect(aNow);
+    });
+  PlaceEndpoint* best = nullptr;
+  double best_cost = 0;
+  bool is_best_avoided = false;
+  for (auto& [id, endpoint] : m_endpoints) {
+    if (endpoint.HeldCount() >= endpoint.Places(m_part, aNow) ||
+        (has_trusted && endpoint.IsSuspect(aNow))) {
+      continue;
+    }
+    const bool is_avoided =
+      std::find(request.m_avoided.begin(), request.m_avoided.end(), id) != request.m_avoided.end();
+    const double cost = CostOf(endpoint, request);
+    if (best == nullptr || std::pair(is_avoided, cost) < std::pair(is_best_avoided, best_cost)) {
+      best = &endpoint;
+      best_cost = cost;
+      is_best_avoided = is_avoided;
+    }
+  }
+  return best;
+}
+
+PlaceDecisions
+PlaceScheduler::Decide(TimePoint aNow)
+{
+  PlaceDecisions decisions;
+  if (m_endpoints.empty()) {
+    for (const WaitingPlace& waiting : m_queue.TakeAll()) {
+      Refuse(waiting.m_request, PlaceRefusalReason::NoEndpoint, aNow, decisions);
+    }
+    m_new.clear();
+    return decisions;
+  }
+  for (const WaitingPlace& waiting : m_queue.TakeHopeless(aNow)) {
+    Refuse(waiting.m_request, PlaceRefusalReason::WaitedTooLong, aNow, decisions);
+  }
+  while (const WaitingPlace* front = m_queue.Front(aNow)) {
+    PlaceEndpoint* endpoint = Choose(*front, aNow);
+    if (endpoint == nullptr) {
+      break;
+    }
+    const WaitingPlace granted = m_queue.PopFront(aNow);
+    const double expected_ms = endpoint->ExpectedFirstMs(granted.m_request.m_work);
+    endpoint->Hold(granted.m_request.m_ticket, granted.m_request.m_work, aNow);
+    decisions.m_grants.push_back({ granted.m_request.m_ticket,
+                                   endpoint->Info().m_id,
+                                   Milliseconds(static_cast<std::int64_t>(expected_ms)) });
+  }
+  // What cannot be served before its caller goes is refused while it has not waited yet.
+  for (const PlaceTicket& ticket : std::exchange(m_new, {})) {
+    auto waiting = m_queue.Remove(ticket);
+    if (!waiting) {
+      continue;
+    }
+    const PlaceRequest& request = waiting->m_request;
+    const double patience_ms =
+      std::chrono::duration<double, std::milli>(request.m_abandoned_at - aNow).count() -
+      waiting->m_first_ms;
+    const bool is_hopeless =
+      ExpectedWaitMs(request.m_priority, aNow) > kPartOfPatience * patience_ms ||
+      m_queue.Size() >= m_limits.m_max_waiting;
+    if (is_hopeless) {
+      Refuse(request, PlaceRefusalReason::Overloaded, aNow, decisions);
+    } else {
+      m_queue.PutBack(std::move(*waiting));
+    }
+  }
+  return decisions;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/include/LibPlacement/PlaceQueue.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <LibPlacement/PlaceRequest.h>
+#include <absl/container/flat_hash_map.h>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace auburnhitch {
+
+/// A waiting request and what it is expected to cost.
+struct WaitingPlace
+{
+  PlaceRequest m_request;
+  /// Time for which it will hold a place.
+  double m_place_ms = 0;
+  /// Shortest time to the first part of its answer at any endpoint.
+  double m_first_ms = 0;
+};
+
+/// The order in which requests get places, for the days on which more work arrives than the
+/// engines can do in time. Requests of one priority go by when their objective ends, those that can
+/// still meet it before those that cannot. Between priorities goes first what is worth most; a priority of which too little is served gets a turn all the same.
+/// Pure: owns no clock. Not thread-safe.
+class PlaceQueue
+{
+public:
+  void Push(WaitingPlace aWaiting, TimePoint aNow);
+  /// Lets a request that was removed wait again, without counting it as a new arrival.
+  void PutBack(WaitingPlace aWaiting);
+  std::optional<WaitingPlace> Remove(const PlaceTicket& aTicket);
+  /// The request to serve next, or null.
+  const WaitingPlace* Front(TimePoint aNow);
+  /// Takes the request that Front() returned, which has got a place.
+  WaitingPlace PopFront(TimePoint aNow);
+  /// Takes out the requests whose callers go before an answer could begin.
+  std::vector<WaitingPlace> TakeHopeless(TimePoint aNow);
+  std::vector<WaitingPlace> TakeAll();
+  /// Takes out the requests of a daemon.
+  void RemoveDaemon(const Incarnation& aDaemon);
+
+  std::size_t Size() const { return m_index.size(); }
+  /// Work that is served before a new request of a priority, in milliseconds of one place.
+  double PlaceMsAhead(int aPriority) const;
+  /// Part of the places that arriving work of higher priorities takes.
+  double LoadAbove(int aPriority, std::size_t aPlaces, TimePoint aNow) const;
+
+private:
+  using Key = std::pair<TimePoint, PlaceTicket>;
+
+  struct Level
+  {
+    std::set<Key> m_in_time;
+    std::set<Key> m_late;
+    double m_place_ms = 0;
+    /// Decaying counts of requests that arrived and that got a place.
+    double m_arrived = 0;
+    double m_served = 0;
+    /// Decaying sum of the work that arrived.
+    double m_arrived_ms = 0;
+    TimePoint m_decayed_at;
+  };
+
+  void Decay(Level& aLevel, TimePoint aNow) const;
+  void MoveLate(Level& aLevel, TimePoint aNow);
+  void Erase(const WaitingPlace& aWaiting);
+  const PlaceTicket* HeadOf(const Level& aLevel) const;
+  double ValueOf(int aPriority, const Level& aLevel) const;
+
+  std::map<int, Level> m_levels;
+  absl::flat_hash_map<PlaceTicket, WaitingPlace> m_index;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/include/LibPlacement/PlaceRequest.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibRegistry/EndpointRegistry.h>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace auburnhitch {
+
+/// Names one request of one daemon that waits for, or holds, a place at an endpoint.
+struct PlaceTicket
+{
+  Incarnation m_daemon;
+  std::uint64_t m_number = 0;
+
+  auto operator<=>(const PlaceTicket&) const = default;
+
+  template<typename Hasher>
+  friend Hasher AbslHashValue(Hasher aHasher, const PlaceTicket& aTicket)
+  {
+    return Hasher::combine(std::move(aHasher), aTicket.m_daemon, aTicket.m_number);
+  }
+};
+
+/// How much work a request is. Both are 0 for services that are no engines.
+struct PlaceWork
+{
+  double m_prompt_tokens = 0;
+  /// The caller's estimate, or the most it accepts.
+  double m_output_tokens = 0;
+
+  auto operator<=>(const PlaceWork&) const = default;
+};
+
+/// A request that wants a place.
+struct PlaceRequest
+{
+  PlaceTicket m_ticket;
+  /// 0 is served first.
+  int m_priority = 0;
+  PlaceWork m_work;
+  TimePoint m_arrived_at;
+  /// The first part of the answer is in time up to here.
+  TimePoint m_objective_at;
+  /// Its caller has gone after this.
+  TimePoint m_abandoned_at;
+  DataCenterName m_data_center;
+  /// Endpoints that it was sent to already.
+  std::vector<EndpointId> m_avoided;
+
+  auto operator<=>(const PlaceRequest&) const = default;
+};
+
+/// How the use of a place ended.
+enum class PlaceEnd
+{
+  /// A whole answer.
+  Complete,
+  /// A whole answer that says that the endpoint failed.
+  Failed,
+  /// The endpoint refused the request unstarted.
+  Refused,
+  /// No connection: nothing was sent.
+  Unreachable,
+  /// The connection ended within the answer or before it.
+  Broken,
+  /// Given up by the caller or at its deadline; says nothing about the endpoint.
+  Cancelled,
+};
+
+const char*
+NameOf(PlaceEnd aEnd);
+
+struct PlaceGrant
+{
+  PlaceTicket m_ticket;
+  EndpointId m_endpoint;
+  /// Expected time to the first part of the answer.
+  Milliseconds m_expected{ 0 };
+
+  auto operator<=>(const PlaceGrant&) const = default;
+};
+
+enum class PlaceRefusalReason
+{
+  /// The work ahead takes longer than its caller waits.
+  Overloaded,
+  /// It waited until its caller was about to go.
+  WaitedTooLong,
+  /// No endpoint of the service may be used.
+  NoEndpoint,
+};
+
+const char*
+NameOf(PlaceRefusalReason aReason);
+
+struct PlaceRefusal
+{
+  PlaceTicket m_ticket;
+  PlaceRefusalReason m_reason = PlaceRefusalReason::Overloaded;
+  Milliseconds m_retry_after{ 0 };
+
+  auto operator<=>(const PlaceRefusal&) const = default;
+};
+
+/// What a scheduler decided; in order.
+struct PlaceDecisions
+{
+  std::vector<PlaceGrant> m_grants;
+  std::vector<PlaceRefusal> m_refusals;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlacement/include/LibPlacement/PlaceScheduler.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <LibPlacement/PlaceEndpoint.h>
+#include <LibPlacement/PlaceQueue.h>
+#include <map>
+
+namespace auburnhitch {
+
+struct PlaceSchedulerLimits
+{
+  std::size_t m_max_waiting = 5'000;
+  /// Bounds of what a refused caller is told.
+  Milliseconds m_least_retry_after{ 100 };
+  Milliseconds m_most_retry_after{ 10'000 };
+};
+
+/// Decides for one service which request gets a place at which endpoint, and which is refused.
+/// One daemon does so for all; a daemon that cannot reach it does so for itself with a part of the
+/// places. Pure: owns no clock and no socket. Not thread-safe.
+class PlaceScheduler
+{
+public:
+  explicit PlaceScheduler(PlaceSchedulerLimits aLimits)
+    : m_limits(aLimits)
+  {
+  }
+
+  /// Takes over the endpoints that may be used. What was learned of those that stay is kept, unless
+  /// they have started anew.
+  void SetEndpoints(const std::vector<PlaceEndpointInfo>& aEndpoints, TimePoint aNow);
+  /// Tells which part of each endpoint's places is this scheduler's.
+  void SetPart(double aPart) { m_part = aPart; }
+
+  /// Lets a request wait. Decide() answers it.
+  void Ask(const PlaceRequest& aRequest, TimePoint aNow);
+  /// The request no longer wants a place. Returns whether it waited.
+  bool Withdraw(const PlaceTicket& aTicket) { return m_queue.Remove(aTicket).has_value(); }
+  /// A daemon tells of a place that it was granted by another scheduler.
+  void NoteHeld(const PlaceTicket& aTicket,
+                const EndpointId& aEndpoint,
+                const PlaceWork& aWork,
+                TimePoint aNow);
+  void NoteStarted(const PlaceTicket& aTicket, const EndpointId& aEndpoint, TimePoint aNow);
+  void NoteEnded(const PlaceTicket& aTicket,
+                 const EndpointId& aEndpoint,
+                 PlaceEnd aEnd,
+                 TimePoint aNow);
+  /// Frees a place whose grant was never used.
+  void ReleaseTicket(const PlaceTicket& aTicket, TimePoint aNow);
+  /// Drops all that a daemon waits for and holds.
+  void ForgetDaemon(const Incarnation& aDaemon);
+
+  /// Grants and refuses what can be decided now.
+  PlaceDecisions Decide(TimePoint aNow);
+
+  std::size_t WaitingCount() const { return m_queue.Size(); }
+  std::size_t HeldCount() const;
+
+private:
+  PlaceEndpoint* Choose(const WaitingPlace& aWaiting, TimePoint aNow);
+  double CostOf(const PlaceEndpoint& aEndpoint, const PlaceRequest& aRequest) const;
+  std::size_t PlaceCount(TimePoint aNow) const;
+  double ExpectedWaitMs(int aPriority, TimePoint aNow) const;
+  Milliseconds RetryAfter(const PlaceRequest& aRequest, double aWaitMs) const;
+  void Refuse(const PlaceRequest& aRequest,
+              PlaceRefusalReason aReason,
+              TimePoint aNow,
+              PlaceDecisions& aDecisions) const;
+
+  PlaceSchedulerLimits m_limits;
+  double m_part = 1.0;
+  std::map<EndpointId, PlaceEndpoint> m_endpoints;
+  PlaceQueue m_queue;
+  /// Asked since the last decision.
+  std::vector<PlaceTicket> m_new;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRegistry/include/LibRegistry/EndpointRegistry.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <LibCore/StrongString.h>
+#include <LibCore/Time.h>
+#include <absl/container/flat_hash_map.h>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburnhitch {
+
+/// One registration of an endpoint; an endpoint that starts anew may keep its id.
+using EndpointId = StrongString<struct EndpointIdTag>;
+
+/// What an endpoint says of itself.
+struct EndpointEntry
+{
+  EndpointId m_id;
+  ServiceName m_service;
+  SocketAddress m_address;
+  DataCenterName m_data_center;
+  /// Requests that it works on at once.
+  int m_places = 1;
+  bool m_is_draining = false;
+  /// Unix time of its start in milliseconds; tells apart two lives under one id.
+  std::int64_t m_started_at_ms = 0;
+
+  auto operator<=>(const EndpointEntry&) const = default;
+};
+
+/// A change that the registry made to what this process believes.
+struct RegistryChange
+{
+  enum class What
+  {
+    Added,
+    Restarted,
+    Changed,
+    Draining,
+    Removed,
+    /// The registration lapsed around an outage and may come back.
+    Lapsed,
+  };
+
+  What m_what = What::Added;
+  EndpointEntry m_entry;
+};
+
+const char*
+NameOf(RegistryChange::What aWhat);
+
+/// Which endpoints exist and may get work, from registrations in order. Registrations that lapse
+/// while the store is away are kept for a while after its return, since their endpoints renew them
+/// then. Pure: owns no clock. Not thread-safe.
+class EndpointRegistry
+{
+public:
+  struct Limits
+  {
+    /// How long after the store's return a lapsed registration may be renewed.
+    Milliseconds m_renewal_time{ 2'200 };
+    /// Silence after which an endpoint counts as quiet: two renewals missed, and the reading lag.
+    Milliseconds m_quiet_after{ 3'000 };
+  };
+
+  explicit EndpointRegistry(Limits aLimits)
+    : m_limits(aLimits)
+  {
+  }
+
+  using Changes = std::vector<RegistryChange>;
+
+  /// Takes a registration or its renewal.
+  Changes Renew(const EndpointEntry& aEntry, TimePoint aNow);
+  /// Takes the word that a registration is gone.
+  Changes Remove(const EndpointId& aId, TimePoint aNow);
+  /// Takes the whole list of registrations: all others are gone.
+  Changes Replace(const std::vector<EndpointEntry>& aEntries, TimePoint aNow);
+  /// Ends the registrations that were not renewed in time.
+  Changes Expire(TimePoint aNow);
+
+  /// Tells that the store cannot be read, or can be read again.
+  void SetStoreReachable(bool aIsReachable, TimePoint aNow);
+  /// Tells that registrations were read up to now.
+  void NoteRead(TimePoint aNow) { m_read_at = aNow; }
+
+  /// The entry of an endpoint that may get new work, or nothing.
+  std::optional<EndpointEntry> FindUsable(const EndpointId& aId) const;
+  /// Whether its renewals are overdue although others are read.
+  bool IsQuiet(const EndpointId& aId) const;
+  std::vector<EndpointEntry> UsableOf(const ServiceName& aService) const;
+  /// Grows with each change of what may be used.
+  std::uint64_t Version() const { return m_version; }
+  std::size_t Size() const { return m_entries.size(); }
+  bool HasBeenRead() const { return m_read_at.has_value(); }
+
+private:
+  struct Known
+  {
+    EndpointEntry m_entry;
+    TimePoint m_renewed_at;
+    /// Set while the registration is gone and may come back.
+    std::optional<TimePoint> m_lapsed_at;
+  };
+
+  bool IsAroundOutage(TimePoint aNow) const;
+  void Lapse(Known& aKnown, TimePoint aNow, Changes& aChanges);
+
+  Limits m_limits;
+  std::map<EndpointId, Known> m_entries;
+  std::optional<TimePoint> m_read_at;
+  bool m_is_reachable = true;
+  std::optional<TimePoint> m_returned_at;
+  std::uint64_t m_version = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/RelayServer.cpp
@@ -0,0 +1,322 @@
+#include <LibRelay/RelayServer.h>
+
+#include "RelayConnection.h"
+
+#include <LibCore/Try.h>
+#include <LibHttp/HttpServer.h>
+#include <algorithm>
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/tcp.h>
+#include <unistd.h>
+#include <vector>
+
+namespace auburnhitch {
+
+namespace {
+
+constexpr int kListenBacklog = 1024;
+// Resolution of the head and idle timeouts; well below both.
+constexpr Milliseconds kSweepInterval{ 250 };
+// Longest wait for a peer to close after its last answer; a round trip takes a few milliseconds.
+constexpr Milliseconds kLingerTime{ 1'000 };
+// Bytes read from one connection ahead of the request in progress.
+constexpr std::size_t kReadAheadBytes = 64 << 10;
+
+constexpr int kBadRequest = 400;
+constexpr int kPayloadTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
+
+}
+
+RelayConnection::RelayConnection(RelayServer& aServer, bufferevent* aEvents)
+  : m_server(aServer)
+  , m_events(aEvents)
+  , m_parser(MessageParser::Kind::Request, aServer.m_limits.m_max_head_bytes)
+  , m_since(aServer.m_loop.Now())
+{
+  bufferevent_setcb(m_events, OnReadable, OnWritable, OnEvent, this);
+  bufferevent_setwatermark(m_events, EV_READ, 0, kReadAheadBytes);
+  bufferevent_enable(m_events, EV_READ | EV_WRITE);
+}
+
+RelayConnection::~RelayConnection()
+{
+  m_server.Forget(this);
+  bufferevent_free(m_events);
+}
+
+void
+RelayConnection::OnReadable(bufferevent*, void* aConnection)
+{
+  static_cast<RelayConnection*>(aConnection)->Read();
+}
+
+void
+RelayConnection::OnWritable(bufferevent*, void* aConnection)
+{
+  auto* self = static_cast<RelayConnection*>(aConnection);
+  if (self->m_phase == Phase::Lingering) {
+    shutdown(bufferevent_getfd(self->m_events), SHUT_WR);
+  } else if (self->m_exchange != nullptr && self->m_exchange->m_on_drained) {
+    const RelayExchangePtr exchange = self->m_exchange;
+    exchange->m_on_drained();
+  }
+}
+
+void
+RelayConnection::OnEvent(bufferevent*, short aWhat, void* aConnection)
+{
+  if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+    static_cast<RelayConnection*>(aConnection)->Close();
+  }
+}
+
+void
+RelayConnection::EnterPhase(Phase aPhase)
+{
+  m_phase = aPhase;
+  m_since = m_server.m_loop.Now();
+}
+
+void
+RelayConnection::Read()
+{
+  evbuffer* input = bufferevent_get_input(m_events);
+  if (m_phase == Phase::Lingering) {
+    evbuffer_drain(input, evbuffer_get_length(input));
+    return;
+  }
+  // Bytes of a further request wait until the present one is answered.
+  while (m_phase == Phase::Idle || m_phase == Phase::Reading) {
+    const auto size = static_cast<std::ptrdiff_t>(evbuffer_get_contiguous_space(input));
+    if (size == 0) {
+      return;
+    }
+    if (m_phase == Phase::Idle) {
+      EnterPhase(Phase::Reading);
+    }
+    const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, size));
+    const std::size_t used = m_parser.Feed({ bytes, static_cast<std::size_t>(size) });
+    evbuffer_drain(input, used);
+    m_body += m_parser.TakeBody();
+    if (m_body.size() > m_server.m_limits.m_max_body_bytes) {
+      Refuse(kPayloadTooLarge, "the body is larger than the limit");
+      return;
+    }
+    switch (m_parser.State()) {
+      case MessageParser::Progress::NeedMore:
+        break;
+      case MessageParser::Progress::Malformed:
+        Refuse(kBadRequest, "the request is malformed");
+        return;
+      case MessageParser::Progress::HeadTooLarge:
+        Refuse(kHeadTooLarge, "the header fields are larger than the limit");
+        return;
+      case MessageParser::Progress::Complete:
+        HandOver();
+        return;
+    }
+  }
+}
+
+void
+RelayConnection::HandOver()
+{
+  EnterPhase(Phase::Answering);
+  m_closes = !m_parser.Head().m_keeps_alive;
+  m_exchange =
+    std::make_shared<RelayExchange>(this, m_parser.Head(), std::move(m_body), m_server.m_loop.Now());
+  m_body.clear();
+  m_parser.Restart();
+  // The handler may answer at once, and the answer may end this connection.
+  const RelayExchangePtr exchange = m_exchange;
+  m_server.m_handler(exchange);
+}
+
+void
+RelayConnection::Refuse(int aStatus, const char* aWhy)
+{
+  EnterPhase(Phase::Answering);
+  m_closes = true;
+  m_exchange =
+    std::make_shared<RelayExchange>(this, MessageHead(), std::string(), m_server.m_loop.Now());
+  const RelayExchangePtr exchange = m_exchange;
+  exchange->Reply(aStatus, { { "Content-Type", "text/plain" } }, aWhy);
+}
+
+void
+RelayConnection::Send(absl::string_view aBytes)
+{
+  bufferevent_write(m_events, aBytes.data(), aBytes.size());
+}
+
+std::size_t
+RelayConnection::UnsentBytes() const
+{
+  return evbuffer_get_length(bufferevent_get_output(m_events));
+}
+
+bool
+RelayConnection::MustCloseAfterAnswer() const
+{
+  return m_closes || m_server.m_closes_after_answers;
+}
+
+bool
+RelayConnection::IsBusy() const
+{
+  return m_phase == Phase::Answering || (m_phase == Phase::Reading && m_parser.HasBegun()) ||
+         UnsentBytes() > 0;
+}
+
+void
+RelayConnection::OnAnswered()
+{
+  const bool closes = MustCloseAfterAnswer();
+  m_exchange = nullptr;
+  if (closes) {
+    BeginLinger();
+    return;
+  }
+  EnterPhase(Phase::Idle);
+  if (evbuffer_get_length(bufferevent_get_input(m_events)) > 0) {
+    // Not from inside the handler of the request just answered.
+    bufferevent_trigger(m_events, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+  }
+}
+
+void
+RelayConnection::BeginLinger()
+{
+  EnterPhase(Phase::Lingering);
+  if (UnsentBytes() == 0) {
+    shutdown(bufferevent_getfd(m_events), SHUT_WR);
+  }
+  evbuffer* input = bufferevent_get_input(m_events);
+  evbuffer_drain(input, evbuffer_get_length(input));
+}
+
+void
+RelayConnection::Close()
+{
+  const RelayExchangePtr exchange = std::move(m_exchange);
+  if (exchange != nullptr) {
+    exchange->m_connection = nullptr;
+  }
+  delete this;
+  if (exchange != nullptr && exchange->m_on_closed) {
+    const auto callback = std::move(exchange->m_on_closed);
+    callback();
+  }
+}
+
+void
+RelayConnection::CheckAge(TimePoint aNow)
+{
+  const Duration age = aNow - m_since;
+  const RelayServerLimits& limits = m_server.m_limits;
+  const bool is_slow = m_phase == Phase::Reading && !m_parser.HasHead() &&
+                       age > limits.m_head_timeout;
+  const bool is_unused = m_phase == Phase::Idle && age > limits.m_idle_timeout;
+  const bool is_over = m_phase == Phase::Lingering && age > kLingerTime;
+  if (is_slow || is_unused || is_over) {
+    Close();
+  }
+}
+
+RelayServer::RelayServer(EventLoop& aLoop, const RelayServerLimits& aLimits, Handler aHandler)
+  : m_loop(aLoop)
+  , m_limits(aLimits)
+  , m_handler(std::move(aHandler))
+{
+}
+
+absl::StatusOr<std::unique_ptr<RelayServer>>
+RelayServer::Create(EventLoop& aLoop,
+                    const SocketAddress& aAddress,
+                    const RelayServerLimits& aLimits,
+                    Handler aHandler)
+{
+  TRY_ASSIGN(const auto address, SplitSocketAddress(aAddress));
+  std::unique_ptr<RelayServer> server(new RelayServer(aLoop, aLimits, std::move(aHandler)));
+  sockaddr_in name{};
+  name.sin_family = AF_INET;
+  name.sin_port = htons(address.second);
+  inet_pton(AF_INET, address.first.c_str(), &name.sin_addr);
+  server->m_listener =
+    evconnlistener_new_bind(aLoop.Base(),
+                            OnAccept,
+                            server.get(),
+                            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+                            kListenBacklog,
+                            reinterpret_cast<const sockaddr*>(&name),
+                            sizeof(name));
+  if (server->m_listener == nullptr) {
+    return absl::UnavailableError("can't listen on " + aAddress.Value());
+  }
+  server->m_sweep = std::make_unique<Timer>(
+    aLoop, kSweepInterval, Timer::Repeat::Always, [raw = server.get()] { raw->Sweep(); });
+  return server;
+}
+
+RelayServer::~RelayServer()
+{
+  if (m_listener != nullptr) {
+    evconnlistener_free(m_listener);
+  }
+  const std::vector<RelayConnection*> open(m_connections.begin(), m_connections.end());
+  for (RelayConnection* connection : open) {
+    connection->Close();
+  }
+}
+
+void
+RelayServer::OnAccept(evconnlistener*, int aSocket, sockaddr*, int, void* aServer)
+{
+  auto* server = static_cast<RelayServer*>(aServer);
+  if (server->m_connections.size() >= server->m_limits.m_max_connections) {
+    close(aSocket);
+    return;
+  }
+  const int enabled = 1;
+  setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+  bufferevent* events =
+    bufferevent_socket_new(server->m_loop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE);
+  if (events == nullptr) {
+    close(aSocket);
+    return;
+  }
+  server->m_connections.insert(new RelayConnection(*server, events));
+}
+
+void
+RelayServer::Forget(RelayConnection* aConnection)
+{
+  m_connections.erase(aConnection);
+}
+
+std::size_t
+RelayServer::BusyCount() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_connections.begin(), m_connections.end(), [](const RelayConnection* aOpen) {
+      return aOpen->IsBusy();
+    }));
+}
+
+void
+RelayServer::Sweep()
+{
+  const std::vector<RelayConnection*> open(m_connections.begin(), m_connections.end());
+  for (RelayConnection* connection : open) {
+    if (m_connections.contains(connection)) {
+      connection->CheckAge(m_loop.Now());
+    }
+  }
+}
+
+}
--- a/Meta/auburnhitch.sh
+++ b/Meta/auburnhitch.sh
@@ -8,7 +8,7 @@
 export CCACHE_BASEDIR="$ROOT" CCACHE_NOHASHDIR=1
 PACKAGES=(g++ cmake ninja-build pkg-config curl
   libevent-dev libevhtp-dev libjsonrpccpp-dev libjsoncpp-dev prometheus-cpp-dev libcli11-dev
-  libspdlog-dev libabsl-dev doctest-dev nlohmann-json3-dev libssl-dev libxxhash-dev)
+  libspdlog-dev libabsl-dev doctest-dev nlohmann-json3-dev libssl-dev libxxhash-dev libhttp-parser-dev)
 LINT_PACKAGES=(clang-format clang-tidy)
 FUZZ_PACKAGES=(clang libclang-rt-14-dev)
 
