--- a/Libraries/LibBroker/HomeService.cpp
+++ b/Libraries/LibBroker/HomeService.cpp
@@ -1,5 +1,6 @@
 #include <LibBroker/HomeService.h>
 
+#include <LibCore/Log.h>
 #include <numeric>
 
 namespace auburnhitch {
@@ -70,6 +71,35 @@
   }
 }
 
+void
+HomeService::LogBeliefs(TimePoint aNow)
+{
+  for (const auto& [service, scheduler] : m_schedulers) {
+    for (const PlaceEndpointView& view : scheduler.View(aNow)) {
+      const bool was_suspect = m_suspects.contains(view.m_id);
+      if (was_suspect == view.m_is_suspect) {
+        continue;
+      }
+      if (view.m_is_suspect) {
+        m_suspects.insert(view.m_id);
+      } else {
+        m_suspects.erase(view.m_id);
+      }
+      LogOf("home").info("event={} endpoint={} service={} held={} first_slowness={:.2f} "
+                         "rest_slowness={:.2f} failure_rate={:.2f} waiting={} places={}",
+                         view.m_is_suspect ? "suspected" : "trusted",
+                         view.m_id.Value(),
+                         service.Value(),
+                         view.m_held,
+                         view.m_first_slowness,
+                         view.m_rest_slowness,
+                         view.m_failure_rate,
+                         scheduler.WaitingCount(),
+                         scheduler.PlaceCount(aNow));
+    }
+  }
+}
+
 std::size_t
 HomeService::WaitingCount() const
 {
--- a/Libraries/LibBroker/PlaceBroker.cpp
+++ b/Libraries/LibBroker/PlaceBroker.cpp
@@ -485,6 +485,7 @@
   UpdatePart();
   ReviewHomes();
   m_home.DecideAll(now);
+  m_home.LogBeliefs(now);
 }
 
 }
--- a/Libraries/LibBroker/include/LibBroker/HomeService.h
+++ b/Libraries/LibBroker/include/LibBroker/HomeService.h
@@ -3,6 +3,7 @@
 #include <LibPlacement/PlaceScheduler.h>
 #include <functional>
 #include <map>
+#include <set>
 
 namespace auburnhitch {
 
@@ -31,12 +32,17 @@
   std::size_t WaitingCount() const;
   std::size_t HeldCount() const;
 
+  /// Writes a line for each endpoint that has come under suspicion or is trusted again since the
+  /// last call.
+  void LogBeliefs(TimePoint aNow);
+
 private:
   PlaceSchedulerLimits m_limits;
   EndpointSource m_endpoints;
   DecisionHandler m_handler;
   double m_part = 1.0;
   std::map<ServiceName, PlaceScheduler> m_schedulers;
+  std::set<EndpointId> m_suspects;
 };
 
 }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -18,16 +18,12 @@
 constexpr Milliseconds kDefaultPatience{ 30'000 };
 // A store that has not answered for this long may have news that this daemon lacks.
 constexpr Milliseconds kCurrentFor{ 1'500 };
-// How often what is known of the quiet endpoints is handed to the schedulers.
-constexpr Milliseconds kEndpointUpdateInterval{ 250 };
 // News to each of a few daemons; with more of them each hears of the others more seldom, so that
 // what a daemon sends grows no faster than their number.
 constexpr Milliseconds kBeaconInterval{ 200 };
 constexpr Milliseconds kBeaconIntervalPerDaemon{ 12 };
 // Beacons that may be lost in a row before a daemon counts as not heard.
 constexpr double kBeaconsUntilUnheard = 3.5;
-constexpr double kHeartbeatsUntilQuiet = 2;
-constexpr Milliseconds kReadingLag{ 700 };
 
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
@@ -35,17 +31,6 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 
-EndpointRegistry::Limits
-RegistryLimits(const GatewaySettings& aSettings)
-{
-  EndpointRegistry::Limits limits;
-  limits.m_quiet_after =
-    Milliseconds(static_cast<std::int64_t>(
-      static_cast<double>(aSettings.m_heartbeat.count()) * kHeartbeatsUntilQuiet)) +
-    kReadingLag;
-  return limits;
-}
-
 PlaceBroker::Limits
 BrokerLimits(const GatewaySettings& aSettings)
 {
@@ -61,7 +46,7 @@
   , m_settings(aSettings)
   , m_dialect(aDialect)
   , m_incarnation(RandomName())
-  , m_registry(RegistryLimits(aSettings))
+  , m_registry(EndpointRegistry::Limits())
   , m_membership(Membership::Limits(), aSettings.m_host)
   , m_retry_budget(aSettings.m_retry_budget)
   , m_client(aLoop, kIdleLifetime, kMaxIdlePerEndpoint)
@@ -74,7 +59,6 @@
   , m_surroundings{ &aLoop,     &m_client,         &m_broker,
                     &m_registry, &m_retry_budget,  &m_quotas,
                     &aDialect,   &m_metrics,       aSettings.m_data_center }
-  , m_endpoints_updated_at(aLoop.Now())
 {
 }
 
@@ -125,7 +109,7 @@
 void
 Gateway::RenewEndpoint(const EndpointEntry& aEntry)
 {
-  OnRegistryChanges(m_registry.Renew(aEntry, Now()));
+  OnRegistryChanges(m_registry.Renew(aEntry));
 }
 
 void
@@ -143,7 +127,7 @@
 void
 Gateway::NoteRegistryRead()
 {
-  m_registry.NoteRead(Now());
+  m_registry.NoteRead();
 }
 
 void
@@ -172,8 +156,7 @@
     infos.push_back(PlaceEndpointInfo{ entry.m_id,
                                        entry.m_data_center,
                                        entry.m_places,
-                                       entry.m_started_at_ms,
-                                       m_registry.IsQuiet(entry.m_id) });
+                                       entry.m_started_at_ms });
   }
   return infos;
 }
@@ -253,10 +236,6 @@
   UpdateDaemonCounts();
   m_membership.Forget(now);
   OnRegistryChanges(m_registry.Expire(now));
-  if (now - m_endpoints_updated_at >= kEndpointUpdateInterval) {
-    m_endpoints_updated_at = now;
-    m_broker.OnEndpointsChanged();
-  }
   m_broker.Tick();
 }
 
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -66,7 +66,6 @@
     aValue = Milliseconds(static_cast<std::int64_t>(number));
   };
   milliseconds("drain_ms", aSettings.m_drain_bound);
-  milliseconds("heartbeat_ms", aSettings.m_heartbeat);
   aSettings.m_stop_grace = ReadSeconds(reader, "stop_grace_s", aSettings.m_stop_grace, aFindings);
   aSettings.m_most_retry_after =
     ReadSeconds(reader, "most_retry_after_s", aSettings.m_most_retry_after, aFindings);
--- a/Libraries/LibGateway/include/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -90,7 +90,6 @@
   AttemptSurroundings m_surroundings;
   std::map<Attempt*, std::unique_ptr<Attempt>> m_attempts;
   std::size_t m_heard = 0;
-  TimePoint m_endpoints_updated_at;
 };
 
 }
--- a/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
@@ -30,8 +30,6 @@
   Milliseconds m_stop_grace{ 8'000 };
   /// Time within which the store's word about an endpoint must be obeyed.
   Milliseconds m_drain_bound{ 2'000 };
-  /// Time between two renewals of an endpoint's registration.
-  Milliseconds m_heartbeat{ 1'200 };
   /// Longest time that a refused caller is told to wait.
   Milliseconds m_most_retry_after{ 10'000 };
   RetryBudgetLimits m_retry_budget;
--- a/Libraries/LibPlacement/PlaceEndpoint.cpp
+++ b/Libraries/LibPlacement/PlaceEndpoint.cpp
@@ -132,7 +132,7 @@
 bool
 PlaceEndpoint::IsSuspect(TimePoint aNow) const
 {
-  if (m_info.m_is_quiet || aNow < m_distrusted_until) {
+  if (aNow < m_distrusted_until) {
     return true;
   }
   return std::any_of(m_held.begin(), m_held.end(), [&](const auto& aEntry) {
--- a/Libraries/LibPlacement/PlaceScheduler.cpp
+++ b/Libraries/LibPlacement/PlaceScheduler.cpp
@@ -187,6 +187,22 @@
   return places;
 }
 
+std::vector<PlaceEndpointView>
+PlaceScheduler::View(TimePoint aNow) const
+{
+  std::vector<PlaceEndpointView> views;
+  views.reserve(m_endpoints.size());
+  for (const auto& [id, endpoint] : m_endpoints) {
+    views.push_back({ id,
+                      endpoint.IsSuspect(aNow),
+                      endpoint.HeldCount(),
+                      endpoint.Times().FirstSlowness(),
+                      endpoint.Times().RestSlowness(),
+                      endpoint.FailureRate() });
+  }
+  return views;
+}
+
 double
 PlaceScheduler::ExpectedWaitMs(int aPriority, TimePoint aNow) const
 {
--- a/Libraries/LibPlacement/include/LibPlacement/PlaceEndpoint.h
+++ b/Libraries/LibPlacement/include/LibPlacement/PlaceEndpoint.h
@@ -13,8 +13,6 @@
   DataCenterName m_data_center;
   int m_places = 1;
   std::int64_t m_started_at_ms = 0;
-  /// Its registration is overdue.
-  bool m_is_quiet = false;
 
   auto operator<=>(const PlaceEndpointInfo&) const = default;
 };
--- a/Libraries/LibPlacement/include/LibPlacement/PlaceScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/PlaceScheduler.h
@@ -14,6 +14,17 @@
   Milliseconds m_most_retry_after{ 10'000 };
 };
 
+/// What a scheduler believes of one endpoint, for logs.
+struct PlaceEndpointView
+{
+  EndpointId m_id;
+  bool m_is_suspect = false;
+  std::size_t m_held = 0;
+  double m_first_slowness = 1;
+  double m_rest_slowness = 1;
+  double m_failure_rate = 0;
+};
+
 /// Decides for one service which request gets a place at which endpoint, and which is refused.
 /// One daemon does so for all; a daemon that cannot reach it does so for itself with a part of the
 /// places. Pure: owns no clock and no socket. Not thread-safe.
@@ -55,11 +66,14 @@
 
   std::size_t WaitingCount() const { return m_queue.Size(); }
   std::size_t HeldCount() const;
+  /// Places that may be used now, at endpoints that are trusted.
+  std::size_t PlaceCount(TimePoint aNow) const;
+  /// What is believed of each endpoint.
+  std::vector<PlaceEndpointView> View(TimePoint aNow) const;
 
 private:
   PlaceEndpoint* Choose(const WaitingPlace& aWaiting, TimePoint aNow);
   double CostOf(const PlaceEndpoint& aEndpoint, const PlaceRequest& aRequest) const;
-  std::size_t PlaceCount(TimePoint aNow) const;
   double ExpectedWaitMs(int aPriority, TimePoint aNow) const;
   Milliseconds RetryAfter(const PlaceRequest& aRequest, double aWaitMs) const;
   void Refuse(const PlaceRequest& aRequest,
--- a/Libraries/LibRegistry/EndpointRegistry.cpp
+++ b/Libraries/LibRegistry/EndpointRegistry.cpp
@@ -25,12 +25,12 @@
 }
 
 EndpointRegistry::Changes
-EndpointRegistry::Renew(const EndpointEntry& aEntry, TimePoint aNow)
+EndpointRegistry::Renew(const EndpointEntry& aEntry)
 {
   Changes changes;
   auto found = m_entries.find(aEntry.m_id);
   if (found == m_entries.end()) {
-    m_entries.emplace(aEntry.m_id, Known{ aEntry, aNow, std::nullopt });
+    m_entries.emplace(aEntry.m_id, Known{ aEntry, std::nullopt });
     changes.push_back({ RegistryChange::What::Added, aEntry });
   } else {
     Known& known = found->second;
@@ -48,7 +48,7 @@
     } else if (is_changed) {
       changes.push_back({ RegistryChange::What::Changed, aEntry });
     }
-    known = Known{ aEntry, aNow, std::nullopt };
+    known = Known{ aEntry, std::nullopt };
   }
   m_version += changes.empty() ? 0 : 1;
   return changes;
@@ -80,7 +80,7 @@
   std::set<EndpointId> listed;
   for (const EndpointEntry& entry : aEntries) {
     listed.insert(entry.m_id);
-    const Changes of_entry = Renew(entry, aNow);
+    const Changes of_entry = Renew(entry);
     changes.insert(changes.end(), of_entry.begin(), of_entry.end());
   }
   std::vector<EndpointId> missing;
@@ -139,14 +139,6 @@
   return found->second.m_entry;
 }
 
-bool
-EndpointRegistry::IsQuiet(const EndpointId& aId) const
-{
-  const auto found = m_entries.find(aId);
-  return found != m_entries.end() && m_read_at &&
-         *m_read_at - found->second.m_renewed_at > m_limits.m_quiet_after;
-}
-
 std::vector<EndpointEntry>
 EndpointRegistry::UsableOf(const ServiceName& aService) const
 {
--- a/Libraries/LibRegistry/include/LibRegistry/EndpointRegistry.h
+++ b/Libraries/LibRegistry/include/LibRegistry/EndpointRegistry.h
@@ -61,8 +61,6 @@
   {
     /// How long after the store's return a lapsed registration may be renewed.
     Milliseconds m_renewal_time{ 2'200 };
-    /// Silence after which an endpoint counts as quiet: two renewals missed, and the reading lag.
-    Milliseconds m_quiet_after{ 3'000 };
   };
 
   explicit EndpointRegistry(Limits aLimits)
@@ -73,7 +71,7 @@
   using Changes = std::vector<RegistryChange>;
 
   /// Takes a registration or its renewal.
-  Changes Renew(const EndpointEntry& aEntry, TimePoint aNow);
+  Changes Renew(const EndpointEntry& aEntry);
   /// Takes the word that a registration is gone.
   Changes Remove(const EndpointId& aId, TimePoint aNow);
   /// Takes the whole list of registrations: all others are gone.
@@ -83,24 +81,21 @@
 
   /// Tells that the store cannot be read, or can be read again.
   void SetStoreReachable(bool aIsReachable, TimePoint aNow);
-  /// Tells that registrations were read up to now.
-  void NoteRead(TimePoint aNow) { m_read_at = aNow; }
+  /// Tells that all registrations have been read once.
+  void NoteRead() { m_has_been_read = true; }
 
   /// The entry of an endpoint that may get new work, or nothing.
   std::optional<EndpointEntry> FindUsable(const EndpointId& aId) const;
-  /// Whether its renewals are overdue although others are read.
-  bool IsQuiet(const EndpointId& aId) const;
   std::vector<EndpointEntry> UsableOf(const ServiceName& aService) const;
   /// Grows with each change of what may be used.
   std::uint64_t Version() const { return m_version; }
   std::size_t Size() const { return m_entries.size(); }
-  bool HasBeenRead() const { return m_read_at.has_value(); }
+  bool HasBeenRead() const { return m_has_been_read; }
 
 private:
   struct Known
   {
     EndpointEntry m_entry;
-    TimePoint m_renewed_at;
     /// Set while the registration is gone and may come back.
     std::optional<TimePoint> m_lapsed_at;
   };
@@ -110,7 +105,7 @@
 
   Limits m_limits;
   std::map<EndpointId, Known> m_entries;
-  std::optional<TimePoint> m_read_at;
+  bool m_has_been_read = false;
   bool m_is_reachable = true;
   std::optional<TimePoint> m_returned_at;
   std::uint64_t m_version = 0;
