--- a/Libraries/LibAllowance/QuotaLedger.cpp
+++ b/Libraries/LibAllowance/QuotaLedger.cpp
@@ -33,13 +33,11 @@
     if (found != m_buckets.end()) {
       bucket = found->second;
       Fill(bucket, aNow);
-      bucket.m_tokens_per_second = workspace.m_tokens_per_second;
-      bucket.m_burst = workspace.m_burst_tokens;
-      bucket.m_level = std::min(bucket.m_level, static_cast<double>(bucket.m_burst));
+      SetQuota(bucket, workspace);
+      bucket.m_level = std::min(bucket.m_level, bucket.m_burst);
     } else {
-      bucket.m_tokens_per_second = workspace.m_tokens_per_second;
-      bucket.m_burst = workspace.m_burst_tokens;
-      bucket.m_level = static_cast<double>(bucket.m_burst) * m_own_part;
+      SetQuota(bucket, workspace);
+      bucket.m_level = bucket.m_burst * m_own_part;
       bucket.m_filled_at = aNow;
     }
     buckets.emplace(workspace.m_name, bucket);
@@ -47,17 +45,29 @@
   m_buckets = std::move(buckets);
 }
 
+void
+QuotaLedger::SetQuota(Bucket& aBucket, const RoutedWorkspace& aWorkspace) const
+{
+  const double factor = 1 + m_tolerance.m_overage * m_tolerance.m_granted_part;
+  const double slack_per_second =
+    m_tolerance.m_slack_tokens * m_tolerance.m_granted_part / SecondsOf(m_tolerance.m_window);
+  const bool has_quota = aWorkspace.m_tokens_per_second > 0;
+  aBucket.m_tokens_per_second =
+    has_quota ? static_cast<double>(aWorkspace.m_tokens_per_second) * factor + slack_per_second : 0;
+  aBucket.m_burst = static_cast<double>(aWorkspace.m_burst_tokens) * factor;
+}
+
 double
 QuotaLedger::FillPerSecond(const Bucket& aBucket) const
 {
-  return static_cast<double>(aBucket.m_tokens_per_second) * m_own_part;
+  return aBucket.m_tokens_per_second * m_own_part;
 }
 
 double
 QuotaLedger::LevelAt(const Bucket& aBucket, TimePoint aNow) const
 {
   const double filled = FillPerSecond(aBucket) * SecondsOf(aNow - aBucket.m_filled_at);
-  return std::min(static_cast<double>(aBucket.m_burst), aBucket.m_level + filled);
+  return std::min(aBucket.m_burst, aBucket.m_level + filled);
 }
 
 void
@@ -77,7 +87,7 @@
   Bucket& bucket = found->second;
   Fill(bucket, aNow);
   // A request larger than the bucket waits for a full one, or it would never be served.
-  const double needed = std::min(static_cast<double>(aTokens), static_cast<double>(bucket.m_burst));
+  const double needed = std::min(static_cast<double>(aTokens), bucket.m_burst);
   if (bucket.m_level < needed) {
     return false;
   }
@@ -107,7 +117,7 @@
     return Milliseconds(0);
   }
   const Bucket& bucket = found->second;
-  const double needed = std::min(static_cast<double>(aTokens), static_cast<double>(bucket.m_burst));
+  const double needed = std::min(static_cast<double>(aTokens), bucket.m_burst);
   const double missing = std::max(0.0, needed - LevelAt(bucket, aNow));
   return Milliseconds(
     static_cast<std::int64_t>(missing / FillPerSecond(bucket) * kMillisecondsPerSecond) + 1);
--- a/Libraries/LibAllowance/include/LibAllowance/QuotaLedger.h
+++ b/Libraries/LibAllowance/include/LibAllowance/QuotaLedger.h
@@ -17,6 +17,21 @@
   auto operator<=>(const WorkspaceSpending&) const = default;
 };
 
+/// How far the sum of what all daemons admit may pass a quota.
+struct QuotaTolerance
+{
+  /// Part of the quota.
+  double m_overage = 0;
+  /// Tokens in each window besides.
+  double m_slack_tokens = 0;
+  Milliseconds m_window{ 8'000 };
+  /// Part of the tolerance that is granted to callers; the rest covers what daemons admit before
+  /// they hear of each other, and daemons that start anew or are cut off.
+  double m_granted_part = 0.5;
+
+  bool operator==(const QuotaTolerance&) const = default;
+};
+
 /// Keeps the quotas of workspaces over all daemons. Each daemon follows one bucket a workspace, from
 /// which its own spending and what other daemons tell of theirs is taken. The part of daemons that
 /// are not heard is left to them, so that a daemon that is cut off and those that miss it do not
@@ -25,6 +40,11 @@
 class QuotaLedger
 {
 public:
+  explicit QuotaLedger(QuotaTolerance aTolerance)
+    : m_tolerance(aTolerance)
+  {
+  }
+
   /// Tells how many daemons there are and how many of them are heard, with this one.
   void SetDaemons(std::size_t aHeard, std::size_t aKnown);
   /// Takes over the workspaces of a configuration. Buckets of workspaces that stay keep their level.
@@ -51,17 +71,20 @@
 private:
   struct Bucket
   {
-    std::int64_t m_tokens_per_second = 0;
-    std::int64_t m_burst = 0;
+    /// Both with the part of the tolerance that is granted.
+    double m_tokens_per_second = 0;
+    double m_burst = 0;
     double m_level = 0;
     TimePoint m_filled_at;
     std::int64_t m_own = 0;
   };
 
+  void SetQuota(Bucket& aBucket, const RoutedWorkspace& aWorkspace) const;
   double FillPerSecond(const Bucket& aBucket) const;
   double LevelAt(const Bucket& aBucket, TimePoint aNow) const;
   void Fill(Bucket& aBucket, TimePoint aNow);
 
+  QuotaTolerance m_tolerance;
   double m_own_part = 1.0;
   absl::flat_hash_map<WorkspaceName, Bucket> m_buckets;
   absl::flat_hash_map<Incarnation, absl::flat_hash_map<WorkspaceName, std::int64_t>> m_peers;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -48,6 +48,7 @@
   , m_incarnation(RandomName())
   , m_registry(EndpointRegistry::Limits())
   , m_membership(Membership::Limits(), aSettings.m_host)
+  , m_quotas(aSettings.m_quota_tolerance)
   , m_retry_budget(aSettings.m_retry_budget)
   , m_client(aLoop, kIdleLifetime, kMaxIdlePerEndpoint)
   , m_broker(BrokerLimits(aSettings),
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -76,6 +76,11 @@
   budget.m_ratio = ReadNumber(reader, "retry_ratio", budget.m_ratio, aFindings);
   budget.m_slack = ReadNumber(reader, "retry_slack", budget.m_slack, aFindings);
   budget.m_window = ReadSeconds(reader, "retry_window_s", budget.m_window, aFindings);
+  QuotaTolerance& tolerance = aSettings.m_quota_tolerance;
+  tolerance.m_overage = ReadNumber(reader, "quota_overage", tolerance.m_overage, aFindings);
+  tolerance.m_slack_tokens =
+    ReadNumber(reader, "quota_slack_tokens", tolerance.m_slack_tokens, aFindings);
+  tolerance.m_window = ReadSeconds(reader, "quota_window_s", tolerance.m_window, aFindings);
 }
 
 }
--- a/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAllowance/QuotaLedger.h>
 #include <LibAllowance/RetryBudget.h>
 #include <LibCore/JsonObjectReader.h>
 #include <LibCore/StrongString.h>
@@ -33,6 +34,7 @@
   /// Longest time that a refused caller is told to wait.
   Milliseconds m_most_retry_after{ 10'000 };
   RetryBudgetLimits m_retry_budget;
+  QuotaTolerance m_quota_tolerance;
   /// Descriptors that this process may use for sockets.
   std::size_t m_max_sockets = 3'900;
 
