--- a/Libraries/LibAllowance/QuotaLedger.cpp
+++ b/Libraries/LibAllowance/QuotaLedger.cpp
@@ -7,6 +7,11 @@
 namespace {
 
 constexpr double kMillisecondsPerSecond = 1'000;
+// Part of its share of a burst that a daemon starts with: enough for the first requests. What its
+// earlier life spent is not known to it.
+constexpr double kStartingPart = 0.25;
+// A daemon that starts has heard all others after this time.
+constexpr Milliseconds kYoungFor{ 1'000 };
 
 double
 SecondsOf(Duration aDuration)
@@ -26,6 +31,7 @@
 void
 QuotaLedger::SetWorkspaces(const std::vector<RoutedWorkspace>& aWorkspaces, TimePoint aNow)
 {
+  m_started_at = m_started_at.value_or(aNow);
   absl::flat_hash_map<WorkspaceName, Bucket> buckets;
   for (const RoutedWorkspace& workspace : aWorkspaces) {
     const auto found = m_buckets.find(workspace.m_name);
@@ -33,11 +39,13 @@
     if (found != m_buckets.end()) {
       bucket = found->second;
       Fill(bucket, aNow);
-      SetQuota(bucket, workspace);
-      bucket.m_level = std::min(bucket.m_level, bucket.m_burst);
+      bucket.m_tokens_per_second = static_cast<double>(workspace.m_tokens_per_second);
+      bucket.m_burst = static_cast<double>(workspace.m_burst_tokens);
+      bucket.m_level = std::min(bucket.m_level, CapacityOf(bucket));
     } else {
-      SetQuota(bucket, workspace);
-      bucket.m_level = bucket.m_burst * m_own_part;
+      bucket.m_tokens_per_second = static_cast<double>(workspace.m_tokens_per_second);
+      bucket.m_burst = static_cast<double>(workspace.m_burst_tokens);
+      bucket.m_level = kStartingPart * CapacityOf(bucket);
       bucket.m_filled_at = aNow;
     }
     buckets.emplace(workspace.m_name, bucket);
@@ -45,29 +53,26 @@
   m_buckets = std::move(buckets);
 }
 
-void
-QuotaLedger::SetQuota(Bucket& aBucket, const RoutedWorkspace& aWorkspace) const
+double
+QuotaLedger::FillPerSecond(const Bucket& aBucket) const
 {
-  const double factor = 1 + m_tolerance.m_overage * m_tolerance.m_granted_part;
+  const double factor = 1 + m_tolerance.m_overage * GrantedPart();
   const double slack_per_second =
-    m_tolerance.m_slack_tokens * m_tolerance.m_granted_part / SecondsOf(m_tolerance.m_window);
-  const bool has_quota = aWorkspace.m_tokens_per_second > 0;
-  aBucket.m_tokens_per_second =
-    has_quota ? static_cast<double>(aWorkspace.m_tokens_per_second) * factor + slack_per_second : 0;
-  aBucket.m_burst = static_cast<double>(aWorkspace.m_burst_tokens) * factor;
+    m_tolerance.m_slack_tokens * GrantedPart() / SecondsOf(m_tolerance.m_window);
+  return (aBucket.m_tokens_per_second * factor + slack_per_second) * m_own_part;
 }
 
 double
-QuotaLedger::FillPerSecond(const Bucket& aBucket) const
+QuotaLedger::CapacityOf(const Bucket& aBucket) const
 {
-  return aBucket.m_tokens_per_second * m_own_part;
+  return aBucket.m_burst * (1 + m_tolerance.m_overage * GrantedPart()) * m_own_part;
 }
 
 double
 QuotaLedger::LevelAt(const Bucket& aBucket, TimePoint aNow) const
 {
   const double filled = FillPerSecond(aBucket) * SecondsOf(aNow - aBucket.m_filled_at);
-  return std::min(aBucket.m_burst, aBucket.m_level + filled);
+  return std::min(CapacityOf(aBucket), aBucket.m_level + filled);
 }
 
 void
@@ -87,7 +92,7 @@
   Bucket& bucket = found->second;
   Fill(bucket, aNow);
   // A request larger than the bucket waits for a full one, or it would never be served.
-  const double needed = std::min(static_cast<double>(aTokens), bucket.m_burst);
+  const double needed = std::min(static_cast<double>(aTokens), CapacityOf(bucket));
   if (bucket.m_level < needed) {
     return false;
   }
@@ -117,7 +122,7 @@
     return Milliseconds(0);
   }
   const Bucket& bucket = found->second;
-  const double needed = std::min(static_cast<double>(aTokens), bucket.m_burst);
+  const double needed = std::min(static_cast<double>(aTokens), CapacityOf(bucket));
   const double missing = std::max(0.0, needed - LevelAt(bucket, aNow));
   return Milliseconds(
     static_cast<std::int64_t>(missing / FillPerSecond(bucket) * kMillisecondsPerSecond) + 1);
@@ -141,14 +146,16 @@
                       TimePoint aNow)
 {
   const bool is_new = !m_peers.contains(aPeer);
+  const bool is_young = m_started_at && aNow - *m_started_at < kYoungFor;
   auto& known = m_peers[aPeer];
   for (const WorkspaceSpending& spending : aSpending) {
     std::int64_t& last = known[spending.m_workspace];
     const std::int64_t spent = spending.m_tokens - last;
     last = spending.m_tokens;
     const auto found = m_buckets.find(spending.m_workspace);
-    // What a daemon spent before it was first heard lies in the past by an unknown time.
-    if (is_new || found == m_buckets.end()) {
+    // To a daemon that starts, the others' spending lies in the past by an unknown time. To the
+    // others, that of a daemon first heard is recent.
+    if ((is_new && is_young) || found == m_buckets.end()) {
       continue;
     }
     Fill(found->second, aNow);
--- a/Libraries/LibAllowance/include/LibAllowance/QuotaLedger.h
+++ b/Libraries/LibAllowance/include/LibAllowance/QuotaLedger.h
@@ -3,7 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibRouting/Route.h>
 #include <absl/container/flat_hash_map.h>
-#include <map>
+#include <optional>
 #include <vector>
 
 namespace auburnhitch {
@@ -25,8 +25,9 @@
   /// Tokens in each window besides.
   double m_slack_tokens = 0;
   Milliseconds m_window{ 8'000 };
-  /// Part of the tolerance that is granted to callers; the rest covers what daemons admit before
-  /// they hear of each other, and daemons that start anew or are cut off.
+  /// Part of the tolerance that is granted to callers while all daemons are heard; the rest covers
+  /// what daemons admit before they hear of each other, and daemons that start anew. While some are
+  /// not heard nothing of it is granted.
   double m_granted_part = 0.5;
 
   bool operator==(const QuotaTolerance&) const = default;
@@ -71,7 +72,6 @@
 private:
   struct Bucket
   {
-    /// Both with the part of the tolerance that is granted.
     double m_tokens_per_second = 0;
     double m_burst = 0;
     double m_level = 0;
@@ -79,13 +79,16 @@
     std::int64_t m_own = 0;
   };
 
-  void SetQuota(Bucket& aBucket, const RoutedWorkspace& aWorkspace) const;
+  /// The part of the tolerance that is granted now.
+  double GrantedPart() const { return m_own_part < 1 ? 0 : m_tolerance.m_granted_part; }
+  double CapacityOf(const Bucket& aBucket) const;
   double FillPerSecond(const Bucket& aBucket) const;
   double LevelAt(const Bucket& aBucket, TimePoint aNow) const;
   void Fill(Bucket& aBucket, TimePoint aNow);
 
   QuotaTolerance m_tolerance;
   double m_own_part = 1.0;
+  std::optional<TimePoint> m_started_at;
   absl::flat_hash_map<WorkspaceName, Bucket> m_buckets;
   absl::flat_hash_map<Incarnation, absl::flat_hash_map<WorkspaceName, std::int64_t>> m_peers;
 };
--- a/Libraries/LibRelay/MessageParser.cpp
+++ b/Libraries/LibRelay/MessageParser.cpp
@@ -1,6 +1,6 @@
 #include <LibRelay/MessageParser.h>
 
-#include <absl/strings/match.h>
+#include <algorithm>
 #include <utility>
 
 namespace auburnhitch {
@@ -54,6 +54,17 @@
   {
     MessageParser& self = Self(aParser);
     MessageHead& head = self.m_head;
+    // The library as it is packaged takes spaces in names, by which a peer that reads more strictly
+    // could be made to see another message.
+    const bool has_bad_name =
+      std::any_of(head.m_headers.begin(), head.m_headers.end(), [](const auto& aField) {
+        return aField.first.empty() ||
+               aField.first.find_first_of(" \t") != std::string::npos;
+      });
+    if (has_bad_name || aParser->http_major != 1) {
+      constexpr int kError = -1;
+      return kError;
+    }
     self.m_has_head = true;
     head.m_status = aParser->status_code;
     head.m_keeps_alive = http_should_keep_alive(aParser) != 0;
--- /dev/null
+++ b/Tests/Unit/TestCluster.cpp
@@ -0,0 +1,120 @@
+#include <LibCluster/Beacon.h>
+#include <LibCluster/Membership.h>
+
+#include <doctest.h>
+#include <map>
+#include <random>
+
+using namespace auburnhitch;
+
+namespace {
+
+constexpr TimePoint kStart{};
+
+Member
+MemberOf(int aNumber)
+{
+  const std::string name = "host-" + std::to_string(aNumber);
+  Member member;
+  member.m_host = HostName(name);
+  member.m_incarnation = Incarnation("i-" + name);
+  member.m_peer_address = SocketAddress("10.0.0." + std::to_string(aNumber) + ":7600");
+  member.m_is_ready = true;
+  member.m_is_current = true;
+  return member;
+}
+
+}
+
+TEST_CASE("Daemons that hear each other choose the same home, and others spread over them")
+{
+  constexpr int kDaemons = 6;
+  std::map<HostName, int> chosen;
+  for (int service = 0; service < 200; ++service) {
+    const ServiceName name("s-" + std::to_string(service));
+    std::optional<HostName> agreed;
+    for (int self = 0; self < kDaemons; ++self) {
+      Membership membership(Membership::Limits(), MemberOf(self).m_host);
+      for (int other = 0; other < kDaemons; ++other) {
+        membership.NoteHeard(MemberOf(other), kStart);
+      }
+      const HostName home = membership.HomeOf(name, MemberOf(self), kStart).m_host;
+      CHECK(home == agreed.value_or(home));
+      agreed = home;
+    }
+    ++chosen[*agreed];
+  }
+  CHECK(chosen.size() == kDaemons);
+}
+
+TEST_CASE("A daemon that is silent, leaves or was distrusted is no home, and comes back")
+{
+  const Member self = MemberOf(0);
+  Membership membership(Membership::Limits(), self.m_host);
+  Member other = MemberOf(1);
+  // A service whose home is the other daemon.
+  ServiceName service;
+  membership.NoteHeard(other, kStart);
+  for (int i = 0; service.IsEmpty(); ++i) {
+    const ServiceName candidate("s" + std::to_string(i));
+    if (membership.HomeOf(candidate, self, kStart).m_host == other.m_host) {
+      service = candidate;
+    }
+  }
+  const auto home = [&](int aMs) {
+    return membership.HomeOf(service, self, kStart + Milliseconds(aMs)).m_host;
+  };
+  CHECK(home(600) == other.m_host);
+  CHECK(home(800) == self.m_host);
+  membership.NoteHeard(other, kStart + Milliseconds(900));
+  CHECK(home(900) == other.m_host);
+  membership.Distrust(other.m_host, kStart + Milliseconds(900));
+  CHECK(home(1'000) == self.m_host);
+  membership.NoteHeard(other, kStart + Milliseconds(2'000));
+  CHECK(home(2'000) == other.m_host);
+  other.m_is_leaving = true;
+  membership.NoteHeard(other, kStart + Milliseconds(2'100));
+  CHECK(home(2'100) == self.m_host);
+  other.m_is_leaving = false;
+  other.m_is_current = false;
+  membership.NoteHeard(other, kStart + Milliseconds(2'200));
+  CHECK(home(2'200) == self.m_host);
+}
+
+TEST_CASE("Daemons are known from the list or from themselves, and forgotten when both are gone")
+{
+  Membership membership(Membership::Limits(), HostName("host-0"));
+  membership.NoteListed(MemberOf(1));
+  CHECK(membership.Known().size() == 1);
+  CHECK(membership.Heard(kStart).empty());
+  membership.NoteListed(MemberOf(0));
+  CHECK(membership.Known().size() == 1);
+  membership.NoteHeard(MemberOf(2), kStart);
+  CHECK(membership.Heard(kStart).size() == 1);
+  membership.NoteUnlisted(HostName("host-1"));
+  membership.Forget(kStart + Milliseconds(20'000));
+  CHECK(membership.Known().size() == 1);
+  membership.Forget(kStart + Milliseconds(31'000));
+  CHECK(membership.Known().empty());
+}
+
+TEST_CASE("Beacons survive the way and nothing else is taken for one")
+{
+  BeaconNews news;
+  news.m_member = MemberOf(3);
+  news.m_configuration_version = 17;
+  news.m_spending = { { WorkspaceName("w"), 12'345 } };
+  const std::string bytes = EncodeBeacon(news);
+  CHECK(DecodeBeacon(bytes) == news);
+  CHECK_FALSE(DecodeBeacon(""));
+  CHECK_FALSE(DecodeBeacon("{}"));
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    CHECK_FALSE(DecodeBeacon(absl::string_view(bytes).substr(0, size)));
+  }
+  std::mt19937 random(1);
+  for (int i = 0; i < 20'000; ++i) {
+    std::string damaged = bytes;
+    damaged[random() % damaged.size()] = static_cast<char>(random());
+    DecodeBeacon(damaged);
+  }
+}
--- /dev/null
+++ b/Tests/Unit/TestMessageParser.cpp
@@ -0,0 +1,141 @@
+#include <LibRelay/MessageParser.h>
+
+#include <doctest.h>
+
+using namespace auburnhitch;
+
+namespace {
+
+constexpr std::size_t kMaxHeadBytes = 4'096;
+
+/// Feeds the text byte by byte or whole, and tells how much of it was taken.
+std::size_t
+FeedAll(MessageParser& aParser, absl::string_view aText, std::size_t aStep)
+{
+  std::size_t taken = 0;
+  while (taken < aText.size() && aParser.State() == MessageParser::Progress::NeedMore) {
+    const std::size_t used = aParser.Feed(aText.substr(taken, aStep));
+    if (used == 0) {
+      break;
+    }
+    taken += used;
+  }
+  return taken;
+}
+
+MessageParser::Progress
+StateAfter(MessageParser::Kind aKind, absl::string_view aText)
+{
+  MessageParser parser(aKind, kMaxHeadBytes);
+  FeedAll(parser, aText, aText.size());
+  return parser.State();
+}
+
+using Progress = MessageParser::Progress;
+
+}
+
+TEST_CASE("A request ends where its framing says, whatever the pieces in which it arrives")
+{
+  const std::string first = "POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
+  const std::string second = "GET /d HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (const std::size_t step : { std::size_t{ 1 }, std::size_t{ 7 }, std::size_t{ 1'000 } }) {
+    MessageParser parser(MessageParser::Kind::Request, kMaxHeadBytes);
+    CHECK(FeedAll(parser, first + second, step) == first.size());
+    REQUIRE(parser.State() == Progress::Complete);
+    CHECK(parser.Head().m_method == "POST");
+    CHECK(parser.Head().m_target == "/a/b?c=1");
+    CHECK(parser.Head().m_keeps_alive);
+    CHECK(parser.TakeBody() == "hello");
+    parser.Restart();
+    CHECK(FeedAll(parser, second, step) == second.size());
+    REQUIRE(parser.State() == Progress::Complete);
+    CHECK(parser.Head().m_target == "/d");
+    CHECK(parser.Head().m_headers.size() == 1);
+  }
+}
+
+TEST_CASE("A body in chunks is put together and its trailer left out")
+{
+  MessageParser parser(MessageParser::Kind::Request, kMaxHeadBytes);
+  const std::string text = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                           "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nX-Request-Id: other\r\n\r\n";
+  CHECK(FeedAll(parser, text + "extra", 1'000) == text.size());
+  REQUIRE(parser.State() == Progress::Complete);
+  CHECK(parser.TakeBody() == "abcde");
+  CHECK(parser.Head().m_framing == BodyFraming::Chunked);
+  CHECK(parser.Head().m_headers.size() == 2);
+}
+
+TEST_CASE("Requests whose framing can be read in two ways are malformed")
+{
+  const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n";
+  for (const char* framing : {
+         "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+         "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+         "Content-Length: 3, 4\r\n\r\nabcd",
+         "Content-Length: -1\r\n\r\n",
+         "Content-Length: +3\r\n\r\nabc",
+         "Content-Length : 3\r\n\r\nabc",
+         "Transfer-Encoding: chunked, identity\r\n\r\nabc",
+         "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+       }) {
+    CHECK_MESSAGE(StateAfter(MessageParser::Kind::Request, start + framing) == Progress::Malformed,
+                  std::string(framing));
+  }
+}
+
+TEST_CASE("What is no message is malformed")
+{
+  for (const char* text : {
+         "nonsense\r\n\r\n",
+         "GET / HTTP/9.9\r\n\r\n",
+         "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+         "GET / HTTP/1.1\r\nBad Header: x\r\n\r\n",
+       }) {
+    CHECK_MESSAGE(StateAfter(MessageParser::Kind::Request, text) == Progress::Malformed,
+                  std::string(text));
+  }
+  CHECK(StateAfter(MessageParser::Kind::Response, "HELLO\r\n\r\n") == Progress::Malformed);
+}
+
+TEST_CASE("A head beyond its limit is told apart")
+{
+  const std::string text =
+    "GET / HTTP/1.1\r\nHost: h\r\nX-Large: " + std::string(kMaxHeadBytes, 'x') + "\r\n\r\n";
+  MessageParser parser(MessageParser::Kind::Request, kMaxHeadBytes);
+  FeedAll(parser, text.substr(0, text.size() - 4), 100);
+  CHECK(parser.State() == Progress::HeadTooLarge);
+}
+
+TEST_CASE("An answer without a length is whole only at the end of its connection")
+{
+  MessageParser parser(MessageParser::Kind::Response, kMaxHeadBytes);
+  FeedAll(parser, "HTTP/1.1 200 OK\r\n\r\nabc", 1'000);
+  CHECK(parser.State() == Progress::NeedMore);
+  CHECK(parser.Head().m_framing == BodyFraming::UntilClose);
+  parser.FeedEnd();
+  CHECK(parser.State() == Progress::Complete);
+}
+
+TEST_CASE("An answer that ends within its length or its chunks is malformed")
+{
+  for (const char* text : { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+                            "HTTP/1.1 20" }) {
+    MessageParser parser(MessageParser::Kind::Response, kMaxHeadBytes);
+    FeedAll(parser, text, 1'000);
+    parser.FeedEnd();
+    CHECK_MESSAGE(parser.State() == Progress::Malformed, text);
+  }
+}
+
+TEST_CASE("Bytes after a whole answer are not taken")
+{
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+  MessageParser parser(MessageParser::Kind::Response, kMaxHeadBytes);
+  CHECK(FeedAll(parser, answer + "HTTP/1.1 200 OK\r\n\r\n", 1'000) == answer.size());
+  CHECK(parser.State() == Progress::Complete);
+}
--- /dev/null
+++ b/Tests/Unit/TestPlaceMessages.cpp
@@ -0,0 +1,83 @@
+#include <LibBroker/PlaceMessages.h>
+
+#include <doctest.h>
+#include <random>
+
+using namespace auburnhitch;
+
+namespace {
+
+std::vector<PlaceMessage>
+AllKinds()
+{
+  const ServiceName service("s");
+  const EndpointId endpoint("e");
+  return { HelloMessage{ HostName("h"), Incarnation("i") },
+           AskMessage{ service,
+                       7,
+                       1,
+                       PlaceWork{ 3'720, 120.5 },
+                       Milliseconds(3),
+                       Milliseconds(-20),
+                       Milliseconds(3'000),
+                       DataCenterName("dc"),
+                       { endpoint, EndpointId("f") } },
+           WithdrawMessage{ service, 7 },
+           HeldMessage{ service, 7, endpoint, PlaceWork{ 1, 2 } },
+           StartedMessage{ service, 7, endpoint },
+           EndedMessage{ service, 7, endpoint, PlaceEnd::Broken },
+           LeaveMessage{ service },
+           QueuedMessage{ 7 },
+           GrantMessage{ 7, endpoint, Milliseconds(40) },
+           RefuseMessage{ 7, PlaceRefusalReason::Overloaded, Milliseconds(250) } };
+}
+
+}
+
+TEST_CASE("Each message survives the way")
+{
+  const auto messages = AllKinds();
+  REQUIRE(messages.size() == std::variant_size_v<PlaceMessage>);
+  for (const PlaceMessage& message : messages) {
+    const auto bytes = nlohmann::json::to_msgpack(EncodePlaceMessage(message));
+    const auto decoded = DecodePlaceMessage(nlohmann::json::from_msgpack(bytes));
+    REQUIRE(decoded);
+    CHECK(*decoded == message);
+  }
+}
+
+TEST_CASE("A message with a field missing, too many or of another type is none")
+{
+  for (const PlaceMessage& message : AllKinds()) {
+    nlohmann::json json = EncodePlaceMessage(message);
+    json.push_back(1);
+    CHECK_FALSE(DecodePlaceMessage(json));
+    json.erase(json.size() - 1);
+    json.erase(json.size() - 1);
+    CHECK_FALSE(DecodePlaceMessage(json));
+    for (std::size_t field = 1; field < json.size(); ++field) {
+      nlohmann::json wrong = EncodePlaceMessage(message);
+      wrong[field] = nullptr;
+      CHECK_FALSE(DecodePlaceMessage(wrong));
+    }
+  }
+  for (const char* text : { "[]", "{}", "1", "[99]", "[-1]", "[\"0\"]", "[7, -5]", "[7, 1e300]" }) {
+    CHECK_FALSE(DecodePlaceMessage(nlohmann::json::parse(text)));
+  }
+}
+
+TEST_CASE("Damaged messages never end the process")
+{
+  std::mt19937 random(1);
+  for (const PlaceMessage& message : AllKinds()) {
+    const auto bytes = nlohmann::json::to_msgpack(EncodePlaceMessage(message));
+    for (int i = 0; i < 2'000; ++i) {
+      auto damaged = bytes;
+      damaged[random() % damaged.size()] = static_cast<std::uint8_t>(random());
+      const auto json = nlohmann::json::from_msgpack(damaged, true, false);
+      if (!json.is_discarded()) {
+        DecodePlaceMessage(json);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -0,0 +1,210 @@
+#include <platform/ConfigurationDecoder.h>
+#include <platform/PlatformDialect.h>
+#include <platform/RegistrationDecoder.h>
+#include <platform/StoreClient.h>
+
+#include <algorithm>
+#include <doctest.h>
+#include <random>
+
+using namespace auburnhitch;
+
+namespace {
+
+constexpr const char* kConfiguration = R"({
+  "version": 7, "surprise": {"new": 1},
+  "routes": [
+    {"name": "r1", "host": "h.example", "path_prefix": "/a/", "route_kind": "stream",
+     "timeout_ms": 4000, "slo_ms": 800.0, "priority": 1, "service": "s1", "attempts": 2,
+     "public": false, "sticky": true, "resumable": true, "target_gap_ms": 400},
+    {"name": "r2", "host": "h.example", "path_prefix": "/b/", "route_kind": "safe",
+     "timeout_ms": 1000, "slo_ms": 150, "priority": 2, "attempts": 2,
+     "split": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}]}],
+  "services": [{"name": "s1", "max_conns": 360, "engine": {"slots": 4}}, {"name": "s2", "max_conns": 9}],
+  "limits": {"max_header_bytes": 16384, "max_body_bytes": 4096, "header_timeout_ms": 3000,
+             "idle_timeout_ms": 15000},
+  "tenants": [{"name": "w", "api_keys": ["k1", "k2"], "priority": 1, "unit": "tokens",
+               "uncached_tokens": 200, "rate_per_s": 105154, "burst": 105154}]})";
+
+constexpr const char* kRegistration =
+  R"({"service": "s", "address": "127.0.0.1:80", "zone": "z", "version": "v1", "slots": 4,
+      "state": "ready", "cold_left_ms": 0, "seq": 4, "born": 1700000000000})";
+
+std::string
+With(std::string aText, const std::string& aFrom, const std::string& aTo)
+{
+  return aText.replace(aText.find(aFrom), aFrom.size(), aTo);
+}
+
+HttpHeaders
+CallerHeaders()
+{
+  return { { "Host", "h.example" },
+           { "X-Request-Id", "id-1" },
+           { "X-Deadline-Ms", "8000" },
+           { "Authorization", "Bearer k1" },
+           { "X-Token-Count", "1460,80" },
+           { "X-Model", "m" },
+           { "X-Prefix-Hash", "5c:800" } };
+}
+
+MessageHead
+AnswerOf(int aStatus, HttpHeaders aHeaders)
+{
+  MessageHead head;
+  head.m_status = aStatus;
+  head.m_headers = std::move(aHeaders);
+  return head;
+}
+
+}
+
+TEST_CASE("A configuration is read into the project's words")
+{
+  Findings findings;
+  const auto table = DecodeConfiguration(kConfiguration, findings);
+  REQUIRE_MESSAGE(table != nullptr, findings.Describe("c"));
+  CHECK(table->Version() == 7);
+  const Route* route = table->Match("h.example", "/a/x");
+  REQUIRE(route != nullptr);
+  CHECK(route->m_kind == RequestKind::Stream);
+  CHECK(route->m_objective == Milliseconds(800));
+  CHECK(route->m_target_gap == Milliseconds(400));
+  CHECK(route->m_max_endpoints == 2);
+  CHECK(route->IsIdempotent());
+  REQUIRE(table->Match("h.example", "/b/x") != nullptr);
+  CHECK(table->Match("h.example", "/b/x")->m_services.size() == 2);
+  CHECK(table->FindService(ServiceName("s1"))->m_is_engine);
+  CHECK_FALSE(table->FindService(ServiceName("s2"))->m_is_engine);
+  const RoutedWorkspace* workspace = table->FindByKey("k2");
+  REQUIRE(workspace != nullptr);
+  CHECK(workspace->m_tokens_per_second == 105'154);
+  CHECK(workspace->m_default_tokens == 200);
+  CHECK(workspace->m_counts_tokens);
+  CHECK(table->Limits().m_max_body_bytes == 4'096);
+}
+
+TEST_CASE("A configuration with a fault is not put in force")
+{
+  for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+         { "\"version\": 7", "\"version\": \"7\"" },
+         { "\"service\": \"s1\", \"attempts\"", "\"attempts\"" },
+         { "\"safe\"", "\"sometimes\"" },
+         { "\"timeout_ms\": 4000", "\"timeout_ms\": -1" },
+         { "\"k1\"", "5" },
+         { "{", "[" } }) {
+    Findings findings;
+    CHECK_MESSAGE(DecodeConfiguration(With(kConfiguration, from, to), findings) == nullptr, from);
+    CHECK_FALSE(findings.IsEmpty());
+  }
+}
+
+TEST_CASE("A registration is read, and one that is not whole names no endpoint")
+{
+  Findings findings;
+  const auto entry = DecodeRegistration("i-1", kRegistration, findings);
+  REQUIRE(entry);
+  CHECK(entry->m_id == EndpointId("i-1"));
+  CHECK(entry->m_places == 4);
+  CHECK_FALSE(entry->m_is_draining);
+  CHECK(entry->m_started_at_ms == 1'700'000'000'000);
+  for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+         { "\"service\": \"s\",", "" },
+         { "\"ready\"", "\"asleep\"" },
+         { "\"ready\"", "1" },
+         { "127.0.0.1:80", "nowhere" },
+         { "127.0.0.1:80", "127.0.0.1:99999" },
+         { "\"slots\": 4", "\"slots\": \"4\"" },
+         { "\"slots\": 4", "\"slots\": 0" },
+         { "\"slots\": 4", "\"slots\": 1e999" },
+         { "\"born\": 1700000000000", "\"born\": \"x\"" },
+         { "{", "\xff\xfe" } }) {
+    Findings wrong;
+    CHECK_MESSAGE(!DecodeRegistration("i-1", With(kRegistration, from, to), wrong), from);
+    CHECK_FALSE(wrong.IsEmpty());
+  }
+}
+
+TEST_CASE("Records of a keyed topic survive the way; damaged ones are refused")
+{
+  const KeyedRecord value{ "key", "value" };
+  const KeyedRecord dropped{ "gone", std::nullopt };
+  const std::string bytes = EncodeKeyedRecord(value) + EncodeKeyedRecord(dropped);
+  const auto records = DecodeKeyedRecords(bytes);
+  REQUIRE(records);
+  CHECK(*records == std::vector<KeyedRecord>{ value, dropped });
+  CHECK(DecodeKeyedRecords("")->empty());
+  CHECK_FALSE(DecodeKeyedRecords(absl::string_view(bytes).substr(0, bytes.size() - 1)));
+  std::mt19937 random(1);
+  for (int i = 0; i < 10'000; ++i) {
+    std::string damaged = bytes;
+    damaged[random() % damaged.size()] = static_cast<char>(random());
+    DecodeKeyedRecords(damaged);
+  }
+}
+
+TEST_CASE("A caller's words are decoded once")
+{
+  const PlatformDialect dialect;
+  MessageHead head;
+  head.m_method = "POST";
+  head.m_target = "/a/x?y=1";
+  head.m_headers = CallerHeaders();
+  const auto decoded = dialect.Decode(head);
+  REQUIRE(decoded.ok());
+  CHECK(decoded->m_request_id == "id-1");
+  CHECK(decoded->m_path == "/a/x");
+  CHECK(decoded->m_key == "k1");
+  CHECK(decoded->m_patience == Milliseconds(8'000));
+  CHECK(decoded->m_quota_tokens == 1'540);
+  CHECK(decoded->m_work.m_prompt_tokens == 1'460);
+  head.m_headers.erase(head.m_headers.begin() + 1);
+  CHECK_FALSE(dialect.Decode(head).ok());
+  head.m_headers = { { "X-Request-Id", "id-1" }, { "X-Deadline-Ms", "soon" } };
+  CHECK_FALSE(dialect.Decode(head).ok());
+  head.m_headers = { { "X-Request-Id", "id-1" }, { "X-Token-Count", "-5,nan,1e999" } };
+  REQUIRE(dialect.Decode(head).ok());
+  CHECK(dialect.Decode(head)->m_work.m_prompt_tokens == 0);
+}
+
+TEST_CASE("A caller cannot say what is the system's to say, and its key goes no further")
+{
+  const PlatformDialect dialect;
+  MessageHead head;
+  head.m_headers = CallerHeaders();
+  for (const char* name : { "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "kv-fetch", "X-Tenant",
+                            "x-expect-instance", "X-Expect-Version" }) {
+    head.m_headers.emplace_back(name, "forged");
+  }
+  EndpointInstructions instructions;
+  instructions.m_endpoint = EndpointId("i-1");
+  instructions.m_workspace = WorkspaceName("w");
+  instructions.m_time_left = Milliseconds(1'234);
+  instructions.m_last_event_id = "9";
+  const HttpHeaders headers = dialect.ToEndpoint(head, instructions);
+  CHECK(std::none_of(
+    headers.begin(), headers.end(), [](const auto& aField) { return aField.second == "forged"; }));
+  CHECK(FindHeader(headers, "Authorization").empty());
+  CHECK(FindHeader(headers, "X-Tenant") == "w");
+  CHECK(FindHeader(headers, "X-Expect-Instance") == "i-1");
+  CHECK(FindHeader(headers, "X-Deadline-Ms") == "1234");
+  CHECK(FindHeader(headers, "Last-Event-Id") == "9");
+  CHECK(FindHeader(headers, "X-Request-Id") == "id-1");
+  CHECK(FindHeader(headers, "X-Prefix-Hash") == "5c:800");
+}
+
+TEST_CASE("Only an endpoint's own word proves that a request did not run")
+{
+  const PlatformDialect dialect;
+  const auto meaning = [&](int aStatus, HttpHeaders aHeaders) {
+    return dialect.MeaningOf(AnswerOf(aStatus, std::move(aHeaders)), "id-1");
+  };
+  CHECK(meaning(200, { { "X-Request-Id", "id-1" } }) == AnswerMeaning::Success);
+  CHECK(meaning(200, {}) == AnswerMeaning::Success);
+  CHECK(meaning(200, { { "X-Request-Id", "id-2" } }) == AnswerMeaning::Foreign);
+  CHECK(meaning(503, { { "X-Not-Executed", "1" } }) == AnswerMeaning::NotRun);
+  CHECK(meaning(421, {}) == AnswerMeaning::NotRun);
+  CHECK(meaning(503, {}) == AnswerMeaning::Failure);
+  CHECK(meaning(500, {}) == AnswerMeaning::Failure);
+  CHECK(FindHeader(dialect.OwnAnswer("id-1", Milliseconds(250)), "Retry-After") == "0.250");
+}
