--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
 // A daemon that has no configuration yet gets one within a few hundred milliseconds.
 constexpr Milliseconds kRetryWithoutConfiguration{ 300 };
+// Of the time within which an endpoint's leaving must be obeyed, for reading the word and for a send
+// that is on its way.
+constexpr Milliseconds kDrainMargin{ 500 };
 // For how long a caller waits that does not say so.
 constexpr Milliseconds kDefaultPatience{ 30'000 };
 // A store that has not answered for this long may have news that this daemon lacks.
@@ -31,6 +34,14 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 
+EndpointRegistry::Limits
+RegistryLimits(const GatewaySettings& aSettings)
+{
+  EndpointRegistry::Limits limits;
+  limits.m_doubt_time = std::max(Milliseconds(0), aSettings.m_drain_bound - kDrainMargin);
+  return limits;
+}
+
 PlaceBroker::Limits
 BrokerLimits(const GatewaySettings& aSettings)
 {
@@ -46,7 +57,7 @@
   , m_settings(aSettings)
   , m_dialect(aDialect)
   , m_incarnation(RandomName())
-  , m_registry(EndpointRegistry::Limits())
+  , m_registry(RegistryLimits(aSettings))
   , m_membership(Membership::Limits(), aSettings.m_host)
   , m_quotas(aSettings.m_quota_tolerance)
   , m_retry_budget(aSettings.m_retry_budget)
--- a/Libraries/LibRegistry/EndpointRegistry.cpp
+++ b/Libraries/LibRegistry/EndpointRegistry.cpp
@@ -105,11 +105,7 @@
   }
   for (auto entry = m_entries.begin(); entry != m_entries.end();) {
     const Known& known = entry->second;
-    const bool is_over =
-      known.m_lapsed_at &&
-      aNow - std::max(*known.m_lapsed_at, m_returned_at.value_or(*known.m_lapsed_at)) >
-        m_limits.m_renewal_time;
-    if (!is_over) {
+    if (!known.m_lapsed_at || aNow <= EndOfDoubt(*known.m_lapsed_at)) {
       ++entry;
       continue;
     }
@@ -120,6 +116,14 @@
   return changes;
 }
 
+TimePoint
+EndpointRegistry::EndOfDoubt(TimePoint aLapsedAt) const
+{
+  const TimePoint returned_at = m_returned_at.value_or(aLapsedAt);
+  return aLapsedAt > returned_at ? aLapsedAt + m_limits.m_doubt_time
+                                 : returned_at + m_limits.m_renewal_time;
+}
+
 void
 EndpointRegistry::SetStoreReachable(bool aIsReachable, TimePoint aNow)
 {
--- a/Libraries/LibRegistry/include/LibRegistry/EndpointRegistry.h
+++ b/Libraries/LibRegistry/include/LibRegistry/EndpointRegistry.h
@@ -61,6 +61,9 @@
   {
     /// How long after the store's return a lapsed registration may be renewed.
     Milliseconds m_renewal_time{ 2'200 };
+    /// How long after the word that a registration is gone its endpoint may get work, when that word
+    /// came after the store's return: it may be a lapse, or the endpoint may have left.
+    Milliseconds m_doubt_time{ 1'500 };
   };
 
   explicit EndpointRegistry(Limits aLimits)
@@ -101,6 +104,8 @@
   };
 
   bool IsAroundOutage(TimePoint aNow) const;
+  /// When a lapsed registration counts as gone if it has not been renewed.
+  TimePoint EndOfDoubt(TimePoint aLapsedAt) const;
   void Lapse(Known& aKnown, TimePoint aNow, Changes& aChanges);
 
   Limits m_limits;
--- a/Tests/Unit/TestEndpointRegistry.cpp
+++ b/Tests/Unit/TestEndpointRegistry.cpp
@@ -76,6 +76,17 @@
   CHECK_FALSE(registry.FindUsable(EndpointId("a")));
 }
 
+TEST_CASE("A registration that goes after the store's return is obeyed within the bound for leaving")
+{
+  EndpointRegistry registry = RegistryOf({ "a", "b" });
+  registry.SetStoreReachable(false, At(0));
+  registry.SetStoreReachable(true, At(10'000));
+  registry.Remove(EndpointId("a"), At(11'000));
+  registry.Expire(At(12'550));
+  CHECK_FALSE(registry.FindUsable(EndpointId("a")));
+  CHECK(registry.FindUsable(EndpointId("b")));
+}
+
 TEST_CASE("An endpoint that drained leaves also while the store is away")
 {
   EndpointRegistry registry = RegistryOf({ "a" });
