--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
 // A daemon that has no configuration yet gets one within a few hundred milliseconds.
 constexpr Milliseconds kRetryWithoutConfiguration{ 300 };
+// Route priorities that are told apart within one priority of workspaces.
+constexpr int kRoutePriorities = 16;
 // Of the time within which an endpoint's leaving must be obeyed, for reading the word and for a send
 // that is on its way.
 constexpr Milliseconds kDrainMargin{ 500 };
@@ -42,6 +44,14 @@
   return limits;
 }
 
+/// A workspace's priority goes before a route's, which orders the requests of equal workspaces.
+int
+CombinedPriority(const RoutedWorkspace& aWorkspace, const Route& aRoute)
+{
+  return aWorkspace.m_priority.value_or(0) * kRoutePriorities +
+         std::min(aRoute.m_priority, kRoutePriorities - 1);
+}
+
 PlaceBroker::Limits
 BrokerLimits(const GatewaySettings& aSettings)
 {
@@ -345,7 +355,7 @@
       return;
     }
     request.m_workspace = workspace->m_name;
-    request.m_priority = workspace->m_priority.value_or(route.m_priority);
+    request.m_priority = CombinedPriority(*workspace, route);
     request.m_quota_tokens = workspace->m_counts_tokens
                                ? aHead.m_quota_tokens.value_or(workspace->m_default_tokens)
                                : 1;
--- a/Libraries/LibGateway/include/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/include/LibGateway/Attempt.h
@@ -34,7 +34,7 @@
   const Route* m_route = nullptr;
   ServiceName m_service;
   std::optional<WorkspaceName> m_workspace;
-  /// The workspace's, or else the route's.
+  /// The workspace's, then the route's; 0 is served first.
   int m_priority = 0;
   /// Taken from the workspace's quota.
   std::int64_t m_quota_tokens = 0;
--- a/Libraries/LibPlacement/PlaceQueue.cpp
+++ b/Libraries/LibPlacement/PlaceQueue.cpp
@@ -114,13 +114,13 @@
 }
 
 double
-PlaceQueue::ValueOf(int aPriority, const Level& aLevel) const
+PlaceQueue::ValueOf(int aStepsBelowFirst, const Level& aLevel) const
 {
   const bool is_in_time = !aLevel.m_in_time.empty();
   const bool is_starved = aLevel.m_arrived >= kLeastArrivals &&
                           aLevel.m_served < kLeastServedPart * aLevel.m_arrived;
   const double worth =
-    std::pow(kWorthOfNextPriority, aPriority) * (is_in_time ? 1.0 : kWorthOfLate);
+    std::pow(kWorthOfNextPriority, aStepsBelowFirst) * (is_in_time ? 1.0 : kWorthOfLate);
   return is_starved && is_in_time ? std::max(worth, kWorthOfTurn) : worth;
 }
 
@@ -129,6 +129,7 @@
 {
   const PlaceTicket* best = nullptr;
   double best_value = -1;
+  std::optional<int> first;
   for (auto& [priority, level] : m_levels) {
     Decay(level, aNow);
     MoveLate(level, aNow);
@@ -136,7 +137,8 @@
     if (head == nullptr) {
       continue;
     }
-    const double value = ValueOf(priority, level);
+    first = first.value_or(priority);
+    const double value = ValueOf(priority - *first, level);
     if (value > best_value) {
       best_value = value;
       best = head;
--- a/Libraries/LibPlacement/include/LibPlacement/PlaceQueue.h
+++ b/Libraries/LibPlacement/include/LibPlacement/PlaceQueue.h
@@ -65,7 +65,8 @@
   void MoveLate(Level& aLevel, TimePoint aNow);
   void Erase(const WaitingPlace& aWaiting);
   const PlaceTicket* HeadOf(const Level& aLevel) const;
-  double ValueOf(int aPriority, const Level& aLevel) const;
+  /// Against the highest priority that waits.
+  double ValueOf(int aStepsBelowFirst, const Level& aLevel) const;
 
   std::map<int, Level> m_levels;
   absl::flat_hash_map<PlaceTicket, WaitingPlace> m_index;
--- a/Tests/Unit/TestPlacement.cpp
+++ b/Tests/Unit/TestPlacement.cpp
@@ -84,6 +84,22 @@
   CHECK(NumbersOf(scheduler.Decide(kStart)) == std::vector<std::uint64_t>{ 3, 2, 4 });
 }
 
+TEST_CASE("Priorities count against each other, whatever their numbers")
+{
+  for (const int base : { 0, 16, 160 }) {
+    PlaceScheduler scheduler = SchedulerOf({ EndpointOf("a", 12) });
+    // Some of the lowest have waited for long and none was served.
+    for (std::uint64_t i = 1; i <= 10; ++i) {
+      scheduler.Ask(RequestOf(i, base + 2), kStart);
+    }
+    scheduler.Ask(RequestOf(11, base), kStart);
+    scheduler.Ask(RequestOf(12, base + 1), kStart);
+    const auto numbers = NumbersOf(scheduler.Decide(kStart));
+    REQUIRE(numbers.size() == 12);
+    CHECK(numbers.front() == 11);
+  }
+}
+
 TEST_CASE("What can no longer be in time goes behind what can, within its priority")
 {
   PlaceScheduler scheduler = SchedulerOf({ EndpointOf("a", 1) });
