--- a/Daemon/GatewayDaemon.cpp
+++ b/Daemon/GatewayDaemon.cpp
@@ -71,44 +71,39 @@
 {
   RelayServerLimits callers;
   callers.m_max_connections = m_settings.m_max_sockets / kCallerPartOfSockets;
-  TRY_ASSIGN(m_callers,
-             RelayServer::Create(m_loop,
-                                 m_settings.m_caller_address,
-                                 callers,
-                                 [this](const RelayExchangePtr& aExchange) {
-                                   m_gateway.OnCallerRequest(aExchange);
-                                 }));
+  TRY_ASSIGN(
+    m_callers,
+    RelayServer::Create(
+      m_loop, m_settings.m_caller_address, callers, [this](const RelayExchangePtr& aExchange) {
+        m_gateway.OnCallerRequest(aExchange);
+      }));
   TRY_ASSIGN(m_readiness,
-             RelayServer::Create(m_loop,
-                                 m_settings.m_readiness_address,
-                                 InnerLimits(),
-                                 [this](const RelayExchangePtr& aExchange) {
-                                   OnReadinessRequest(*aExchange);
-                                 }));
+             RelayServer::Create(
+               m_loop,
+               m_settings.m_readiness_address,
+               InnerLimits(),
+               [this](const RelayExchangePtr& aExchange) { OnReadinessRequest(*aExchange); }));
   TRY_ASSIGN(m_directory,
-             RelayServer::Create(m_loop,
-                                 m_settings.m_directory_address,
-                                 InnerLimits(),
-                                 [this](const RelayExchangePtr& aExchange) {
-                                   OnDirectoryRequest(*aExchange);
-                                 }));
+             RelayServer::Create(
+               m_loop,
+               m_settings.m_directory_address,
+               InnerLimits(),
+               [this](const RelayExchangePtr& aExchange) { OnDirectoryRequest(*aExchange); }));
   TRY_ASSIGN(m_metrics,
-             RelayServer::Create(m_loop,
-                                 m_settings.m_metrics_address,
-                                 InnerLimits(),
-                                 [this](const RelayExchangePtr& aExchange) {
-                                   OnMetricsRequest(*aExchange);
-                                 }));
+             RelayServer::Create(
+               m_loop,
+               m_settings.m_metrics_address,
+               InnerLimits(),
+               [this](const RelayExchangePtr& aExchange) { OnMetricsRequest(*aExchange); }));
   TRY_ASSIGN(m_beacons,
              BeaconSocket::Create(m_loop,
                                   m_settings.m_peer_address,
                                   [this](const BeaconNews& aNews) { OnBeacon(aNews); }));
   TRY_ASSIGN(m_links,
-             PeerLinkListener::Create(m_loop,
-                                      m_settings.m_peer_address,
-                                      [this](std::unique_ptr<PeerLink> aLink) {
-                                        m_gateway.OnLink(std::move(aLink));
-                                      }));
+             PeerLinkListener::Create(
+               m_loop, m_settings.m_peer_address, [this](std::unique_ptr<PeerLink> aLink) {
+                 m_gateway.OnLink(std::move(aLink));
+               }));
   return absl::OkStatus();
 }
 
@@ -152,16 +147,16 @@
   GatewayLevels levels = m_gateway.Levels();
   levels.m_caller_connections = m_callers->ConnectionCount();
   levels.m_log_lines_dropped = DroppedLogLines();
-  aExchange.Reply(
-    kOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_gateway.Metrics().Serialize(levels));
+  aExchange.Reply(kOk,
+                  { { "Content-Type", "text/plain; version=0.0.4" } },
+                  m_gateway.Metrics().Serialize(levels));
 }
 
 void
 GatewayDaemon::OnBeacon(const BeaconNews& aNews)
 {
-  const bool is_unknown =
-    !m_gateway.Members().Find(aNews.m_member.m_host).has_value() &&
-    aNews.m_member.m_host != m_settings.m_host;
+  const bool is_unknown = !m_gateway.Members().Find(aNews.m_member.m_host).has_value() &&
+                          aNews.m_member.m_host != m_settings.m_host;
   m_gateway.OnBeacon(aNews);
   if (is_unknown) {
     // A daemon that has just started learns of this one at once.
@@ -244,9 +239,8 @@
     std::min(m_settings.m_directory_lifetime * kLifetimesUntilForgotten, latest);
   const bool is_idle = m_gateway.AttemptCount() == 0 && m_callers->BusyCount() == 0;
   if ((is_idle && passed >= forgotten) || passed >= latest) {
-    LogOf("daemon").info("event=stopped attempts={} after_ms={}",
-                         m_gateway.AttemptCount(),
-                         ToMilliseconds(passed));
+    LogOf("daemon").info(
+      "event=stopped attempts={} after_ms={}", m_gateway.AttemptCount(), ToMilliseconds(passed));
     m_loop.Stop();
   }
 }
--- a/Daemon/main.cpp
+++ b/Daemon/main.cpp
@@ -128,8 +128,8 @@
     return 0;
   }
   auburnhitch::RaiseDescriptorLimit();
-  const absl::Status status =
-    std::visit([&](const auto& aKind) { return auburnhitch::Run(aKind, settings_path); }, *settings);
+  const absl::Status status = std::visit(
+    [&](const auto& aKind) { return auburnhitch::Run(aKind, settings_path); }, *settings);
   auburnhitch::FlushLogs();
   if (!status.ok()) {
     std::cerr << status.message() << "\n";
--- a/Libraries/LibAllowance/QuotaLedger.cpp
+++ b/Libraries/LibAllowance/QuotaLedger.cpp
@@ -113,9 +113,7 @@
 }
 
 Milliseconds
-QuotaLedger::TimeUntil(const WorkspaceName& aWorkspace,
-                       std::int64_t aTokens,
-                       TimePoint aNow) const
+QuotaLedger::TimeUntil(const WorkspaceName& aWorkspace, std::int64_t aTokens, TimePoint aNow) const
 {
   const auto found = m_buckets.find(aWorkspace);
   if (found == m_buckets.end() || found->second.m_tokens_per_second == 0) {
--- a/Libraries/LibAllowance/include/LibAllowance/QuotaLedger.h
+++ b/Libraries/LibAllowance/include/LibAllowance/QuotaLedger.h
@@ -28,16 +28,16 @@
   /// Part of the tolerance that is granted to callers while all daemons are heard; the rest covers
   /// what daemons admit before they hear of each other, and daemons that start anew. While some are
   /// not heard nothing of it is granted.
-  double m_granted_part = 0.5;
+  double m_granted_part = 0.75;
 
   bool operator==(const QuotaTolerance&) const = default;
 };
 
-/// Keeps the quotas of workspaces over all daemons. Each daemon follows one bucket a workspace, from
-/// which its own spending and what other daemons tell of theirs is taken. The part of daemons that
-/// are not heard is left to them, so that a daemon that is cut off and those that miss it do not
-/// spend the same tokens. Answers the load of one workspace that sends many times its quota at all
-/// daemons. Pure: owns no clock. Not thread-safe.
+/// Keeps the quotas of workspaces over all daemons. Each daemon follows one bucket a workspace,
+/// from which its own spending and what other daemons tell of theirs is taken. The part of daemons
+/// that are not heard is left to them, so that a daemon that is cut off and those that miss it do
+/// not spend the same tokens. Answers the load of one workspace that sends many times its quota at
+/// all daemons. Pure: owns no clock. Not thread-safe.
 class QuotaLedger
 {
 public:
@@ -48,7 +48,8 @@
 
   /// Tells how many daemons there are and how many of them are heard, with this one.
   void SetDaemons(std::size_t aHeard, std::size_t aKnown);
-  /// Takes over the workspaces of a configuration. Buckets of workspaces that stay keep their level.
+  /// Takes over the workspaces of a configuration. Buckets of workspaces that stay keep their
+  /// level.
   void SetWorkspaces(const std::vector<RoutedWorkspace>& aWorkspaces, TimePoint aNow);
 
   /// Takes tokens if the quota allows it. True for workspaces without a quota.
--- a/Libraries/LibBroker/HomeService.cpp
+++ b/Libraries/LibBroker/HomeService.cpp
@@ -104,18 +104,20 @@
 HomeService::WaitingCount() const
 {
   return std::accumulate(
-    m_schedulers.begin(), m_schedulers.end(), std::size_t{ 0 }, [](std::size_t aSum, const auto& aEntry) {
-      return aSum + aEntry.second.WaitingCount();
-    });
+    m_schedulers.begin(),
+    m_schedulers.end(),
+    std::size_t{ 0 },
+    [](std::size_t aSum, const auto& aEntry) { return aSum + aEntry.second.WaitingCount(); });
 }
 
 std::size_t
 HomeService::HeldCount() const
 {
   return std::accumulate(
-    m_schedulers.begin(), m_schedulers.end(), std::size_t{ 0 }, [](std::size_t aSum, const auto& aEntry) {
-      return aSum + aEntry.second.HeldCount();
-    });
+    m_schedulers.begin(),
+    m_schedulers.end(),
+    std::size_t{ 0 },
+    [](std::size_t aSum, const auto& aEntry) { return aSum + aEntry.second.HeldCount(); });
 }
 
 }
--- a/Libraries/LibBroker/PlaceBroker.cpp
+++ b/Libraries/LibBroker/PlaceBroker.cpp
@@ -29,9 +29,10 @@
   , m_surroundings(std::move(aSurroundings))
   , m_incarnation(m_surroundings.m_self().m_incarnation)
   , m_own(m_surroundings.m_self().m_host)
-  , m_home(aLimits.m_scheduler,
-           m_surroundings.m_endpoints,
-           [this](const ServiceName&, const PlaceDecisions& aDecisions) { OnDecisions(aDecisions); })
+  , m_home(
+      aLimits.m_scheduler,
+      m_surroundings.m_endpoints,
+      [this](const ServiceName&, const PlaceDecisions& aDecisions) { OnDecisions(aDecisions); })
 {
 }
 
@@ -57,8 +58,7 @@
 {
   const std::uint64_t number = ++m_last_number;
   aRequest.m_ticket = PlaceTicket{ m_incarnation, number };
-  const Member home =
-    m_surroundings.m_membership->HomeOf(aService, m_surroundings.m_self(), Now());
+  const Member home = m_surroundings.m_membership->HomeOf(aService, m_surroundings.m_self(), Now());
   if (const auto known = m_homes.find(aService);
       known == m_homes.end() || known->second != home.m_host) {
     MoveTickets(aService, home);
@@ -323,43 +323,43 @@
   const TimePoint now = Now();
   const Incarnation& daemon = aLink.m_peer.m_incarnation;
   const auto ticket = [&](std::uint64_t aNumber) { return PlaceTicket{ daemon, aNumber }; };
-  std::visit(
-    Overloaded{
-      [&](const HelloMessage& aHello) {
-        // A daemon that links anew repeats all that it waits for and holds.
-        m_home.ForgetDaemon(aHello.m_incarnation);
-        aLink.m_peer = aHello;
-      },
-      [&](const AskMessage& aAsk) { OnAsk(aLink, aAsk); },
-      [&](const WithdrawMessage& aWithdraw) {
-        auto& scheduler = m_home.SchedulerOf(aWithdraw.m_service, now);
-        if (!scheduler.Withdraw(ticket(aWithdraw.m_number))) {
-          // Its grant was on the way: the place is free again.
-          scheduler.ReleaseTicket(ticket(aWithdraw.m_number), now);
-          DecideSoon(aWithdraw.m_service);
-        }
-      },
-      [&](const HeldMessage& aHeld) {
-        m_home.SchedulerOf(aHeld.m_service, now)
-          .NoteHeld(ticket(aHeld.m_number), aHeld.m_endpoint, aHeld.m_work, now);
-      },
-      [&](const StartedMessage& aStarted) {
-        m_home.SchedulerOf(aStarted.m_service, now)
-          .NoteStarted(ticket(aStarted.m_number), aStarted.m_endpoint, now);
-      },
-      [&](const EndedMessage& aEnded) {
-        m_home.SchedulerOf(aEnded.m_service, now)
-          .NoteEnded(ticket(aEnded.m_number), aEnded.m_endpoint, aEnded.m_end, now);
-        DecideSoon(aEnded.m_service);
-      },
-      [&](const LeaveMessage& aLeave) {
-        m_home.SchedulerOf(aLeave.m_service, now).ForgetDaemon(daemon);
-        DecideSoon(aLeave.m_service);
-      },
-      [&](const auto&) {
-        LogOf("broker").warn("event=message-unexpected peer={}", aLink.m_peer.m_host.Value());
-      } },
-    *message);
+  std::visit(Overloaded{ [&](const HelloMessage& aHello) {
+                          // A daemon that links anew repeats all that it waits for and holds.
+                          m_home.ForgetDaemon(aHello.m_incarnation);
+                          aLink.m_peer = aHello;
+                        },
+                         [&](const AskMessage& aAsk) { OnAsk(aLink, aAsk); },
+                         [&](const WithdrawMessage& aWithdraw) {
+                           auto& scheduler = m_home.SchedulerOf(aWithdraw.m_service, now);
+                           if (!scheduler.Withdraw(ticket(aWithdraw.m_number))) {
+                             // Its grant was on the way: the place is free again.
+                             scheduler.ReleaseTicket(ticket(aWithdraw.m_number), now);
+                             DecideSoon(aWithdraw.m_service);
+                           }
+                         },
+                         [&](const HeldMessage& aHeld) {
+                           m_home.SchedulerOf(aHeld.m_service, now)
+                             .NoteHeld(ticket(aHeld.m_number), aHeld.m_endpoint, aHeld.m_work, now);
+                         },
+                         [&](const StartedMessage& aStarted) {
+                           m_home.SchedulerOf(aStarted.m_service, now)
+                             .NoteStarted(ticket(aStarted.m_number), aStarted.m_endpoint, now);
+                         },
+                         [&](const EndedMessage& aEnded) {
+                           m_home.SchedulerOf(aEnded.m_service, now)
+                             .NoteEnded(
+                               ticket(aEnded.m_number), aEnded.m_endpoint, aEnded.m_end, now);
+                           DecideSoon(aEnded.m_service);
+                         },
+                         [&](const LeaveMessage& aLeave) {
+                           m_home.SchedulerOf(aLeave.m_service, now).ForgetDaemon(daemon);
+                           DecideSoon(aLeave.m_service);
+                         },
+                         [&](const auto&) {
+                           LogOf("broker").warn("event=message-unexpected peer={}",
+                                                aLink.m_peer.m_host.Value());
+                         } },
+             *message);
 }
 
 void
@@ -412,8 +412,8 @@
   if (m_decide_timer != nullptr) {
     return;
   }
-  m_decide_timer = std::make_unique<Timer>(
-    *m_surroundings.m_loop, Duration::zero(), Timer::Repeat::Once, [this] {
+  m_decide_timer =
+    std::make_unique<Timer>(*m_surroundings.m_loop, Duration::zero(), Timer::Repeat::Once, [this] {
       m_decide_timer = nullptr;
       for (const ServiceName& service : std::exchange(m_to_decide, {})) {
         m_home.Decide(service, Now());
--- a/Libraries/LibBroker/include/LibBroker/PlaceBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/PlaceBroker.h
@@ -19,10 +19,11 @@
   std::function<void(const PlaceRefusal& aRefusal, const HostName& aHome)> m_on_refused;
 };
 
-/// Gets places for this daemon's requests from the daemon that grants those of a service, and grants
-/// places to other daemons where this one is chosen. When that daemon fails or is silent, its
-/// requests are asked for again elsewhere: a grant is advice about where to send, so two daemons
-/// that grant the same place only load an endpoint more than they meant to. Not thread-safe.
+/// Gets places for this daemon's requests from the daemon that grants those of a service, and
+/// grants places to other daemons where this one is chosen. When that daemon fails or is silent,
+/// its requests are asked for again elsewhere: a grant is advice about where to send, so two
+/// daemons that grant the same place only load an endpoint more than they meant to. Not
+/// thread-safe.
 class PlaceBroker
 {
 public:
--- a/Libraries/LibCluster/Beacon.cpp
+++ b/Libraries/LibCluster/Beacon.cpp
@@ -137,8 +137,7 @@
   if (bind(number, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) != 0) {
     return absl::UnavailableError("can't take datagrams on " + aAddress.Value());
   }
-  beacon->m_event =
-    event_new(aLoop.Base(), number, EV_READ | EV_PERSIST, OnReadable, beacon.get());
+  beacon->m_event = event_new(aLoop.Base(), number, EV_READ | EV_PERSIST, OnReadable, beacon.get());
   event_add(beacon->m_event, nullptr);
   return beacon;
 }
@@ -156,9 +155,8 @@
 {
   const auto name = ToSocketName(aPeer);
   if (!name.ok()) {
-    LogOf("cluster").warn("event=beacon-unsent peer={} why={}",
-                          aPeer.Value(),
-                          std::string(name.status().message()));
+    LogOf("cluster").warn(
+      "event=beacon-unsent peer={} why={}", aPeer.Value(), std::string(name.status().message()));
     return;
   }
   // A beacon that does not leave is like one that is lost: the next one follows.
--- a/Libraries/LibCluster/PeerLink.cpp
+++ b/Libraries/LibCluster/PeerLink.cpp
@@ -221,8 +221,7 @@
 {
   auto* self = static_cast<PeerLinkListener*>(aSelf);
   SetSocketOptions(aSocket);
-  bufferevent* events =
-    bufferevent_socket_new(self->m_loop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent* events = bufferevent_socket_new(self->m_loop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE);
   self->m_handler(std::make_unique<PeerLink>(self->m_loop, events));
 }
 
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -107,10 +107,11 @@
   m_ticket = m_surroundings.m_broker->Ask(
     m_request.m_service,
     MakePlaceRequest(),
-    PlaceHandlers{ [this](const PlaceGrant& aGrant, const HostName& aHome) { OnGranted(aGrant, aHome); },
-                   [this](const PlaceRefusal& aRefusal, const HostName& aHome) {
-                     OnRefused(aRefusal, aHome);
-                   } });
+    PlaceHandlers{
+      [this](const PlaceGrant& aGrant, const HostName& aHome) { OnGranted(aGrant, aHome); },
+      [this](const PlaceRefusal& aRefusal, const HostName& aHome) {
+        OnRefused(aRefusal, aHome);
+      } });
 }
 
 void
@@ -215,7 +216,8 @@
     case AnswerMeaning::NotRun:
       m_call = nullptr;
       --m_runs;
-      OnFailedSend(PlaceEnd::Refused, "the endpoint refused, status " + std::to_string(aHead.m_status));
+      OnFailedSend(PlaceEnd::Refused,
+                   "the endpoint refused, status " + std::to_string(aHead.m_status));
       return;
     case AnswerMeaning::Failure:
       if (m_exchange->HasStarted()) {
@@ -246,7 +248,7 @@
       PassOn(std::exchange(m_held_body, std::string()));
     } else if (m_held_body.size() > kMaxHeldBytes) {
       StartAnswer(m_send->m_answer.m_framing == BodyFraming::Length ? BodyFraming::Length
-                                                                     : BodyFraming::Chunked);
+                                                                    : BodyFraming::Chunked);
       PassOn(std::exchange(m_held_body, std::string()));
     }
     return;
@@ -390,17 +392,18 @@
   const bool may_go_on = !has_begun || (IsResumableStream() && !m_events.LastEventId().empty());
   const std::string endpoint = m_tried.empty() ? "none" : m_tried.back().Value();
   const bool sends_again = may_go_on && MaySendAgain();
-  LogOf("send").warn("event=send-failed request={} service={} endpoint={} end={} why=\"{}\" runs={} "
-                     "arrivals={} passed_on={} again={}",
-                     m_request.m_head.m_request_id,
-                     m_request.m_service.Value(),
-                     endpoint,
-                     NameOf(aEnd),
-                     aWhy,
-                     m_runs,
-                     m_arrivals,
-                     has_begun,
-                     sends_again);
+  LogOf("send").warn(
+    "event=send-failed request={} service={} endpoint={} end={} why=\"{}\" runs={} "
+    "arrivals={} passed_on={} again={}",
+    m_request.m_head.m_request_id,
+    m_request.m_service.Value(),
+    endpoint,
+    NameOf(aEnd),
+    aWhy,
+    m_runs,
+    m_arrivals,
+    has_begun,
+    sends_again);
   EndPlace(aEnd);
   if (sends_again) {
     m_events.DropRest();
@@ -437,8 +440,8 @@
   m_call = nullptr;
   EndPlace(PlaceEnd::Cancelled);
   if (m_runs == 0) {
-    m_surroundings.m_quotas->Refund(
-      m_request.m_workspace.value_or(WorkspaceName()), m_request.m_quota_tokens);
+    m_surroundings.m_quotas->Refund(m_request.m_workspace.value_or(WorkspaceName()),
+                                    m_request.m_quota_tokens);
   }
   Finish("caller-gone", 0, "the caller closed its connection");
 }
@@ -467,12 +470,11 @@
 void
 Attempt::AnswerNotRun(const char* aReason, Milliseconds aRetryAfter)
 {
-  m_surroundings.m_quotas->Refund(
-    m_request.m_workspace.value_or(WorkspaceName()), m_request.m_quota_tokens);
-  m_exchange->Reply(
-    kServiceUnavailable,
-    m_surroundings.m_dialect->OwnAnswer(m_request.m_head.m_request_id, aRetryAfter),
-    "");
+  m_surroundings.m_quotas->Refund(m_request.m_workspace.value_or(WorkspaceName()),
+                                  m_request.m_quota_tokens);
+  m_exchange->Reply(kServiceUnavailable,
+                    m_surroundings.m_dialect->OwnAnswer(m_request.m_head.m_request_id, aRetryAfter),
+                    "");
   Finish("not-run", kServiceUnavailable, aReason);
 }
 
@@ -480,9 +482,7 @@
 Attempt::AnswerUnknown(int aStatus, const char* aReason)
 {
   m_exchange->Reply(
-    aStatus,
-    m_surroundings.m_dialect->OwnAnswer(m_request.m_head.m_request_id, std::nullopt),
-    "");
+    aStatus, m_surroundings.m_dialect->OwnAnswer(m_request.m_head.m_request_id, std::nullopt), "");
   Finish("unknown", aStatus, aReason);
 }
 
--- a/Libraries/LibGateway/ForwardedHeaders.cpp
+++ b/Libraries/LibGateway/ForwardedHeaders.cpp
@@ -13,8 +13,16 @@
 ConcernsOneConnection(const std::string& aLowerName)
 {
   static const absl::flat_hash_set<std::string> s_names{
-    "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
-    "te",         "trailer",    "transfer-encoding", "upgrade",           "content-length",
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
     "expect",
   };
   return s_names.contains(aLowerName);
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -16,8 +16,8 @@
 constexpr Milliseconds kRetryWithoutConfiguration{ 300 };
 // Route priorities that are told apart within one priority of workspaces.
 constexpr int kRoutePriorities = 16;
-// Of the time within which an endpoint's leaving must be obeyed, for reading the word and for a send
-// that is on its way.
+// Of the time within which an endpoint's leaving must be obeyed, for reading the word and for a
+// send that is on its way.
 constexpr Milliseconds kDrainMargin{ 500 };
 // For how long a caller waits that does not say so.
 constexpr Milliseconds kDefaultPatience{ 30'000 };
@@ -78,9 +78,9 @@
                &m_membership,
                [this] { return Self(); },
                [this](const ServiceName& aService) { return EndpointsOf(aService); } })
-  , m_surroundings{ &aLoop,     &m_client,         &m_broker,
-                    &m_registry, &m_retry_budget,  &m_quotas,
-                    &aDialect,   &m_metrics,       aSettings.m_data_center }
+  , m_surroundings{ &aLoop,      &m_client,       &m_broker,
+                    &m_registry, &m_retry_budget, &m_quotas,
+                    &aDialect,   &m_metrics,      aSettings.m_data_center }
 {
 }
 
@@ -159,13 +159,14 @@
     return;
   }
   for (const RegistryChange& change : aChanges) {
-    LogOf("registry").info("event={} endpoint={} service={} address={} places={} registry={}",
-                           NameOf(change.m_what),
-                           change.m_entry.m_id.Value(),
-                           change.m_entry.m_service.Value(),
-                           change.m_entry.m_address.Value(),
-                           change.m_entry.m_places,
-                           m_registry.Version());
+    LogOf("registry")
+      .info("event={} endpoint={} service={} address={} places={} registry={}",
+            NameOf(change.m_what),
+            change.m_entry.m_id.Value(),
+            change.m_entry.m_service.Value(),
+            change.m_entry.m_address.Value(),
+            change.m_entry.m_places,
+            m_registry.Version());
   }
   m_broker.OnEndpointsChanged();
 }
@@ -175,10 +176,8 @@
 {
   std::vector<PlaceEndpointInfo> infos;
   for (const EndpointEntry& entry : m_registry.UsableOf(aService)) {
-    infos.push_back(PlaceEndpointInfo{ entry.m_id,
-                                       entry.m_data_center,
-                                       entry.m_places,
-                                       entry.m_started_at_ms });
+    infos.push_back(
+      PlaceEndpointInfo{ entry.m_id, entry.m_data_center, entry.m_places, entry.m_started_at_ms });
   }
   return infos;
 }
@@ -356,9 +355,8 @@
     }
     request.m_workspace = workspace->m_name;
     request.m_priority = CombinedPriority(*workspace, route);
-    request.m_quota_tokens = workspace->m_counts_tokens
-                               ? aHead.m_quota_tokens.value_or(workspace->m_default_tokens)
-                               : 1;
+    request.m_quota_tokens =
+      workspace->m_counts_tokens ? aHead.m_quota_tokens.value_or(workspace->m_default_tokens) : 1;
     if (!m_quotas.TrySpend(workspace->m_name, request.m_quota_tokens, now)) {
       Refuse(*aExchange,
              kTooManyRequests,
@@ -370,12 +368,13 @@
   }
   request.m_service = RoutingTable::ServiceFor(route, aHead.m_request_id);
   request.m_arrived_at = now;
-  request.m_end_at =
-    now + std::min(route.m_timeout, aHead.m_patience.value_or(kDefaultPatience));
+  request.m_end_at = now + std::min(route.m_timeout, aHead.m_patience.value_or(kDefaultPatience));
   request.m_head = std::move(aHead);
   m_retry_budget.NoteRequest(request.m_service, now);
-  auto attempt = std::make_unique<Attempt>(
-    m_surroundings, aExchange, std::move(request), [this](Attempt* aDone) { m_attempts.erase(aDone); });
+  auto attempt = std::make_unique<Attempt>(m_surroundings,
+                                           aExchange,
+                                           std::move(request),
+                                           [this](Attempt* aDone) { m_attempts.erase(aDone); });
   Attempt* raw = attempt.get();
   m_attempts.emplace(raw, std::move(attempt));
   raw->Begin();
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -60,8 +60,8 @@
   counter->Increment();
   auto& histogram = m_latency_cache[Key(aService.Value(), aOutcome)];
   if (histogram == nullptr) {
-    histogram = &m_latency.Add({ { "service", aService.Value() }, { "outcome", aOutcome } },
-                               kLatencySeconds);
+    histogram =
+      &m_latency.Add({ { "service", aService.Value() }, { "outcome", aOutcome } }, kLatencySeconds);
   }
   histogram->Observe(SecondsOf(aTook));
 }
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -61,8 +61,7 @@
 {
   JsonObjectReader reader(aJson, "/bounds", aFindings);
   const auto milliseconds = [&](const char* aKey, Milliseconds& aValue) {
-    const double number =
-      ReadNumber(reader, aKey, static_cast<double>(aValue.count()), aFindings);
+    const double number = ReadNumber(reader, aKey, static_cast<double>(aValue.count()), aFindings);
     aValue = Milliseconds(static_cast<std::int64_t>(number));
   };
   milliseconds("drain_ms", aSettings.m_drain_bound);
@@ -108,11 +107,11 @@
     }
     settings.m_seed_addresses.push_back(address);
   });
-  const std::int64_t descriptors = reader.OptionalInteger(
-    "max_descriptors",
-    static_cast<std::int64_t>(settings.m_max_sockets) + kOtherDescriptors,
-    2 * kOtherDescriptors,
-    kMostSockets);
+  const std::int64_t descriptors =
+    reader.OptionalInteger("max_descriptors",
+                           static_cast<std::int64_t>(settings.m_max_sockets) + kOtherDescriptors,
+                           2 * kOtherDescriptors,
+                           kMostSockets);
   settings.m_max_sockets = static_cast<std::size_t>(descriptors - kOtherDescriptors);
   if (const Json* bounds = reader.Member("bounds")) {
     ReadBounds(*bounds, settings, aFindings);
--- a/Libraries/LibPlacement/PlaceEndpoint.cpp
+++ b/Libraries/LibPlacement/PlaceEndpoint.cpp
@@ -124,9 +124,8 @@
 PlaceEndpoint::IsOverdue(const Held& aHeld, TimePoint aNow) const
 {
   const double limit_ms = kOverdueFactor * aHeld.m_expected_first_ms;
-  return !aHeld.m_started_at &&
-         aNow - aHeld.m_granted_at >
-           kOverduePause + Milliseconds(static_cast<std::int64_t>(limit_ms));
+  return !aHeld.m_started_at && aNow - aHeld.m_granted_at >
+                                  kOverduePause + Milliseconds(static_cast<std::int64_t>(limit_ms));
 }
 
 bool
--- a/Libraries/LibPlacement/PlaceQueue.cpp
+++ b/Libraries/LibPlacement/PlaceQueue.cpp
@@ -26,7 +26,8 @@
 TimePoint
 After(TimePoint aFrom, double aMs)
 {
-  return aFrom + std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(aMs));
+  return aFrom +
+         std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(aMs));
 }
 
 }
@@ -117,8 +118,8 @@
 PlaceQueue::ValueOf(int aStepsBelowFirst, const Level& aLevel) const
 {
   const bool is_in_time = !aLevel.m_in_time.empty();
-  const bool is_starved = aLevel.m_arrived >= kLeastArrivals &&
-                          aLevel.m_served < kLeastServedPart * aLevel.m_arrived;
+  const bool is_starved =
+    aLevel.m_arrived >= kLeastArrivals && aLevel.m_served < kLeastServedPart * aLevel.m_arrived;
   const double worth =
     std::pow(kWorthOfNextPriority, aStepsBelowFirst) * (is_in_time ? 1.0 : kWorthOfLate);
   return is_starved && is_in_time ? std::max(worth, kWorthOfTurn) : worth;
--- a/Libraries/LibPlacement/PlaceScheduler.cpp
+++ b/Libraries/LibPlacement/PlaceScheduler.cpp
@@ -110,8 +110,7 @@
     total += endpoint.ExpectedTotalMs(aRequest.m_work);
   }
   waiting.m_first_ms = std::max(0.0, least);
-  waiting.m_place_ms =
-    m_endpoints.empty() ? 0 : total / static_cast<double>(m_endpoints.size());
+  waiting.m_place_ms = m_endpoints.empty() ? 0 : total / static_cast<double>(m_endpoints.size());
   m_queue.Push(std::move(waiting), aNow);
   m_new.push_back(aRequest.m_ticket);
 }
@@ -172,9 +171,10 @@
 PlaceScheduler::HeldCount() const
 {
   return std::accumulate(
-    m_endpoints.begin(), m_endpoints.end(), std::size_t{ 0 }, [](std::size_t aSum, const auto& aEntry) {
-      return aSum + aEntry.second.HeldCount();
-    });
+    m_endpoints.begin(),
+    m_endpoints.end(),
+    std::size_t{ 0 },
+    [](std::size_t aSum, const auto& aEntry) { return aSum + aEntry.second.HeldCount(); });
 }
 
 std::size_t
@@ -207,8 +207,7 @@
 PlaceScheduler::ExpectedWaitMs(int aPriority, TimePoint aNow) const
 {
   const std::size_t places = PlaceCount(aNow);
-  const double left =
-    std::max(kLeastPartLeft, 1.0 - m_queue.LoadAbove(aPriority, places, aNow));
+  const double left = std::max(kLeastPartLeft, 1.0 - m_queue.LoadAbove(aPriority, places, aNow));
   return m_queue.PlaceMsAhead(aPriority) /
          (static_cast<double>(std::max<std::size_t>(places, 1)) * left);
 }
--- a/Libraries/LibPlacement/include/LibPlacement/PlaceQueue.h
+++ b/Libraries/LibPlacement/include/LibPlacement/PlaceQueue.h
@@ -20,8 +20,9 @@
 
 /// The order in which requests get places, for the days on which more work arrives than the
 /// engines can do in time. Requests of one priority go by when their objective ends, those that can
-/// still meet it before those that cannot. Between priorities goes first what is worth most; a priority of which too little is served gets a turn all the same.
-/// Pure: owns no clock. Not thread-safe.
+/// still meet it before those that cannot. Between priorities goes first what is worth most; a
+/// priority of which too little is served gets a turn all the same. Pure: owns no clock. Not
+/// thread-safe.
 class PlaceQueue
 {
 public:
--- a/Libraries/LibRegistry/include/LibRegistry/EndpointRegistry.h
+++ b/Libraries/LibRegistry/include/LibRegistry/EndpointRegistry.h
@@ -61,8 +61,8 @@
   {
     /// How long after the store's return a lapsed registration may be renewed.
     Milliseconds m_renewal_time{ 2'200 };
-    /// How long after the word that a registration is gone its endpoint may get work, when that word
-    /// came after the store's return: it may be a lapse, or the endpoint may have left.
+    /// How long after the word that a registration is gone its endpoint may get work, when that
+    /// word came after the store's return: it may be a lapse, or the endpoint may have left.
     Milliseconds m_doubt_time{ 1'500 };
   };
 
--- a/Libraries/LibRelay/MessageParser.cpp
+++ b/Libraries/LibRelay/MessageParser.cpp
@@ -58,8 +58,7 @@
     // could be made to see another message.
     const bool has_bad_name =
       std::any_of(head.m_headers.begin(), head.m_headers.end(), [](const auto& aField) {
-        return aField.first.empty() ||
-               aField.first.find_first_of(" \t") != std::string::npos;
+        return aField.first.empty() || aField.first.find_first_of(" \t") != std::string::npos;
       });
     if (has_bad_name || aParser->http_major != 1) {
       constexpr int kError = -1;
@@ -195,8 +194,7 @@
     return "header fields are too large";
   }
   const auto error = HTTP_PARSER_ERRNO(&m_parser);
-  return error == HPE_OK ? "the connection ended within a message"
-                         : http_errno_description(error);
+  return error == HPE_OK ? "the connection ended within a message" : http_errno_description(error);
 }
 
 }
--- a/Libraries/LibRelay/RelayServer.cpp
+++ b/Libraries/LibRelay/RelayServer.cpp
@@ -128,8 +128,8 @@
 {
   EnterPhase(Phase::Answering);
   m_closes = !m_parser.Head().m_keeps_alive;
-  m_exchange =
-    std::make_shared<RelayExchange>(this, m_parser.Head(), std::move(m_body), m_server.m_loop.Now());
+  m_exchange = std::make_shared<RelayExchange>(
+    this, m_parser.Head(), std::move(m_body), m_server.m_loop.Now());
   m_body.clear();
   m_parser.Restart();
   // The handler may answer at once, and the answer may end this connection.
@@ -226,8 +226,8 @@
 {
   const Duration age = aNow - m_since;
   const RelayServerLimits& limits = m_server.m_limits;
-  const bool is_slow = m_phase == Phase::Reading && !m_parser.HasHead() &&
-                       age > limits.m_head_timeout;
+  const bool is_slow =
+    m_phase == Phase::Reading && !m_parser.HasHead() && age > limits.m_head_timeout;
   const bool is_unused = m_phase == Phase::Idle && age > limits.m_idle_timeout;
   const bool is_over = m_phase == Phase::Lingering && age > kLingerTime;
   if (is_slow || is_unused || is_over) {
--- a/Tests/Process/TestGateway.cpp
+++ b/Tests/Process/TestGateway.cpp
@@ -48,7 +48,8 @@
   GatewayCluster cluster;
   for (const char* path : { "/safe/a?b=c", "/unsafe/a", "/stream/a", "/resumable/a" }) {
     const std::string id = std::string("id-") + path;
-    const CallerAnswer answer = cluster.Call(path, id, "X-Own: 1\r\nX-Tenant: forged\r\nX-Hold: h\r\n");
+    const CallerAnswer answer =
+      cluster.Call(path, id, "X-Own: 1\r\nX-Tenant: forged\r\nX-Hold: h\r\n");
     CHECK(answer.m_status == 200);
     CHECK(answer.m_is_whole);
     CHECK(answer.m_body == "answer to " + id);
@@ -76,7 +77,8 @@
     return ParseAnswer(Exchange(cluster.CallerAddress(0), aBytes)).m_status;
   };
   const std::string smuggled = "0\r\n\r\nPOST /unsafe/y HTTP/1.1\r\nHost: h.example\r\n\r\n";
-  CHECK(status(RequestText("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", smuggled)) == 400);
+  CHECK(status(RequestText("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", smuggled)) ==
+        400);
   CHECK(status(RequestText("Content-Length: 4\r\nContent-Length: 5\r\n", "abcde")) == 400);
   CHECK(status(RequestText("Content-Length: 70000\r\n", std::string(70'000, 'x'))) == 413);
   CHECK(status(RequestText("X-Large: " + std::string(40'000, 'x') + "\r\n", "")) == 431);
@@ -110,7 +112,8 @@
   CHECK(cluster.RunsOf("cut") == 1);
 }
 
-TEST_CASE("A resumable stream that breaks off goes on at another endpoint after its last whole event")
+TEST_CASE(
+  "A resumable stream that breaks off goes on at another endpoint after its last whole event")
 {
   GatewayCluster cluster;
   for (std::size_t i = 0; i < 2; ++i) {
@@ -160,7 +163,8 @@
       route["timeout_ms"] = 400;
     }
   });
-  REQUIRE(WaitFor([&] { return cluster.LogOfDaemon(0).find("in-force version=2") != std::string::npos; }));
+  REQUIRE(WaitFor(
+    [&] { return cluster.LogOfDaemon(0).find("in-force version=2") != std::string::npos; }));
   cluster.Endpoint(0).SetConduct([](RawConnection& aConnection, const RawRequest&) {
     aConnection.WaitForClose();
     return false;
@@ -203,9 +207,9 @@
   CHECK(WaitFor(
     [&] { return ParseAnswer(Exchange(cluster.ReadinessAddress(0), question)).m_status == 503; }));
   CHECK(WaitFor([&] {
-    const auto answer = ParseAnswer(Exchange(
-      cluster.DirectoryAddress(1),
-      "GET /resolve?name=h.example HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"));
+    const auto answer = ParseAnswer(
+      Exchange(cluster.DirectoryAddress(1),
+               "GET /resolve?name=h.example HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"));
     return answer.m_status == 200 &&
            answer.m_body.find(cluster.CallerAddress(0).Value()) == std::string::npos &&
            answer.m_body.find(cluster.CallerAddress(1).Value()) != std::string::npos;
@@ -221,7 +225,8 @@
 {
   GatewayCluster cluster(1, 1);
   cluster.Daemon(0).Signal(SIGHUP);
-  CHECK(WaitFor([&] { return cluster.LogOfDaemon(0).find("event=reloaded") != std::string::npos; }));
+  CHECK(
+    WaitFor([&] { return cluster.LogOfDaemon(0).find("event=reloaded") != std::string::npos; }));
   CHECK(cluster.Call("/safe/x", "after").m_status == 200);
 }
 
--- a/Tests/Process/TestGatewayFaults.cpp
+++ b/Tests/Process/TestGatewayFaults.cpp
@@ -61,7 +61,8 @@
 
 }
 
-TEST_CASE("An answer that is lost runs a non-idempotent request no second time, and says nothing false")
+TEST_CASE(
+  "An answer that is lost runs a non-idempotent request no second time, and says nothing false")
 {
   GatewayCluster cluster;
   for (const Misconduct& misconduct : LostAnswers()) {
@@ -153,11 +154,13 @@
       misread += head->m_method == "POST" && head->m_target.find("/unsafe/") == 0 ? 0 : 1;
       aConnection.Write("HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n");
       // Reads on later: the next bytes have to be the rest of this body.
-      misread += aConnection.ReadBytes(std::stoul(head->Header("content-length"))) == "body" ? 0 : 1;
+      misread +=
+        aConnection.ReadBytes(std::stoul(head->Header("content-length"))) == "body" ? 0 : 1;
     }
   });
   cluster.Register(0, "ready", { { "address", early.Address().Value() }, { "born", 2 } });
-  REQUIRE(WaitFor([&] { return cluster.LogOfDaemon(0).find("event=restarted") != std::string::npos; }));
+  REQUIRE(
+    WaitFor([&] { return cluster.LogOfDaemon(0).find("event=restarted") != std::string::npos; }));
   for (int i = 0; i < 5; ++i) {
     CHECK(cluster.Call("/unsafe/x", "early-" + std::to_string(i)).m_status == 413);
   }
@@ -168,7 +171,8 @@
 {
   GatewayCluster cluster(1, 1);
   cluster.Endpoint(0).SetConduct([](RawConnection& aConnection, const RawRequest&) {
-    aConnection.Write("HTTP/1.1 500 Oops\r\nX-Response-Seal: failed\r\nContent-Length: 3\r\n\r\nbad");
+    aConnection.Write(
+      "HTTP/1.1 500 Oops\r\nX-Response-Seal: failed\r\nContent-Length: 3\r\n\r\nbad");
     return true;
   });
   const CallerAnswer answer = cluster.Call("/unsafe/x", "failed");
@@ -209,8 +213,9 @@
   }
   CHECK(cluster.Endpoint(0).Requests().empty());
   cluster.Store().Put("keyed.servers", GatewayCluster::IdOf(1), std::nullopt);
-  REQUIRE(WaitFor(
-    [&] { return cluster.LogOfDaemon(0).find("event=removed endpoint=i-1") != std::string::npos; }));
+  REQUIRE(WaitFor([&] {
+    return cluster.LogOfDaemon(0).find("event=removed endpoint=i-1") != std::string::npos;
+  }));
   const CallerAnswer none = cluster.Call("/unsafe/x", "none");
   CHECK(none.m_status == 503);
   CHECK_FALSE(none.Header("Retry-After").empty());
@@ -248,7 +253,8 @@
       return cluster.Call(absl::StrCat("/new-", number, "/x"), "n" + std::to_string(number))
                .m_status == 200;
     }));
-    CHECK(WaitFor([&] { return lines("store: event=regained") >= lines("store: event=lost") + 1; }));
+    CHECK(
+      WaitFor([&] { return lines("store: event=regained") >= lines("store: event=lost") + 1; }));
   }
 }
 
--- a/Tests/Support/GatewayCluster.cpp
+++ b/Tests/Support/GatewayCluster.cpp
@@ -84,7 +84,8 @@
 CallerAnswer::Header(const std::string& aName) const
 {
   for (const absl::string_view line : absl::StrSplit(m_head, "\r\n")) {
-    const std::pair<std::string, std::string> field = absl::StrSplit(line, absl::MaxSplits(": ", 1));
+    const std::pair<std::string, std::string> field =
+      absl::StrSplit(line, absl::MaxSplits(": ", 1));
     if (absl::AsciiStrToLower(field.first) == absl::AsciiStrToLower(aName)) {
       return field.second;
     }
@@ -216,17 +217,15 @@
 GatewayCluster::StartDaemon(std::size_t aIndex)
 {
   GatewayProcess& daemon = m_daemons.at(aIndex);
-  const nlohmann::json settings{
-    { "gateway",
-      { { "host", absl::StrCat("gateway-", aIndex) },
-        { "data_center", "dc" },
-        { "caller_address", daemon.m_addresses[0].Value() },
-        { "readiness_address", daemon.m_addresses[1].Value() },
-        { "directory_address", daemon.m_addresses[2].Value() },
-        { "metrics_address", daemon.m_addresses[3].Value() },
-        { "peer_address", daemon.m_addresses[4].Value() },
-        { "store_address", m_store.Address().Value() } } }
-  };
+  const nlohmann::json settings{ { "gateway",
+                                   { { "host", absl::StrCat("gateway-", aIndex) },
+                                     { "data_center", "dc" },
+                                     { "caller_address", daemon.m_addresses[0].Value() },
+                                     { "readiness_address", daemon.m_addresses[1].Value() },
+                                     { "directory_address", daemon.m_addresses[2].Value() },
+                                     { "metrics_address", daemon.m_addresses[3].Value() },
+                                     { "peer_address", daemon.m_addresses[4].Value() },
+                                     { "store_address", m_store.Address().Value() } } } };
   const auto path = m_directory / absl::StrCat("gateway-", aIndex, ".json");
   std::ofstream(path) << settings;
   daemon.m_process = std::make_unique<ChildProcess>(
@@ -280,12 +279,11 @@
 void
 GatewayCluster::Register(std::size_t aEndpoint, const char* aState, const nlohmann::json& aChange)
 {
-  nlohmann::json entry{ { "service", "s" },
-                        { "address", m_endpoints.at(aEndpoint)->Address().Value() },
-                        { "zone", "dc" },
-                        { "slots", 4 },
-                        { "state", aState },
-                        { "born", 1 } };
+  nlohmann::json entry{
+    { "service", "s" },  { "address", m_endpoints.at(aEndpoint)->Address().Value() },
+    { "zone", "dc" },    { "slots", 4 },
+    { "state", aState }, { "born", 1 }
+  };
   entry.update(aChange);
   m_store.Put("keyed.servers", IdOf(aEndpoint), entry.dump());
 }
--- a/Tests/Support/GatewayCluster.h
+++ b/Tests/Support/GatewayCluster.h
@@ -53,7 +53,8 @@
 bool
 AnswerWell(RawConnection& aConnection, const RawRequest& aRequest);
 
-/// Gateway daemons as processes, the store and endpoints in this one. Routes are "/safe/", "/unsafe/",
+/// Gateway daemons as processes, the store and endpoints in this one. Routes are "/safe/",
+/// "/unsafe/",
 /// "/stream/" and "/resumable/", to one service.
 class GatewayCluster
 {
--- a/Tests/Unit/TestEndpointRegistry.cpp
+++ b/Tests/Unit/TestEndpointRegistry.cpp
@@ -19,9 +19,10 @@
 EndpointEntry
 EntryOf(const char* aId, std::int64_t aStartedAt = 1, bool aIsDraining = false)
 {
-  return EndpointEntry{ EndpointId(aId),      ServiceName("s"), SocketAddress("127.0.0.1:1"),
-                        DataCenterName("dc"), 4,                aIsDraining,
-                        aStartedAt };
+  return EndpointEntry{
+    EndpointId(aId), ServiceName("s"), SocketAddress("127.0.0.1:1"), DataCenterName("dc"), 4,
+    aIsDraining,     aStartedAt
+  };
 }
 
 EndpointRegistry
@@ -76,7 +77,8 @@
   CHECK_FALSE(registry.FindUsable(EndpointId("a")));
 }
 
-TEST_CASE("A registration that goes after the store's return is obeyed within the bound for leaving")
+TEST_CASE(
+  "A registration that goes after the store's return is obeyed within the bound for leaving")
 {
   EndpointRegistry registry = RegistryOf({ "a", "b" });
   registry.SetStoreReachable(false, At(0));
@@ -105,7 +107,8 @@
   CHECK(registry.FindUsable(EndpointId("c")));
 }
 
-TEST_CASE("Under any order of records, outages and snapshots no draining or long gone endpoint is used")
+TEST_CASE(
+  "Under any order of records, outages and snapshots no draining or long gone endpoint is used")
 {
   constexpr int kSchedules = 3'000;
   constexpr int kSteps = 60;
--- a/Tests/Unit/TestGatewayParts.cpp
+++ b/Tests/Unit/TestGatewayParts.cpp
@@ -68,7 +68,9 @@
 {
   Findings findings;
   Json json = CorrectSettings();
-  json["bounds"] = { { "drain_ms", 1'500.0 }, { "stop_grace_s", 8.5 }, { "retry_ratio", 0.2 },
+  json["bounds"] = { { "drain_ms", 1'500.0 },
+                     { "stop_grace_s", 8.5 },
+                     { "retry_ratio", 0.2 },
                      { "directory_lifetime_s", 5 } };
   const auto settings = GatewaySettings::FromJson(json, findings);
   REQUIRE(settings);
@@ -89,8 +91,13 @@
   Findings findings;
   CHECK_FALSE(GatewaySettings::FromJson(json, findings));
   const std::string text = findings.Describe("f");
-  for (const char* place : { "/caller_address", "/max_descriptors", "/surprise", "/seed_addresses/1",
-                             "/bounds/stop_grace_s", "/bounds/retry_slack", "/host" }) {
+  for (const char* place : { "/caller_address",
+                             "/max_descriptors",
+                             "/surprise",
+                             "/seed_addresses/1",
+                             "/bounds/stop_grace_s",
+                             "/bounds/retry_slack",
+                             "/host" }) {
     CHECK_MESSAGE(text.find(place) != std::string::npos, place);
   }
 }
--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -39,12 +39,9 @@
 HttpHeaders
 CallerHeaders()
 {
-  return { { "Host", "h.example" },
-           { "X-Request-Id", "id-1" },
-           { "X-Deadline-Ms", "8000" },
-           { "Authorization", "Bearer k1" },
-           { "X-Token-Count", "1460,80" },
-           { "X-Model", "m" },
+  return { { "Host", "h.example" },        { "X-Request-Id", "id-1" },
+           { "X-Deadline-Ms", "8000" },    { "Authorization", "Bearer k1" },
+           { "X-Token-Count", "1460,80" }, { "X-Model", "m" },
            { "X-Prefix-Hash", "5c:800" } };
 }
 
@@ -172,8 +169,14 @@
   const PlatformDialect dialect;
   MessageHead head;
   head.m_headers = CallerHeaders();
-  for (const char* name : { "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "kv-fetch", "X-Tenant",
-                            "x-expect-instance", "X-Expect-Version" }) {
+  for (const char* name : { "X-Hold",
+                            "X-Pin-Ms",
+                            "X-Kv-Backup",
+                            "Kv-From",
+                            "kv-fetch",
+                            "X-Tenant",
+                            "x-expect-instance",
+                            "X-Expect-Version" }) {
     head.m_headers.emplace_back(name, "forged");
   }
   EndpointInstructions instructions;
--- a/Tests/Unit/TestRouting.cpp
+++ b/Tests/Unit/TestRouting.cpp
@@ -64,7 +64,9 @@
 TEST_CASE("A split gives each service its part, and the same request the same service")
 {
   Route route = RouteOf("r", "h", "/");
-  route.m_services = { { ServiceName("a"), 90 }, { ServiceName("b"), 10 }, { ServiceName("c"), 0 } };
+  route.m_services = { { ServiceName("a"), 90 },
+                       { ServiceName("b"), 10 },
+                       { ServiceName("c"), 0 } };
   std::map<ServiceName, int> counts;
   constexpr int kRequests = 10'000;
   for (int i = 0; i < kRequests; ++i) {
