Turn late requests away from a leaving daemon; let early ones wait for readiness

A daemon now takes requests for 0.35 of the grace and then answers 503 with Retry-After; the directory's answers live for 1 s. After all daemons were killed 98 requests were refused in the 20 ms in which the new ones read their configuration; they wait up to 80 ms now. Both tests failed before.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -19,6 +19,12 @@
 // Of the time within which an endpoint's leaving must be obeyed, for reading the word and for a
 // send that is on its way.
 constexpr Milliseconds kDrainMargin{ 500 };
+// A request that comes while a daemon starts waits this long for the daemon to be ready, which takes
+// some 20 ms when the store answers.
+constexpr Milliseconds kPatienceBeforeReady{ 80 };
+// Part of the grace during which a leaving daemon takes requests; the rest is for ending them.
+constexpr double kTakingPartOfGrace = 0.35;
+constexpr Milliseconds kRetryElsewhere{ 50 };
 // For how long a caller waits that does not say so.
 constexpr Milliseconds kDefaultPatience{ 30'000 };
 // A store that has not answered for this long may have news that this daemon lacks.
@@ -96,7 +102,7 @@
                  m_settings.m_data_center,
                  m_settings.m_peer_address,
                  m_settings.m_caller_address,
-                 m_is_leaving,
+                 IsLeaving(),
                  IsReady(),
                  is_current };
 }
@@ -254,6 +260,7 @@
   for (Attempt* attempt : over) {
     attempt->OnTimeUp();
   }
+  ServeEarly();
   UpdateDaemonCounts();
   m_membership.Forget(now);
   OnRegistryChanges(m_registry.Expire(now));
@@ -263,14 +270,14 @@
 void
 Gateway::BeginLeaving()
 {
-  m_is_leaving = true;
+  m_leaving_since = m_leaving_since.value_or(Now());
 }
 
 std::vector<SocketAddress>
 Gateway::CallerAddresses() const
 {
   std::vector<SocketAddress> addresses;
-  if (IsReady() && !m_is_leaving) {
+  if (IsReady() && !IsLeaving()) {
     addresses.push_back(m_settings.m_caller_address);
   }
   for (const Member& member : m_membership.Heard(Now())) {
@@ -323,6 +330,14 @@
     Refuse(*aExchange, kBadRequest, "", "malformed", std::nullopt);
     return;
   }
+  if (IsLeaving() && Now() - *m_leaving_since > m_settings.m_stop_grace * kTakingPartOfGrace) {
+    Refuse(*aExchange, kServiceUnavailable, head->m_request_id, "leaving", kRetryElsewhere);
+    return;
+  }
+  if (!IsReady() && Now() - aExchange->ReceivedAt() < kPatienceBeforeReady) {
+    m_early.push_back(aExchange);
+    return;
+  }
   if (m_table == nullptr) {
     Refuse(*aExchange,
            kServiceUnavailable,
@@ -334,6 +349,16 @@
   Admit(aExchange, *std::move(head));
 }
 
+void
+Gateway::ServeEarly()
+{
+  for (const RelayExchangePtr& exchange : std::exchange(m_early, {})) {
+    if (exchange->IsOpen()) {
+      OnCallerRequest(exchange);
+    }
+  }
+}
+
 void
 Gateway::Admit(const RelayExchangePtr& aExchange, CallerRequestHead aHead)
 {
--- a/Libraries/LibGateway/include/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -43,11 +43,12 @@
 
   /// Call every few ten milliseconds.
   void Tick();
-  /// Takes no further callers; those that come all the same are still served.
+  /// Takes no further callers; those that come all the same are served for a while, and then told to
+  /// go elsewhere.
   void BeginLeaving();
 
   bool IsReady() const;
-  bool IsLeaving() const { return m_is_leaving; }
+  bool IsLeaving() const { return m_leaving_since.has_value(); }
   Member Self() const;
   BeaconNews News() const;
   /// Addresses at which callers can be served, this daemon's own among them if it can.
@@ -66,6 +67,8 @@
               const std::string& aRequestId,
               const char* aReason,
               std::optional<Milliseconds> aRetryAfter);
+  /// Serves or refuses the requests that came before this daemon was ready.
+  void ServeEarly();
   void Admit(const RelayExchangePtr& aExchange, CallerRequestHead aHead);
   std::vector<PlaceEndpointInfo> EndpointsOf(const ServiceName& aService) const;
   void OnRegistryChanges(const EndpointRegistry::Changes& aChanges);
@@ -76,7 +79,7 @@
   GatewaySettings m_settings;
   const Dialect& m_dialect;
   Incarnation m_incarnation;
-  bool m_is_leaving = false;
+  std::optional<TimePoint> m_leaving_since;
   bool m_is_store_reachable = false;
   std::optional<TimePoint> m_store_lost_at;
   GatewayMetrics m_metrics;
@@ -89,6 +92,7 @@
   PlaceBroker m_broker;
   AttemptSurroundings m_surroundings;
   std::map<Attempt*, std::unique_ptr<Attempt>> m_attempts;
+  std::vector<RelayExchangePtr> m_early;
   std::size_t m_heard = 0;
 };
 
--- a/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
@@ -26,7 +26,7 @@
   std::string m_log_level = "info";
 
   /// Longest time for which a caller may use an answer of the directory.
-  Milliseconds m_directory_lifetime{ 2'000 };
+  Milliseconds m_directory_lifetime{ 1'000 };
   /// Time from SIGTERM to SIGKILL.
   Milliseconds m_stop_grace{ 8'000 };
   /// Time within which the store's word about an endpoint must be obeyed.
--- a/Tests/Process/TestGateway.cpp
+++ b/Tests/Process/TestGateway.cpp
@@ -221,6 +221,47 @@
   CHECK_FALSE(cluster.Store().Newest("keyed.hosts", "gateway-0"));
 }
 
+TEST_CASE("A daemon that stops turns away what it could not end, and what runs still ends whole")
+{
+  GatewayCluster cluster(2, 1);
+  std::atomic<bool> may_answer = false;
+  cluster.Endpoint(0).SetConduct([&](RawConnection& aConnection, const RawRequest& aRequest) {
+    if (aRequest.Header("x-request-id") == "running") {
+      WaitFor([&] { return may_answer.load(); });
+    }
+    return AnswerWell(aConnection, aRequest);
+  });
+  std::thread caller([&] { CHECK(cluster.Call("/unsafe/x", "running").m_is_whole); });
+  cluster.Endpoint(0).WaitForRun("running");
+  cluster.Daemon(0).Signal(SIGTERM);
+  int number = 0;
+  CallerAnswer refused;
+  CHECK(WaitFor([&] {
+    refused = cluster.Call("/unsafe/x", "late-" + std::to_string(++number));
+    return refused.m_status == 503;
+  }));
+  CHECK_FALSE(refused.Header("Retry-After").empty());
+  CHECK(cluster.RunsOf("late-" + std::to_string(number)) == 0);
+  may_answer = true;
+  caller.join();
+  CHECK(WaitFor([&] { return cluster.Daemon(0).ExitStatus().has_value(); }));
+  CHECK(cluster.Daemon(0).ExitStatus() == 0);
+}
+
+TEST_CASE("A request that comes before the configuration is served as soon as there is one")
+{
+  GatewayCluster cluster(1, 1);
+  cluster.Daemon(0).Signal(SIGKILL);
+  CHECK(WaitFor([&] { return cluster.Daemon(0).ExitStatus().has_value(); }));
+  cluster.StartDaemon(0);
+  int status = 0;
+  CHECK(WaitFor([&] {
+    status = cluster.Call("/unsafe/x", "early").m_status;
+    return status != 0;
+  }));
+  CHECK(status == 200);
+}
+
 TEST_CASE("SIGHUP reads the settings again and ends nothing")
 {
   GatewayCluster cluster(1, 1);
