--- a/Libraries/LibBroker/PlaceMessages.cpp
+++ b/Libraries/LibBroker/PlaceMessages.cpp
@@ -83,7 +83,7 @@
   }
   void operator()(Milliseconds& aValue)
   {
-    constexpr std::int64_t kMost = 24 * 60 * 60 * 1'000;
+    constexpr std::int64_t kMost = std::int64_t{ 24 } * 60 * 60 * 1'000;
     if (const Json* field = Next(); field != nullptr && Check(IsWithin(*field, kMost))) {
       aValue = Milliseconds(field->get<std::int64_t>());
     }
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -278,7 +278,7 @@
     headers.emplace_back("Content-Length",
                          std::string(FindHeader(m_send->m_answer.m_headers, "Content-Length")));
   }
-  m_exchange->Start(m_send->m_answer.m_status, std::move(headers), aFraming);
+  m_exchange->Start(m_send->m_answer.m_status, headers, aFraming);
 }
 
 void
--- a/Libraries/LibRelay/RelayExchange.cpp
+++ b/Libraries/LibRelay/RelayExchange.cpp
@@ -69,13 +69,13 @@
 RelayExchange::Reply(int aStatus, HttpHeaders aHeaders, absl::string_view aBody)
 {
   aHeaders.emplace_back("Content-Length", std::to_string(aBody.size()));
-  Start(aStatus, std::move(aHeaders), BodyFraming::Length);
+  Start(aStatus, aHeaders, BodyFraming::Length);
   Write(aBody);
   Finish();
 }
 
 void
-RelayExchange::Start(int aStatus, HttpHeaders aHeaders, BodyFraming aFraming)
+RelayExchange::Start(int aStatus, const HttpHeaders& aHeaders, BodyFraming aFraming)
 {
   if (m_connection == nullptr || m_has_started) {
     return;
--- a/Libraries/LibRelay/include/LibRelay/RelayExchange.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayExchange.h
@@ -37,7 +37,7 @@
   /// Sends a whole answer.
   void Reply(int aStatus, HttpHeaders aHeaders, absl::string_view aBody);
   /// Starts an answer whose body follows in pieces. With Length framing the headers hold it.
-  void Start(int aStatus, HttpHeaders aHeaders, BodyFraming aFraming);
+  void Start(int aStatus, const HttpHeaders& aHeaders, BodyFraming aFraming);
   void Write(absl::string_view aBytes);
   /// Marks the answer as whole.
   void Finish();
--- a/Tests/Unit/TestPages.cpp
+++ b/Tests/Unit/TestPages.cpp
@@ -23,7 +23,7 @@
 Sources()
 {
   std::string text;
-  for (const char* folder : { "Libraries", "Daemon", "Command" }) {
+  for (const char* folder : { "Libraries", "Daemon", "Command", "platform" }) {
     for (const auto& entry :
          std::filesystem::recursive_directory_iterator(std::string(SOURCE_ROOT "/") + folder)) {
       if (entry.path().extension() == ".cpp" || entry.path().extension() == ".h") {
@@ -51,8 +51,8 @@
 
 TEST_CASE("Every settings key stands on the operators' page, and the reverse")
 {
-  const std::string page = TextOf(SOURCE_ROOT "/docs/OPERATING.md");
-  const auto start = page.find("## Settings");
+  const std::string page = TextOf(SOURCE_ROOT "/docs/OPERATIONS.md");
+  const auto start = page.find("## Settings of the own interface");
   const std::string table = page.substr(start, page.find("## Documents") - start);
   const std::string code = TextOf(SOURCE_ROOT "/Daemon/Settings.cpp");
   auto documented = AllMatches(table, "`(?:ledger\\.|scheduler\\.|callers\\.)?([a-z_]+)`");
@@ -69,10 +69,29 @@
   CHECK(known.size() > 15);
 }
 
+TEST_CASE("Every settings key of a gateway stands on the operators' page, and the reverse")
+{
+  const std::string page = TextOf(SOURCE_ROOT "/docs/OPERATIONS.md");
+  const auto start = page.find("## Settings of a gateway");
+  const std::string table =
+    page.substr(start, page.find("## Settings of the own interface") - start);
+  const std::string code = TextOf(SOURCE_ROOT "/Libraries/LibGateway/GatewaySettings.cpp");
+  auto documented = AllMatches(table, "`(?:bounds\\.)?([a-z_]+)`");
+  for (const char* value : { "info", "trace", "off", "gateway" }) {
+    documented.erase(value);
+  }
+  auto known = AllMatches(code, "[Rr]eader, \"([a-z_]+)\"|[a-z]\\(\"([a-z_]+)\"");
+  known.merge(AllMatches(code, "\\(\"([a-z_]+)\""));
+  known.erase("");
+  known.erase("bounds");
+  CHECK(known == documented);
+  CHECK(known.size() > 15);
+}
+
 TEST_CASE("Every metric, log prefix and error code stands on its page, and the reverse")
 {
   const std::string sources = Sources();
-  const std::string operating = TextOf(SOURCE_ROOT "/docs/OPERATING.md");
+  const std::string operating = TextOf(SOURCE_ROOT "/docs/OPERATIONS.md");
   CHECK(AllMatches(sources, "\"(auburnhitch_[a-z_]+)\"") ==
         AllMatches(operating, "`(auburnhitch_[a-z_]+)`"));
 
