--- a/Libraries/LibHttp/EventLoop.cpp
+++ b/Libraries/LibHttp/EventLoop.cpp
@@ -37,6 +37,11 @@
 
 EventLoop::~EventLoop()
 {
+  while (!m_releases.empty()) {
+    const auto callback = std::move(m_releases.front().m_callback);
+    m_releases.pop_front();
+    callback();
+  }
   event_base_free(m_base);
 }
 
@@ -77,6 +82,24 @@
     &immediately);
 }
 
+void
+EventLoop::DeferRelease(std::function<void()> aCallback)
+{
+  m_releases.push_back(Release{ this, std::move(aCallback) });
+  const timeval immediately{ 0, 0 };
+  event_base_once(m_base, -1, EV_TIMEOUT, RunRelease, &m_releases.back(), &immediately);
+}
+
+void
+EventLoop::RunRelease(int, short, void* aRelease)
+{
+  auto* release = static_cast<Release*>(aRelease);
+  EventLoop* loop = release->m_loop;
+  const auto callback = std::move(release->m_callback);
+  loop->m_releases.remove_if([release](const Release& aEntry) { return &aEntry == release; });
+  callback();
+}
+
 Timer::Timer(EventLoop& aLoop, Duration aDelay, Repeat aRepeat, std::function<void()> aCallback)
   : m_event(nullptr)
   , m_repeat(aRepeat)
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -114,7 +114,7 @@
   // libevent forbids freeing a connection inside its own callbacks.
   void FreeLater(evhttp_connection* aConnection)
   {
-    m_loop.Defer([aConnection] { evhttp_connection_free(aConnection); });
+    m_loop.DeferRelease([aConnection] { evhttp_connection_free(aConnection); });
   }
 
   static void OnIdleClosed(evhttp_connection* aConnection, void* aContext)
@@ -241,7 +241,7 @@
       m_pool->Keep(m_address, m_connection);
     } else {
       // The request in flight refers to this state until the connection is freed.
-      m_pool->m_loop.Defer(
+      m_pool->m_loop.DeferRelease(
         [self = shared_from_this()] { evhttp_connection_free(self->m_connection); });
     }
   }
--- a/Libraries/LibHttp/include/LibHttp/EventLoop.h
+++ b/Libraries/LibHttp/include/LibHttp/EventLoop.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <functional>
+#include <list>
 #include <memory>
 
 struct event;
@@ -30,8 +31,20 @@
 
   /// Runs the callback once, in a later iteration.
   void Defer(std::function<void()> aCallback);
+  /// Runs the callback once, in a later iteration or when the loop is destroyed: for freeing what
+  /// may not be freed now. Precondition: the callback refers to nothing that goes before the loop.
+  void DeferRelease(std::function<void()> aCallback);
 
 private:
+  static void RunRelease(int aSocket, short aWhat, void* aRelease);
+
+  struct Release
+  {
+    EventLoop* m_loop;
+    std::function<void()> m_callback;
+  };
+
+  std::list<Release> m_releases;
   event_base* m_base;
 };
 
