--- a/Libraries/LibLogService/LogService.cpp
+++ b/Libraries/LibLogService/LogService.cpp
@@ -89,7 +89,11 @@
 {
 }
 
-LogService::~LogService() = default;
+LogService::~LogService()
+{
+  // Each call holds the table by its handler; abandoning the calls frees both.
+  const auto abandoned = std::exchange(m_calls->m_running, {});
+}
 
 void
 LogService::Append(const std::string& aStream, std::string aData, AppendHandler aHandler)
--- a/Meta/auburnhitch.sh
+++ b/Meta/auburnhitch.sh
@@ -130,7 +130,7 @@
   install_packages "${PACKAGES[@]}" "${FUZZ_PACKAGES[@]}"
   local directory="$BUILD-fuzz"
   CC=clang CXX=clang++ configure_and_build "$directory" -DAUBURNHITCH_FUZZ=ON
-  for pair in FuzzCallerRequest:request FuzzDocument:document; do
+  for pair in FuzzCallerRequest:request FuzzDocument:document FuzzGateway:gateway; do
     say "fuzzes ${pair%%:*}"
     # New inputs go to a scratch folder; the committed corpus stays as it is.
     local scratch
