--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -19,8 +19,8 @@
 // Of the time within which an endpoint's leaving must be obeyed, for reading the word and for a
 // send that is on its way.
 constexpr Milliseconds kDrainMargin{ 500 };
-// A request that comes while a daemon starts waits this long for the daemon to be ready, which takes
-// some 20 ms when the store answers.
+// A request that comes while a daemon starts waits this long for the daemon to be ready, which
+// takes some 20 ms when the store answers.
 constexpr Milliseconds kPatienceBeforeReady{ 80 };
 // Part of the grace during which a leaving daemon takes requests; the rest is for ending them.
 constexpr double kTakingPartOfGrace = 0.35;
