--- a/Tests/Support/StoreStandIn.cpp
+++ b/Tests/Support/StoreStandIn.cpp
@@ -51,7 +51,7 @@
 void
 StoreStandIn::Put(const std::string& aTopic,
                   const std::string& aKey,
-                  std::optional<std::string> aValue)
+                  const std::optional<std::string>& aValue)
 {
   const std::lock_guard lock(m_mutex);
   PutLocked(aTopic, aKey, aValue);
@@ -121,7 +121,7 @@
         aConnection.Write(AnswerOf(429, ""));
         break;
       case Mode::Garbage:
-        aConnection.Write(AnswerOf(200, "\xff\x00\x01"));
+        aConnection.Write(AnswerOf(200, "\xff\xfe\x01"));
         break;
       case Mode::Reset:
         aConnection.Reset();
--- a/Tests/Support/StoreStandIn.h
+++ b/Tests/Support/StoreStandIn.h
@@ -29,7 +29,9 @@
   SocketAddress Address() const { return m_server.Address(); }
   void SetMode(Mode aMode);
   /// Writes a record; without a value its key is dropped.
-  void Put(const std::string& aTopic, const std::string& aKey, std::optional<std::string> aValue);
+  void Put(const std::string& aTopic,
+           const std::string& aKey,
+           const std::optional<std::string>& aValue);
   /// Forgets all records, of which the newest of each key are still told.
   void Compact(const std::string& aTopic);
   std::optional<std::string> Newest(const std::string& aTopic, const std::string& aKey) const;
--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -83,7 +83,7 @@
 
 TEST_CASE("A configuration with a fault is not put in force")
 {
-  for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+  for (const auto& change : std::vector<std::pair<std::string, std::string>>{
          { "\"version\": 7", "\"version\": \"7\"" },
          { "\"service\": \"s1\", \"attempts\"", "\"attempts\"" },
          { "\"safe\"", "\"sometimes\"" },
@@ -91,7 +91,9 @@
          { "\"k1\"", "5" },
          { "{", "[" } }) {
     Findings findings;
-    CHECK_MESSAGE(DecodeConfiguration(With(kConfiguration, from, to), findings) == nullptr, from);
+    CHECK_MESSAGE(
+      DecodeConfiguration(With(kConfiguration, change.first, change.second), findings) == nullptr,
+      change.first);
     CHECK_FALSE(findings.IsEmpty());
   }
 }
@@ -105,7 +107,7 @@
   CHECK(entry->m_places == 4);
   CHECK_FALSE(entry->m_is_draining);
   CHECK(entry->m_started_at_ms == 1'700'000'000'000);
-  for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{
+  for (const auto& change : std::vector<std::pair<std::string, std::string>>{
          { "\"service\": \"s\",", "" },
          { "\"ready\"", "\"asleep\"" },
          { "\"ready\"", "1" },
@@ -117,7 +119,9 @@
          { "\"born\": 1700000000000", "\"born\": \"x\"" },
          { "{", "\xff\xfe" } }) {
     Findings wrong;
-    CHECK_MESSAGE(!DecodeRegistration("i-1", With(kRegistration, from, to), wrong), from);
+    CHECK_MESSAGE(
+      !DecodeRegistration("i-1", With(kRegistration, change.first, change.second), wrong),
+      change.first);
     CHECK_FALSE(wrong.IsEmpty());
   }
 }
