--- a/Libraries/LibGateway/include/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -43,8 +43,8 @@
 
   /// Call every few ten milliseconds.
   void Tick();
-  /// Takes no further callers; those that come all the same are served for a while, and then told to
-  /// go elsewhere.
+  /// Takes no further callers; those that come all the same are served for a while, and then told
+  /// to go elsewhere.
   void BeginLeaving();
 
   bool IsReady() const;
