--- a/Libraries/LibPlacement/PlaceQueue.cpp
+++ b/Libraries/LibPlacement/PlaceQueue.cpp
@@ -12,8 +12,8 @@
 constexpr double kWorthOfNextPriority = 1.0 / 3;
 // A late answer earns 0.3 to 0.5 of one in time on the users' sheets.
 constexpr double kWorthOfLate = 0.3;
-// Late work goes before work in time that is this many priorities below it.
-constexpr int kPrioritiesBeforeLate = 2;
+// Late work goes after work in time that is this many priorities below it, and before all others.
+constexpr int kPrioritiesBeforeLate = 1;
 // Work that arrives counts as taking all places from here on. Above 1, since the estimate of a
 // moment's load is off by a tenth.
 constexpr double kFullLoad = 1.1;
@@ -163,9 +163,9 @@
 }
 
 bool
-PlaceQueue::IsLateWorkCrowdedOut(int aPriority, std::size_t aPlaces, TimePoint aNow) const
+PlaceQueue::IsCrowded(int aPriority, std::size_t aPlaces, TimePoint aNow) const
 {
-  return LoadAbove(aPriority + kPrioritiesBeforeLate, aPlaces, aNow) > kFullLoad;
+  return LoadAbove(aPriority + 1, aPlaces, aNow) > kFullLoad;
 }
 
 std::vector<WaitingPlace>
@@ -175,7 +175,7 @@
   std::vector<PlaceTicket> tickets;
   for (auto& [priority, level] : m_levels) {
     MoveLate(level, aNow);
-    if (!level.m_late.empty() && IsLateWorkCrowdedOut(priority, aPlaces, aNow)) {
+    if (!level.m_late.empty() && IsCrowded(priority + kPrioritiesBeforeLate, aPlaces, aNow)) {
       for (const Key& key : level.m_late) {
         tickets.push_back(key.second);
       }
--- a/Libraries/LibPlacement/PlaceScheduler.cpp
+++ b/Libraries/LibPlacement/PlaceScheduler.cpp
@@ -318,7 +318,7 @@
   }
   const double slack_ms = until(request.m_objective_at) - aWaiting.m_sure_first_ms;
   return wait_ms > kPartOfSlackWhenCrowded * slack_ms &&
-         m_queue.IsLateWorkCrowdedOut(request.m_priority, PlaceCount(aNow), aNow);
+         m_queue.IsCrowded(request.m_priority, PlaceCount(aNow), aNow);
 }
 
 PlaceDecisions
--- a/Libraries/LibPlacement/include/LibPlacement/PlaceQueue.h
+++ b/Libraries/LibPlacement/include/LibPlacement/PlaceQueue.h
@@ -40,9 +40,8 @@
   /// longer be in time while work that goes first takes all places, so that they would only wait
   /// for their end.
   std::vector<WaitingPlace> TakeHopeless(std::size_t aPlaces, TimePoint aNow);
-  /// Whether a request that can't be in time would never get a place: what arrives and goes before
-  /// it takes all of them.
-  bool IsLateWorkCrowdedOut(int aPriority, std::size_t aPlaces, TimePoint aNow) const;
+  /// Whether more work of a priority and of those before it arrives than all places can do.
+  bool IsCrowded(int aPriority, std::size_t aPlaces, TimePoint aNow) const;
   std::vector<WaitingPlace> TakeAll();
   /// Takes out the requests of a daemon.
   std::vector<PlaceRequest> RemoveDaemon(const Incarnation& aDaemon);
--- /dev/null
+++ b/Tests/Soak/SoakCaller.cpp
@@ -0,0 +1,113 @@
+#include "SoakCaller.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <array>
+#include <iterator>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace auburnhitch::tests {
+
+namespace {
+
+// Of ten requests this many go over a connection that was used before, if there is one.
+constexpr unsigned kKeptOfTen = 7;
+constexpr unsigned kTen = 10;
+// Of forty requests this many are given up by their caller half-way.
+constexpr unsigned kGivenUpOfForty = 1;
+constexpr unsigned kForty = 40;
+constexpr std::chrono::milliseconds kPause{ 5 };
+
+}
+
+SoakCaller::SoakCaller(const GatewayCluster& aCluster,
+                       std::size_t aDaemons,
+                       Judge& aJudge,
+                       unsigned aSeed)
+  : m_cluster(aCluster)
+  , m_daemons(aDaemons)
+  , m_judge(aJudge)
+  , m_seed(aSeed)
+  , m_random(aSeed)
+  , m_thread([this] { Run(); })
+{
+}
+
+SoakCaller::~SoakCaller()
+{
+  m_is_stopping = true;
+  m_thread.join();
+  CloseConnection();
+}
+
+void
+SoakCaller::CloseConnection()
+{
+  if (m_socket >= 0) {
+    close(m_socket);
+    m_socket = -1;
+  }
+}
+
+void
+SoakCaller::Run()
+{
+  for (int number = 0; !m_is_stopping; ++number) {
+    const SoakKind& kind = kSoakKinds[m_random() % std::size(kSoakKinds)];
+    const std::string id = absl::StrCat("c", m_seed, "-", number);
+    const bool keeps = m_socket >= 0 && m_random() % kTen < kKeptOfTen;
+    const std::size_t daemon = keeps ? m_connected_to : m_random() % m_daemons;
+    if (!keeps) {
+      CloseConnection();
+    }
+    const CallerAnswer answer =
+      Ask(daemon,
+          absl::StrCat("POST /",
+                       kind.m_name,
+                       "/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: ",
+                       id,
+                       "\r\nAuthorization: Bearer key-1\r\nX-Deadline-Ms: 3000\r\n"
+                       "Content-Length: 4\r\n\r\nbody"));
+    m_judge.NoteAnswer(id, kind, answer);
+    if (!answer.m_is_whole || answer.Header("connection") == "close") {
+      CloseConnection();
+    }
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
+CallerAnswer
+SoakCaller::Ask(std::size_t aDaemon, const std::string& aRequest)
+{
+  if (m_socket < 0) {
+    m_socket = ConnectTo(m_cluster.CallerAddress(aDaemon));
+    m_connected_to = aDaemon;
+  }
+  if (m_socket < 0) {
+    return {};
+  }
+  // A daemon that is stopped holds its callers up for as long; the deadline is far below this.
+  const timeval patience{ 6, 0 };
+  setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+  send(m_socket, aRequest.data(), aRequest.size(), MSG_NOSIGNAL);
+  if (m_random() % kForty < kGivenUpOfForty) {
+    CloseConnection();
+    return {};
+  }
+  std::string bytes;
+  std::array<char, 4'096> buffer{};
+  while (true) {
+    const ssize_t size = recv(m_socket, buffer.data(), buffer.size(), 0);
+    if (size <= 0) {
+      return ParseAnswer(bytes);
+    }
+    bytes.append(buffer.data(), static_cast<std::size_t>(size));
+    CallerAnswer answer = ParseAnswer(bytes);
+    if (answer.m_is_whole) {
+      return answer;
+    }
+  }
+}
+
+}
--- a/Tests/StandIns/FaultProxy.cpp
+++ b/Tests/StandIns/FaultProxy.cpp
@@ -208,6 +208,11 @@
   if (body.value("cut_open", false)) {
     m_links.clear();
   }
+  if (body.value("change_open", false)) {
+    for (const auto& [raw, link] : m_links) {
+      link->m_fault = m_fault;
+    }
+  }
   if (m_fault == Fault::Refuse) {
     StopListening();
   } else {
--- a/Tests/Support/GatewayCluster.cpp
+++ b/Tests/Support/GatewayCluster.cpp
@@ -13,6 +13,7 @@
 #include <sstream>
 #include <stdexcept>
 #include <thread>
+#include <unistd.h>
 
 namespace auburnhitch::tests {
 
@@ -182,17 +183,25 @@
   return true;
 }
 
-GatewayCluster::GatewayCluster(std::size_t aDaemons, std::size_t aEndpoints)
-  : m_directory(std::filesystem::temp_directory_path() /
+GatewayCluster::GatewayCluster(GatewayClusterOptions aOptions)
+  : m_options(aOptions)
+  , m_directory(std::filesystem::temp_directory_path() /
                 absl::StrCat("auburnhitch-gateway-", getpid(), "-", RandomName()))
 {
   std::filesystem::create_directories(m_directory);
   Configure();
-  for (std::size_t i = 0; i < aEndpoints; ++i) {
+  for (std::size_t i = 0; i < aOptions.m_endpoints; ++i) {
     m_endpoints.push_back(std::make_unique<EndpointStandIn>());
+    if (aOptions.m_has_proxies) {
+      m_endpoint_proxies.push_back(
+        StartProxy(absl::StrCat("endpoint-", i), m_endpoints.back()->Address()));
+    }
     Register(i);
   }
-  for (std::size_t i = 0; i < aDaemons; ++i) {
+  for (std::size_t i = 0; i < aOptions.m_daemons; ++i) {
+    if (aOptions.m_has_proxies) {
+      m_store_proxies.push_back(StartProxy(absl::StrCat("store-", i), m_store.Address()));
+    }
     GatewayProcess daemon;
     for (std::size_t port = 0; port < kAddressesPerDaemon; ++port) {
       daemon.m_addresses.push_back(Cluster::UnusedAddress());
@@ -200,7 +209,7 @@
     m_daemons.push_back(std::move(daemon));
     StartDaemon(i);
   }
-  for (std::size_t i = 0; i < aDaemons; ++i) {
+  for (std::size_t i = 0; i < aOptions.m_daemons; ++i) {
     WaitUntilReady(i);
   }
 }
@@ -209,23 +218,87 @@
 {
   // The daemons go before the servers that they are connected to.
   m_daemons.clear();
+  m_store_proxies.clear();
+  m_endpoint_proxies.clear();
   std::error_code ignored;
   std::filesystem::remove_all(m_directory, ignored);
 }
 
+std::string
+GatewayCluster::DataCenterOf(std::size_t aIndex) const
+{
+  return m_options.m_data_centers == 1
+           ? "dc"
+           : absl::StrCat("dc-", aIndex % static_cast<std::size_t>(m_options.m_data_centers));
+}
+
+GatewayCluster::ProxyProcess
+GatewayCluster::StartProxy(const std::string& aName, const SocketAddress& aTarget)
+{
+  ProxyProcess proxy;
+  proxy.m_address = Cluster::UnusedAddress();
+  proxy.m_control = Cluster::UnusedAddress();
+  proxy.m_process =
+    std::make_unique<ChildProcess>(std::vector<std::string>{ STANDIN_PROGRAM,
+                                                             "proxy",
+                                                             "--address",
+                                                             proxy.m_address.Value(),
+                                                             "--target",
+                                                             aTarget.Value(),
+                                                             "--control",
+                                                             proxy.m_control.Value() },
+                                   (m_directory / (aName + "-proxy.log")).string());
+  if (!WaitFor([&] {
+        const int socket = ConnectTo(proxy.m_control);
+        if (socket >= 0) {
+          close(socket);
+        }
+        return socket >= 0;
+      })) {
+    throw std::runtime_error("a proxy did not start: " + aName);
+  }
+  return proxy;
+}
+
+void
+GatewayCluster::Command(const ProxyProcess& aProxy, const nlohmann::json& aCommand)
+{
+  const std::string body = aCommand.dump();
+  Exchange(aProxy.m_control,
+           absl::StrCat("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: ",
+                        body.size(),
+                        "\r\n\r\n",
+                        body));
+}
+
+void
+GatewayCluster::CommandEndpointProxy(std::size_t aEndpoint, const nlohmann::json& aCommand)
+{
+  Command(m_endpoint_proxies.at(aEndpoint), aCommand);
+}
+
+void
+GatewayCluster::CommandStoreProxy(std::size_t aDaemon, const nlohmann::json& aCommand)
+{
+  Command(m_store_proxies.at(aDaemon), aCommand);
+}
+
 void
 GatewayCluster::StartDaemon(std::size_t aIndex)
 {
   GatewayProcess& daemon = m_daemons.at(aIndex);
   const nlohmann::json settings{ { "gateway",
                                    { { "host", absl::StrCat("gateway-", aIndex) },
-                                     { "data_center", "dc" },
+                                     { "data_center", DataCenterOf(aIndex) },
                                      { "caller_address", daemon.m_addresses[0].Value() },
                                      { "readiness_address", daemon.m_addresses[1].Value() },
                                      { "directory_address", daemon.m_addresses[2].Value() },
                                      { "metrics_address", daemon.m_addresses[3].Value() },
                                      { "peer_address", daemon.m_addresses[4].Value() },
-                                     { "store_address", m_store.Address().Value() } } } };
+                                     { "store_address",
+                                       m_options.m_has_proxies
+                                         ? m_store_proxies.at(aIndex).m_address.Value()
+                                         : m_store.Address().Value() } } } };
   const auto path = m_directory / absl::StrCat("gateway-", aIndex, ".json");
   std::ofstream(path) << settings;
   daemon.m_process = std::make_unique<ChildProcess>(
@@ -279,11 +352,15 @@
 void
 GatewayCluster::Register(std::size_t aEndpoint, const char* aState, const nlohmann::json& aChange)
 {
-  nlohmann::json entry{
-    { "service", "s" },  { "address", m_endpoints.at(aEndpoint)->Address().Value() },
-    { "zone", "dc" },    { "slots", 4 },
-    { "state", aState }, { "born", 1 }
-  };
+  nlohmann::json entry{ { "service", "s" },
+                        { "address",
+                          m_options.m_has_proxies
+                            ? m_endpoint_proxies.at(aEndpoint).m_address.Value()
+                            : m_endpoints.at(aEndpoint)->Address().Value() },
+                        { "zone", DataCenterOf(aEndpoint) },
+                        { "slots", 4 },
+                        { "state", aState },
+                        { "born", 1 } };
   entry.update(aChange);
   m_store.Put("keyed.servers", IdOf(aEndpoint), entry.dump());
 }
--- a/Tests/Support/GatewayCluster.h
+++ b/Tests/Support/GatewayCluster.h
@@ -53,13 +53,26 @@
 bool
 AnswerWell(RawConnection& aConnection, const RawRequest& aRequest);
 
+struct GatewayClusterOptions
+{
+  std::size_t m_daemons = 1;
+  std::size_t m_endpoints = 2;
+  int m_data_centers = 1;
+  /// Puts a proxy before the store of each daemon and before each endpoint.
+  bool m_has_proxies = false;
+};
+
 /// Gateway daemons as processes, the store and endpoints in this one. Routes are "/safe/",
 /// "/unsafe/",
 /// "/stream/" and "/resumable/", to one service.
 class GatewayCluster
 {
 public:
-  explicit GatewayCluster(std::size_t aDaemons = 1, std::size_t aEndpoints = 2);
+  explicit GatewayCluster(std::size_t aDaemons = 1, std::size_t aEndpoints = 2)
+    : GatewayCluster(GatewayClusterOptions{ aDaemons, aEndpoints, 1, false })
+  {
+  }
+  explicit GatewayCluster(GatewayClusterOptions aOptions);
   ~GatewayCluster();
 
   StoreStandIn& Store() { return m_store; }
@@ -71,6 +84,10 @@
   SocketAddress MetricsAddress(std::size_t aIndex) const { return AddressOf(aIndex, 3); }
 
   void StartDaemon(std::size_t aIndex);
+  /// Tells the proxy before an endpoint, or before the store of a daemon, what to do; precondition:
+  /// there are proxies. The command is that of the stand-in.
+  void CommandEndpointProxy(std::size_t aEndpoint, const nlohmann::json& aCommand);
+  void CommandStoreProxy(std::size_t aDaemon, const nlohmann::json& aCommand);
   void WaitUntilReady(std::size_t aIndex);
   /// Puts a configuration in the store, changed by a function.
   void Configure(const std::function<void(nlohmann::json&)>& aChange = {});
@@ -95,14 +112,28 @@
     std::unique_ptr<ChildProcess> m_process;
   };
 
+  struct ProxyProcess
+  {
+    SocketAddress m_address;
+    SocketAddress m_control;
+    std::unique_ptr<ChildProcess> m_process;
+  };
+
+  ProxyProcess StartProxy(const std::string& aName, const SocketAddress& aTarget);
+  static void Command(const ProxyProcess& aProxy, const nlohmann::json& aCommand);
+  std::string DataCenterOf(std::size_t aIndex) const;
+
   SocketAddress AddressOf(std::size_t aIndex, std::size_t aPort) const
   {
     return m_daemons.at(aIndex).m_addresses.at(aPort);
   }
 
+  GatewayClusterOptions m_options;
   std::filesystem::path m_directory;
   StoreStandIn m_store;
   std::vector<std::unique_ptr<EndpointStandIn>> m_endpoints;
+  std::vector<ProxyProcess> m_store_proxies;
+  std::vector<ProxyProcess> m_endpoint_proxies;
   std::vector<GatewayProcess> m_daemons;
   int m_version = 0;
 };
