--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -151,6 +151,7 @@
 Attempt::OnRefused(const PlaceRefusal& aRefusal, const HostName& aHome)
 {
   m_ticket = std::nullopt;
+  m_surroundings.m_metrics->OnPlaceRefused(m_request.m_service, NameOf(aRefusal.m_reason));
   LogOf("place").info("event=refused request={} service={} home={} waited_ms={} reason={}",
                       m_request.m_head.m_request_id,
                       m_request.m_service.Value(),
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -27,6 +27,10 @@
                       .Name("auburnhitch_requests_refused_total")
                       .Help("Requests refused before they had a service, by reason.")
                       .Register(m_registry))
+  , m_places_refused(prometheus::BuildCounter()
+                       .Name("auburnhitch_places_refused_total")
+                       .Help("Requests that got no place, by service and reason.")
+                       .Register(m_registry))
   , m_sent(prometheus::BuildCounter()
              .Name("auburnhitch_sends_total")
              .Help("Requests written to endpoints, by service, the first or once more.")
@@ -66,6 +70,16 @@
   histogram->Observe(SecondsOf(aTook));
 }
 
+void
+GatewayMetrics::OnPlaceRefused(const ServiceName& aService, const char* aReason)
+{
+  auto& counter = m_places_refused_cache[Key(aService.Value(), aReason)];
+  if (counter == nullptr) {
+    counter = &m_places_refused.Add({ { "service", aService.Value() }, { "reason", aReason } });
+  }
+  counter->Increment();
+}
+
 void
 GatewayMetrics::OnFirstPart(const ServiceName& aService, Duration aTook)
 {
--- a/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
@@ -40,6 +40,8 @@
   void OnFirstPart(const ServiceName& aService, Duration aTook);
   /// A request was refused before it had a service.
   void OnRefusedEarly(const char* aReason);
+  /// A request got no place. aReason is one of a few fixed words.
+  void OnPlaceRefused(const ServiceName& aService, const char* aReason);
   void OnSent(const ServiceName& aService, bool aIsRepeat);
   void OnStoreCall(const char* aCall, const char* aOutcome);
 
@@ -55,12 +57,14 @@
   prometheus::Registry m_registry;
   prometheus::Family<prometheus::Counter>& m_ended;
   prometheus::Family<prometheus::Counter>& m_refused_early;
+  prometheus::Family<prometheus::Counter>& m_places_refused;
   prometheus::Family<prometheus::Counter>& m_sent;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Family<prometheus::Histogram>& m_latency;
   prometheus::Family<prometheus::Histogram>& m_first_part;
   prometheus::Family<prometheus::Gauge>& m_levels;
   Cache<prometheus::Counter> m_ended_cache;
+  Cache<prometheus::Counter> m_places_refused_cache;
   Cache<prometheus::Counter> m_sent_cache;
   Cache<prometheus::Histogram> m_latency_cache;
   Cache<prometheus::Histogram> m_first_part_cache;
--- a/Libraries/LibPlacement/PlaceQueue.cpp
+++ b/Libraries/LibPlacement/PlaceQueue.cpp
@@ -20,7 +20,7 @@
 // A priority of which less than this part gets a place takes its turn right after work of the
 // first priority that can be in time. The users ask that no kind is served below a quarter as
 // often as all.
-constexpr double kLeastServedPart = 0.6;
+constexpr double kLeastServedPart = 0.3;
 constexpr double kWorthOfTurn = 0.9;
 // Few arrivals say little about the part that is served.
 constexpr double kLeastArrivals = 4;
--- a/Tests/Process/TestGatewayFaults.cpp
+++ b/Tests/Process/TestGatewayFaults.cpp
@@ -312,3 +312,41 @@
     cluster.WaitUntilReady(gone);
   }
 }
+
+TEST_CASE("A daemon that starts repeats an unanswered call for its configuration beside it")
+{
+  GatewayCluster cluster;
+  cluster.Daemon(0).Signal(SIGKILL);
+  REQUIRE(WaitFor([&] { return cluster.Daemon(0).ExitStatus().has_value(); }));
+  cluster.Store().SetSilent("keyed.op", true);
+  cluster.StartDaemon(0);
+  CHECK(WaitFor([&] { return cluster.Store().HeldCalls("keyed.op") >= 2; }));
+  cluster.Store().SetSilent("keyed.op", false);
+  cluster.WaitUntilReady(0);
+  CHECK(cluster.Call("/safe/x", "r1").m_status == 200);
+}
+
+TEST_CASE("A daemon that follows takes over a configuration that a reader tells it of")
+{
+  // Three daemons in one data centre: two wait at the store, the third reads when it is told.
+  GatewayCluster cluster(3);
+  const auto follows = [&](std::size_t aDaemon) {
+    return cluster.LogOfDaemon(aDaemon).find("event=follower") != std::string::npos;
+  };
+  REQUIRE(WaitFor([&] { return follows(0) || follows(1) || follows(2); }));
+  cluster.Configure([](nlohmann::json& aConfiguration) {
+    nlohmann::json route = aConfiguration["routes"][0];
+    route["name"] = "new";
+    route["path_prefix"] = "/new/";
+    aConfiguration["routes"].push_back(route);
+  });
+  for (std::size_t daemon = 0; daemon < 3; ++daemon) {
+    int tries = 0;
+    CHECK_MESSAGE(WaitFor([&] {
+                    const std::string id = absl::StrCat("n", daemon, "-", ++tries);
+                    return cluster.Call("/new/x", id, "", daemon).m_status == 200;
+                  }),
+                  "daemon ",
+                  daemon);
+  }
+}
--- a/Tests/Support/StoreStandIn.cpp
+++ b/Tests/Support/StoreStandIn.cpp
@@ -48,6 +48,42 @@
   m_changed.notify_all();
 }
 
+void
+StoreStandIn::SetSilent(const std::string& aTopic, bool aIsSilent)
+{
+  const std::lock_guard lock(m_mutex);
+  if (aIsSilent) {
+    m_silent_topics.insert(aTopic);
+  } else {
+    m_silent_topics.erase(aTopic);
+  }
+}
+
+int
+StoreStandIn::HeldCalls(const std::string& aTopic) const
+{
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_held_calls.find(aTopic);
+  return found == m_held_calls.end() ? 0 : found->second;
+}
+
+bool
+StoreStandIn::Hold(RawConnection& aConnection, const RawRequest& aRequest)
+{
+  const std::string topic = aRequest.Query("topic");
+  {
+    const std::lock_guard lock(m_mutex);
+    if (!m_silent_topics.contains(topic)) {
+      return false;
+    }
+    ++m_held_calls[topic];
+  }
+  aConnection.WaitForClose();
+  const std::lock_guard lock(m_mutex);
+  --m_held_calls[topic];
+  return true;
+}
+
 void
 StoreStandIn::Put(const std::string& aTopic,
                   const std::string& aKey,
@@ -97,6 +133,9 @@
 StoreStandIn::Serve(RawConnection& aConnection)
 {
   while (const auto request = aConnection.ReadRequest()) {
+    if (Hold(aConnection, *request)) {
+      return;
+    }
     std::string answer;
     if (request->Path() == "/log-read") {
       answer = AnswerRead(*request);
--- a/Tests/Support/StoreStandIn.h
+++ b/Tests/Support/StoreStandIn.h
@@ -28,6 +28,10 @@
 
   SocketAddress Address() const { return m_server.Address(); }
   void SetMode(Mode aMode);
+  /// Calls for a topic get no answer, until they are closed.
+  void SetSilent(const std::string& aTopic, bool aIsSilent);
+  /// How many calls for a silent topic are open.
+  int HeldCalls(const std::string& aTopic) const;
   /// Writes a record; without a value its key is dropped.
   void Put(const std::string& aTopic,
            const std::string& aKey,
@@ -47,6 +51,8 @@
   };
 
   void Serve(RawConnection& aConnection);
+  /// Whether the topic of a call is silent; then it has been closed.
+  bool Hold(RawConnection& aConnection, const RawRequest& aRequest);
   std::string AnswerRead(const RawRequest& aRequest);
   std::string AnswerNewest(const RawRequest& aRequest);
   std::string AnswerAppend(const RawRequest& aRequest);
@@ -58,6 +64,8 @@
   std::condition_variable m_changed;
   bool m_is_stopping = false;
   Mode m_mode = Mode::Normal;
+  std::set<std::string> m_silent_topics;
+  std::map<std::string, int> m_held_calls;
   std::map<std::string, Topic> m_topics;
   RawServer m_server;
 };
