Pass an endpoint's failure on when no further send may follow; one conversion of addresses

Cause: an endpoint's 500 on an idempotent request was dropped before the retry budget was asked, and became 502 when the budget was used up.

--- a/Daemon/GatewayDaemon.cpp
+++ b/Daemon/GatewayDaemon.cpp
@@ -3,7 +3,6 @@
 #include <LibCore/Log.h>
 #include <LibCore/Try.h>
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace auburnhitch {
 
@@ -127,16 +126,9 @@
   }
   // Its own address first, the rest as they come: callers pick at random.
   addresses.resize(std::min(addresses.size(), kMaxAddresses));
-  nlohmann::json list = nlohmann::json::array();
-  for (const SocketAddress& address : addresses) {
-    list.push_back(address.Value());
-  }
-  constexpr double kMillisecondsPerSecond = 1'000;
-  const nlohmann::json answer{ { "addresses", list },
-                               { "ttl_s",
-                                 static_cast<double>(m_settings.m_directory_lifetime.count()) /
-                                   kMillisecondsPerSecond } };
-  aExchange.Reply(kOk, { { "Content-Type", "application/json" } }, answer.dump());
+  aExchange.Reply(kOk,
+                  { { "Content-Type", "application/json" } },
+                  m_dialect.DirectoryAnswer(addresses, m_settings.m_directory_lifetime));
 }
 
 void
--- a/Libraries/LibCluster/Beacon.cpp
+++ b/Libraries/LibCluster/Beacon.cpp
@@ -4,7 +4,6 @@
 #include <LibCore/Try.h>
 #include <LibHttp/HttpServer.h>
 #include <algorithm>
-#include <arpa/inet.h>
 #include <array>
 #include <event2/event.h>
 #include <nlohmann/json.hpp>
@@ -59,17 +58,6 @@
          aJson[kSpending].is_array();
 }
 
-absl::StatusOr<sockaddr_in>
-ToSocketName(const SocketAddress& aAddress)
-{
-  TRY_ASSIGN(const auto address, SplitSocketAddress(aAddress));
-  sockaddr_in name{};
-  name.sin_family = AF_INET;
-  name.sin_port = htons(address.second);
-  inet_pton(AF_INET, address.first.c_str(), &name.sin_addr);
-  return name;
-}
-
 }
 
 std::string
--- a/Libraries/LibCluster/PeerLink.cpp
+++ b/Libraries/LibCluster/PeerLink.cpp
@@ -2,7 +2,6 @@
 
 #include <LibCore/Try.h>
 #include <LibHttp/HttpServer.h>
-#include <arpa/inet.h>
 #include <array>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -52,17 +51,13 @@
       }
     });
   };
-  const auto address = SplitSocketAddress(aPeer);
-  if (!address.ok()) {
+  const auto name = ToSocketName(aPeer);
+  if (!name.ok()) {
     fail_later("the address is not IP:PORT");
     return link;
   }
-  sockaddr_in name{};
-  name.sin_family = AF_INET;
-  name.sin_port = htons(address->second);
-  inet_pton(AF_INET, address->first.c_str(), &name.sin_addr);
-  if (bufferevent_socket_connect(events, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) !=
-      0) {
+  if (bufferevent_socket_connect(
+        events, reinterpret_cast<const sockaddr*>(&*name), sizeof(*name)) != 0) {
     fail_later("can't connect");
     return link;
   }
@@ -189,12 +184,8 @@
 absl::StatusOr<std::unique_ptr<PeerLinkListener>>
 PeerLinkListener::Create(EventLoop& aLoop, const SocketAddress& aAddress, Handler aHandler)
 {
-  TRY_ASSIGN(const auto address, SplitSocketAddress(aAddress));
+  TRY_ASSIGN(const sockaddr_in name, ToSocketName(aAddress));
   std::unique_ptr<PeerLinkListener> listener(new PeerLinkListener(aLoop, std::move(aHandler)));
-  sockaddr_in name{};
-  name.sin_family = AF_INET;
-  name.sin_port = htons(address.second);
-  inet_pton(AF_INET, address.first.c_str(), &name.sin_addr);
   listener->m_listener =
     evconnlistener_new_bind(aLoop.Base(),
                             OnAccept,
--- a/Libraries/LibGateway/Attempt.cpp
+++ b/Libraries/LibGateway/Attempt.cpp
@@ -235,9 +235,15 @@
         OnFailedSend(PlaceEnd::Failed, "status " + std::to_string(aHead.m_status));
         return;
       }
-      if (aHead.m_status >= kServerErrors && MayRunAgain()) {
+      // Without another send the endpoint's failure is passed on.
+      if (aHead.m_status >= kServerErrors && MayRunAgain() && MaySendAgain()) {
         m_call = nullptr;
-        SendAgain(PlaceEnd::Failed, "status " + std::to_string(aHead.m_status));
+        LogOf("send").info("event=send-again request={} endpoint={} why=\"status {}\" runs={}",
+                           m_request.m_head.m_request_id,
+                           m_tried.back().Value(),
+                           aHead.m_status,
+                           m_runs);
+        SendAgain(PlaceEnd::Failed);
       }
       return;
     case AnswerMeaning::Success:
@@ -378,21 +384,12 @@
 }
 
 void
-Attempt::SendAgain(PlaceEnd aEnd, const std::string& aWhy)
+Attempt::SendAgain(PlaceEnd aEnd)
 {
-  if (m_surroundings.m_retry_budget->TryRepeat(m_request.m_service, Now())) {
-    LogOf("send").info("event=send-again request={} endpoint={} why=\"{}\" runs={}",
-                       m_request.m_head.m_request_id,
-                       m_tried.back().Value(),
-                       aWhy,
-                       m_runs);
-    EndPlace(aEnd);
-    m_held_body.clear();
-    AskForPlace();
-    return;
-  }
   EndPlace(aEnd);
-  AnswerUnknown(kBadGateway, "the endpoint failed and the retry budget is used up");
+  m_events.DropRest();
+  m_held_body.clear();
+  AskForPlace();
 }
 
 void
@@ -414,12 +411,12 @@
     m_arrivals,
     has_begun,
     sends_again);
-  EndPlace(aEnd);
   if (sends_again) {
-    m_events.DropRest();
-    m_held_body.clear();
-    AskForPlace();
-  } else if (has_begun) {
+    SendAgain(aEnd);
+    return;
+  }
+  EndPlace(aEnd);
+  if (has_begun) {
     CutAnswer("the endpoint's answer broke off");
   } else if (m_runs > 0) {
     AnswerUnknown(kBadGateway, "the endpoint's answer was lost");
--- a/Libraries/LibGateway/include/LibGateway/Attempt.h
+++ b/Libraries/LibGateway/include/LibGateway/Attempt.h
@@ -99,8 +99,9 @@
   void OnFailedSend(PlaceEnd aEnd, const std::string& aWhy);
   /// Whether another send can follow one that may have run.
   bool MayRunAgain() const;
+  /// Whether another send may follow now; takes it from the retry budget if so.
   bool MaySendAgain();
-  void SendAgain(PlaceEnd aEnd, const std::string& aWhy);
+  void SendAgain(PlaceEnd aEnd);
   bool IsStream() const { return m_request.m_route->m_kind == RequestKind::Stream; }
   bool IsResumableStream() const { return IsStream() && m_request.m_route->m_is_resumable; }
   void PassOn(absl::string_view aBytes);
--- a/Libraries/LibGateway/include/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/include/LibGateway/Dialect.h
@@ -68,6 +68,10 @@
   /// The header fields with which an answer of this system's own goes to the caller.
   virtual HttpHeaders OwnAnswer(const std::string& aRequestId,
                                 std::optional<Milliseconds> aRetryAfter) const = 0;
+  /// The JSON body that tells a caller at which addresses it can be served, and for how long it may
+  /// use them.
+  virtual std::string DirectoryAnswer(const std::vector<SocketAddress>& aAddresses,
+                                      Milliseconds aLifetime) const = 0;
 };
 
 }
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -50,6 +50,17 @@
   return std::pair(host, static_cast<std::uint16_t>(port));
 }
 
+absl::StatusOr<sockaddr_in>
+ToSocketName(const SocketAddress& aAddress)
+{
+  TRY_ASSIGN(const auto address, SplitSocketAddress(aAddress));
+  sockaddr_in name{};
+  name.sin_family = AF_INET;
+  name.sin_port = htons(address.second);
+  inet_pton(AF_INET, address.first.c_str(), &name.sin_addr);
+  return name;
+}
+
 // libevhtp declares hooks without parameters and calls them with those of their type.
 #pragma GCC diagnostic push
 #pragma GCC diagnostic ignored "-Wcast-function-type"
--- a/Libraries/LibHttp/include/LibHttp/HttpServer.h
+++ b/Libraries/LibHttp/include/LibHttp/HttpServer.h
@@ -7,6 +7,7 @@
 #include <absl/status/statusor.h>
 #include <functional>
 #include <memory>
+#include <netinet/in.h>
 #include <string>
 
 struct evhtp;
@@ -88,4 +89,8 @@
 absl::StatusOr<std::pair<std::string, std::uint16_t>>
 SplitSocketAddress(const SocketAddress& aAddress);
 
+/// The address as the socket calls take it. Fails like SplitSocketAddress().
+absl::StatusOr<sockaddr_in>
+ToSocketName(const SocketAddress& aAddress);
+
 }
--- a/Libraries/LibRelay/RelayClient.cpp
+++ b/Libraries/LibRelay/RelayClient.cpp
@@ -257,23 +257,17 @@
 
   void Connect(const SocketAddress& aAddress)
   {
-    const auto address = SplitSocketAddress(aAddress);
+    const auto name = ToSocketName(aAddress);
     m_events = bufferevent_socket_new(Loop().Base(), -1, BEV_OPT_CLOSE_ON_FREE);
     ++m_pool->m_counts.m_opened;
-    sockaddr_in name{};
-    if (address.ok()) {
-      name.sin_family = AF_INET;
-      name.sin_port = htons(address->second);
-      inet_pton(AF_INET, address->first.c_str(), &name.sin_addr);
-    }
     Attach();
     m_connect_timer =
       std::make_unique<Timer>(Loop(), m_limits.m_connect_timeout, Timer::Repeat::Once, [this] {
         FinishSafely(RelayCallEnd::NotSent, "connecting timed out");
       });
     const bool is_begun =
-      address.ok() && bufferevent_socket_connect(
-                        m_events, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) == 0;
+      name.ok() && bufferevent_socket_connect(
+                     m_events, reinterpret_cast<const sockaddr*>(&*name), sizeof(*name)) == 0;
     if (!is_begun) {
       Loop().Defer([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
--- a/Libraries/LibRelay/RelayServer.cpp
+++ b/Libraries/LibRelay/RelayServer.cpp
@@ -248,12 +248,8 @@
                     const RelayServerLimits& aLimits,
                     Handler aHandler)
 {
-  TRY_ASSIGN(const auto address, SplitSocketAddress(aAddress));
+  TRY_ASSIGN(const sockaddr_in name, ToSocketName(aAddress));
   std::unique_ptr<RelayServer> server(new RelayServer(aLoop, aLimits, std::move(aHandler)));
-  sockaddr_in name{};
-  name.sin_family = AF_INET;
-  name.sin_port = htons(address.second);
-  inet_pton(AF_INET, address.first.c_str(), &name.sin_addr);
   server->m_listener =
     evconnlistener_new_bind(aLoop.Base(),
                             OnAccept,
--- a/Tests/Process/TestGatewayFaults.cpp
+++ b/Tests/Process/TestGatewayFaults.cpp
@@ -350,3 +350,30 @@
                   daemon);
   }
 }
+
+TEST_CASE("An endpoint's failure is passed on as it is when the retry budget is used up")
+{
+  GatewayCluster cluster;
+  for (std::size_t i = 0; i < 2; ++i) {
+    cluster.Endpoint(i).SetConduct([](RawConnection& aConnection, const RawRequest& aRequest) {
+      aConnection.Write(
+        absl::StrCat("HTTP/1.1 500 X\r\nX-Request-Id: ",
+                     aRequest.Header("x-request-id"),
+                     "\r\nX-Response-Seal: seal-5\r\nContent-Length: 4\r\n\r\nfail"));
+      return true;
+    });
+  }
+  // More than the 50 repeats that the settings' default allows in a window.
+  constexpr int kRequests = 120;
+  int repeated = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string id = absl::StrCat("b", i);
+    const CallerAnswer answer = cluster.Call("/safe/x", id);
+    CHECK(answer.m_status == 500);
+    CHECK(answer.m_body == "fail");
+    CHECK(answer.Header("x-response-seal") == "seal-5");
+    repeated += cluster.RunsOf(id) > 1 ? 1 : 0;
+  }
+  CHECK(repeated > 0);
+  CHECK(repeated < kRequests);
+}
--- a/Tests/StandIns/FaultProxy.cpp
+++ b/Tests/StandIns/FaultProxy.cpp
@@ -3,7 +3,6 @@
 #include "ControlBody.h"
 
 #include <LibCore/JsonObjectReader.h>
-#include <arpa/inet.h>
 #include <array>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -38,17 +37,6 @@
   return Fault::None;
 }
 
-sockaddr_in
-ToSocketAddress(const SocketAddress& aAddress)
-{
-  const auto split = SplitSocketAddress(aAddress).value();
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(split.second);
-  inet_pton(AF_INET, split.first.c_str(), &address.sin_addr);
-  return address;
-}
-
 }
 
 /// One connection through the proxy.
@@ -170,7 +158,7 @@
   if (m_listener != nullptr) {
     return;
   }
-  const sockaddr_in address = ToSocketAddress(m_address);
+  const sockaddr_in address = ToSocketName(m_address).value();
   m_listener = evconnlistener_new_bind(
     m_loop.Base(),
     [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aProxy) {
@@ -241,7 +229,7 @@
   m_links[raw] = std::move(link);
   bufferevent_setcb(raw->m_caller, OnRead, nullptr, OnEvent, raw);
   bufferevent_setcb(raw->m_target, OnRead, nullptr, OnEvent, raw);
-  const sockaddr_in target = ToSocketAddress(m_target);
+  const sockaddr_in target = ToSocketName(m_target).value();
   bufferevent_socket_connect(
     raw->m_target, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
   bufferevent_enable(raw->m_caller, EV_READ | EV_WRITE);
--- a/Tests/Support/RawServer.cpp
+++ b/Tests/Support/RawServer.cpp
@@ -226,11 +226,7 @@
 int
 ConnectTo(const SocketAddress& aAddress)
 {
-  const auto address = SplitSocketAddress(aAddress);
-  sockaddr_in name{};
-  name.sin_family = AF_INET;
-  name.sin_port = htons(address->second);
-  inet_pton(AF_INET, address->first.c_str(), &name.sin_addr);
+  const sockaddr_in name = ToSocketName(aAddress).value();
   const int number = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   SetReadTimeout(number);
   if (connect(number, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) != 0) {
