--- a/Libraries/LibHttp/EventLoop.cpp
+++ b/Libraries/LibHttp/EventLoop.cpp
@@ -37,10 +37,12 @@
 
 EventLoop::~EventLoop()
 {
-  while (!m_releases.empty()) {
-    const auto callback = std::move(m_releases.front().m_callback);
-    m_releases.pop_front();
-    callback();
+  while (!m_deferred.empty()) {
+    const Deferred deferred = std::move(m_deferred.front());
+    m_deferred.pop_front();
+    if (deferred.m_runs_at_end) {
+      deferred.m_callback();
+    }
   }
   event_base_free(m_base);
 }
@@ -68,35 +70,30 @@
 void
 EventLoop::Defer(std::function<void()> aCallback)
 {
-  auto callback = std::make_unique<std::function<void()>>(std::move(aCallback));
-  const timeval immediately{ 0, 0 };
-  event_base_once(
-    m_base,
-    -1,
-    EV_TIMEOUT,
-    [](evutil_socket_t, short, void* aContext) {
-      std::unique_ptr<std::function<void()>> owned(static_cast<std::function<void()>*>(aContext));
-      (*owned)();
-    },
-    callback.release(),
-    &immediately);
+  Schedule(std::move(aCallback), false);
 }
 
 void
 EventLoop::DeferRelease(std::function<void()> aCallback)
 {
-  m_releases.push_back(Release{ this, std::move(aCallback) });
+  Schedule(std::move(aCallback), true);
+}
+
+void
+EventLoop::Schedule(std::function<void()> aCallback, bool aRunsAtEnd)
+{
+  m_deferred.push_back(Deferred{ this, std::move(aCallback), aRunsAtEnd });
   const timeval immediately{ 0, 0 };
-  event_base_once(m_base, -1, EV_TIMEOUT, RunRelease, &m_releases.back(), &immediately);
+  event_base_once(m_base, -1, EV_TIMEOUT, RunDeferred, &m_deferred.back(), &immediately);
 }
 
 void
-EventLoop::RunRelease(int, short, void* aRelease)
+EventLoop::RunDeferred(int, short, void* aDeferred)
 {
-  auto* release = static_cast<Release*>(aRelease);
-  EventLoop* loop = release->m_loop;
-  const auto callback = std::move(release->m_callback);
-  loop->m_releases.remove_if([release](const Release& aEntry) { return &aEntry == release; });
+  auto* deferred = static_cast<Deferred*>(aDeferred);
+  EventLoop* loop = deferred->m_loop;
+  const auto callback = std::move(deferred->m_callback);
+  loop->m_deferred.remove_if([deferred](const Deferred& aEntry) { return &aEntry == deferred; });
   callback();
 }
 
--- a/Libraries/LibHttp/include/LibHttp/EventLoop.h
+++ b/Libraries/LibHttp/include/LibHttp/EventLoop.h
@@ -29,22 +29,25 @@
   TimePoint Now() const;
   event_base* Base() const { return m_base; }
 
-  /// Runs the callback once, in a later iteration.
+  /// Runs the callback once, in a later iteration; when the loop is destroyed before, the callback
+  /// is freed without being run.
   void Defer(std::function<void()> aCallback);
   /// Runs the callback once, in a later iteration or when the loop is destroyed: for freeing what
   /// may not be freed now. Precondition: the callback refers to nothing that goes before the loop.
   void DeferRelease(std::function<void()> aCallback);
 
 private:
-  static void RunRelease(int aSocket, short aWhat, void* aRelease);
-
-  struct Release
+  struct Deferred
   {
     EventLoop* m_loop;
     std::function<void()> m_callback;
+    bool m_runs_at_end;
   };
 
-  std::list<Release> m_releases;
+  void Schedule(std::function<void()> aCallback, bool aRunsAtEnd);
+  static void RunDeferred(int aSocket, short aWhat, void* aDeferred);
+
+  std::list<Deferred> m_deferred;
   event_base* m_base;
 };
 
--- a/Tests/Unit/TestPlainLoad.cpp
+++ b/Tests/Unit/TestPlainLoad.cpp
@@ -50,6 +50,7 @@
     , m_scheduler(PlaceSchedulerLimits())
   {
     std::vector<PlaceEndpointInfo> infos;
+    infos.reserve(kServers);
     for (int i = 0; i < kServers; ++i) {
       infos.push_back(
         PlaceEndpointInfo{ EndpointId("e" + std::to_string(i)), DataCenterName("dc"), kPlaces, 1 });
