--- a/Meta/auburnhitch.sh
+++ b/Meta/auburnhitch.sh
@@ -163,6 +163,7 @@
   bench) build && "$BUILD/Tests/Bench/bench" "${@:2}" ;;
   mutate) "$ROOT/Meta/mutate.sh" "${@:2}" ;;
   slopes) build && "$BUILD/Tests/Bench/slopes" ;;
+  soak) build && "$BUILD/Tests/Soak/auburnhitch-soak" "${@:2}" ;;
   policy) build && "$BUILD/Tests/Policy/policy" "${@:2}" ;;
-  *) fail "usage: Meta/auburnhitch.sh build|demo|test|lint|fuzz|sanitize|bench|slopes|policy|mutate" ;;
+  *) fail "usage: Meta/auburnhitch.sh build|demo|test|lint|fuzz|sanitize|bench|slopes|soak|policy|mutate" ;;
 esac
