--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -178,7 +178,9 @@
 ActiveRequest::StartAttempt(const EndpointEntry& aEndpoint)
 {
   m_phase = Phase::Sending;
-  m_attempt = SendAttempt{ aEndpoint, Now(), false, false, {} };
+  m_attempt.emplace();
+  m_attempt->m_endpoint = aEndpoint;
+  m_attempt->m_granted_at = Now();
   m_tried_endpoints.push_back(aEndpoint.m_id);
   EndpointInstructions instructions;
   instructions.m_endpoint = aEndpoint.m_id;
@@ -219,6 +221,7 @@
 void
 ActiveRequest::OnResponseHead(const MessageHead& aHead)
 {
+  m_attempt->m_has_response_head = true;
   m_attempt->m_response_head = aHead;
   const ResponseMeaning meaning =
     m_dependencies.m_dialect->ClassifyResponse(aHead, m_request.m_head.m_request_id);
@@ -262,6 +265,7 @@
 void
 ActiveRequest::OnResponseBytes(std::string aBytes)
 {
+  m_attempt->m_response_bytes += aBytes.size();
   const bool is_streamed = IsStream() && m_attempt->m_response_head.m_status < kFirstErrorStatus;
   if (!is_streamed) {
     m_buffered_body += aBytes;
@@ -318,6 +322,11 @@
 {
   // This runs inside a callback of the call, so the call must stay alive until this returns.
   const std::unique_ptr<RelayCall> ended = std::move(m_call);
+  m_attempt->m_end = NameOf(aResult.m_end);
+  if (m_attempt->m_has_response_head) {
+    m_dependencies.m_metrics->OnResponseEnded(
+      m_request.m_service, NameOf(m_attempt->m_response_head.m_framing), m_attempt->m_end);
+  }
   switch (aResult.m_end) {
     case RelayCallEnd::Complete:
       OnResponseComplete();
@@ -518,7 +527,8 @@
   m_dependencies.m_metrics->OnRequestEnded(m_request.m_service, aOutcome, took);
   LogOf("request").info("event=ended request={} service={} route={} workspace={} priority={} "
                         "outcome={} status={} took_ms={} first_ms={} endpoint={} runs={} "
-                        "arrivals={} config={} reason=\"{}\"",
+                        "arrivals={} framing={} response_bytes={} response_end={} config={} "
+                        "reason=\"{}\"",
                         m_request.m_head.m_request_id,
                         m_request.m_service.Value(),
                         m_request.m_route->m_name,
@@ -531,6 +541,11 @@
                         m_tried_endpoints.empty() ? "none" : m_tried_endpoints.back().Value(),
                         m_possible_runs,
                         m_written_attempts,
+                        m_attempt && m_attempt->m_has_response_head
+                          ? NameOf(m_attempt->m_response_head.m_framing)
+                          : "no-response",
+                        m_attempt ? m_attempt->m_response_bytes : 0,
+                        m_attempt ? m_attempt->m_end : "not-sent",
                         m_request.m_table->Version(),
                         aReason);
   // Destruction is deferred, since this may run inside a callback of its own call.
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -35,6 +35,11 @@
                       .Name("auburnhitch_sends_total")
                       .Help("Requests written to endpoints, by service, the first or once more.")
                       .Register(m_registry))
+  , m_responses_ended(
+      prometheus::BuildCounter()
+        .Name("auburnhitch_endpoint_responses_total")
+        .Help("Responses of endpoints, by service, framing and how the call to the endpoint ended.")
+        .Register(m_registry))
   , m_store_calls(prometheus::BuildCounter()
                     .Name("auburnhitch_store_calls_total")
                     .Help("Calls to the store, by call and outcome.")
@@ -107,6 +112,14 @@
   counter->Increment();
 }
 
+void
+GatewayMetrics::OnResponseEnded(const ServiceName& aService, const char* aFraming, const char* aEnd)
+{
+  m_responses_ended
+    .Add({ { "service", aService.Value() }, { "framing", aFraming }, { "end", aEnd } })
+    .Increment();
+}
+
 void
 GatewayMetrics::OnStoreCall(const char* aCall, const char* aOutcome)
 {
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -81,7 +81,11 @@
     TimePoint m_granted_at;
     bool m_is_written = false;
     bool m_has_first_byte = false;
+    bool m_has_response_head = false;
     MessageHead m_response_head;
+    std::size_t m_response_bytes = 0;
+    /// How the call ended; "open" until then.
+    const char* m_end = "open";
   };
 
   TimePoint Now() const;
--- a/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
@@ -43,6 +43,9 @@
   /// A request was refused a slot. aReason is one of a small fixed set, since it becomes a label.
   void OnSlotRefused(const ServiceName& aService, const char* aReason);
   void OnAttemptSent(const ServiceName& aService, bool aIsRetry);
+  /// A call to an endpoint has ended after the head of its response. aFraming and aEnd are each one
+  /// of a small fixed set, since they become labels.
+  void OnResponseEnded(const ServiceName& aService, const char* aFraming, const char* aEnd);
   void OnStoreCall(const char* aCall, const char* aOutcome);
 
   /// All metrics in the Prometheus text format.
@@ -59,6 +62,7 @@
   prometheus::Family<prometheus::Counter>& m_refused_before_admission;
   prometheus::Family<prometheus::Counter>& m_slots_refused;
   prometheus::Family<prometheus::Counter>& m_attempts_sent;
+  prometheus::Family<prometheus::Counter>& m_responses_ended;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Family<prometheus::Histogram>& m_latency;
   prometheus::Family<prometheus::Histogram>& m_time_to_first_byte;
--- a/Libraries/LibRelay/MessageParser.cpp
+++ b/Libraries/LibRelay/MessageParser.cpp
@@ -5,6 +5,22 @@
 
 namespace auburnhitch {
 
+const char*
+NameOf(BodyFraming aFraming)
+{
+  switch (aFraming) {
+    case BodyFraming::None:
+      return "none";
+    case BodyFraming::Length:
+      return "length";
+    case BodyFraming::Chunked:
+      return "chunked";
+    case BodyFraming::UntilClose:
+      return "until-close";
+  }
+  return "unknown";
+}
+
 /// Callbacks for http_parser. The parser's data pointer is the MessageParser.
 struct MessageParser::Callbacks
 {
--- a/Libraries/LibRelay/include/LibRelay/MessageParser.h
+++ b/Libraries/LibRelay/include/LibRelay/MessageParser.h
@@ -18,6 +18,10 @@
   UntilClose,
 };
 
+/// The name of a framing, for logs and metrics.
+const char*
+NameOf(BodyFraming aFraming);
+
 /// Start line and header fields of one message.
 struct MessageHead
 {
