--- /dev/null
+++ b/Tests/Process/TestResponseEnd.cpp
@@ -0,0 +1,65 @@
+#include "GatewayCluster.h"
+
+#include <absl/strings/str_cat.h>
+#include <doctest.h>
+
+using namespace auburnhitch;
+using namespace auburnhitch::tests;
+
+namespace {
+
+constexpr const char* kEventStreamHead =
+  "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Response-Seal: s\r\n";
+
+/// A behaviour that writes these bytes in response to any request and then closes the connection in
+/// order.
+EndpointStandIn::Behaviour
+WriteAndClose(std::string aBytes)
+{
+  return [bytes = std::move(aBytes)](RawConnection& aConnection, const RawRequest&) {
+    aConnection.Write(bytes);
+    return false;
+  };
+}
+
+}
+
+TEST_CASE("A stream without a length that breaks off inside an event does not end as complete")
+{
+  GatewayCluster cluster(1, 1);
+  for (const std::string truncated :
+       { "id: 2\ndata: b", "id: 2\ndata: b\n", "id", "id: 2\r\ndata: b\r\n" }) {
+    CAPTURE(truncated);
+    cluster.Endpoint(0).SetBehaviour(
+      WriteAndClose(absl::StrCat(kEventStreamHead, "\r\nid: 1\ndata: a\n\n", truncated)));
+    const std::string id = "cut-" + truncated.substr(0, truncated.find_first_of("\r\n"));
+    const CallerResponse response = cluster.Call("/stream/x", id);
+    CHECK(response.m_status == 200);
+    CHECK_FALSE(response.m_is_complete);
+  }
+}
+
+TEST_CASE("A stream without a length that closes before its first event does not end as complete")
+{
+  GatewayCluster cluster(1, 1);
+  cluster.Endpoint(0).SetBehaviour(WriteAndClose(absl::StrCat(kEventStreamHead, "\r\n")));
+  for (const char* path : { "/stream/x", "/resumable/x" }) {
+    CHECK(cluster.Call(path, absl::StrCat("none-", path)).m_status == 502);
+  }
+}
+
+TEST_CASE("A stream without a length that closes after a whole event ends as complete")
+{
+  GatewayCluster cluster(1, 1);
+  for (const std::string end : { "\n\n", "\r\n\r\n", "\r\r", "\n\n: comment\n" }) {
+    CAPTURE(end);
+    const std::string body = "id: 1\ndata: a\n\nid: 2\ndata: b" + end;
+    cluster.Endpoint(0).SetBehaviour(WriteAndClose(absl::StrCat(kEventStreamHead, "\r\n", body)));
+    for (const char* path : { "/stream/x", "/resumable/x" }) {
+      const CallerResponse response = cluster.Call(path, absl::StrCat(path, end.size()));
+      CHECK(response.m_status == 200);
+      CHECK(response.m_is_complete);
+      CHECK(response.m_body == body);
+    }
+  }
+}
