Take an orderly close as the end of a stream only after a whole event

Cause: RelayClient reported a response without a length whose connection was closed in order as Complete, like one whose length or last chunk had arrived. The kernel closes the connections of a crashed process in order too. ActiveRequest looked at the content of resumable streams only, and ended its own chunked response, which gave the caller a proof that nobody had.

A stream that closed before its first event, and a resumable one that ended with CR CR or a comment (taken for truncated, so resumed with events twice), failed by the same decision.

Why this works: the end of a call is now Closed where only the connection ended, so each user of RelayClient has to decide. For gateway responses BodyCompleteness decides in one place, for every route and framing, from the end and the content: an event stream that closed must have ended an event and not be inside one. Otherwise the attempt has failed: it is retried or resumed where that is allowed, else answered with 502, or cut without the last chunk. The store's responses show their own end by record lengths or as JSON and are decoded as before.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -221,8 +221,8 @@
 void
 ActiveRequest::OnResponseHead(const MessageHead& aHead)
 {
-  m_attempt->m_has_response_head = true;
   m_attempt->m_response_head = aHead;
+  m_attempt->m_completeness.emplace(aHead, IsStream());
   const ResponseMeaning meaning =
     m_dependencies.m_dialect->ClassifyResponse(aHead, m_request.m_head.m_request_id);
   switch (meaning) {
@@ -266,6 +266,7 @@
 ActiveRequest::OnResponseBytes(std::string aBytes)
 {
   m_attempt->m_response_bytes += aBytes.size();
+  m_attempt->m_completeness->Follow(aBytes);
   const bool is_streamed = IsStream() && m_attempt->m_response_head.m_status < kFirstErrorStatus;
   if (!is_streamed) {
     m_buffered_body += aBytes;
@@ -323,13 +324,14 @@
   // This runs inside a callback of the call, so the call must stay alive until this returns.
   const std::unique_ptr<RelayCall> ended = std::move(m_call);
   m_attempt->m_end = NameOf(aResult.m_end);
-  if (m_attempt->m_has_response_head) {
+  if (m_attempt->m_completeness) {
     m_dependencies.m_metrics->OnResponseEnded(
       m_request.m_service, NameOf(m_attempt->m_response_head.m_framing), m_attempt->m_end);
   }
   switch (aResult.m_end) {
     case RelayCallEnd::Complete:
-      OnResponseComplete();
+    case RelayCallEnd::Closed:
+      OnResponseReceived(aResult.m_end);
       return;
     case RelayCallEnd::NotSent:
       OnAttemptFailed(SlotOutcome::Unreachable, aResult.m_reason);
@@ -343,13 +345,17 @@
 }
 
 void
-ActiveRequest::OnResponseComplete()
+ActiveRequest::OnResponseReceived(RelayCallEnd aEnd)
 {
   const int status = m_attempt->m_response_head.m_status;
-  if (IsResumableStream() && status < kFirstErrorStatus && !ForwardTrailingEvent()) {
-    OnAttemptFailed(SlotOutcome::Broken, "the response ended in the middle of an event");
+  const absl::Status complete = m_attempt->m_completeness->Check(aEnd);
+  if (!complete.ok()) {
+    OnAttemptFailed(SlotOutcome::Broken, std::string(complete.message()));
     return;
   }
+  if (IsResumableStream() && status < kFirstErrorStatus) {
+    ForwardRemainder();
+  }
   ReleaseSlot(status >= kFirstServerErrorStatus ? SlotOutcome::Failed : SlotOutcome::Complete);
   if (!m_exchange->HasStarted()) {
     m_first_byte_after = Milliseconds(ToMilliseconds(Now() - m_request.m_arrived_at));
@@ -362,23 +368,17 @@
   Finish(status < kFirstErrorStatus ? "done" : "failed", status, "the endpoint responded");
 }
 
-bool
-ActiveRequest::ForwardTrailingEvent()
+void
+ActiveRequest::ForwardRemainder()
 {
-  const std::string event = m_event_splitter.TakeIncompleteEvent();
-  if (event.empty()) {
-    return true;
-  }
-  // Without a framed length, the end of the connection does not prove that the last event is
-  // complete.
-  if (m_attempt->m_response_head.m_framing == BodyFraming::UntilClose) {
-    return false;
+  const std::string bytes = m_event_splitter.TakeIncompleteEvent();
+  if (bytes.empty()) {
+    return;
   }
   if (!m_exchange->HasStarted()) {
     StartResponse(BodyFraming::Chunked);
   }
-  Forward(event);
-  return true;
+  Forward(bytes);
 }
 
 bool
@@ -541,7 +541,7 @@
                         m_tried_endpoints.empty() ? "none" : m_tried_endpoints.back().Value(),
                         m_possible_runs,
                         m_written_attempts,
-                        m_attempt && m_attempt->m_has_response_head
+                        m_attempt && m_attempt->m_completeness
                           ? NameOf(m_attempt->m_response_head.m_framing)
                           : "no-response",
                         m_attempt ? m_attempt->m_response_bytes : 0,
--- /dev/null
+++ b/Libraries/LibGateway/BodyCompleteness.cpp
@@ -0,0 +1,58 @@
+#include <LibGateway/BodyCompleteness.h>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+
+namespace auburnhitch {
+
+namespace {
+
+absl::string_view
+MediaType(const MessageHead& aHead)
+{
+  const absl::string_view type = FindHeader(aHead.m_headers, "Content-Type");
+  return absl::StripAsciiWhitespace(type.substr(0, type.find(';')));
+}
+
+bool
+IsEventStream(const MessageHead& aHead, bool aIsStreamExpected)
+{
+  constexpr int kFirstErrorStatus = 400;
+  const absl::string_view type = MediaType(aHead);
+  return absl::EqualsIgnoreCase(type, "text/event-stream") ||
+         (type.empty() && aIsStreamExpected && aHead.m_status < kFirstErrorStatus);
+}
+
+}
+
+BodyCompleteness::BodyCompleteness(const MessageHead& aHead, bool aIsStreamExpected)
+  : m_is_event_stream(IsEventStream(aHead, aIsStreamExpected))
+{
+}
+
+void
+BodyCompleteness::Follow(absl::string_view aBytes)
+{
+  if (m_is_event_stream) {
+    m_events.Scan(aBytes);
+  }
+}
+
+absl::Status
+BodyCompleteness::Check(RelayCallEnd aEnd) const
+{
+  // FIXME: Content other than an event stream is complete when its connection was closed in order.
+  //        Nothing else marks its end, so a sender that crashes in the middle is not noticed.
+  if (aEnd == RelayCallEnd::Complete || !m_is_event_stream) {
+    return absl::OkStatus();
+  }
+  if (m_events.IsInsideEvent()) {
+    return absl::DataLossError("the response ended in the middle of an event");
+  }
+  if (!m_events.HasEvent()) {
+    return absl::DataLossError("the connection closed before the first event");
+  }
+  return absl::OkStatus();
+}
+
+}
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -2,6 +2,7 @@
 
 #include <LibAllowance/RetryBudget.h>
 #include <LibBroker/SlotBroker.h>
+#include <LibGateway/BodyCompleteness.h>
 #include <LibGateway/Dialect.h>
 #include <LibGateway/EventSplitter.h>
 #include <LibGateway/GatewayMetrics.h>
@@ -81,8 +82,9 @@
     TimePoint m_granted_at;
     bool m_is_written = false;
     bool m_has_first_byte = false;
-    bool m_has_response_head = false;
     MessageHead m_response_head;
+    /// Set once the head of the response has arrived.
+    std::optional<BodyCompleteness> m_completeness;
     std::size_t m_response_bytes = 0;
     /// How the call ended; "open" until then.
     const char* m_end = "open";
@@ -98,10 +100,10 @@
   void OnResponseHead(const MessageHead& aHead);
   void OnResponseBytes(std::string aBytes);
   void OnResponseEnd(const RelayResult& aResult);
-  void OnResponseComplete();
-  /// Forwards the bytes after the last complete event. Returns false if they may be a truncated
-  /// event.
-  bool ForwardTrailingEvent();
+  /// Called when the endpoint has ended its response in order. aEnd is Complete or Closed.
+  void OnResponseReceived(RelayCallEnd aEnd);
+  /// Forwards the bytes of a resumable stream that follow its last complete event.
+  void ForwardRemainder();
   void OnAttemptFailed(SlotOutcome aSlotOutcome, const std::string& aReason);
   /// Whether the request may be sent again although an earlier attempt may have run it.
   bool MayRunAgain() const;
--- /dev/null
+++ b/Libraries/LibGateway/include/LibGateway/BodyCompleteness.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <LibGateway/EventScanner.h>
+#include <LibRelay/RelayClient.h>
+#include <absl/status/status.h>
+#include <absl/strings/string_view.h>
+
+namespace auburnhitch {
+
+/// Decides whether the body of one response is complete. Framing proves that the sender has ended
+/// the body; a connection that was closed in order does not, since the connections of a process
+/// that crashes are closed in the same way. The content then has to show its end. Not thread-safe.
+class BodyCompleteness
+{
+public:
+  /// aIsStreamExpected: whether a successful response of undeclared content type is an event
+  /// stream.
+  BodyCompleteness(const MessageHead& aHead, bool aIsStreamExpected);
+
+  /// Follows the next bytes of the body.
+  void Follow(absl::string_view aBytes);
+  /// Returns DataLoss with the reason if the body is incomplete. Precondition: the call has ended,
+  /// with Complete or Closed.
+  absl::Status Check(RelayCallEnd aEnd) const;
+
+private:
+  bool m_is_event_stream;
+  EventScanner m_events;
+};
+
+}
--- a/Libraries/LibRelay/RelayClient.cpp
+++ b/Libraries/LibRelay/RelayClient.cpp
@@ -79,6 +79,8 @@
   switch (aEnd) {
     case RelayCallEnd::Complete:
       return "complete";
+    case RelayCallEnd::Closed:
+      return "closed";
     case RelayCallEnd::NotSent:
       return "not-sent";
     case RelayCallEnd::Broken:
@@ -324,7 +326,7 @@
       return;
     }
     if ((aWhat & BEV_EVENT_ERROR) == 0) {
-      // A response without a length is complete only if its connection was closed without an error.
+      // After an error a response without a length is truncated; see RelayCallEnd::Closed.
       self->Read();
       if (self->m_is_over) {
         return;
@@ -385,7 +387,9 @@
       case MessageParser::Progress::NeedMore:
         return;
       case MessageParser::Progress::Complete:
-        Finish(RelayCallEnd::Complete, "");
+        Finish(m_parser.Head().m_framing == BodyFraming::UntilClose ? RelayCallEnd::Closed
+                                                                    : RelayCallEnd::Complete,
+               "");
         return;
       case MessageParser::Progress::Malformed:
       case MessageParser::Progress::HeadTooLarge:
@@ -421,7 +425,6 @@
   {
     Uncount();
     const bool is_clean = aEnd == RelayCallEnd::Complete && m_parser.Head().m_keeps_alive &&
-                          m_parser.Head().m_framing != BodyFraming::UntilClose &&
                           evbuffer_get_length(bufferevent_get_input(m_events)) == 0 &&
                           evbuffer_get_length(bufferevent_get_output(m_events)) == 0;
     if (!is_clean) {
--- a/Libraries/LibRelay/include/LibRelay/RelayClient.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayClient.h
@@ -16,6 +16,9 @@
 {
   /// The complete response arrived, as its framing proves.
   Complete,
+  /// The connection was closed in order after a response without a length. The response may be
+  /// truncated; only its content can show that.
+  Closed,
   /// No byte of the request left this process.
   NotSent,
   /// The connection closed, failed or timed out after the request was written. The peer may have
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -71,6 +71,14 @@
   Libraries/LibDispatch/StreamRelay.cpp \
   's/ResumeOrFail\(ErrorCode::EndpointBroken\);\n\}\n\nvoid\nStreamRelay::OnNonStreamResponse/m_target.m_exchange->EndStream();\n  Finish(End(AttemptEnd::Done, ErrorCode::EndpointBroken));\n}\n\nvoid\nStreamRelay::OnNonStreamResponse/' \
   "$PROCESS" "Fault matrix: Stream MidAnswer"
+mutate "complete response: an orderly close does not complete an event" \
+  Libraries/LibGateway/BodyCompleteness.cpp \
+  's/if \(m_events.IsInsideEvent\(\)\)/if (false)/' \
+  "$PROCESS" "A stream without a length that breaks off*"
+mutate "complete response: an orderly close before the first event is a loss" \
+  Libraries/LibGateway/BodyCompleteness.cpp \
+  's/if \(!m_events.HasEvent\(\)\)/if (false)/' \
+  "$PROCESS" "A stream without a length that closes before*"
 mutate "a leaving host receives no new requests" Libraries/LibHosts/HostTable.cpp \
   's/found->second.m_state == HostState::Live \&\&\n         aNow >= found->second.m_usable_from/aNow >= TimePoint{}/' \
   "$PROCESS" "A leaving endpoint*"
--- /dev/null
+++ b/Tests/Unit/TestBodyCompleteness.cpp
@@ -0,0 +1,67 @@
+#include <LibGateway/BodyCompleteness.h>
+
+#include <doctest.h>
+#include <string>
+#include <vector>
+
+using namespace auburnhitch;
+
+namespace {
+
+MessageHead
+HeadOf(const char* aContentType, int aStatus = 200)
+{
+  MessageHead head;
+  head.m_status = aStatus;
+  if (*aContentType != '\0') {
+    head.m_headers.emplace_back("content-type", aContentType);
+  }
+  return head;
+}
+
+bool
+IsComplete(const MessageHead& aHead,
+           const std::string& aBody,
+           RelayCallEnd aEnd,
+           bool aIsStreamExpected = true)
+{
+  BodyCompleteness whole(aHead, aIsStreamExpected);
+  whole.Follow(aBody);
+  BodyCompleteness by_bytes(aHead, aIsStreamExpected);
+  for (const char byte : aBody) {
+    by_bytes.Follow(absl::string_view(&byte, 1));
+  }
+  CHECK(whole.Check(aEnd) == by_bytes.Check(aEnd));
+  return whole.Check(aEnd).ok();
+}
+
+}
+
+TEST_CASE("An event stream that closes in order is complete only after a whole event")
+{
+  for (const std::string line_end : { "\n", "\r\n", "\r" }) {
+    CAPTURE(line_end);
+    const std::string whole = "id: 1" + line_end + "data: a" + line_end + line_end;
+    for (const char* type : { "text/event-stream", "Text/Event-Stream ; charset=utf-8", "" }) {
+      CAPTURE(type);
+      const MessageHead head = HeadOf(type);
+      for (std::size_t size = 0; size < 2 * whole.size(); ++size) {
+        CAPTURE(size);
+        // The LF of a CRLF belongs to the line that its CR has ended.
+        const bool is_after_cr = line_end == "\r\n" && (size + 1) % whole.size() == 0;
+        const bool is_whole = size > 0 && (size % whole.size() == 0 || is_after_cr);
+        CHECK(IsComplete(head, (whole + whole).substr(0, size), RelayCallEnd::Closed) == is_whole);
+      }
+      CHECK(IsComplete(head, whole + ": comment" + line_end, RelayCallEnd::Closed));
+      CHECK_FALSE(IsComplete(head, whole + ": comm", RelayCallEnd::Closed));
+      CHECK_FALSE(IsComplete(head, ": comment" + line_end + line_end, RelayCallEnd::Closed));
+    }
+  }
+}
+
+TEST_CASE("Content that is no event stream is complete when its connection closes in order")
+{
+  CHECK(IsComplete(HeadOf("application/json"), "{\"a\"", RelayCallEnd::Closed));
+  CHECK(IsComplete(HeadOf(""), "plain", RelayCallEnd::Closed, false));
+  CHECK(IsComplete(HeadOf("", 500), "failed", RelayCallEnd::Closed));
+}
