Cut a stream that ends inside an event although its framing has ended

What callers saw: a stream whose endpoint (or a proxy before it) ends its chunks or reaches its length inside an event was forwarded and ended as complete, on resumable routes too.

Cause: for a framed response the framing alone decided.

Why this works: BodyCompleteness checks the end of an event for every response that declares an event stream. A framed response that declares nothing stays as it was: its framing is the only statement about it. A stream with a proper end and no event is complete, as before.

--- a/Libraries/LibGateway/BodyCompleteness.cpp
+++ b/Libraries/LibGateway/BodyCompleteness.cpp
@@ -19,8 +19,11 @@
 {
   constexpr int kFirstErrorStatus = 400;
   const absl::string_view type = MediaType(aHead);
-  return absl::EqualsIgnoreCase(type, "text/event-stream") ||
-         (type.empty() && aIsStreamExpected && aHead.m_status < kFirstErrorStatus);
+  if (!type.empty()) {
+    return absl::EqualsIgnoreCase(type, "text/event-stream");
+  }
+  return aIsStreamExpected && aHead.m_status < kFirstErrorStatus &&
+         aHead.m_framing == BodyFraming::UntilClose;
 }
 
 }
@@ -43,13 +46,13 @@
 {
   // FIXME: Content other than an event stream is complete when its connection was closed in order.
   //        Nothing else marks its end, so a sender that crashes in the middle is not noticed.
-  if (aEnd == RelayCallEnd::Complete || !m_is_event_stream) {
+  if (!m_is_event_stream) {
     return absl::OkStatus();
   }
   if (m_events.IsInsideEvent()) {
     return absl::DataLossError("the response ended in the middle of an event");
   }
-  if (!m_events.HasEvent()) {
+  if (aEnd == RelayCallEnd::Closed && !m_events.HasEvent()) {
     return absl::DataLossError("the connection closed before the first event");
   }
   return absl::OkStatus();
--- a/Libraries/LibGateway/include/LibGateway/BodyCompleteness.h
+++ b/Libraries/LibGateway/include/LibGateway/BodyCompleteness.h
@@ -9,12 +9,13 @@
 
 /// Decides whether the body of one response is complete. Framing proves that the sender has ended
 /// the body; a connection that was closed in order does not, since the connections of a process
-/// that crashes are closed in the same way. The content then has to show its end. Not thread-safe.
+/// that crashes are closed in the same way. An event stream that ends inside an event is truncated
+/// in either case: its sender may itself have relayed a truncated stream. Not thread-safe.
 class BodyCompleteness
 {
 public:
-  /// aIsStreamExpected: whether a successful response of undeclared content type is an event
-  /// stream.
+  /// aIsStreamExpected: whether a successful response that declares no content type and no end is
+  /// an event stream.
   BodyCompleteness(const MessageHead& aHead, bool aIsStreamExpected);
 
   /// Follows the next bytes of the body.
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -79,6 +79,10 @@
   Libraries/LibGateway/BodyCompleteness.cpp \
   's/if \(!m_events.HasEvent\(\)\)/if (false)/' \
   "$PROCESS" "A stream without a length that closes before*"
+mutate "complete response: framing does not complete an event" \
+  Libraries/LibGateway/BodyCompleteness.cpp \
+  's/if \(m_events.IsInsideEvent\(\)\)/if (aEnd == RelayCallEnd::Closed \&\& m_events.IsInsideEvent())/' \
+  "$PROCESS" "A stream whose framing ends inside*"
 mutate "a leaving host receives no new requests" Libraries/LibHosts/HostTable.cpp \
   's/found->second.m_state == HostState::Live \&\&\n         aNow >= found->second.m_usable_from/aNow >= TimePoint{}/' \
   "$PROCESS" "A leaving endpoint*"
--- a/Tests/Process/TestResponseEnd.cpp
+++ b/Tests/Process/TestResponseEnd.cpp
@@ -63,3 +63,21 @@
     }
   }
 }
+
+TEST_CASE("A stream whose framing ends inside an event does not end as complete")
+{
+  GatewayCluster cluster(1, 1);
+  const std::string body = "id: 1\ndata: a\n\nid: 2\nda";
+  const std::string chunked = absl::StrCat(
+    "Transfer-Encoding: chunked\r\n\r\n", absl::Hex(body.size()), "\r\n", body, "\r\n0\r\n\r\n");
+  const std::string with_length = absl::StrCat("Content-Length: ", body.size(), "\r\n\r\n", body);
+  for (const std::string& framed : { chunked, with_length }) {
+    cluster.Endpoint(0).SetBehaviour(WriteAndClose(kEventStreamHead + framed));
+    for (const char* path : { "/stream/x", "/resumable/x" }) {
+      const std::string id = absl::StrCat("framed-", framed.size(), path);
+      const CallerResponse response = cluster.Call(path, id);
+      CHECK(response.m_status == 200);
+      CHECK_FALSE(response.m_is_complete);
+    }
+  }
+}
--- a/Tests/Unit/TestBodyCompleteness.cpp
+++ b/Tests/Unit/TestBodyCompleteness.cpp
@@ -9,10 +9,11 @@
 namespace {
 
 MessageHead
-HeadOf(const char* aContentType, int aStatus = 200)
+HeadOf(const char* aContentType, int aStatus = 200, BodyFraming aFraming = BodyFraming::UntilClose)
 {
   MessageHead head;
   head.m_status = aStatus;
+  head.m_framing = aFraming;
   if (*aContentType != '\0') {
     head.m_headers.emplace_back("content-type", aContentType);
   }
@@ -65,3 +66,15 @@
   CHECK(IsComplete(HeadOf(""), "plain", RelayCallEnd::Closed, false));
   CHECK(IsComplete(HeadOf("", 500), "failed", RelayCallEnd::Closed));
 }
+
+TEST_CASE("An event stream whose framing has ended is complete unless it ends inside an event")
+{
+  for (const auto framing : { BodyFraming::Length, BodyFraming::Chunked }) {
+    const MessageHead head = HeadOf("text/event-stream", 200, framing);
+    CHECK(IsComplete(head, "id: 1\ndata: a\n\n", RelayCallEnd::Complete));
+    CHECK(IsComplete(head, "", RelayCallEnd::Complete));
+    CHECK_FALSE(IsComplete(head, "id: 1\ndata: a\n\nid", RelayCallEnd::Complete));
+    CHECK_FALSE(IsComplete(head, "id: 1\ndata: a\n", RelayCallEnd::Complete));
+    CHECK(IsComplete(HeadOf("", 200, framing), "no event", RelayCallEnd::Complete));
+  }
+}
