Recognise the end of an event whichever line ends a stream uses

What callers saw: on a resumable stream whose lines end with CR, or that mixes line ends, events were held back until the stream ended, and such a stream could not be resumed when it broke. Comments that keep a connection alive were held back until an empty line.

Cause: EventSplitter searched for LF LF and CR LF CR LF only, a second notion of where an event ends beside the one that decides completeness.

Why this works: EventSplitter uses EventScanner, so there is one definition of the end of an event. It also reads each byte once; before, an incomplete event was searched from its start with every read.

--- a/Libraries/LibGateway/include/LibGateway/EventSplitter.h
+++ b/Libraries/LibGateway/include/LibGateway/EventSplitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/EventScanner.h>
 #include <absl/strings/string_view.h>
 #include <string>
 
@@ -15,13 +16,14 @@
   /// Removes and returns the bytes after the last complete event.
   std::string TakeIncompleteEvent();
   /// Discards an incomplete event, since the endpoint that resumes the stream sends it again.
-  void DiscardIncompleteEvent() { m_incomplete_event.clear(); }
+  void DiscardIncompleteEvent() { TakeIncompleteEvent(); }
   /// Empty until an event with an id is complete.
   const std::string& LastEventId() const { return m_last_id; }
 
 private:
-  void RecordEventId(absl::string_view aEvent);
+  void RecordEventIds(absl::string_view aEvents);
 
+  EventScanner m_scanner;
   std::string m_incomplete_event;
   std::string m_last_id;
 };
--- a/Tests/Unit/TestGatewayParts.cpp
+++ b/Tests/Unit/TestGatewayParts.cpp
@@ -45,6 +45,24 @@
   CHECK(splitter.LastEventId() == "2");
 }
 
+TEST_CASE("An event is forwarded as soon as it ends, whichever line ends its stream uses")
+{
+  for (const std::string end : { "\r", "\n\r\n", "\r\n\n" }) {
+    CAPTURE(end);
+    const std::string event = "id: 1" + end.substr(0, 1) + "data: a" + end + end;
+    EventSplitter splitter;
+    std::string complete;
+    for (const char byte : event + "id: 2") {
+      complete += splitter.Feed(absl::string_view(&byte, 1));
+    }
+    CHECK(complete == event);
+    CHECK(splitter.LastEventId() == "1");
+    CHECK(splitter.TakeIncompleteEvent() == "id: 2");
+  }
+  EventSplitter splitter;
+  CHECK(splitter.Feed(": still running\n") == ": still running\n");
+}
+
 TEST_CASE("Hop-by-hop fields, framing fields and dropped fields are not forwarded")
 {
   const HttpHeaders headers{ { "Host", "h" },
