Reject a message with a transfer coding other than chunked

What callers saw: a response with "Transfer-Encoding: gzip", with or without chunked beside it, reached its caller as 200 with a proper length, the coding's field gone and the body still coded; with "chunked, gzip" the body was the chunk headers and their data. Requests with such codings reached endpoints with another body than the caller's.

Cause: http_parser accepts other codings (and then reads until the connection closes, or only removes the chunks); nobody decodes them, and hop-by-hop fields aren't forwarded. Found by feeding both clients framings that RFC 9112 calls ambiguous.

Why this works: the head is malformed, so a response counts as a failed attempt and a request gets 400, and the log names the reason instead of "the on_headers_complete callback failed".

--- a/Libraries/LibRelay/MessageParser.cpp
+++ b/Libraries/LibRelay/MessageParser.cpp
@@ -1,6 +1,6 @@
 #include <LibRelay/MessageParser.h>
 
-#include <algorithm>
+#include <absl/strings/match.h>
 #include <utility>
 
 namespace auburnhitch {
@@ -70,13 +70,8 @@
   {
     MessageParser& self = Self(aParser);
     MessageHead& head = self.m_head;
-    // The packaged library accepts spaces in header names. A peer that parses more strictly could
-    // then read a different message from the same bytes (request smuggling).
-    const bool has_bad_name =
-      std::any_of(head.m_headers.begin(), head.m_headers.end(), [](const auto& aField) {
-        return aField.first.empty() || aField.first.find_first_of(" \t") != std::string::npos;
-      });
-    if (has_bad_name || aParser->http_major != 1) {
+    self.m_head_error = FindHeadError(head, *aParser);
+    if (self.m_head_error != nullptr) {
       constexpr int kError = -1;
       return kError;
     }
@@ -96,6 +91,32 @@
     return 0;
   }
 
+  /// Why a head that the library accepts is malformed; nullptr if it is not.
+  static const char* FindHeadError(const MessageHead& aHead, const http_parser& aParser)
+  {
+    if (aParser.http_major != 1) {
+      return "the protocol version is not HTTP/1";
+    }
+    int codings = 0;
+    for (const auto& [name, value] : aHead.m_headers) {
+      // The packaged library accepts spaces in header names. A peer that parses more strictly could
+      // then read a different message from the same bytes (request smuggling).
+      if (name.empty() || name.find_first_of(" \t") != std::string::npos) {
+        return "a header name is empty or contains a space";
+      }
+      if (!absl::EqualsIgnoreCase(name, "Transfer-Encoding")) {
+        continue;
+      }
+      // Other codings are not decoded, so the body would not be the one that the sender encoded.
+      const bool is_known =
+        absl::EqualsIgnoreCase(value, "chunked") || absl::EqualsIgnoreCase(value, "identity");
+      if (!is_known || ++codings > 1) {
+        return "the transfer coding is not chunked";
+      }
+    }
+    return nullptr;
+  }
+
   static bool EndsWithConnection(const http_parser* aParser)
   {
     constexpr int kFirstFinalStatus = 200;
@@ -190,6 +211,7 @@
   m_parser.data = this;
   m_head = MessageHead();
   m_body.clear();
+  m_head_error = nullptr;
   m_head_bytes = 0;
   m_was_value_last = true;
   m_has_begun = false;
@@ -209,6 +231,9 @@
   if (m_progress == Progress::HeadTooLarge) {
     return "the header fields are larger than the limit";
   }
+  if (m_head_error != nullptr) {
+    return m_head_error;
+  }
   const auto error = HTTP_PARSER_ERRNO(&m_parser);
   return error == HPE_OK ? "the connection closed before the end of the message"
                          : http_errno_description(error);
--- a/Libraries/LibRelay/include/LibRelay/MessageParser.h
+++ b/Libraries/LibRelay/include/LibRelay/MessageParser.h
@@ -87,6 +87,7 @@
   http_parser m_parser{};
   MessageHead m_head;
   std::string m_body;
+  const char* m_head_error = nullptr;
   std::size_t m_head_bytes = 0;
   bool m_was_value_last = true;
   bool m_has_begun = false;
--- a/Tests/Unit/TestMessageParser.cpp
+++ b/Tests/Unit/TestMessageParser.cpp
@@ -146,3 +146,22 @@
   CHECK(FeedAll(parser, response + "HTTP/1.1 200 OK\r\n\r\n", 1'000) == response.size());
   CHECK(parser.State() == Progress::Complete);
 }
+
+TEST_CASE("A message with a transfer coding other than chunked is malformed")
+{
+  for (const char* coding : { "gzip", "gzip, chunked", "chunked, gzip", "chunked, " }) {
+    CAPTURE(coding);
+    const std::string field = std::string("Transfer-Encoding: ") + coding + "\r\n\r\n";
+    const std::string body = "1\r\na\r\n0\r\n\r\n";
+    CHECK(StateAfter(MessageParser::Kind::Response, "HTTP/1.1 200 OK\r\n" + field + body) ==
+          Progress::Malformed);
+    CHECK(StateAfter(MessageParser::Kind::Request,
+                     "POST / HTTP/1.1\r\nHost: h\r\n" + field + body) == Progress::Malformed);
+  }
+  CHECK(StateAfter(MessageParser::Kind::Response,
+                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: "
+                   "gzip\r\n\r\n1\r\na\r\n0\r\n\r\n") == Progress::Malformed);
+  CHECK(StateAfter(MessageParser::Kind::Response,
+                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n1\r\na\r\n0\r\n\r\n") ==
+        Progress::Complete);
+}
