End a response that never has a body with its head

What callers saw: a 304 that states the length of the content it stands for, and every response to HEAD, became a 502 (the daemon waited for a body); a 204 with a length was forwarded with its bytes, which belong to no response for the caller's parser; 204 and 304 got a Content-Length of 0 of our own.

Cause: MessageParser decided from the length or the chunks alone, without the status and the request's method (RFC 9112, section 6.3); RelayExchange::Reply always states a length. Found while every place was read that decides where a message ends.

Why this works: the parser skips the body of 1xx, 204, 304 and, told by RelayClient, of responses to HEAD; their framing is None, and the gateway starts and finishes them without a body, with the endpoint's own length where the status allows one.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -22,6 +22,7 @@
 // Retry-After for a request that this daemon fails late: another daemon can serve it at once.
 constexpr Milliseconds kShortRetryAfter{ 100 };
 
+constexpr int kNoContent = 204;
 constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerErrorStatus = 500;
 constexpr int kBadGateway = 502;
@@ -301,10 +302,13 @@
   m_first_byte_after = Milliseconds(ToMilliseconds(Now() - m_request.m_arrived_at));
   m_dependencies.m_metrics->OnFirstByte(m_request.m_service, Now() - m_request.m_arrived_at);
   HttpHeaders headers = ForwardedHeaders(m_attempt->m_response_head.m_headers, {});
-  if (aFraming == BodyFraming::Length) {
-    headers.emplace_back(
-      "Content-Length",
-      std::string(FindHeader(m_attempt->m_response_head.m_headers, "Content-Length")));
+  const absl::string_view length =
+    FindHeader(m_attempt->m_response_head.m_headers, "Content-Length");
+  const bool forwards_length =
+    aFraming == BodyFraming::Length ||
+    (aFraming == BodyFraming::None && m_attempt->m_response_head.m_status != kNoContent);
+  if (forwards_length && !length.empty()) {
+    headers.emplace_back("Content-Length", std::string(length));
   }
   m_exchange->Start(m_attempt->m_response_head.m_status, headers, aFraming);
 }
@@ -357,6 +361,10 @@
     ForwardRemainder();
   }
   ReleaseSlot(status >= kFirstServerErrorStatus ? SlotOutcome::Failed : SlotOutcome::Complete);
+  const bool has_body = m_attempt->m_response_head.m_framing != BodyFraming::None;
+  if (!has_body && !m_exchange->HasStarted()) {
+    StartResponse(BodyFraming::None);
+  }
   if (!m_exchange->HasStarted()) {
     m_first_byte_after = Milliseconds(ToMilliseconds(Now() - m_request.m_arrived_at));
     m_dependencies.m_metrics->OnFirstByte(m_request.m_service, Now() - m_request.m_arrived_at);
--- a/Libraries/LibRelay/MessageParser.cpp
+++ b/Libraries/LibRelay/MessageParser.cpp
@@ -81,11 +81,15 @@
     if (self.m_kind == Kind::Request) {
       head.m_method = http_method_str(static_cast<http_method>(aParser->method));
     }
+    if (self.m_kind == Kind::Response && (self.m_expects_no_body || NeverHasBody(head.m_status))) {
+      constexpr int kSkipBody = 1;
+      return kSkipBody;
+    }
     if ((aParser->flags & F_CHUNKED) != 0) {
       head.m_framing = BodyFraming::Chunked;
     } else if ((aParser->flags & F_CONTENTLENGTH) != 0) {
       head.m_framing = BodyFraming::Length;
-    } else if (EndsWithConnection(aParser)) {
+    } else if (self.m_kind == Kind::Response) {
       head.m_framing = BodyFraming::UntilClose;
     }
     return 0;
@@ -117,13 +121,12 @@
     return nullptr;
   }
 
-  static bool EndsWithConnection(const http_parser* aParser)
+  static bool NeverHasBody(int aStatus)
   {
     constexpr int kFirstFinalStatus = 200;
     constexpr int kNoContent = 204;
     constexpr int kNotModified = 304;
-    return aParser->type == HTTP_RESPONSE && aParser->status_code >= kFirstFinalStatus &&
-           aParser->status_code != kNoContent && aParser->status_code != kNotModified;
+    return aStatus < kFirstFinalStatus || aStatus == kNoContent || aStatus == kNotModified;
   }
 
   static int OnBody(http_parser* aParser, const char* aAt, std::size_t aLength)
--- a/Libraries/LibRelay/RelayClient.cpp
+++ b/Libraries/LibRelay/RelayClient.cpp
@@ -229,6 +229,9 @@
     , m_handlers(std::move(aHandlers))
     , m_parser(MessageParser::Kind::Response, aLimits.m_max_head_bytes)
   {
+    if (m_request.m_method == "HEAD") {
+      m_parser.ExpectNoBody();
+    }
   }
 
   ~State() { FreeConnection(); }
--- a/Libraries/LibRelay/include/LibRelay/MessageParser.h
+++ b/Libraries/LibRelay/include/LibRelay/MessageParser.h
@@ -11,6 +11,7 @@
 /// How the end of a message's body is marked.
 enum class BodyFraming
 {
+  /// The message has no body. A length in its head is that of another message.
   None,
   Length,
   Chunked,
@@ -57,6 +58,9 @@
   MessageParser(const MessageParser&) = delete;
   MessageParser& operator=(const MessageParser&) = delete;
 
+  /// Tells the parser that the response is to a HEAD request and has no body, whatever its head
+  /// states. Precondition: no byte has been fed.
+  void ExpectNoBody() { m_expects_no_body = true; }
   /// Parses at most one message. Returns how many of the bytes belong to it; the remaining bytes
   /// are not examined.
   std::size_t Feed(absl::string_view aBytes);
@@ -89,6 +93,7 @@
   std::string m_body;
   const char* m_head_error = nullptr;
   std::size_t m_head_bytes = 0;
+  bool m_expects_no_body = false;
   bool m_was_value_last = true;
   bool m_has_begun = false;
   bool m_has_head = false;
--- a/Tests/Process/TestResponseEnd.cpp
+++ b/Tests/Process/TestResponseEnd.cpp
@@ -81,3 +81,24 @@
     }
   }
 }
+
+TEST_CASE("A response that never has a body is forwarded without one and without a false length")
+{
+  GatewayCluster cluster(1, 1);
+  const auto call = [&](const char* aMethod, const std::string& aResponse) {
+    cluster.Endpoint(0).SetBehaviour(WriteAndClose(aResponse));
+    return Exchange(cluster.CallerAddress(0),
+                    absl::StrCat(aMethod,
+                                 " /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r\r\n"
+                                 "Authorization: Bearer key-1\r\nX-Deadline-Ms: 2000\r\n"
+                                 "Connection: close\r\n\r\n"));
+  };
+  CHECK(call("GET", "HTTP/1.1 204 No Content\r\nX-Response-Seal: s\r\n\r\n") ==
+        "HTTP/1.1 204 No Content\r\nX-Response-Seal: s\r\nConnection: close\r\n\r\n");
+  CHECK(call("GET", "HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n\r\nabc") ==
+        "HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n");
+  CHECK(call("GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n\r\n") ==
+        "HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\nConnection: close\r\n\r\n");
+  CHECK(call("HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n") ==
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: close\r\n\r\n");
+}
--- a/Tests/Unit/TestMessageParser.cpp
+++ b/Tests/Unit/TestMessageParser.cpp
@@ -165,3 +165,16 @@
                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n1\r\na\r\n0\r\n\r\n") ==
         Progress::Complete);
 }
+
+TEST_CASE("A response that never has a body ends with its head, whatever length it states")
+{
+  for (const char* head : { "HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n\r\n",
+                            "HTTP/1.1 304 Not Modified\r\nContent-Length: 3\r\n\r\n",
+                            "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n" }) {
+    MessageParser parser(MessageParser::Kind::Response, kMaxHeadBytes);
+    CHECK(FeedAll(parser, std::string(head) + "abc", 1'000) == std::string(head).size());
+    CHECK(parser.State() == Progress::Complete);
+    CHECK(parser.Head().m_framing == BodyFraming::None);
+    CHECK(parser.TakeBody().empty());
+  }
+}
