Resume a stream only with an event stream

What callers saw: a resumable stream that broke off, and whose next endpoint answered the resume with 204, 206, a redirect or another kind of content, ended as complete, with that content behind its events.

Cause: after the first event every successful status counted as the rest of the stream, and the end of that response as the end of the stream.

Why this works: such a response is a failed attempt (as an error status was already), decided by ContinuesEventStream beside BodyCompleteness: another endpoint may follow, else the stream is cut without its last chunk.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -256,6 +256,12 @@
       }
       return;
     case ResponseMeaning::Success:
+      if (m_exchange->HasStarted() && !ContinuesEventStream(aHead)) {
+        m_call = nullptr;
+        OnAttemptFailed(SlotOutcome::Failed,
+                        "status " + std::to_string(aHead.m_status) + ", expected an event stream");
+        return;
+      }
       if (!IsStream()) {
         m_dependencies.m_broker->RecordStarted(*m_slot_request_id);
       }
--- a/Libraries/LibGateway/BodyCompleteness.cpp
+++ b/Libraries/LibGateway/BodyCompleteness.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr absl::string_view kEventStream = "text/event-stream";
+
 absl::string_view
 MediaType(const MessageHead& aHead)
 {
@@ -20,7 +22,7 @@
   constexpr int kFirstErrorStatus = 400;
   const absl::string_view type = MediaType(aHead);
   if (!type.empty()) {
-    return absl::EqualsIgnoreCase(type, "text/event-stream");
+    return absl::EqualsIgnoreCase(type, kEventStream);
   }
   return aIsStreamExpected && aHead.m_status < kFirstErrorStatus &&
          aHead.m_framing == BodyFraming::UntilClose;
@@ -28,6 +30,14 @@
 
 }
 
+bool
+ContinuesEventStream(const MessageHead& aHead)
+{
+  constexpr int kOk = 200;
+  const absl::string_view type = MediaType(aHead);
+  return aHead.m_status == kOk && (type.empty() || absl::EqualsIgnoreCase(type, kEventStream));
+}
+
 BodyCompleteness::BodyCompleteness(const MessageHead& aHead, bool aIsStreamExpected)
   : m_is_event_stream(IsEventStream(aHead, aIsStreamExpected))
 {
--- a/Libraries/LibGateway/include/LibGateway/BodyCompleteness.h
+++ b/Libraries/LibGateway/include/LibGateway/BodyCompleteness.h
@@ -7,6 +7,10 @@
 
 namespace auburnhitch {
 
+/// Whether a response can continue an event stream that another endpoint has begun.
+bool
+ContinuesEventStream(const MessageHead& aHead);
+
 /// Decides whether the body of one response is complete. Framing proves that the sender has ended
 /// the body; a connection that was closed in order does not, since the connections of a process
 /// that crashes are closed in the same way. An event stream that ends inside an event is truncated
--- a/Tests/Process/TestResponseEnd.cpp
+++ b/Tests/Process/TestResponseEnd.cpp
@@ -102,3 +102,29 @@
   CHECK(call("HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n") ==
         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: close\r\n\r\n");
 }
+
+TEST_CASE("A stream that another endpoint does not resume as a stream does not end as complete")
+{
+  GatewayCluster cluster;
+  for (const std::string resumed :
+       { "HTTP/1.1 204 No Content\r\n\r\n",
+         "HTTP/1.1 302 Found\r\nContent-Length: 4\r\n\r\nmore",
+         "HTTP/1.1 206 Partial Content\r\nContent-Length: 4\r\n\r\nmore",
+         "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 4\r\n\r\nmore" }) {
+    CAPTURE(resumed);
+    for (std::size_t i = 0; i < 2; ++i) {
+      cluster.Endpoint(i).SetBehaviour([&](RawConnection& aConnection, const RawRequest& aRequest) {
+        const bool is_first = aRequest.Header("last-event-id").empty();
+        aConnection.Write(is_first ? absl::StrCat(kEventStreamHead, "\r\nid: 1\ndata: a\n\nid: 2")
+                                   : resumed);
+        return false;
+      });
+    }
+    const std::string id = "not-resumed-" + resumed.substr(9, 3) + std::to_string(resumed.size());
+    const CallerResponse response = cluster.Call("/resumable/x", id);
+    CHECK(response.m_status == 200);
+    CHECK_FALSE(response.m_is_complete);
+    CHECK(response.m_body == "id: 1\ndata: a\n\n");
+    CHECK(cluster.RunsOf(id) == 2);
+  }
+}
