Answer callers that speak HTTP/1.0 without chunks

What callers saw: a caller that sends HTTP/1.0 got a stream with chunk headers in its body, and a stream that was cut ended for it like a whole one, with an orderly close, which is the only end that HTTP/1.0 knows.

Cause: RelayExchange framed streams for HTTP/1.1 whatever the request's version was, and Abort() relies on the missing last chunk.

Why this works: for such a caller Chunked becomes UntilClose, its connection closes after each response, and an aborted response ends with a reset.

--- a/Libraries/LibRelay/MessageParser.cpp
+++ b/Libraries/LibRelay/MessageParser.cpp
@@ -77,6 +77,7 @@
     }
     self.m_has_head = true;
     head.m_status = aParser->status_code;
+    head.m_minor_version = aParser->http_minor;
     head.m_keeps_alive = http_should_keep_alive(aParser) != 0;
     if (self.m_kind == Kind::Request) {
       head.m_method = http_method_str(static_cast<http_method>(aParser->method));
--- a/Libraries/LibRelay/RelayConnection.h
+++ b/Libraries/LibRelay/RelayConnection.h
@@ -29,6 +29,9 @@
   void OnResponseAborted();
   /// Closes the connection at once and deletes this object.
   void Close();
+  /// As Close(), with a TCP reset and without informing the exchange.
+  void Reset();
+  void CloseAfterResponse() { m_must_close = true; }
   bool MustCloseAfterResponse() const;
   bool IsBusy() const;
   /// Closes the connection if its head timeout, idle timeout or linger time has passed.
--- a/Libraries/LibRelay/RelayExchange.cpp
+++ b/Libraries/LibRelay/RelayExchange.cpp
@@ -81,12 +81,16 @@
     return;
   }
   m_has_started = true;
-  m_framing = aFraming;
+  const bool has_chunks = m_head.m_minor_version > 0;
+  m_framing = aFraming == BodyFraming::Chunked && !has_chunks ? BodyFraming::UntilClose : aFraming;
+  if (m_framing == BodyFraming::UntilClose) {
+    m_connection->CloseAfterResponse();
+  }
   std::string head = absl::StrCat("HTTP/1.1 ", aStatus, " ", ReasonPhrase(aStatus), "\r\n");
   for (const auto& [name, value] : aHeaders) {
     absl::StrAppend(&head, name, ": ", value, "\r\n");
   }
-  if (aFraming == BodyFraming::Chunked) {
+  if (m_framing == BodyFraming::Chunked) {
     absl::StrAppend(&head, "Transfer-Encoding: chunked\r\n");
   }
   if (m_connection->MustCloseAfterResponse()) {
@@ -130,6 +134,10 @@
     return;
   }
   RelayConnection* connection = std::exchange(m_connection, nullptr);
+  if (m_framing == BodyFraming::UntilClose) {
+    connection->Reset();
+    return;
+  }
   connection->OnResponseAborted();
 }
 
--- a/Libraries/LibRelay/RelayServer.cpp
+++ b/Libraries/LibRelay/RelayServer.cpp
@@ -128,7 +128,8 @@
 RelayConnection::DispatchRequest()
 {
   EnterPhase(Phase::Responding);
-  m_must_close = !m_parser.Head().m_keeps_alive;
+  // HTTP/1.0 callers expect a persistent connection only if the response announces one.
+  m_must_close = !m_parser.Head().m_keeps_alive || m_parser.Head().m_minor_version == 0;
   m_exchange = std::make_shared<RelayExchange>(
     this, m_parser.Head(), std::move(m_body), m_server.m_loop.Now());
   m_body.clear();
@@ -223,6 +224,16 @@
   }
 }
 
+void
+RelayConnection::Reset()
+{
+  const linger discard_unsent{ 1, 0 };
+  setsockopt(
+    bufferevent_getfd(m_events), SOL_SOCKET, SO_LINGER, &discard_unsent, sizeof(discard_unsent));
+  m_exchange = nullptr;
+  Close();
+}
+
 void
 RelayConnection::CloseIfExpired(TimePoint aNow)
 {
--- a/Libraries/LibRelay/include/LibRelay/MessageParser.h
+++ b/Libraries/LibRelay/include/LibRelay/MessageParser.h
@@ -29,6 +29,8 @@
   std::string m_method;
   std::string m_target;
   int m_status = 0;
+  /// The minor version of the sender: 0 if it speaks HTTP/1.0, which has no chunks.
+  int m_minor_version = 1;
   HttpHeaders m_headers;
   BodyFraming m_framing = BodyFraming::None;
   /// Whether the connection can be used for a further message.
--- a/Libraries/LibRelay/include/LibRelay/RelayExchange.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayExchange.h
@@ -37,13 +37,14 @@
   /// Sends a complete response.
   void Reply(int aStatus, HttpHeaders aHeaders, absl::string_view aBody);
   /// Starts a response whose body follows in calls of Write(). With Length framing, aHeaders must
-  /// contain Content-Length.
+  /// contain Content-Length. For a caller that speaks HTTP/1.0, Chunked becomes UntilClose.
   void Start(int aStatus, const HttpHeaders& aHeaders, BodyFraming aFraming);
   void Write(absl::string_view aBytes);
   /// Marks the response as complete.
   void Finish();
-  /// Sends the bytes that have been written and closes the connection without completing the
-  /// response, so that the caller can see that it is truncated.
+  /// Closes the connection without completing the response, so that the caller can see that it is
+  /// truncated. Bytes that have been written are sent before, unless the framing is UntilClose:
+  /// then only a reset shows the truncation.
   void Abort();
   bool HasStarted() const { return m_has_started; }
 
--- a/Tests/Process/TestResponseEnd.cpp
+++ b/Tests/Process/TestResponseEnd.cpp
@@ -128,3 +128,28 @@
     CHECK(cluster.RunsOf(id) == 2);
   }
 }
+
+TEST_CASE("A caller that speaks HTTP/1.0 gets a stream without chunks, and a reset if it is cut")
+{
+  GatewayCluster cluster(1, 1);
+  const std::string event = "id: 1\ndata: a\n\n";
+  bool is_whole = true;
+  cluster.Endpoint(0).SetBehaviour([&](RawConnection& aConnection, const RawRequest&) {
+    aConnection.Write(absl::StrCat(kEventStreamHead,
+                                   "Transfer-Encoding: chunked\r\n\r\n",
+                                   absl::Hex(event.size()),
+                                   "\r\n",
+                                   event,
+                                   is_whole ? "\r\n0\r\n\r\n" : "\r\n5\r\nid"));
+    return false;
+  });
+  const std::string request = "POST /stream/x HTTP/1.0\r\nHost: h.example\r\nX-Request-Id: r\r\n"
+                              "Authorization: Bearer key-1\r\nConnection: keep-alive\r\n"
+                              "Content-Length: 0\r\n\r\n";
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                           "X-Response-Seal: s\r\nConnection: close\r\n\r\n";
+  CHECK(ExchangeUntilEnd(cluster.CallerAddress(0), request) ==
+        ExchangeResult{ head + event, false });
+  is_whole = false;
+  CHECK(ExchangeUntilEnd(cluster.CallerAddress(0), request).m_is_reset);
+}
--- a/Tests/Support/RawServer.cpp
+++ b/Tests/Support/RawServer.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_split.h>
 #include <arpa/inet.h>
 #include <array>
+#include <cerrno>
 #include <csignal>
 #include <netinet/in.h>
 #include <stdexcept>
@@ -237,22 +238,29 @@
   return descriptor;
 }
 
-std::string
-Exchange(const SocketAddress& aAddress, const std::string& aBytes)
+ExchangeResult
+ExchangeUntilEnd(const SocketAddress& aAddress, const std::string& aBytes)
 {
   const int descriptor = ConnectTo(aAddress);
   if (descriptor < 0) {
-    return "";
+    return {};
   }
   send(descriptor, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
-  std::string response;
+  ExchangeResult result;
   std::array<char, 16'384> buffer{};
   ssize_t size = 0;
   while ((size = recv(descriptor, buffer.data(), buffer.size(), 0)) > 0) {
-    response.append(buffer.data(), static_cast<std::size_t>(size));
+    result.m_bytes.append(buffer.data(), static_cast<std::size_t>(size));
   }
+  result.m_is_reset = size < 0 && errno == ECONNRESET;
   close(descriptor);
-  return response;
+  return result;
+}
+
+std::string
+Exchange(const SocketAddress& aAddress, const std::string& aBytes)
+{
+  return ExchangeUntilEnd(aAddress, aBytes).m_bytes;
 }
 
 }
--- a/Tests/Support/RawServer.h
+++ b/Tests/Support/RawServer.h
@@ -86,8 +86,20 @@
   std::thread m_acceptor;
 };
 
-/// Sends bytes to an address and reads until the peer closes or no byte arrives for 10 s. Returns
-/// what was read.
+/// What a peer sent on a connection, and whether it closed the connection with a TCP reset.
+struct ExchangeResult
+{
+  std::string m_bytes;
+  bool m_is_reset = false;
+
+  bool operator==(const ExchangeResult&) const = default;
+};
+
+/// Sends bytes to an address and reads until the peer closes or no byte arrives for 10 s.
+ExchangeResult
+ExchangeUntilEnd(const SocketAddress& aAddress, const std::string& aBytes);
+
+/// As ExchangeUntilEnd(), but returns only what was read.
 std::string
 Exchange(const SocketAddress& aAddress, const std::string& aBytes);
 
