--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/GatewayMetrics.h>
 
+#include <absl/strings/str_cat.h>
 #include <prometheus/text_serializer.h>
 
 namespace auburnhitch {
@@ -115,9 +116,12 @@
 void
 GatewayMetrics::OnResponseEnded(const ServiceName& aService, const char* aFraming, const char* aEnd)
 {
-  m_responses_ended
-    .Add({ { "service", aService.Value() }, { "framing", aFraming }, { "end", aEnd } })
-    .Increment();
+  auto& counter = m_responses_ended_cache[Key(aService.Value(), absl::StrCat(aFraming, " ", aEnd))];
+  if (counter == nullptr) {
+    counter = &m_responses_ended.Add(
+      { { "service", aService.Value() }, { "framing", aFraming }, { "end", aEnd } });
+  }
+  counter->Increment();
 }
 
 void
--- a/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
@@ -70,6 +70,7 @@
   Cache<prometheus::Counter> m_requests_ended_cache;
   Cache<prometheus::Counter> m_slots_refused_cache;
   Cache<prometheus::Counter> m_attempts_sent_cache;
+  Cache<prometheus::Counter> m_responses_ended_cache;
   Cache<prometheus::Histogram> m_latency_cache;
   Cache<prometheus::Histogram> m_time_to_first_byte_cache;
 };
--- a/Tests/Fuzz/FuzzGateway.cpp
+++ b/Tests/Fuzz/FuzzGateway.cpp
@@ -5,6 +5,7 @@
 #include <LibGateway/GatewaySettings.h>
 #include <LibRelay/MessageParser.h>
 #include <array>
+#include <cstdlib>
 #include <platform/ConfigurationDecoder.h>
 #include <platform/PlatformDialect.h>
 #include <platform/RegistrationDecoder.h>
@@ -54,8 +55,17 @@
     }
   },
   [](const std::string& aBytes) {
-    EventSplitter splitter;
-    splitter.Feed(aBytes);
+    EventSplitter whole;
+    const std::string events = whole.Feed(aBytes);
+    EventSplitter by_bytes;
+    std::string events_by_bytes;
+    for (const char byte : aBytes) {
+      events_by_bytes += by_bytes.Feed(absl::string_view(&byte, 1));
+    }
+    // How the bytes are split must neither change nor lose any of them.
+    if (events != events_by_bytes || events + whole.TakeIncompleteEvent() != aBytes) {
+      std::abort();
+    }
   },
   [](const std::string& aBytes) {
     Findings findings;
