Hold signals back until a daemon has installed its handlers

Cause: the handlers are installed after the settings are read and all ports are bound; until then the default action of SIGHUP ends the process, and that of SIGTERM does so without its exit status.

Why this works: main blocks SIGHUP, SIGTERM and SIGINT first, and the handlers get what arrived meanwhile. What is left: the time before the first instruction, in which no program can hold a signal. The soak's check stays; its SIGHUP and SIGTERM wait until the process blocks or handles them, which /proc shows.

--- a/Daemon/main.cpp
+++ b/Daemon/main.cpp
@@ -4,9 +4,11 @@
 #include <CLI/CLI.hpp>
 #include <LibCore/Log.h>
 #include <LibCore/Try.h>
+#include <LibHttp/BlockedSignals.h>
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <sstream>
 #include <sys/resource.h>
 #include <variant>
@@ -63,13 +65,14 @@
 }
 
 absl::Status
-Run(const Settings& aSettings, const std::string&)
+Run(const Settings& aSettings, const std::string&, std::unique_ptr<BlockedSignals> aBlocked)
 {
   InitializeLogs(aSettings.m_log_level);
   EventLoop loop;
   TRY_ASSIGN(const auto daemon, Daemon::Create(loop, aSettings));
   const SignalWatcher terminate(loop, SIGTERM, [&] { daemon->BeginDrain(); });
   const SignalWatcher interrupt(loop, SIGINT, [&] { daemon->BeginDrain(); });
+  aBlocked = nullptr;
   FlushLogs();
   loop.Run();
   return absl::OkStatus();
@@ -89,7 +92,9 @@
 }
 
 absl::Status
-Run(const GatewaySettings& aSettings, const std::string& aPath)
+Run(const GatewaySettings& aSettings,
+    const std::string& aPath,
+    std::unique_ptr<BlockedSignals> aBlocked)
 {
   InitializeLogs(aSettings.m_log_level);
   EventLoop loop;
@@ -97,6 +102,7 @@
   const SignalWatcher terminate(loop, SIGTERM, [&] { daemon->BeginStop(); });
   const SignalWatcher interrupt(loop, SIGINT, [&] { daemon->BeginStop(); });
   const SignalWatcher reload(loop, SIGHUP, [&] { ReloadGateway(*daemon, aPath); });
+  aBlocked = nullptr;
   FlushLogs();
   loop.Run();
   return absl::OkStatus();
@@ -109,6 +115,8 @@
 int
 main(int aArgumentCount, char** aArguments)
 {
+  auto blocked = std::make_unique<auburnhitch::BlockedSignals>(
+    std::initializer_list<int>{ SIGHUP, SIGTERM, SIGINT });
   CLI::App app("auburnhitchd: schedules requests of callers onto engines and services");
   std::string settings_path;
   bool only_check = false;
@@ -129,7 +137,8 @@
   }
   auburnhitch::RaiseDescriptorLimit();
   const absl::Status status = std::visit(
-    [&](const auto& aKind) { return auburnhitch::Run(aKind, settings_path); }, *settings);
+    [&](const auto& aKind) { return auburnhitch::Run(aKind, settings_path, std::move(blocked)); },
+    *settings);
   auburnhitch::FlushLogs();
   if (!status.ok()) {
     std::cerr << status.message() << "\n";
--- a/Tests/Process/TestGateway.cpp
+++ b/Tests/Process/TestGateway.cpp
@@ -3,6 +3,9 @@
 #include <absl/strings/str_cat.h>
 #include <csignal>
 #include <doctest.h>
+#include <fstream>
+#include <sstream>
+#include <sys/stat.h>
 #include <unistd.h>
 
 using namespace auburnhitch;
@@ -275,6 +278,29 @@
   CHECK(cluster.Call("/safe/x", "after").m_status == 200);
 }
 
+TEST_CASE("A daemon that gets SIGHUP while it reads its settings starts and then reloads them")
+{
+  GatewayCluster cluster(1, 1);
+  cluster.Daemon(0).Signal(SIGKILL);
+  REQUIRE(WaitFor([&] { return cluster.Daemon(0).ExitStatus().has_value(); }));
+  const std::filesystem::path path = cluster.SettingsPath(0);
+  const std::filesystem::path file = path.string() + ".file";
+  std::filesystem::rename(path, file);
+  std::stringstream settings;
+  settings << std::ifstream(file).rdbuf();
+  REQUIRE(mkfifo(path.c_str(), 0600) == 0);
+  cluster.StartDaemonAsItIs(0);
+  // Opens once the daemon has opened the other end.
+  std::ofstream pipe(path);
+  cluster.Daemon(0).Signal(SIGHUP);
+  std::filesystem::rename(file, path);
+  pipe << settings.str();
+  pipe.close();
+  cluster.WaitUntilReady(0);
+  CHECK(
+    WaitFor([&] { return cluster.LogOfDaemon(0).find("event=reloaded") != std::string::npos; }));
+}
+
 TEST_CASE("Metrics count attempts by their outcome")
 {
   GatewayCluster cluster(1, 1);
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -340,28 +340,34 @@
 
   void StopDaemon()
   {
-    if (const auto daemon = ReserveDaemon()) {
-      RecordFault(absl::StrCat("stop daemon ", *daemon));
-      m_cluster.Daemon(*daemon).Signal(SIGTERM);
-      ScheduleAfter(kStopGracePeriod, [this, daemon] {
-        const auto status = m_cluster.Daemon(*daemon).ExitStatus();
-        if (status != 0) {
-          m_checker.RecordViolation(
-            absl::StrCat("daemon ",
-                         *daemon,
-                         " did not exit with status 0 within its grace period: ",
-                         status ? absl::StrCat("status ", *status) : "still running"));
-          m_cluster.Daemon(*daemon).Signal(SIGKILL);
-        }
-        Restart(*daemon);
-      });
+    const auto daemon = ReserveDaemon();
+    if (!daemon) {
+      return;
     }
+    if (!m_cluster.Daemon(*daemon).HandlesSignal(SIGTERM)) {
+      m_is_down[*daemon] = false;
+      return;
+    }
+    RecordFault(absl::StrCat("stop daemon ", *daemon));
+    m_cluster.Daemon(*daemon).Signal(SIGTERM);
+    ScheduleAfter(kStopGracePeriod, [this, daemon] {
+      const auto status = m_cluster.Daemon(*daemon).ExitStatus();
+      if (status != 0) {
+        m_checker.RecordViolation(
+          absl::StrCat("daemon ",
+                       *daemon,
+                       " did not exit with status 0 within its grace period: ",
+                       status ? absl::StrCat("status ", *status) : "still running"));
+        m_cluster.Daemon(*daemon).Signal(SIGKILL);
+      }
+      Restart(*daemon);
+    });
   }
 
   void ReloadDaemon()
   {
     const std::size_t daemon = m_random() % m_options.m_daemons;
-    if (!m_is_down[daemon]) {
+    if (!m_is_down[daemon] && m_cluster.Daemon(daemon).HandlesSignal(SIGHUP)) {
       RecordFault(absl::StrCat("reload daemon ", daemon));
       m_cluster.Daemon(daemon).Signal(SIGHUP);
     }
--- a/Tests/Support/ChildProcess.cpp
+++ b/Tests/Support/ChildProcess.cpp
@@ -1,6 +1,7 @@
 #include "ChildProcess.h"
 
 #include <csignal>
+#include <cstdint>
 #include <fcntl.h>
 #include <fstream>
 #include <spawn.h>
@@ -54,6 +55,21 @@
   }
 }
 
+bool
+ChildProcess::HandlesSignal(int aSignal) const
+{
+  std::ifstream file("/proc/" + std::to_string(m_pid) + "/status");
+  std::uint64_t handled = 0;
+  for (std::string line; std::getline(file, line);) {
+    const std::string name = line.substr(0, line.find(':'));
+    if (name == "SigBlk" || name == "SigIgn" || name == "SigCgt") {
+      constexpr int kHexadecimal = 16;
+      handled |= std::stoull(line.substr(name.size() + 1), nullptr, kHexadecimal);
+    }
+  }
+  return ((handled >> (aSignal - 1)) & 1U) != 0;
+}
+
 std::optional<int>
 ChildProcess::ExitStatus()
 {
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -20,6 +20,9 @@
   ChildProcess& operator=(const ChildProcess&) = delete;
 
   void Signal(int aSignal) const;
+  /// Whether the process blocks, ignores or handles a signal, so that it does not end by it. No
+  /// program does before its first instruction.
+  bool HandlesSignal(int aSignal) const;
   /// The exit status, -SIGNAL if a signal ended the process, or nothing while it runs.
   std::optional<int> ExitStatus();
   pid_t Pid() const { return m_pid; }
--- a/Tests/Support/GatewayCluster.cpp
+++ b/Tests/Support/GatewayCluster.cpp
@@ -300,13 +300,24 @@
                                        m_options.m_has_proxies
                                          ? m_store_proxies.at(aIndex).m_address.Value()
                                          : m_store.Address().Value() } } } };
-  const auto path = m_directory / absl::StrCat("gateway-", aIndex, ".json");
-  std::ofstream(path) << settings;
-  daemon.m_process = std::make_unique<ChildProcess>(
-    std::vector<std::string>{ DAEMON_PROGRAM, "--settings", path.string() },
+  std::ofstream(SettingsPath(aIndex)) << settings;
+  StartDaemonAsItIs(aIndex);
+}
+
+void
+GatewayCluster::StartDaemonAsItIs(std::size_t aIndex)
+{
+  m_daemons.at(aIndex).m_process = std::make_unique<ChildProcess>(
+    std::vector<std::string>{ DAEMON_PROGRAM, "--settings", SettingsPath(aIndex).string() },
     (m_directory / absl::StrCat("gateway-", aIndex, ".log")).string());
 }
 
+std::filesystem::path
+GatewayCluster::SettingsPath(std::size_t aIndex) const
+{
+  return m_directory / absl::StrCat("gateway-", aIndex, ".json");
+}
+
 void
 GatewayCluster::WaitUntilReady(std::size_t aIndex)
 {
--- a/Tests/Support/GatewayCluster.h
+++ b/Tests/Support/GatewayCluster.h
@@ -86,7 +86,11 @@
   SocketAddress DirectoryAddress(std::size_t aIndex) const { return AddressOf(aIndex, 2); }
   SocketAddress MetricsAddress(std::size_t aIndex) const { return AddressOf(aIndex, 3); }
 
+  /// Writes the settings file of a daemon and starts the daemon.
   void StartDaemon(std::size_t aIndex);
+  /// Starts a daemon with the settings file that is there.
+  void StartDaemonAsItIs(std::size_t aIndex);
+  std::filesystem::path SettingsPath(std::size_t aIndex) const;
   /// Sends a command to the proxy in front of an endpoint, or to the one between a daemon and the
   /// store. Precondition: GatewayClusterOptions::m_has_proxies. The commands are those of
   /// FaultProxy.
