Do not read an empty window in the test of quotas

The undefined-behaviour sanitizer stopped the unit tests in TestAllowance: the simulation read the front of its list of spendings after the last one had expired. Only the test was wrong; what it checks is unchanged.

--- a/Tests/Unit/TestAllowance.cpp
+++ b/Tests/Unit/TestAllowance.cpp
@@ -77,7 +77,7 @@
         }
       }
     }
-    while (m_now - m_spent.front().first > kWindow) {
+    while (!m_spent.empty() && m_now - m_spent.front().first > kWindow) {
       m_in_window -= m_spent.front().second;
       m_spent.pop_front();
     }
