Keep a silenced link of the fault proxy silent when its target closes

Traced: at that moment the endpoint's link was silenced while it was open; the proxy discarded the rest of the response and then closed in order, as the endpoint did. A silent network passes on neither. It now ignores the target's close.

--- a/Tests/StandIns/FaultProxy.cpp
+++ b/Tests/StandIns/FaultProxy.cpp
@@ -310,6 +310,12 @@
   if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
     return;
   }
+  const bool is_silent =
+    link->m_fault == Fault::Silence || link->m_fault == Fault::SilenceAfterRequest;
+  if (is_silent && aSide == link->m_target) {
+    // The caller must not see the close, as it did not see the bytes before it.
+    return;
+  }
   // A delayed or slowed response still has to be forwarded after the target has closed.
   if (aSide == link->m_target && link->m_timer != nullptr) {
     link->m_target_has_closed = true;
