--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -179,9 +179,7 @@
 ActiveRequest::StartAttempt(const EndpointEntry& aEndpoint)
 {
   m_phase = Phase::Sending;
-  m_attempt.emplace();
-  m_attempt->m_endpoint = aEndpoint;
-  m_attempt->m_granted_at = Now();
+  m_attempt = SendAttempt{ aEndpoint, Now() };
   m_tried_endpoints.push_back(aEndpoint.m_id);
   EndpointInstructions instructions;
   instructions.m_endpoint = aEndpoint.m_id;
--- a/Tests/Process/TestBadInput.cpp
+++ b/Tests/Process/TestBadInput.cpp
@@ -137,7 +137,7 @@
     CAPTURE(framing);
     RawConnection connection(cluster.CallerAddress(0));
     REQUIRE(connection.IsConnected());
-    connection.Send("GET /v1/address HTTP/1.1\r\nHost: h\r\n" + framing + next);
+    connection.Send(absl::StrCat("GET /v1/address HTTP/1.1\r\nHost: h\r\n", framing, next));
     CHECK(cluster.Caller().RunUntil([&] { return connection.ReadUntilClosed(); }));
     CHECK(connection.Received().find("HTTP/1.1 2") == std::string::npos);
   }
--- a/Tests/Unit/TestBodyCompleteness.cpp
+++ b/Tests/Unit/TestBodyCompleteness.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/BodyCompleteness.h>
 
+#include <absl/strings/str_cat.h>
 #include <doctest.h>
 #include <string>
 #include <vector>
@@ -42,7 +43,7 @@
 {
   for (const std::string line_end : { "\n", "\r\n", "\r" }) {
     CAPTURE(line_end);
-    const std::string whole = "id: 1" + line_end + "data: a" + line_end + line_end;
+    const std::string whole = absl::StrCat("id: 1", line_end, "data: a", line_end, line_end);
     for (const char* type : { "text/event-stream", "Text/Event-Stream ; charset=utf-8", "" }) {
       CAPTURE(type);
       const MessageHead head = HeadOf(type);
@@ -53,9 +54,10 @@
         const bool is_whole = size > 0 && (size % whole.size() == 0 || is_after_cr);
         CHECK(IsComplete(head, (whole + whole).substr(0, size), RelayCallEnd::Closed) == is_whole);
       }
-      CHECK(IsComplete(head, whole + ": comment" + line_end, RelayCallEnd::Closed));
+      CHECK(IsComplete(head, absl::StrCat(whole, ": comment", line_end), RelayCallEnd::Closed));
       CHECK_FALSE(IsComplete(head, whole + ": comm", RelayCallEnd::Closed));
-      CHECK_FALSE(IsComplete(head, ": comment" + line_end + line_end, RelayCallEnd::Closed));
+      CHECK_FALSE(
+        IsComplete(head, absl::StrCat(": comment", line_end, line_end), RelayCallEnd::Closed));
     }
   }
 }
--- a/Tests/Unit/TestGatewayParts.cpp
+++ b/Tests/Unit/TestGatewayParts.cpp
@@ -2,6 +2,7 @@
 #include <LibGateway/ForwardedHeaders.h>
 #include <LibGateway/GatewaySettings.h>
 
+#include <absl/strings/str_cat.h>
 #include <doctest.h>
 
 using namespace auburnhitch;
@@ -49,7 +50,7 @@
 {
   for (const std::string end : { "\r", "\n\r\n", "\r\n\n" }) {
     CAPTURE(end);
-    const std::string event = "id: 1" + end.substr(0, 1) + "data: a" + end + end;
+    const std::string event = absl::StrCat("id: 1", end.substr(0, 1), "data: a", end, end);
     EventSplitter splitter;
     std::string complete;
     for (const char byte : event + "id: 2") {
--- a/Tests/Unit/TestMessageParser.cpp
+++ b/Tests/Unit/TestMessageParser.cpp
@@ -1,5 +1,6 @@
 #include <LibRelay/MessageParser.h>
 
+#include <absl/strings/str_cat.h>
 #include <doctest.h>
 
 using namespace auburnhitch;
@@ -153,10 +154,11 @@
     CAPTURE(coding);
     const std::string field = std::string("Transfer-Encoding: ") + coding + "\r\n\r\n";
     const std::string body = "1\r\na\r\n0\r\n\r\n";
-    CHECK(StateAfter(MessageParser::Kind::Response, "HTTP/1.1 200 OK\r\n" + field + body) ==
-          Progress::Malformed);
+    CHECK(StateAfter(MessageParser::Kind::Response,
+                     absl::StrCat("HTTP/1.1 200 OK\r\n", field, body)) == Progress::Malformed);
     CHECK(StateAfter(MessageParser::Kind::Request,
-                     "POST / HTTP/1.1\r\nHost: h\r\n" + field + body) == Progress::Malformed);
+                     absl::StrCat("POST / HTTP/1.1\r\nHost: h\r\n", field, body)) ==
+          Progress::Malformed);
   }
   CHECK(StateAfter(MessageParser::Kind::Response,
                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: "
