--- a/Tests/Process/TestResponseEnd.cpp
+++ b/Tests/Process/TestResponseEnd.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr const char* kEventStreamHead =
-  "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Response-Seal: s\r\n";
+  "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/event-stream\r\n"
+  "X-Response-Seal: s\r\n";
 
 /// A behaviour that writes these bytes in response to any request and then closes the connection in
 /// order.
@@ -108,10 +109,11 @@
 {
   GatewayCluster cluster;
   for (const std::string resumed :
-       { "HTTP/1.1 204 No Content\r\n\r\n",
-         "HTTP/1.1 302 Found\r\nContent-Length: 4\r\n\r\nmore",
-         "HTTP/1.1 206 Partial Content\r\nContent-Length: 4\r\n\r\nmore",
-         "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 4\r\n\r\nmore" }) {
+       { "HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n",
+         "HTTP/1.1 302 Found\r\nConnection: close\r\nContent-Length: 4\r\n\r\nmore",
+         "HTTP/1.1 206 Partial Content\r\nConnection: close\r\nContent-Length: 4\r\n\r\nmore",
+         "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/html\r\nContent-Length: "
+         "4\r\n\r\nmore" }) {
     CAPTURE(resumed);
     for (std::size_t i = 0; i < 2; ++i) {
       cluster.Endpoint(i).SetBehaviour([&](RawConnection& aConnection, const RawRequest& aRequest) {
