Decode and log the rate limit that an endpoint names

The end of each request now states the limit of the last endpoint's response, and a metric counts statements that cannot be understood. No decision depends on it yet. A value must be a finite decimal number from 0; of several header fields the lowest counts, and one that is malformed makes the whole statement malformed.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Log.h>
 #include <LibGateway/ForwardedHeaders.h>
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 
 namespace auburnhitch {
@@ -42,6 +43,16 @@
                     aRoute.m_target_gap * kTargetGapMultiple });
 }
 
+/// The limit in an endpoint's notice, for logs.
+std::string
+DescribeLimit(const EndpointNotice& aNotice)
+{
+  if (aNotice.m_is_malformed) {
+    return "malformed";
+  }
+  return aNotice.m_limit ? absl::StrCat(aNotice.m_limit->m_per_second) : "none";
+}
+
 }
 
 ActiveRequest::ActiveRequest(const ActiveRequestDependencies& aDependencies,
@@ -224,6 +235,7 @@
   m_attempt->m_completeness.emplace(aHead, IsStream());
   const ResponseMeaning meaning =
     m_dependencies.m_dialect->ClassifyResponse(aHead, m_request.m_head.m_request_id);
+  RecordNotice(meaning, aHead);
   switch (meaning) {
     case ResponseMeaning::Mismatched:
       m_call = nullptr;
@@ -267,6 +279,20 @@
   }
 }
 
+void
+ActiveRequest::RecordNotice(ResponseMeaning aMeaning, const MessageHead& aHead)
+{
+  if (aMeaning == ResponseMeaning::Mismatched) {
+    // It may have been sent long ago.
+    return;
+  }
+  const EndpointNotice notice = m_dependencies.m_dialect->DecodeNotice(aHead);
+  if (notice.m_is_malformed) {
+    m_dependencies.m_metrics->OnMalformedNotice(m_request.m_service);
+  }
+  m_attempt->m_notice = notice;
+}
+
 void
 ActiveRequest::OnResponseBytes(std::string aBytes)
 {
@@ -539,7 +565,8 @@
   m_dependencies.m_metrics->OnRequestEnded(m_request.m_service, aOutcome, took);
   LogOf("request").info("event=ended request={} service={} route={} workspace={} priority={} "
                         "outcome={} status={} took_ms={} first_ms={} endpoint={} runs={} "
-                        "arrivals={} framing={} response_bytes={} response_end={} config={} "
+                        "arrivals={} framing={} response_bytes={} response_end={} "
+                        "stated_limit={} config={} "
                         "reason=\"{}\"",
                         m_request.m_head.m_request_id,
                         m_request.m_service.Value(),
@@ -558,6 +585,7 @@
                           : "no-response",
                         m_attempt ? m_attempt->m_response_bytes : 0,
                         m_attempt ? m_attempt->m_end : "not-sent",
+                        m_attempt ? DescribeLimit(m_attempt->m_notice) : "none",
                         m_request.m_table->Version(),
                         aReason);
   // Destruction is deferred, since this may run inside a callback of its own call.
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -41,6 +41,11 @@
         .Name("auburnhitch_endpoint_responses_total")
         .Help("Responses of endpoints, by service, framing and how the call to the endpoint ended.")
         .Register(m_registry))
+  , m_malformed_notices(
+      prometheus::BuildCounter()
+        .Name("auburnhitch_malformed_notices_total")
+        .Help("Statements of endpoints about themselves that cannot be understood, by service.")
+        .Register(m_registry))
   , m_store_calls(prometheus::BuildCounter()
                     .Name("auburnhitch_store_calls_total")
                     .Help("Calls to the store, by call and outcome.")
@@ -124,6 +129,12 @@
   counter->Increment();
 }
 
+void
+GatewayMetrics::OnMalformedNotice(const ServiceName& aService)
+{
+  m_malformed_notices.Add({ { "service", aService.Value() } }).Increment();
+}
+
 void
 GatewayMetrics::OnStoreCall(const char* aCall, const char* aOutcome)
 {
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -83,6 +83,7 @@
     bool m_is_written = false;
     bool m_has_first_byte = false;
     MessageHead m_response_head;
+    EndpointNotice m_notice;
     /// Set once the head of the response has arrived.
     std::optional<BodyCompleteness> m_completeness;
     std::size_t m_response_bytes = 0;
@@ -98,6 +99,8 @@
   void StartAttempt(const EndpointEntry& aEndpoint);
   void OnRequestWritten();
   void OnResponseHead(const MessageHead& aHead);
+  /// Records what the endpoint states about itself.
+  void RecordNotice(ResponseMeaning aMeaning, const MessageHead& aHead);
   void OnResponseBytes(std::string aBytes);
   void OnResponseEnd(const RelayResult& aResult);
   /// Called when the endpoint has ended its response in order. aEnd is Complete or Closed.
--- a/Libraries/LibGateway/include/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/include/LibGateway/Dialect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibPlacement/EndpointNotice.h>
 #include <LibPlacement/SlotRequest.h>
 #include <LibRelay/MessageParser.h>
 #include <LibRouting/RoutingTable.h>
@@ -65,6 +66,8 @@
                                       const EndpointInstructions& aInstructions) const = 0;
   virtual ResponseMeaning ClassifyResponse(const MessageHead& aResponse,
                                            const std::string& aRequestId) const = 0;
+  /// What the endpoint states about itself in the head of a response.
+  virtual EndpointNotice DecodeNotice(const MessageHead& aResponse) const = 0;
   /// The header fields of a response that the gateway itself generates.
   virtual HttpHeaders GatewayResponseHeaders(const std::string& aRequestId,
                                              std::optional<Milliseconds> aRetryAfter) const = 0;
--- a/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
@@ -46,6 +46,8 @@
   /// A call to an endpoint has ended after the head of its response. aFraming and aEnd are each one
   /// of a small fixed set, since they become labels.
   void OnResponseEnded(const ServiceName& aService, const char* aFraming, const char* aEnd);
+  /// An endpoint stated something about itself that cannot be understood.
+  void OnMalformedNotice(const ServiceName& aService);
   void OnStoreCall(const char* aCall, const char* aOutcome);
 
   /// All metrics in the Prometheus text format.
@@ -63,6 +65,7 @@
   prometheus::Family<prometheus::Counter>& m_slots_refused;
   prometheus::Family<prometheus::Counter>& m_attempts_sent;
   prometheus::Family<prometheus::Counter>& m_responses_ended;
+  prometheus::Family<prometheus::Counter>& m_malformed_notices;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Family<prometheus::Histogram>& m_latency;
   prometheus::Family<prometheus::Histogram>& m_time_to_first_byte;
--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -218,3 +218,20 @@
   CHECK(FindHeader(dialect.GatewayResponseHeaders("id-1", Milliseconds(250)), "Retry-After") ==
         "0.250");
 }
+
+TEST_CASE("The limit that an endpoint names is decoded, and a malformed one is reported as such")
+{
+  const PlatformDialect dialect;
+  const auto notice = [&](HttpHeaders aHeaders) {
+    return dialect.DecodeNotice(AnswerOf(200, std::move(aHeaders)));
+  };
+  CHECK(notice({}) == EndpointNotice{});
+  CHECK(notice({ { "server-limit", " 1.3 " } }).m_limit == RequestRate{ 1.3 });
+  CHECK(notice({ { "Server-Limit", "0" } }).m_limit == RequestRate{ 0 });
+  CHECK(notice({ { "Server-Limit", "3" }, { "Server-Limit", "2" } }).m_limit == RequestRate{ 2 });
+  for (const char* value : { "", "-1", "nan", "inf", "1e400", "2, 3", "two", "2 per second" }) {
+    CAPTURE(value);
+    CHECK(notice({ { "Server-Limit", value } }) == EndpointNotice{ std::nullopt, true });
+    CHECK(notice({ { "Server-Limit", "2" }, { "Server-Limit", value } }).m_is_malformed);
+  }
+}
