Keep the requests to an endpoint within the limit that it names, over all daemons

Cause: nobody read the limit. A coordinator granted slots by concurrency and cost alone.

Why the fix works: the sum is bounded where it arises. The coordinator that grants an endpoint's slots holds one token bucket for it, empty at first, and each grant takes a token, whether it is a first attempt, a retry or a resumed stream; nothing is sent without a grant. A daemon reports each statement of a limit to the coordinator, which tells all daemons when the limit changes, so that the next coordinator starts with it. A limit ends or rises only by the response to a request that was granted after the limit was heard last, so that answers which overtake each other don't lift it. A daemon that grants slots without being the coordinator in its own view, or in the minority side of a partition, uses its part of the limit: the parts add up to at most 1.5. The limit counts as the endpoint's service rate in admission, in the expected wait and in Retry-After.

Ruled out: a limit kept by each daemon alone (two daemons exceed it) and equal parts (callers choose daemons at random, so parts stay unused). Tokens are never returned: an endpoint that can't be reached loses a few, which harms nobody.

--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -135,6 +135,104 @@
                     FirstByteMessage{ outstanding.m_service, aNumber, outstanding.m_endpoint });
 }
 
+void
+SlotBroker::RecordNotice(std::uint64_t aNumber,
+                         const EndpointIncarnation& aEndpoint,
+                         const EndpointNotice& aNotice)
+{
+  const auto found = m_outstanding.find(aNumber);
+  if (found == m_outstanding.end() || aNotice.m_is_malformed) {
+    return;
+  }
+  const OutstandingRequest& outstanding = found->second;
+  const auto before = m_known_limits.LimitOf(aEndpoint);
+  if (!m_known_limits.RecordResponse(
+        outstanding.m_service, aEndpoint, aNotice.m_limit, outstanding.m_granted_at, Now())) {
+    return;
+  }
+  if (before != m_known_limits.LimitOf(aEndpoint)) {
+    LogOf("broker").info("event=limit-heard endpoint={} service={} limit_per_s={} before={}",
+                         aEndpoint.m_id.Value(),
+                         outstanding.m_service.Value(),
+                         aNotice.m_limit ? aNotice.m_limit->m_per_second : -1,
+                         before ? before->m_per_second : -1);
+  }
+  const EndpointNoticeMessage message{ outstanding.m_service,
+                                       aNumber,
+                                       aEndpoint.m_id,
+                                       static_cast<std::uint64_t>(aEndpoint.m_started_at_ms),
+                                       aNotice.m_limit };
+  if (IsSelf(outstanding.m_coordinator)) {
+    OnNoticeToCoordinator(nullptr, message);
+  } else {
+    SendToCoordinator(outstanding.m_coordinator, message);
+  }
+}
+
+void
+SlotBroker::OnNoticeFromCoordinator(const EndpointNoticeMessage& aNotice)
+{
+  const EndpointIncarnation endpoint{ aNotice.m_endpoint,
+                                      static_cast<std::int64_t>(aNotice.m_started_at_ms) };
+  m_known_limits.RecordReport(aNotice.m_service, endpoint, aNotice.m_limit, Now());
+  // This daemon may grant slots of the service as well, while daemons disagree on the coordinator.
+  m_coordinator.RecordStatedLimit(
+    aNotice.m_service, endpoint, aNotice.m_limit, std::nullopt, Now());
+}
+
+void
+SlotBroker::OnNoticeToCoordinator(InboundLink* aLink, const EndpointNoticeMessage& aNotice)
+{
+  const EndpointIncarnation endpoint{ aNotice.m_endpoint,
+                                      static_cast<std::int64_t>(aNotice.m_started_at_ms) };
+  const Incarnation& daemon = aLink != nullptr ? aLink->m_peer.m_incarnation : m_incarnation;
+  const bool is_response = aNotice.m_number != 0;
+  const bool is_changed = m_coordinator.RecordStatedLimit(
+    aNotice.m_service,
+    endpoint,
+    aNotice.m_limit,
+    is_response ? std::optional(SlotRequestId{ daemon, aNotice.m_number }) : std::nullopt,
+    Now());
+  EndpointNoticeMessage reply = aNotice;
+  reply.m_number = 0;
+  if (is_changed) {
+    m_known_limits.RecordReport(aNotice.m_service, endpoint, aNotice.m_limit, Now());
+    for (const auto& inbound : m_inbound) {
+      inbound->m_link->Send(EncodeSlotMessage(reply));
+    }
+    ScheduleDecision(aNotice.m_service);
+    return;
+  }
+  // The sender goes on reporting what it hears only while it knows of the limit.
+  reply.m_limit = m_coordinator.StatedLimitOf(aNotice.m_service, endpoint);
+  if (!reply.m_limit || reply.m_limit == aNotice.m_limit) {
+    return;
+  }
+  if (aLink != nullptr) {
+    aLink->m_link->Send(EncodeSlotMessage(reply));
+  } else {
+    m_known_limits.RecordReport(aNotice.m_service, endpoint, reply.m_limit, Now());
+  }
+}
+
+void
+SlotBroker::ReportKnownLimits(const ServiceName& aService, const Member& aCoordinator)
+{
+  for (const StatedLimit& limit : m_known_limits.LimitsOf(aService)) {
+    const EndpointNoticeMessage message{ aService,
+                                         0,
+                                         limit.m_endpoint.m_id,
+                                         static_cast<std::uint64_t>(
+                                           limit.m_endpoint.m_started_at_ms),
+                                         limit.m_limit };
+    if (IsSelf(aCoordinator.m_host)) {
+      OnNoticeToCoordinator(nullptr, message);
+    } else {
+      LinkTo(aCoordinator).Send(EncodeSlotMessage(message));
+    }
+  }
+}
+
 void
 SlotBroker::RecordEnded(std::uint64_t aNumber, SlotOutcome aOutcome)
 {
@@ -192,29 +290,30 @@
     LogOf("broker").warn("event=message-malformed home={}", aCoordinator.Value());
     return;
   }
-  std::visit(Overloaded{ [&](const QueuedMessage& aQueued) {
-                          const auto found = m_outstanding.find(aQueued.m_number);
-                          if (found != m_outstanding.end()) {
-                            found->second.m_is_acknowledged = true;
-                          }
-                        },
-                         [&](const GrantMessage& aGrant) {
-                           Deliver(SlotGrant{ SlotRequestId{ m_incarnation, aGrant.m_number },
-                                              aGrant.m_endpoint,
-                                              aGrant.m_expected },
-                                   aCoordinator);
-                         },
-                         [&](const RefusalMessage& aRefusal) {
-                           Deliver(SlotRefusal{ SlotRequestId{ m_incarnation, aRefusal.m_number },
-                                                aRefusal.m_reason,
-                                                aRefusal.m_retry_after },
-                                   aCoordinator);
-                         },
-                         [&](const auto&) {
-                           LogOf("broker").warn("event=message-unexpected home={}",
-                                                aCoordinator.Value());
-                         } },
-             *message);
+  std::visit(
+    Overloaded{ [&](const QueuedMessage& aQueued) {
+                 const auto found = m_outstanding.find(aQueued.m_number);
+                 if (found != m_outstanding.end()) {
+                   found->second.m_is_acknowledged = true;
+                 }
+               },
+                [&](const GrantMessage& aGrant) {
+                  Deliver(SlotGrant{ SlotRequestId{ m_incarnation, aGrant.m_number },
+                                     aGrant.m_endpoint,
+                                     aGrant.m_expected },
+                          aCoordinator);
+                },
+                [&](const RefusalMessage& aRefusal) {
+                  Deliver(SlotRefusal{ SlotRequestId{ m_incarnation, aRefusal.m_number },
+                                       aRefusal.m_reason,
+                                       aRefusal.m_retry_after },
+                          aCoordinator);
+                },
+                [&](const EndpointNoticeMessage& aNotice) { OnNoticeFromCoordinator(aNotice); },
+                [&](const auto&) {
+                  LogOf("broker").warn("event=message-unexpected home={}", aCoordinator.Value());
+                } },
+    *message);
 }
 
 void
@@ -228,6 +327,7 @@
     return;
   }
   found->second.m_is_granted = true;
+  found->second.m_granted_at = Now();
   found->second.m_endpoint = aGrant.m_endpoint;
   const auto handler = found->second.m_handlers.m_on_granted;
   handler(aGrant, aCoordinator);
@@ -291,6 +391,7 @@
   } else {
     SendToCoordinator(old, LeaveMessage{ aService });
   }
+  ReportKnownLimits(aService, aCoordinator);
   for (auto& [number, outstanding] : m_outstanding) {
     if (outstanding.m_service != aService) {
       continue;
@@ -345,7 +446,16 @@
         // A daemon that opens a new link sends its waiting requests and held slots again.
         m_coordinator.ForgetDaemon(aHello.m_incarnation);
         aLink.m_peer = aHello;
+        for (const auto& [service, limit] : m_coordinator.StatedLimits()) {
+          aLink.m_link->Send(EncodeSlotMessage(
+            EndpointNoticeMessage{ service,
+                                   0,
+                                   limit.m_endpoint.m_id,
+                                   static_cast<std::uint64_t>(limit.m_endpoint.m_started_at_ms),
+                                   limit.m_limit }));
+        }
       },
+      [&](const EndpointNoticeMessage& aNotice) { OnNoticeToCoordinator(&aLink, aNotice); },
       [&](const SlotRequestMessage& aSlotRequest) { OnSlotRequest(aLink, aSlotRequest); },
       [&](const WithdrawMessage& aWithdraw) {
         m_coordinator.Withdraw(aWithdraw.m_service, id_of(aWithdraw.m_number), now);
@@ -461,14 +571,40 @@
 {
   m_coordinator.UpdateEndpoints(Now());
   m_coordinator.DecideAll(Now());
+  std::set<EndpointIncarnation> used;
+  for (const ServiceName& service : m_known_limits.Services()) {
+    for (const SlotEndpointInfo& info : m_dependencies.m_endpoints(service)) {
+      used.insert({ info.m_id, info.m_started_at_ms });
+    }
+  }
+  m_known_limits.DropUnused(
+    [&](const EndpointIncarnation& aEndpoint) { return used.contains(aEndpoint); });
 }
 
 void
-SlotBroker::UpdateSlotShare()
+SlotBroker::UpdateShares()
 {
   const bool is_isolated = m_dependencies.m_membership->AliveMembers(Now()).empty() &&
                            !m_dependencies.m_membership->KnownMembers().empty();
   m_coordinator.SetSlotShare(is_isolated ? m_limits.m_slot_share_when_isolated : 1.0);
+  for (const ServiceName& service : m_coordinator.Services()) {
+    m_coordinator.SetRateShare(service, RateShareFor(service), Now());
+  }
+}
+
+double
+SlotBroker::RateShareFor(const ServiceName& aService) const
+{
+  const TimePoint now = Now();
+  const Membership& membership = *m_dependencies.m_membership;
+  const double known = static_cast<double>(membership.KnownMembers().size()) + 1;
+  if (!IsSelf(membership.CoordinatorOf(aService, m_dependencies.m_self(), now).m_host)) {
+    return 1 / known;
+  }
+  const double alive_share = (static_cast<double>(membership.AliveMembers(now).size()) + 1) / known;
+  // At most one side of a partition has the majority; the parts of the others are below a half.
+  constexpr double kMajority = 0.5;
+  return alive_share > kMajority ? 1 : alive_share;
 }
 
 void
@@ -497,7 +633,7 @@
   for (InboundLink* link : not_alive) {
     CloseInboundLink(link, "no heartbeats from the daemon");
   }
-  UpdateSlotShare();
+  UpdateShares();
   UpdateCoordinators();
   m_coordinator.DecideAll(now);
   m_coordinator.LogSuspicionChanges(now);
--- a/Libraries/LibBroker/SlotCoordinator.cpp
+++ b/Libraries/LibBroker/SlotCoordinator.cpp
@@ -112,6 +112,73 @@
   }
 }
 
+void
+SlotCoordinator::SetRateShare(const ServiceName& aService, double aShare, TimePoint aNow)
+{
+  if (const auto found = m_schedulers.find(aService); found != m_schedulers.end()) {
+    found->second.SetRateShare(aShare, aNow);
+  }
+}
+
+bool
+SlotCoordinator::RecordStatedLimit(const ServiceName& aService,
+                                   const EndpointIncarnation& aEndpoint,
+                                   const std::optional<RequestRate>& aStated,
+                                   const std::optional<SlotRequestId>& aRequestId,
+                                   TimePoint aNow)
+{
+  const auto found = m_schedulers.find(aService);
+  if (found == m_schedulers.end() ||
+      !found->second.RecordStatedLimit(aEndpoint, aStated, aRequestId, aNow)) {
+    return false;
+  }
+  LogOf("home").info("event=limit-changed endpoint={} service={} limit_per_s={} waiting={}",
+                     aEndpoint.m_id.Value(),
+                     aService.Value(),
+                     aStated ? aStated->m_per_second : -1,
+                     found->second.WaitingCount());
+  return true;
+}
+
+std::optional<RequestRate>
+SlotCoordinator::StatedLimitOf(const ServiceName& aService,
+                               const EndpointIncarnation& aEndpoint) const
+{
+  const auto found = m_schedulers.find(aService);
+  if (found == m_schedulers.end()) {
+    return std::nullopt;
+  }
+  for (const StatedLimit& limit : found->second.StatedLimits()) {
+    if (limit.m_endpoint == aEndpoint) {
+      return limit.m_limit;
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<std::pair<ServiceName, StatedLimit>>
+SlotCoordinator::StatedLimits() const
+{
+  std::vector<std::pair<ServiceName, StatedLimit>> limits;
+  for (const auto& [service, scheduler] : m_schedulers) {
+    for (const StatedLimit& limit : scheduler.StatedLimits()) {
+      limits.emplace_back(service, limit);
+    }
+  }
+  return limits;
+}
+
+std::vector<ServiceName>
+SlotCoordinator::Services() const
+{
+  std::vector<ServiceName> services;
+  services.reserve(m_schedulers.size());
+  for (const auto& [service, scheduler] : m_schedulers) {
+    services.push_back(service);
+  }
+  return services;
+}
+
 void
 SlotCoordinator::ForgetDaemon(const Incarnation& aDaemon)
 {
@@ -143,7 +210,7 @@
         m_suspects.erase(view.m_id);
       }
       LogOf("home").info("event={} endpoint={} service={} held={} first_slowness={:.2f} "
-                         "rest_slowness={:.2f} failure_rate={:.2f} waiting={} places={}",
+                         "rest_slowness={:.2f} failure_rate={:.2f} waiting={} places={:.1f}",
                          view.m_is_suspect ? "suspected" : "trusted",
                          view.m_id.Value(),
                          service.Value(),
--- a/Libraries/LibBroker/SlotMessages.cpp
+++ b/Libraries/LibBroker/SlotMessages.cpp
@@ -28,6 +28,10 @@
   void operator()(Milliseconds aValue) { m_json.push_back(aValue.count()); }
   void operator()(SlotOutcome aValue) { m_json.push_back(static_cast<int>(aValue)); }
   void operator()(SlotRefusalReason aValue) { m_json.push_back(static_cast<int>(aValue)); }
+  void operator()(const std::optional<RequestRate>& aValue)
+  {
+    m_json.push_back(aValue ? Json::array({ aValue->m_per_second }) : Json::array());
+  }
   void operator()(const std::vector<EndpointId>& aValues)
   {
     Json ids = Json::array();
@@ -88,6 +92,17 @@
       aValue = Milliseconds(field->get<std::int64_t>());
     }
   }
+  void operator()(std::optional<RequestRate>& aValue)
+  {
+    const Json* field = Next();
+    if (field == nullptr || !Check(field->is_array() && field->size() <= 1) || field->empty()) {
+      return;
+    }
+    const Json& rate = field->front();
+    if (Check(rate.is_number() && rate.get<double>() >= 0)) {
+      aValue = RequestRate{ rate.get<double>() };
+    }
+  }
   void operator()(SlotOutcome& aValue)
   {
     ReadEnum(aValue, static_cast<int>(SlotOutcome::Cancelled));
@@ -238,6 +253,16 @@
   aVisit(aMessage.m_retry_after);
 }
 
+void
+Visit(auto& aVisit, Is<EndpointNoticeMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_service);
+  aVisit(aMessage.m_number);
+  aVisit(aMessage.m_endpoint);
+  aVisit(aMessage.m_started_at_ms);
+  aVisit(aMessage.m_limit);
+}
+
 template<typename Message>
 std::optional<SlotMessage>
 Decode(const Json& aJson)
--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBroker/KnownLimits.h>
 #include <LibBroker/SlotCoordinator.h>
 #include <LibBroker/SlotMessages.h>
 #include <LibCluster/Membership.h>
@@ -63,6 +64,16 @@
   void Withdraw(std::uint64_t aNumber);
   /// Reports that the first byte of the response has arrived.
   void RecordStarted(std::uint64_t aNumber);
+  /// Reports what an endpoint stated in its response to a request that holds a slot there. To be
+  /// called before the slot is freed.
+  void RecordNotice(std::uint64_t aNumber,
+                    const EndpointIncarnation& aEndpoint,
+                    const EndpointNotice& aNotice);
+  /// The rate limit that an endpoint states, as far as this daemon knows.
+  std::optional<RequestRate> KnownLimitOf(const EndpointIncarnation& aEndpoint) const
+  {
+    return m_known_limits.LimitOf(aEndpoint);
+  }
   /// Frees a slot that was granted.
   void RecordEnded(std::uint64_t aNumber, SlotOutcome aOutcome);
 
@@ -88,6 +99,7 @@
     TimePoint m_requested_at;
     bool m_is_acknowledged = false;
     bool m_is_granted = false;
+    TimePoint m_granted_at;
     EndpointId m_endpoint;
   };
 
@@ -116,9 +128,18 @@
   void OnDecisions(const SlotDecisions& aDecisions);
   void Deliver(const SlotGrant& aGrant, const HostName& aCoordinator);
   void Deliver(const SlotRefusal& aRefusal, const HostName& aCoordinator);
+  void OnNoticeFromCoordinator(const EndpointNoticeMessage& aNotice);
+  /// Handles a notice as coordinator. aLink is null for this daemon's own notices.
+  void OnNoticeToCoordinator(InboundLink* aLink, const EndpointNoticeMessage& aNotice);
+  /// Tells a new coordinator the limits that this daemon knows of.
+  void ReportKnownLimits(const ServiceName& aService, const Member& aCoordinator);
   InboundLink* FindInboundLink(const Incarnation& aDaemon);
   void ScheduleDecision(const ServiceName& aService);
-  void UpdateSlotShare();
+  void UpdateShares();
+  /// The share of the rate limits of a service's endpoints that this daemon may grant. The shares
+  /// of all daemons add up to at most one and a half, also while a network partition separates
+  /// them.
+  double RateShareFor(const ServiceName& aService) const;
   TimePoint Now() const;
 
   Limits m_limits;
@@ -127,6 +148,7 @@
   HostName m_own_host;
   /// For the services that this daemon coordinates.
   SlotCoordinator m_coordinator;
+  KnownLimits m_known_limits;
   std::uint64_t m_last_number = 0;
   absl::flat_hash_map<std::uint64_t, OutstandingRequest> m_outstanding;
   /// The host that coordinates each service, as chosen last.
--- a/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
@@ -41,6 +41,22 @@
   void UpdateEndpoints(TimePoint aNow);
   /// Sets the share of each endpoint's slots that may be granted here.
   void SetSlotShare(double aSlotShare);
+  /// Sets the share of the rate limits of a service's endpoints that may be used here.
+  void SetRateShare(const ServiceName& aService, double aShare, TimePoint aNow);
+  /// Applies the rate limit, or its absence, that an endpoint stated in the response to a request;
+  /// see SlotEndpoint::RecordStatedLimit(). Returns whether the limit has changed. Does nothing if
+  /// this daemon has not coordinated the service.
+  bool RecordStatedLimit(const ServiceName& aService,
+                         const EndpointIncarnation& aEndpoint,
+                         const std::optional<RequestRate>& aStated,
+                         const std::optional<SlotRequestId>& aRequestId,
+                         TimePoint aNow);
+  /// The limit that an endpoint states, if this daemon coordinates the service and knows of one.
+  std::optional<RequestRate> StatedLimitOf(const ServiceName& aService,
+                                           const EndpointIncarnation& aEndpoint) const;
+  /// The endpoints of all services coordinated here that state a limit.
+  std::vector<std::pair<ServiceName, StatedLimit>> StatedLimits() const;
+  std::vector<ServiceName> Services() const;
   /// Drops the waiting requests of a daemon, refunding their quota charges, and frees the slots
   /// that it holds.
   void ForgetDaemon(const Incarnation& aDaemon);
--- a/Libraries/LibBroker/include/LibBroker/SlotMessages.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibPlacement/EndpointNotice.h>
 #include <LibPlacement/SlotRequest.h>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -110,6 +111,20 @@
   auto operator<=>(const RefusalMessage&) const = default;
 };
 
+/// Reports what an endpoint states about itself: from a daemon to the coordinator, which tells all
+/// daemons when it changes.
+struct EndpointNoticeMessage
+{
+  ServiceName m_service;
+  /// The sender's request in whose response it was stated; 0 if the sender relays it.
+  std::uint64_t m_number = 0;
+  EndpointId m_endpoint;
+  std::uint64_t m_started_at_ms = 0;
+  std::optional<RequestRate> m_limit;
+
+  auto operator<=>(const EndpointNoticeMessage&) const = default;
+};
+
 using SlotMessage = std::variant<HelloMessage,
                                  SlotRequestMessage,
                                  WithdrawMessage,
@@ -119,10 +134,12 @@
                                  LeaveMessage,
                                  QueuedMessage,
                                  GrantMessage,
-                                 RefusalMessage>;
+                                 RefusalMessage,
+                                 EndpointNoticeMessage>;
 
 /// Encodes a message as an array. Its first element is the index of the message's type in
-/// SlotMessage; the fields follow in order.
+/// SlotMessage; the fields follow in order. A daemon of an earlier version ignores types that it
+/// does not know, so types are only added, at the end.
 nlohmann::json
 EncodeSlotMessage(const SlotMessage& aMessage);
 
--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -291,6 +291,7 @@
     m_dependencies.m_metrics->OnMalformedNotice(m_request.m_service);
   }
   m_attempt->m_notice = notice;
+  m_dependencies.m_broker->RecordNotice(*m_slot_request_id, m_attempt->m_endpoint.Run(), notice);
 }
 
 void
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -191,8 +191,11 @@
 {
   std::vector<SlotEndpointInfo> infos;
   for (const EndpointEntry& entry : m_registry.UsableEndpoints(aService)) {
-    infos.push_back(
-      SlotEndpointInfo{ entry.m_id, entry.m_data_center, entry.m_slots, entry.m_started_at_ms });
+    infos.push_back(SlotEndpointInfo{ entry.m_id,
+                                      entry.m_data_center,
+                                      entry.m_slots,
+                                      entry.m_started_at_ms,
+                                      m_broker.KnownLimitOf(entry.Run()) });
   }
   return infos;
 }
--- a/Libraries/LibPlacement/SlotEndpoint.cpp
+++ b/Libraries/LibPlacement/SlotEndpoint.cpp
@@ -27,16 +27,44 @@
   , m_suspect_until(aNow)
   , m_full_until(aNow)
 {
+  m_rate.Apply(m_info.m_limit, std::nullopt, aNow);
 }
 
 void
 SlotEndpoint::Hold(const SlotRequestId& aRequestId, const RequestWork& aWork, TimePoint aNow)
 {
-  if (m_held.contains(aRequestId)) {
-    return;
+  m_rate.RecordSent(aNow);
+  Insert(aRequestId, Held{ aWork, aNow, false, ExpectedFirstByteMs(aWork), std::nullopt });
+}
+
+void
+SlotEndpoint::Adopt(const SlotRequestId& aRequestId, const RequestWork& aWork, TimePoint aNow)
+{
+  Insert(aRequestId, Held{ aWork, aNow, true, ExpectedFirstByteMs(aWork), std::nullopt });
+}
+
+void
+SlotEndpoint::Insert(const SlotRequestId& aRequestId, Held aHeld)
+{
+  const double prompt_tokens = aHeld.m_work.m_prompt_tokens;
+  if (m_held.emplace(aRequestId, std::move(aHeld)).second) {
+    m_prompt_tokens_ahead += prompt_tokens;
+  }
+}
+
+bool
+SlotEndpoint::RecordStatedLimit(const std::optional<RequestRate>& aStated,
+                                const std::optional<SlotRequestId>& aRequestId,
+                                TimePoint aNow)
+{
+  std::optional<TimePoint> sent_at;
+  if (aRequestId) {
+    const auto found = m_held.find(*aRequestId);
+    if (found != m_held.end() && !found->second.m_is_adopted) {
+      sent_at = found->second.m_granted_at;
+    }
   }
-  m_held.emplace(aRequestId, Held{ aWork, aNow, ExpectedFirstByteMs(aWork), std::nullopt });
-  m_prompt_tokens_ahead += aWork.m_prompt_tokens;
+  return m_rate.Apply(aStated, sent_at, aNow);
 }
 
 std::optional<double>
@@ -123,6 +151,15 @@
   return slots;
 }
 
+double
+SlotEndpoint::UsableSlots(double aSlotShare, double aSlotTimeMs, TimePoint aNow) const
+{
+  const auto slots = static_cast<double>(ConcurrencyLimit(aSlotShare, aNow));
+  const auto rate = m_rate.Usable();
+  constexpr double kMillisecondsPerSecond = 1'000;
+  return rate ? std::min(slots, rate->m_per_second * aSlotTimeMs / kMillisecondsPerSecond) : slots;
+}
+
 bool
 SlotEndpoint::IsOverdue(const Held& aHeld, TimePoint aNow) const
 {
--- a/Libraries/LibPlacement/SlotQueue.cpp
+++ b/Libraries/LibPlacement/SlotQueue.cpp
@@ -164,13 +164,13 @@
 }
 
 bool
-SlotQueue::IsOverloaded(int aPriority, std::size_t aSlots, TimePoint aNow) const
+SlotQueue::IsOverloaded(int aPriority, double aSlots, TimePoint aNow) const
 {
   return LoadAbove(aPriority + 1, aSlots, aNow) > kOverloadThreshold;
 }
 
 std::vector<WaitingSlotRequest>
-SlotQueue::TakeUnservable(std::size_t aSlots, TimePoint aNow)
+SlotQueue::TakeUnservable(double aSlots, TimePoint aNow)
 {
   std::vector<WaitingSlotRequest> unservable;
   std::vector<SlotRequestId> ids;
@@ -243,7 +243,7 @@
 }
 
 double
-SlotQueue::LoadAbove(int aPriority, std::size_t aSlots, TimePoint aNow) const
+SlotQueue::LoadAbove(int aPriority, double aSlots, TimePoint aNow) const
 {
   double arrived_ms = 0;
   for (const auto& [priority, level] : m_levels) {
@@ -252,8 +252,7 @@
       arrived_ms += level.m_arrived_ms * std::exp(-std::max(0.0, passed) / kDecaySeconds);
     }
   }
-  const double slots_ms =
-    static_cast<double>(std::max<std::size_t>(aSlots, 1)) * kDecaySeconds * kMillisecondsPerSecond;
+  const double slots_ms = aSlots * kDecaySeconds * kMillisecondsPerSecond;
   return arrived_ms / slots_ms;
 }
 
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -37,6 +37,12 @@
 // still be in time. A longer queue serves no more callers; it only makes each of them wait longer,
 // and callers that retry after a refusal return too late.
 constexpr double kOverloadSlackShare = 0.25;
+// EWMA weight of a new request in the mean time for which a slot is held.
+constexpr double kSlotTimeWeight = 0.05;
+// Lower bound of the number of slots while rate limits apply.
+constexpr double kMinLimitedSlots = 1e-3;
+// Lower bound of the time for which a request is expected to hold a slot.
+constexpr double kMinSlotTimeMs = 1;
 // Minimum share of the slots that work of higher priorities is expected to leave.
 constexpr double kMinShareLeft = 0.1;
 
@@ -109,12 +115,46 @@
       continue;
     }
     SlotEndpoint fresh(info, aNow);
+    fresh.SetRateShare(m_rate_share, aNow);
     fresh.Times().SetPrior(median_first, median_rest);
     endpoints.emplace(info.m_id, std::move(fresh));
   }
   m_endpoints = std::move(endpoints);
 }
 
+void
+SlotScheduler::SetRateShare(double aShare, TimePoint aNow)
+{
+  m_rate_share = aShare;
+  for (auto& [id, endpoint] : m_endpoints) {
+    endpoint.SetRateShare(aShare, aNow);
+  }
+}
+
+bool
+SlotScheduler::RecordStatedLimit(const EndpointIncarnation& aEndpoint,
+                                 const std::optional<RequestRate>& aStated,
+                                 const std::optional<SlotRequestId>& aRequestId,
+                                 TimePoint aNow)
+{
+  const auto found = m_endpoints.find(aEndpoint.m_id);
+  return found != m_endpoints.end() &&
+         found->second.Info().m_started_at_ms == aEndpoint.m_started_at_ms &&
+         found->second.RecordStatedLimit(aStated, aRequestId, aNow);
+}
+
+std::vector<StatedLimit>
+SlotScheduler::StatedLimits() const
+{
+  std::vector<StatedLimit> limits;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (endpoint.StatedLimit()) {
+      limits.push_back({ { id, endpoint.Info().m_started_at_ms }, *endpoint.StatedLimit() });
+    }
+  }
+  return limits;
+}
+
 void
 SlotScheduler::RequestSlot(const SlotRequest& aRequest, TimePoint aNow)
 {
@@ -134,7 +174,11 @@
   const double typical_first = rate > 0 ? static_cast<double>(m_endpoints.size()) / rate : 0;
   waiting.m_first_byte_bound_ms = typical_first * (1 + kMarginInDeviations * m_deviation);
   waiting.m_slot_time_ms =
-    m_endpoints.empty() ? 0 : total / static_cast<double>(m_endpoints.size());
+    m_endpoints.empty() ? 0
+                        : std::max(kMinSlotTimeMs, total / static_cast<double>(m_endpoints.size()));
+  const bool is_first = m_mean_slot_time_ms == 0;
+  m_mean_slot_time_ms +=
+    (is_first ? 1 : kSlotTimeWeight) * (waiting.m_slot_time_ms - m_mean_slot_time_ms);
   m_queue.Push(std::move(waiting), aNow);
   m_undecided.push_back(aRequest.m_request_id);
 }
@@ -147,7 +191,7 @@
 {
   const auto found = m_endpoints.find(aEndpoint);
   if (found != m_endpoints.end()) {
-    found->second.Hold(aRequestId, aWork, aNow);
+    found->second.Adopt(aRequestId, aWork, aNow);
   }
 }
 
@@ -214,14 +258,19 @@
     [](std::size_t aSum, const auto& aEntry) { return aSum + aEntry.second.HeldCount(); });
 }
 
-std::size_t
+double
 SlotScheduler::SlotCount(TimePoint aNow) const
 {
-  std::size_t slots = 0;
+  double slots = 0;
+  bool is_limited = false;
   for (const auto& [id, endpoint] : m_endpoints) {
-    slots += endpoint.IsSuspect(aNow) ? 0 : endpoint.ConcurrencyLimit(m_slot_share, aNow);
+    if (!endpoint.IsSuspect(aNow)) {
+      slots += endpoint.UsableSlots(m_slot_share, m_mean_slot_time_ms, aNow);
+      is_limited = is_limited || endpoint.StatedLimit().has_value();
+    }
   }
-  return slots;
+  // Without rate limits, an endpoint that has no slot now has one soon.
+  return std::max(slots, is_limited ? kMinLimitedSlots : 1.0);
 }
 
 std::vector<SlotEndpointView>
@@ -243,10 +292,9 @@
 double
 SlotScheduler::ExpectedWaitMs(int aPriority, TimePoint aNow) const
 {
-  const std::size_t slots = SlotCount(aNow);
+  const double slots = SlotCount(aNow);
   const double left = std::max(kMinShareLeft, 1.0 - m_queue.LoadAbove(aPriority, slots, aNow));
-  return m_queue.SlotTimeAheadMs(aPriority) /
-         (static_cast<double>(std::max<std::size_t>(slots, 1)) * left);
+  return m_queue.SlotTimeAheadMs(aPriority) / (slots * left);
 }
 
 Milliseconds
@@ -293,7 +341,7 @@
   double best_cost = 0;
   bool is_best_avoided = false;
   for (auto& [id, endpoint] : m_endpoints) {
-    if (endpoint.HeldCount() >= endpoint.ConcurrencyLimit(m_slot_share, aNow) ||
+    if (!endpoint.HasFreeSlot(m_slot_share, aNow) ||
         (has_unsuspected && endpoint.IsSuspect(aNow))) {
       continue;
     }
--- a/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibPlacement/EndpointRateLimit.h>
 #include <LibPlacement/ServiceTimeModel.h>
 #include <absl/container/flat_hash_map.h>
 #include <optional>
@@ -13,6 +14,9 @@
   DataCenterName m_data_center;
   int m_slots = 1;
   std::int64_t m_started_at_ms = 0;
+  /// The rate limit that this daemon has heard of. A scheduler reads it once, when the endpoint is
+  /// new to it.
+  std::optional<RequestRate> m_limit;
 
   auto operator<=>(const SlotEndpointInfo&) const = default;
 };
@@ -29,7 +33,10 @@
   ServiceTimeModel& Times() { return m_times; }
   const ServiceTimeModel& Times() const { return m_times; }
 
+  /// Grants a slot.
   void Hold(const SlotRequestId& aRequestId, const RequestWork& aWork, TimePoint aNow);
+  /// Records a slot that another scheduler granted.
+  void Adopt(const SlotRequestId& aRequestId, const RequestWork& aWork, TimePoint aNow);
   bool Holds(const SlotRequestId& aRequestId) const { return m_held.contains(aRequestId); }
   /// Records the first byte of a response. Returns the ratio of the measured to the expected time
   /// to first byte, or nothing if the request holds no slot here or its first byte has been
@@ -37,6 +44,15 @@
   std::optional<double> RecordStarted(const SlotRequestId& aRequestId, TimePoint aNow);
   /// Frees the slot of a request. Returns whether the request held one here.
   bool RecordEnded(const SlotRequestId& aRequestId, SlotOutcome aOutcome, TimePoint aNow);
+  /// Applies the rate limit, or its absence, that a response to this request stated. Without a
+  /// request, or if this scheduler did not grant its slot, the statement may be an old one. Returns
+  /// whether the limit has changed.
+  bool RecordStatedLimit(const std::optional<RequestRate>& aStated,
+                         const std::optional<SlotRequestId>& aRequestId,
+                         TimePoint aNow);
+  const std::optional<RequestRate>& StatedLimit() const { return m_rate.Stated(); }
+  void SetRateShare(double aShare, TimePoint aNow) { m_rate.SetShare(aShare, aNow); }
+
   /// Frees the slots of a daemon that has stopped.
   void ReleaseDaemon(const Incarnation& aDaemon);
 
@@ -44,6 +60,14 @@
   /// Number of slots that this scheduler may use now, held ones included. aSlotShare is its share
   /// of the endpoint's slots.
   std::size_t ConcurrencyLimit(double aSlotShare, TimePoint aNow) const;
+  /// Whether a request may be sent now.
+  bool HasFreeSlot(double aSlotShare, TimePoint aNow) const
+  {
+    return HeldCount() < ConcurrencyLimit(aSlotShare, aNow) && m_rate.Permits(aNow);
+  }
+  /// Number of slots that can be in use on average, for requests that hold one for this time: fewer
+  /// than the concurrency limit while a rate limit applies.
+  double UsableSlots(double aSlotShare, double aSlotTimeMs, TimePoint aNow) const;
   /// Whether the endpoint should get no more work now: it could not be reached, broke a connection,
   /// or a first byte is overdue.
   bool IsSuspect(TimePoint aNow) const;
@@ -60,16 +84,19 @@
   {
     RequestWork m_work;
     TimePoint m_granted_at;
+    bool m_is_adopted = false;
     double m_expected_first_byte_ms = 0;
     std::optional<TimePoint> m_started_at;
   };
 
   bool IsOverdue(const Held& aHeld, TimePoint aNow) const;
+  void Insert(const SlotRequestId& aRequestId, Held aHeld);
   void RecordOutcome(bool aIsFailure);
   void Suspect(TimePoint aNow);
 
   SlotEndpointInfo m_info;
   ServiceTimeModel m_times;
+  EndpointRateLimit m_rate;
   absl::flat_hash_map<SlotRequestId, Held> m_held;
   double m_prompt_tokens_ahead = 0;
   double m_failure_rate = 0;
--- a/Libraries/LibPlacement/include/LibPlacement/SlotQueue.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotQueue.h
@@ -37,13 +37,15 @@
   const WaitingSlotRequest* Front(TimePoint aNow);
   /// Removes the request that Front() returns and counts it as served. Precondition: Size() > 0.
   WaitingSlotRequest PopFront(TimePoint aNow);
+  // aSlots, the number of usable slots, is positive in the calls below.
+
   /// Removes the requests whose callers will stop waiting before the first byte could arrive, and
   /// those that can no longer be in time while work that precedes them takes all slots: these would
   /// only wait until their callers leave.
-  std::vector<WaitingSlotRequest> TakeUnservable(std::size_t aSlots, TimePoint aNow);
+  std::vector<WaitingSlotRequest> TakeUnservable(double aSlots, TimePoint aNow);
   /// Whether the work that arrives at this priority and higher ones exceeds the capacity of all
   /// slots.
-  bool IsOverloaded(int aPriority, std::size_t aSlots, TimePoint aNow) const;
+  bool IsOverloaded(int aPriority, double aSlots, TimePoint aNow) const;
   std::vector<WaitingSlotRequest> TakeAll();
   /// Removes the requests of a daemon.
   std::vector<SlotRequest> RemoveDaemon(const Incarnation& aDaemon);
@@ -52,7 +54,7 @@
   /// Work that is served before a new request of this priority, in milliseconds of one slot.
   double SlotTimeAheadMs(int aPriority) const;
   /// Load from arrivals of higher priorities, as a share of the capacity of all slots.
-  double LoadAbove(int aPriority, std::size_t aSlots, TimePoint aNow) const;
+  double LoadAbove(int aPriority, double aSlots, TimePoint aNow) const;
 
 private:
   using Key = std::pair<TimePoint, SlotRequestId>;
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -14,6 +14,15 @@
   Milliseconds m_max_retry_after{ 10'000 };
 };
 
+/// A rate limit that an endpoint states.
+struct StatedLimit
+{
+  EndpointIncarnation m_endpoint;
+  RequestRate m_limit;
+
+  auto operator<=>(const StatedLimit&) const = default;
+};
+
 /// State of an endpoint as a scheduler sees it, for logs.
 struct SlotEndpointView
 {
@@ -42,6 +51,17 @@
   /// Sets the share of each endpoint's slots that this scheduler may grant.
   void SetSlotShare(double aSlotShare) { m_slot_share = aSlotShare; }
 
+  /// Sets the share of the rate limits of endpoints that this scheduler may use.
+  void SetRateShare(double aShare, TimePoint aNow);
+  /// Applies what a response stated; see SlotEndpoint::RecordStatedLimit(). Returns whether the
+  /// endpoint's limit has changed. Ignores other incarnations than the registered one.
+  bool RecordStatedLimit(const EndpointIncarnation& aEndpoint,
+                         const std::optional<RequestRate>& aStated,
+                         const std::optional<SlotRequestId>& aRequestId,
+                         TimePoint aNow);
+  /// The endpoints that state a limit.
+  std::vector<StatedLimit> StatedLimits() const;
+
   /// Enqueues a request. A later Decide() grants or refuses it.
   void RequestSlot(const SlotRequest& aRequest, TimePoint aNow);
   /// Removes a request that no longer needs a slot. Returns it if it was waiting.
@@ -67,8 +87,8 @@
 
   std::size_t WaitingCount() const { return m_queue.Size(); }
   std::size_t HeldCount() const;
-  /// Number of slots that may be used now, not counting suspect endpoints.
-  std::size_t SlotCount(TimePoint aNow) const;
+  /// Number of slots that can be used on average, not counting suspect endpoints.
+  double SlotCount(TimePoint aNow) const;
   /// The state of each endpoint.
   std::vector<SlotEndpointView> View(TimePoint aNow) const;
 
@@ -88,6 +108,9 @@
 
   SlotSchedulerLimits m_limits;
   double m_slot_share = 1.0;
+  double m_rate_share = 1.0;
+  /// EWMA of the time for which requests are expected to hold a slot.
+  double m_mean_slot_time_ms = 0;
   std::map<EndpointId, SlotEndpoint> m_endpoints;
   SlotQueue m_queue;
   /// Requests enqueued since the last Decide().
--- a/Libraries/LibRegistry/include/LibRegistry/EndpointRegistry.h
+++ b/Libraries/LibRegistry/include/LibRegistry/EndpointRegistry.h
@@ -14,6 +14,16 @@
 /// Identifies an endpoint's registration. An endpoint that restarts may keep its id.
 using EndpointId = StrongString<struct EndpointIdTag>;
 
+/// One run of an endpoint's process.
+struct EndpointIncarnation
+{
+  EndpointId m_id;
+  /// Unix time of its start in milliseconds; distinguishes two incarnations with the same id.
+  std::int64_t m_started_at_ms = 0;
+
+  auto operator<=>(const EndpointIncarnation&) const = default;
+};
+
 /// An endpoint, as its registration describes it.
 struct EndpointEntry
 {
@@ -24,9 +34,11 @@
   /// Concurrency limit: requests that it works on at once.
   int m_slots = 1;
   bool m_is_draining = false;
-  /// Unix time of its start in milliseconds; distinguishes two incarnations with the same id.
+  /// See EndpointIncarnation.
   std::int64_t m_started_at_ms = 0;
 
+  EndpointIncarnation Run() const { return { m_id, m_started_at_ms }; }
+
   auto operator<=>(const EndpointEntry&) const = default;
 };
 
--- a/Tests/Process/TestEndpointLimits.cpp
+++ b/Tests/Process/TestEndpointLimits.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t kDaemons = 3;
+// All callers together need more slots than the endpoint without a limit has.
+constexpr std::size_t kCallersPerDaemon = 4;
 constexpr std::chrono::milliseconds kLoadTime{ 6'000 };
 
 /// Daemons under load whose first endpoint may name a limit.
@@ -40,8 +42,8 @@
   {
     std::atomic<bool> is_over = false;
     std::vector<std::thread> callers;
-    for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
-      callers.emplace_back([this, &is_over, daemon] {
+    for (std::size_t caller = 0; caller < kDaemons * kCallersPerDaemon; ++caller) {
+      callers.emplace_back([this, &is_over, daemon = caller % kDaemons] {
         for (int number = 0; !is_over; ++number) {
           const std::string id = absl::StrCat(daemon, "-", ++m_last_id);
           if (m_cluster.Call("/safe/x", id, "", daemon).m_status == 0) {
@@ -88,3 +90,60 @@
   CHECK(cluster.Limit().ArrivalsWhileLimited() > 5);
   CHECK(cluster.Daemons().Endpoint(1).Requests().size() > 100);
 }
+
+TEST_CASE("Daemons that lose their coordinator send an endpoint no more than the limit it names")
+{
+  LimitedCluster cluster;
+  GatewayCluster& daemons = cluster.Daemons();
+  cluster.RunUnderLoad([&] {
+    cluster.Limit().SetLimit(2);
+    // One of the three is the coordinator each time.
+    for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+      std::this_thread::sleep_for(kLoadTime / 3);
+      cluster.Limit().BeginDisturbance(daemon);
+      daemons.Daemon(daemon).Signal(SIGKILL);
+      std::this_thread::sleep_for(kLoadTime / 3);
+      daemons.StartDaemon(daemon);
+      daemons.WaitUntilReady(daemon);
+      cluster.Limit().EndDisturbance(daemon);
+    }
+    std::this_thread::sleep_for(kLoadTime);
+  });
+  CHECK(FirstViolation(cluster.Limit()) == "none");
+  CHECK(cluster.Limit().ArrivalsWhileLimited() > 10);
+}
+
+TEST_CASE("Daemons whose coordinator is paused send an endpoint no more than the limit it names")
+{
+  LimitedCluster cluster;
+  GatewayCluster& daemons = cluster.Daemons();
+  cluster.RunUnderLoad([&] {
+    cluster.Limit().SetLimit(1.3);
+    for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+      std::this_thread::sleep_for(kLoadTime / 3);
+      cluster.Limit().BeginDisturbance(daemon);
+      daemons.Daemon(daemon).Signal(SIGSTOP);
+      std::this_thread::sleep_for(kLoadTime / 3);
+      daemons.Daemon(daemon).Signal(SIGCONT);
+      cluster.Limit().EndDisturbance(daemon);
+    }
+    std::this_thread::sleep_for(kLoadTime);
+  });
+  CHECK(FirstViolation(cluster.Limit()) == "none");
+  CHECK(cluster.Limit().ArrivalsWhileLimited() > 10);
+}
+
+TEST_CASE("An endpoint that no longer names a limit gets requests without one again")
+{
+  LimitedCluster cluster;
+  const auto received = [&] { return cluster.Daemons().Endpoint(0).Requests().size(); };
+  cluster.RunUnderLoad([&] {
+    REQUIRE(WaitFor([&] { return received() > 50; }));
+    cluster.Limit().SetLimit(0);
+    std::this_thread::sleep_for(kLoadTime);
+    cluster.Limit().SetLimit(std::nullopt);
+    const std::size_t before = received();
+    CHECK(WaitFor([&] { return received() > before + 1'000; }));
+  });
+  CHECK(FirstViolation(cluster.Limit()) == "none");
+}
--- a/Tests/Unit/TestSlotMessages.cpp
+++ b/Tests/Unit/TestSlotMessages.cpp
@@ -31,7 +31,8 @@
            LeaveMessage{ service },
            QueuedMessage{ 7 },
            GrantMessage{ 7, endpoint, Milliseconds(40) },
-           RefusalMessage{ 7, SlotRefusalReason::Overloaded, Milliseconds(250) } };
+           RefusalMessage{ 7, SlotRefusalReason::Overloaded, Milliseconds(250) },
+           EndpointNoticeMessage{ service, 7, endpoint, 1, RequestRate{ 1.3 } } };
 }
 
 }
