--- /dev/null
+++ b/Tests/Process/TestStreamVersions.cpp
@@ -0,0 +1,144 @@
+#include "GatewayCluster.h"
+
+#include <absl/strings/str_cat.h>
+#include <csignal>
+#include <doctest.h>
+
+using namespace auburnhitch;
+using namespace auburnhitch::tests;
+
+namespace {
+
+constexpr const char* kFirstEvent = "id: 1\ndata: a\n\n";
+constexpr const char* kLastEvent = "id: 2\ndata: b\n\n";
+
+/// Daemons before endpoints of several software versions, which break off each new stream after its
+/// first event and complete the streams that go on.
+class VersionedCluster
+{
+public:
+  VersionedCluster(std::size_t aDaemons, std::vector<std::string> aVersions)
+    : m_versions(std::move(aVersions))
+    , m_cluster(GatewayClusterOptions{ aDaemons, m_versions.size(), 1, false, m_versions })
+  {
+    for (std::size_t i = 0; i < m_versions.size(); ++i) {
+      m_cluster.Endpoint(i).SetBehaviour(
+        [this, i](RawConnection& aConnection, const RawRequest& aRequest) {
+          return Serve(i, aConnection, aRequest);
+        });
+    }
+  }
+
+  GatewayCluster& Daemons() { return m_cluster; }
+  /// While this holds, streams that go on are broken off as well.
+  void SetBreaksAll(bool aBreaksAll) { m_breaks_all = aBreaksAll; }
+
+  /// The versions of the endpoints that sent events of a stream, in order. A stream is named by the
+  /// request that began it.
+  std::vector<std::string> VersionsOf(const std::string& aStream)
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_served[aStream];
+  }
+
+  /// Takes a stream up again after its first event, as a caller does.
+  CallerResponse TakeUp(const std::string& aStream,
+                        const std::string& aRequestId,
+                        std::size_t aDaemon)
+  {
+    return m_cluster.Call("/resumable/x",
+                          aRequestId,
+                          absl::StrCat("Resumes: ", aStream, "\r\nLast-Event-Id: 1\r\n"),
+                          aDaemon);
+  }
+
+private:
+  bool Serve(std::size_t aEndpoint, RawConnection& aConnection, const RawRequest& aRequest)
+  {
+    const bool goes_on = !aRequest.Header("last-event-id").empty();
+    const std::string taken_up = aRequest.Header("resumes");
+    const std::string stream = taken_up.empty() ? aRequest.Header("x-request-id") : taken_up;
+    const bool is_complete = goes_on && !m_breaks_all;
+    {
+      const std::lock_guard lock(m_mutex);
+      m_served[stream].push_back(m_versions[aEndpoint]);
+    }
+    aConnection.Write(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                                   "Connection: close\r\nX-Response-Seal: s\r\n\r\n",
+                                   goes_on ? "" : kFirstEvent,
+                                   is_complete ? kLastEvent : "id: 2\nda"));
+    return false;
+  }
+
+  std::vector<std::string> m_versions;
+  std::atomic<bool> m_breaks_all = false;
+  std::mutex m_mutex;
+  std::map<std::string, std::vector<std::string>> m_served;
+  GatewayCluster m_cluster;
+};
+
+/// Whether all events of a stream came from one software version.
+bool
+HasOneVersion(const std::vector<std::string>& aVersions)
+{
+  return std::all_of(aVersions.begin(), aVersions.end(), [&](const std::string& aVersion) {
+    return aVersion == aVersions.front();
+  });
+}
+
+}
+
+TEST_CASE("A stream does not go on at another software version within its response")
+{
+  VersionedCluster cluster(1, { "v1", "v2", "v2" });
+  int completed = 0;
+  for (int number = 0; number < 12; ++number) {
+    const std::string id = absl::StrCat("stream-", number);
+    const CallerResponse response = cluster.Daemons().Call("/resumable/x", id);
+    const std::vector<std::string> versions = cluster.VersionsOf(id);
+    REQUIRE_FALSE(versions.empty());
+    CHECK(HasOneVersion(versions));
+    CHECK(response.m_is_complete == (versions.size() == 2));
+    completed += response.m_is_complete ? 1 : 0;
+  }
+  // Streams of the version with two endpoints go on.
+  CHECK(completed > 0);
+}
+
+TEST_CASE("A stream that its caller takes up again does not go on at another software version")
+{
+  VersionedCluster cluster(3, { "v1", "v1", "v2", "v2" });
+  int completed = 0;
+  for (std::size_t number = 0; number < 12; ++number) {
+    const std::string id = absl::StrCat("stream-", number);
+    cluster.SetBreaksAll(true);
+    CHECK_FALSE(cluster.Daemons().Call("/resumable/x", id, "", number % 3).m_is_complete);
+    cluster.SetBreaksAll(false);
+    // At the daemon that began it, and at another one.
+    const CallerResponse response = cluster.TakeUp(id, absl::StrCat("again-", number), number % 2);
+    CHECK(HasOneVersion(cluster.VersionsOf(id)));
+    completed += response.m_is_complete && response.m_body == kLastEvent ? 1 : 0;
+  }
+  CHECK(completed == 12);
+}
+
+TEST_CASE("A stream whose daemon was killed does not go on at another software version")
+{
+  VersionedCluster cluster(3, { "v1", "v1", "v2", "v2" });
+  for (std::size_t killed = 0; killed < 3; ++killed) {
+    cluster.SetBreaksAll(true);
+    std::vector<std::string> ids;
+    for (int number = 0; number < 4; ++number) {
+      ids.push_back(absl::StrCat("stream-", killed, "-", number));
+      CHECK_FALSE(cluster.Daemons().Call("/resumable/x", ids.back(), "", killed).m_is_complete);
+    }
+    cluster.SetBreaksAll(false);
+    cluster.Daemons().Daemon(killed).Signal(SIGKILL);
+    for (const std::string& id : ids) {
+      cluster.TakeUp(id, "again-" + id, (killed + 1) % 3);
+      CHECK(HasOneVersion(cluster.VersionsOf(id)));
+    }
+    cluster.Daemons().StartDaemon(killed);
+    cluster.Daemons().WaitUntilReady(killed);
+  }
+}
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -208,7 +208,7 @@
   explicit SoakRun(const SoakOptions& aOptions)
     : m_options(aOptions)
     , m_random(aOptions.m_seed)
-    , m_cluster(GatewayClusterOptions{ aOptions.m_daemons, aOptions.m_endpoints, 2, true })
+    , m_cluster(GatewayClusterOptions{ aOptions.m_daemons, aOptions.m_endpoints, 2, true, {} })
     , m_is_down(aOptions.m_daemons, false)
     , m_start(Clock::now())
   {
--- a/Tests/Support/GatewayCluster.cpp
+++ b/Tests/Support/GatewayCluster.cpp
@@ -184,22 +184,22 @@
 }
 
 GatewayCluster::GatewayCluster(GatewayClusterOptions aOptions)
-  : m_options(aOptions)
+  : m_options(std::move(aOptions))
   , m_directory(std::filesystem::temp_directory_path() /
                 absl::StrCat("auburnhitch-gateway-", getpid(), "-", RandomName()))
 {
   std::filesystem::create_directories(m_directory);
   Configure();
-  for (std::size_t i = 0; i < aOptions.m_endpoints; ++i) {
+  for (std::size_t i = 0; i < m_options.m_endpoints; ++i) {
     m_endpoints.push_back(std::make_unique<EndpointStandIn>());
-    if (aOptions.m_has_proxies) {
+    if (m_options.m_has_proxies) {
       m_endpoint_proxies.push_back(
         StartProxy(absl::StrCat("endpoint-", i), m_endpoints.back()->Address()));
     }
     Register(i);
   }
-  for (std::size_t i = 0; i < aOptions.m_daemons; ++i) {
-    if (aOptions.m_has_proxies) {
+  for (std::size_t i = 0; i < m_options.m_daemons; ++i) {
+    if (m_options.m_has_proxies) {
       m_store_proxies.push_back(StartProxy(absl::StrCat("store-", i), m_store.Address()));
     }
     GatewayProcess daemon;
@@ -209,7 +209,7 @@
     m_daemons.push_back(std::move(daemon));
     StartDaemon(i);
   }
-  for (std::size_t i = 0; i < aOptions.m_daemons; ++i) {
+  for (std::size_t i = 0; i < m_options.m_daemons; ++i) {
     WaitUntilReady(i);
   }
 }
@@ -365,15 +365,17 @@
 void
 GatewayCluster::Register(std::size_t aEndpoint, const char* aState, const nlohmann::json& aChange)
 {
-  nlohmann::json entry{ { "service", "s" },
-                        { "address",
-                          m_options.m_has_proxies
-                            ? m_endpoint_proxies.at(aEndpoint).m_address.Value()
-                            : m_endpoints.at(aEndpoint)->Address().Value() },
-                        { "zone", DataCenterOf(aEndpoint) },
-                        { "slots", 4 },
-                        { "state", aState },
-                        { "born", 1 } };
+  nlohmann::json entry{
+    { "service", "s" },
+    { "address",
+      m_options.m_has_proxies ? m_endpoint_proxies.at(aEndpoint).m_address.Value()
+                              : m_endpoints.at(aEndpoint)->Address().Value() },
+    { "zone", DataCenterOf(aEndpoint) },
+    { "version", aEndpoint < m_options.m_versions.size() ? m_options.m_versions[aEndpoint] : "v1" },
+    { "slots", 4 },
+    { "state", aState },
+    { "born", 1 }
+  };
   entry.update(aChange);
   m_store.Put("keyed.servers", IdOf(aEndpoint), entry.dump());
 }
--- a/Tests/Support/GatewayCluster.h
+++ b/Tests/Support/GatewayCluster.h
@@ -64,6 +64,8 @@
   /// Whether there is a fault proxy between each daemon and the store, and in front of each
   /// endpoint.
   bool m_has_proxies = false;
+  /// The software version of each endpoint; "v1" for those beyond the end of the list.
+  std::vector<std::string> m_versions;
 };
 
 /// Gateway daemons as child processes, with the store and the endpoints in the process of the test.
@@ -72,7 +74,7 @@
 {
 public:
   explicit GatewayCluster(std::size_t aDaemons = 1, std::size_t aEndpoints = 2)
-    : GatewayCluster(GatewayClusterOptions{ aDaemons, aEndpoints, 1, false })
+    : GatewayCluster(GatewayClusterOptions{ aDaemons, aEndpoints, 1, false, {} })
   {
   }
   explicit GatewayCluster(GatewayClusterOptions aOptions);
