Decode the software version of endpoints and log which streams are taken up again

Registrations now carry the version, and one without it (missing, empty or of another type) is refused like one without an address: its writer is no endpoint. The end of each request states the version, the request that began the stream and the last event that the caller has. No decision depends on it yet.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -53,6 +53,12 @@
   return aNotice.m_limit ? absl::StrCat(aNotice.m_limit->m_per_second) : "none";
 }
 
+const char*
+OrNone(const std::string& aText)
+{
+  return aText.empty() ? "none" : aText.c_str();
+}
+
 }
 
 ActiveRequest::ActiveRequest(const ActiveRequestDependencies& aDependencies,
@@ -567,7 +573,7 @@
   LogOf("request").info("event=ended request={} service={} route={} workspace={} priority={} "
                         "outcome={} status={} took_ms={} first_ms={} endpoint={} runs={} "
                         "arrivals={} framing={} response_bytes={} response_end={} "
-                        "stated_limit={} config={} "
+                        "stated_limit={} version={} takes_up={} last_event={} config={} "
                         "reason=\"{}\"",
                         m_request.m_head.m_request_id,
                         m_request.m_service.Value(),
@@ -587,6 +593,9 @@
                         m_attempt ? m_attempt->m_response_bytes : 0,
                         m_attempt ? m_attempt->m_end : "not-sent",
                         m_attempt ? DescribeLimit(m_attempt->m_notice) : "none",
+                        m_attempt ? m_attempt->m_endpoint.m_software_version.Value() : "none",
+                        OrNone(m_request.m_head.m_resumed_stream),
+                        OrNone(m_request.m_head.m_last_event_id),
                         m_request.m_table->Version(),
                         aReason);
   // Destruction is deferred, since this may run inside a callback of its own call.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -175,11 +175,12 @@
   }
   for (const RegistryChange& change : aChanges) {
     LogOf("registry")
-      .info("event={} endpoint={} service={} address={} places={} registry={}",
+      .info("event={} endpoint={} service={} address={} version={} places={} registry={}",
             NameOf(change.m_type),
             change.m_entry.m_id.Value(),
             change.m_entry.m_service.Value(),
             change.m_entry.m_address.Value(),
+            change.m_entry.m_software_version.Value(),
             change.m_entry.m_slots,
             m_registry.Version());
   }
--- a/Libraries/LibRegistry/include/LibRegistry/EndpointRegistry.h
+++ b/Libraries/LibRegistry/include/LibRegistry/EndpointRegistry.h
@@ -14,6 +14,9 @@
 /// Identifies an endpoint's registration. An endpoint that restarts may keep its id.
 using EndpointId = StrongString<struct EndpointIdTag>;
 
+/// The version of an endpoint's software. Versions have no order: two are equal or differ.
+using SoftwareVersion = StrongString<struct SoftwareVersionTag>;
+
 /// One run of an endpoint's process.
 struct EndpointIncarnation
 {
@@ -34,6 +37,7 @@
   /// Concurrency limit: requests that it works on at once.
   int m_slots = 1;
   bool m_is_draining = false;
+  SoftwareVersion m_software_version;
   /// See EndpointIncarnation.
   std::int64_t m_started_at_ms = 0;
 
--- a/Tests/Process/TestGatewayFaults.cpp
+++ b/Tests/Process/TestGatewayFaults.cpp
@@ -190,7 +190,7 @@
   cluster.Store().Put("keyed.servers", "bad-1", "\xff\xfe\x01");
   cluster.Store().Put("keyed.servers", "bad-2", R"({"service": 5, "address": "x"})");
   cluster.Store().Put("keyed.servers", "bad-3", R"({"service": "s", "address": "127.0.0.1:1",
-    "zone": "dc", "slots": 4, "state": "asleep"})");
+    "zone": "dc", "version": "v1", "slots": 4, "state": "asleep"})");
   // A malformed record under the id of a registered endpoint.
   cluster.Store().Put("keyed.servers", GatewayCluster::IdOf(0), "{}");
   CHECK(WaitFor([&] {
--- a/Tests/Unit/TestEndpointRegistry.cpp
+++ b/Tests/Unit/TestEndpointRegistry.cpp
@@ -19,10 +19,14 @@
 EndpointEntry
 EntryOf(const char* aId, std::int64_t aStartedAt = 1, bool aIsDraining = false)
 {
-  return EndpointEntry{
-    EndpointId(aId), ServiceName("s"), SocketAddress("127.0.0.1:1"), DataCenterName("dc"), 4,
-    aIsDraining,     aStartedAt
-  };
+  return EndpointEntry{ EndpointId(aId),
+                        ServiceName("s"),
+                        SocketAddress("127.0.0.1:1"),
+                        DataCenterName("dc"),
+                        4,
+                        aIsDraining,
+                        SoftwareVersion("v1"),
+                        aStartedAt };
 }
 
 EndpointRegistry
--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -106,6 +106,7 @@
   CHECK(entry->m_id == EndpointId("i-1"));
   CHECK(entry->m_slots == 4);
   CHECK_FALSE(entry->m_is_draining);
+  CHECK(entry->m_software_version == SoftwareVersion("v1"));
   CHECK(entry->m_started_at_ms == 1'700'000'000'000);
   for (const auto& change : std::vector<std::pair<std::string, std::string>>{
          { "\"service\": \"s\",", "" },
@@ -113,6 +114,9 @@
          { "\"ready\"", "1" },
          { "127.0.0.1:80", "nowhere" },
          { "127.0.0.1:80", "127.0.0.1:99999" },
+         { "\"version\": \"v1\",", "" },
+         { "\"v1\"", "\"\"" },
+         { "\"v1\"", "1" },
          { "\"slots\": 4", "\"slots\": \"4\"" },
          { "\"slots\": 4", "\"slots\": 0" },
          { "\"slots\": 4", "\"slots\": 1e999" },
