Let a stream go on only at the software version that began it

Cause: endpoints of a service were taken as equal. The registration's version was not decoded; a failed stream was continued at the cheapest endpoint, and a stream that a caller takes up again was placed like a new one.

Why the fix works: a stream is bound to the version of the endpoint that sends its first event, before that event goes to the caller. A request for a slot carries the version as a constraint, the coordinator grants only endpoints that have it, and the daemon compares the grant with its own registration before it sends anything. Where no endpoint of the version is usable, the response is cut or the request refused at once, with a Retry-After of a restart. Callers may come back at any daemon: the daemon that served the stream, the coordinator and the next in line keep (request, endpoint, version) for 20 s, and are told again when they change. What nobody knows goes on only if one version has served all that time, by a registry that is current; otherwise it is refused. An endpoint that registers another version under its id makes the streams that it began in the last 3 s ambiguous: either incarnation may have sent them.

Ruled out: a version chosen by a hash of the request (changes with the set of versions), the platform's log (a priced write for each stream before its first event), all daemons (a message for each pair).

--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -34,9 +34,27 @@
       *m_dependencies.m_quotas,
       m_dependencies.m_endpoints,
       [this](const ServiceName&, const SlotDecisions& aDecisions) { OnDecisions(aDecisions); })
+  , m_streams(StreamVersions::Limits(), StreamDependencies())
 {
 }
 
+StreamTracker::Dependencies
+SlotBroker::StreamDependencies()
+{
+  return { m_dependencies.m_loop,
+           [this](const ServiceName& aService) { return IsSelf(CoordinatorFor(aService).m_host); },
+           [this](const ServiceName& aService) -> std::optional<Member> {
+             Member coordinator = CoordinatorFor(aService);
+             return IsSelf(coordinator.m_host)
+                      ? m_dependencies.m_membership->CoordinatorWithoutSelf(aService, Now())
+                      : std::optional(std::move(coordinator));
+           },
+           [this](const Member& aDaemon, const SlotMessage& aMessage) {
+             LinkTo(aDaemon).Send(EncodeSlotMessage(aMessage));
+           },
+           m_dependencies.m_only_version };
+}
+
 TimePoint
 SlotBroker::Now() const
 {
@@ -54,12 +72,7 @@
 {
   const std::uint64_t number = ++m_last_number;
   aRequest.m_request_id = SlotRequestId{ m_incarnation, number };
-  const Member coordinator =
-    m_dependencies.m_membership->CoordinatorOf(aService, m_dependencies.m_self(), Now());
-  if (const auto known = m_coordinators.find(aService);
-      known == m_coordinators.end() || known->second != coordinator.m_host) {
-    ChangeCoordinator(aService, coordinator);
-  }
+  const Member coordinator = CoordinatorFor(aService);
   OutstandingRequest& outstanding = m_outstanding[number];
   outstanding.m_service = aService;
   outstanding.m_request = std::move(aRequest);
@@ -68,6 +81,18 @@
   return number;
 }
 
+Member
+SlotBroker::CoordinatorFor(const ServiceName& aService)
+{
+  Member coordinator =
+    m_dependencies.m_membership->CoordinatorOf(aService, m_dependencies.m_self(), Now());
+  const auto known = m_coordinators.find(aService);
+  if (known == m_coordinators.end() || known->second != coordinator.m_host) {
+    ChangeCoordinator(aService, coordinator);
+  }
+  return coordinator;
+}
+
 void
 SlotBroker::RequestFromCoordinator(std::uint64_t aNumber,
                                    OutstandingRequest& aOutstanding,
@@ -83,6 +108,10 @@
     return;
   }
   const SlotRequest& request = aOutstanding.m_request;
+  if (request.m_required_version) {
+    LinkTo(aCoordinator)
+      .Send(EncodeSlotMessage(RequiredVersionMessage{ aNumber, *request.m_required_version }));
+  }
   LinkTo(aCoordinator)
     .Send(
       EncodeSlotMessage(SlotRequestMessage{ aOutstanding.m_service,
@@ -310,6 +339,7 @@
                           aCoordinator);
                 },
                 [&](const EndpointNoticeMessage& aNotice) { OnNoticeFromCoordinator(aNotice); },
+                [&](const StreamVersionMessage& aVersion) { m_streams.OnVersion(aVersion); },
                 [&](const auto&) {
                   LogOf("broker").warn("event=message-unexpected home={}", aCoordinator.Value());
                 } },
@@ -392,6 +422,7 @@
     SendToCoordinator(old, LeaveMessage{ aService });
   }
   ReportKnownLimits(aService, aCoordinator);
+  m_streams.UpdateKeeper(aService);
   for (auto& [number, outstanding] : m_outstanding) {
     if (outstanding.m_service != aService) {
       continue;
@@ -456,6 +487,11 @@
         }
       },
       [&](const EndpointNoticeMessage& aNotice) { OnNoticeToCoordinator(&aLink, aNotice); },
+      [&](const RequiredVersionMessage& aRequired) { aLink.m_required_version = aRequired; },
+      [&](const StreamOriginsMessage& aOrigins) { m_streams.OnOrigins(aOrigins); },
+      [&](const StreamLookupMessage& aLookup) {
+        aLink.m_link->Send(EncodeSlotMessage(m_streams.OnLookup(aLookup)));
+      },
       [&](const SlotRequestMessage& aSlotRequest) { OnSlotRequest(aLink, aSlotRequest); },
       [&](const WithdrawMessage& aWithdraw) {
         m_coordinator.Withdraw(aWithdraw.m_service, id_of(aWithdraw.m_number), now);
@@ -499,6 +535,10 @@
   request.m_avoided = aSlotRequest.m_avoided;
   request.m_workspace = aSlotRequest.m_workspace;
   request.m_quota_tokens = static_cast<std::int64_t>(aSlotRequest.m_quota_tokens);
+  if (const auto required = std::exchange(aLink.m_required_version, std::nullopt);
+      required && required->m_number == aSlotRequest.m_number) {
+    request.m_required_version = required->m_version;
+  }
   m_coordinator.RequestSlot(aSlotRequest.m_service, request, now);
   aLink.m_link->Send(EncodeSlotMessage(QueuedMessage{ aSlotRequest.m_number }));
   ScheduleDecision(aSlotRequest.m_service);
@@ -635,6 +675,7 @@
   }
   UpdateShares();
   UpdateCoordinators();
+  m_streams.Tick();
   m_coordinator.DecideAll(now);
   m_coordinator.LogSuspicionChanges(now);
 }
--- a/Libraries/LibBroker/SlotMessages.cpp
+++ b/Libraries/LibBroker/SlotMessages.cpp
@@ -22,6 +22,7 @@
   {
     m_json.push_back(aValue.Value());
   }
+  void operator()(const std::string& aValue) { m_json.push_back(aValue); }
   void operator()(std::uint64_t aValue) { m_json.push_back(aValue); }
   void operator()(int aValue) { m_json.push_back(aValue); }
   void operator()(double aValue) { m_json.push_back(aValue); }
@@ -32,6 +33,22 @@
   {
     m_json.push_back(aValue ? Json::array({ aValue->m_per_second }) : Json::array());
   }
+  void operator()(const std::optional<SoftwareVersion>& aValue)
+  {
+    m_json.push_back(aValue ? Json::array({ aValue->Value() }) : Json::array());
+  }
+  void operator()(const std::vector<AgedStreamOrigin>& aValues)
+  {
+    Json origins = Json::array();
+    for (const AgedStreamOrigin& aged : aValues) {
+      const StreamOrigin& origin = aged.m_origin;
+      origins.push_back(Json::array({ origin.m_stream,
+                                      origin.m_endpoint.Value(),
+                                      origin.m_version.Value(),
+                                      aged.m_age.count() }));
+    }
+    m_json.push_back(std::move(origins));
+  }
   void operator()(const std::vector<EndpointId>& aValues)
   {
     Json ids = Json::array();
@@ -52,8 +69,10 @@
 class Reader
 {
 public:
-  explicit Reader(const Json& aJson)
+  /// aFirst: the index of the first field.
+  explicit Reader(const Json& aJson, std::size_t aFirst = 1)
     : m_json(aJson)
+    , m_next(aFirst)
   {
   }
 
@@ -64,6 +83,12 @@
       aValue = StrongString<Tag>(field->get<std::string>());
     }
   }
+  void operator()(std::string& aValue)
+  {
+    if (const Json* field = Next(); field != nullptr && Check(field->is_string())) {
+      aValue = field->get<std::string>();
+    }
+  }
   void operator()(std::uint64_t& aValue)
   {
     if (const Json* field = Next(); field != nullptr && Check(field->is_number_unsigned())) {
@@ -103,13 +128,45 @@
       aValue = RequestRate{ rate.get<double>() };
     }
   }
+  void operator()(std::optional<SoftwareVersion>& aValue)
+  {
+    const Json* field = Next();
+    if (field == nullptr || !Check(field->is_array() && field->size() <= 1) || field->empty()) {
+      return;
+    }
+    if (Check(field->front().is_string())) {
+      aValue = SoftwareVersion(field->front().get<std::string>());
+    }
+  }
+  void operator()(std::vector<AgedStreamOrigin>& aValues)
+  {
+    const Json* field = Next();
+    if (field == nullptr || !Check(field->is_array())) {
+      return;
+    }
+    for (const Json& item : *field) {
+      if (!Check(item.is_array())) {
+        return;
+      }
+      Reader reader(item, 0);
+      AgedStreamOrigin aged;
+      reader(aged.m_origin.m_stream);
+      reader(aged.m_origin.m_endpoint);
+      reader(aged.m_origin.m_version);
+      reader(aged.m_age);
+      if (!Check(reader.IsOk() && aged.m_age >= Milliseconds(0))) {
+        return;
+      }
+      aValues.push_back(std::move(aged));
+    }
+  }
   void operator()(SlotOutcome& aValue)
   {
     ReadEnum(aValue, static_cast<int>(SlotOutcome::Cancelled));
   }
   void operator()(SlotRefusalReason& aValue)
   {
-    ReadEnum(aValue, static_cast<int>(SlotRefusalReason::OverQuota));
+    ReadEnum(aValue, static_cast<int>(SlotRefusalReason::NoEndpointOfVersion));
   }
   void operator()(std::vector<EndpointId>& aValues)
   {
@@ -158,7 +215,7 @@
   }
 
   const Json& m_json;
-  std::size_t m_next = 1;
+  std::size_t m_next;
   bool m_is_ok = true;
 };
 
@@ -263,6 +320,35 @@
   aVisit(aMessage.m_limit);
 }
 
+void
+Visit(auto& aVisit, Is<RequiredVersionMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_number);
+  aVisit(aMessage.m_version);
+}
+
+void
+Visit(auto& aVisit, Is<StreamOriginsMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_service);
+  aVisit(aMessage.m_origins);
+}
+
+void
+Visit(auto& aVisit, Is<StreamLookupMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_number);
+  aVisit(aMessage.m_service);
+  aVisit(aMessage.m_stream);
+}
+
+void
+Visit(auto& aVisit, Is<StreamVersionMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_number);
+  aVisit(aMessage.m_version);
+}
+
 template<typename Message>
 std::optional<SlotMessage>
 Decode(const Json& aJson)
--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -3,6 +3,7 @@
 #include <LibBroker/KnownLimits.h>
 #include <LibBroker/SlotCoordinator.h>
 #include <LibBroker/SlotMessages.h>
+#include <LibBroker/StreamTracker.h>
 #include <LibCluster/Membership.h>
 #include <LibCluster/PeerLink.h>
 #include <absl/container/flat_hash_map.h>
@@ -48,6 +49,8 @@
     QuotaLedger* m_quotas = nullptr;
     std::function<Member()> m_self;
     SlotCoordinator::EndpointSource m_endpoints;
+    /// See StreamTracker::Dependencies.
+    std::function<std::optional<SoftwareVersion>(const ServiceName& aService)> m_only_version;
   };
 
   SlotBroker(Limits aLimits, Dependencies aDependencies);
@@ -77,6 +80,9 @@
   /// Frees a slot that was granted.
   void RecordEnded(std::uint64_t aNumber, SlotOutcome aOutcome);
 
+  /// Which software version began each stream. Its Tick() is called by Tick().
+  StreamTracker& Streams() { return m_streams; }
+
   /// Takes ownership of a link that another daemon opened.
   void OnLink(std::unique_ptr<PeerLink> aLink);
   void OnEndpointsChanged();
@@ -110,9 +116,14 @@
     /// Empty until the daemon has identified itself.
     HelloMessage m_peer;
     TimePoint m_accepted_at;
+    /// Restricts the next slot request if that has its number.
+    std::optional<RequiredVersionMessage> m_required_version;
   };
 
   bool IsSelf(const HostName& aHost) const;
+  /// The coordinator of a service. Tells it what it needs to know if it was another one before.
+  Member CoordinatorFor(const ServiceName& aService);
+  StreamTracker::Dependencies StreamDependencies();
   PeerLink& LinkTo(const Member& aCoordinator);
   void SendToCoordinator(const HostName& aCoordinator, const SlotMessage& aMessage);
   void RequestFromCoordinator(std::uint64_t aNumber,
@@ -149,6 +160,7 @@
   /// For the services that this daemon coordinates.
   SlotCoordinator m_coordinator;
   KnownLimits m_known_limits;
+  StreamTracker m_streams;
   std::uint64_t m_last_number = 0;
   absl::flat_hash_map<std::uint64_t, OutstandingRequest> m_outstanding;
   /// The host that coordinates each service, as chosen last.
--- a/Libraries/LibBroker/include/LibBroker/SlotMessages.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBroker/StreamVersions.h>
 #include <LibPlacement/EndpointNotice.h>
 #include <LibPlacement/SlotRequest.h>
 #include <nlohmann/json.hpp>
@@ -125,6 +126,46 @@
   auto operator<=>(const EndpointNoticeMessage&) const = default;
 };
 
+/// Restricts the slot request with this number, which follows on the same link, to endpoints of one
+/// software version.
+struct RequiredVersionMessage
+{
+  std::uint64_t m_number = 0;
+  SoftwareVersion m_version;
+
+  auto operator<=>(const RequiredVersionMessage&) const = default;
+};
+
+/// Reports to the coordinator of a service which endpoints began streams.
+struct StreamOriginsMessage
+{
+  ServiceName m_service;
+  std::vector<AgedStreamOrigin> m_origins;
+
+  auto operator<=>(const StreamOriginsMessage&) const = default;
+};
+
+/// Asks the coordinator of a service for the software version that began a stream.
+struct StreamLookupMessage
+{
+  /// Identifies the lookup among those of the sending daemon.
+  std::uint64_t m_number = 0;
+  ServiceName m_service;
+  std::string m_stream;
+
+  auto operator<=>(const StreamLookupMessage&) const = default;
+};
+
+/// Answers a lookup.
+struct StreamVersionMessage
+{
+  std::uint64_t m_number = 0;
+  /// Nothing if the coordinator does not know it.
+  std::optional<SoftwareVersion> m_version;
+
+  auto operator<=>(const StreamVersionMessage&) const = default;
+};
+
 using SlotMessage = std::variant<HelloMessage,
                                  SlotRequestMessage,
                                  WithdrawMessage,
@@ -135,7 +176,11 @@
                                  QueuedMessage,
                                  GrantMessage,
                                  RefusalMessage,
-                                 EndpointNoticeMessage>;
+                                 EndpointNoticeMessage,
+                                 RequiredVersionMessage,
+                                 StreamOriginsMessage,
+                                 StreamLookupMessage,
+                                 StreamVersionMessage>;
 
 /// Encodes a message as an array. Its first element is the index of the message's type in
 /// SlotMessage; the fields follow in order. A daemon of an earlier version ignores types that it
--- /dev/null
+++ b/Libraries/LibBroker/include/LibBroker/StreamVersions.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <LibRegistry/EndpointRegistry.h>
+#include <deque>
+
+namespace auburnhitch {
+
+/// Which endpoint began a resumable stream, and with which software version. A stream is named by
+/// the id of the request that brought its first event.
+struct StreamOrigin
+{
+  std::string m_stream;
+  EndpointId m_endpoint;
+  SoftwareVersion m_version;
+
+  auto operator<=>(const StreamOrigin&) const = default;
+};
+
+struct AgedStreamOrigin
+{
+  StreamOrigin m_origin;
+  /// How long ago it became known.
+  Milliseconds m_age{ 0 };
+
+  auto operator<=>(const AgedStreamOrigin&) const = default;
+};
+
+/// The origins of recent streams. Its size is bounded: the oldest origins are dropped first. Owns
+/// no clock. Not thread-safe.
+class StreamVersions
+{
+public:
+  struct Limits
+  {
+    /// Callers do not come back to a stream that is older than this.
+    Milliseconds m_retention{ 20'000 };
+    std::size_t m_max_streams = 50'000;
+    /// Streams with longer names are not recorded.
+    std::size_t m_max_name_bytes = 128;
+    /// How long after an endpoint has started the daemons may still have its previous registration.
+    Milliseconds m_registration_lag{ 3'000 };
+  };
+
+  /// What is known of a stream.
+  struct Knowledge
+  {
+    bool m_is_known = false;
+    /// Nothing if the stream is known but its version is ambiguous.
+    std::optional<SoftwareVersion> m_version;
+
+    auto operator<=>(const Knowledge&) const = default;
+  };
+
+  explicit StreamVersions(Limits aLimits)
+    : m_limits(aLimits)
+  {
+  }
+
+  /// Records an origin. A stream that two versions are said to have begun is ambiguous. Returns
+  /// whether the stream is new.
+  bool Record(const ServiceName& aService, const AgedStreamOrigin& aOrigin, TimePoint aNow);
+  Knowledge Find(const std::string& aStream, TimePoint aNow) const;
+  /// The unambiguous origins of a service's streams.
+  std::vector<AgedStreamOrigin> OriginsOf(const ServiceName& aService, TimePoint aNow) const;
+  /// The endpoint has registered another version. Streams that it began just before are ambiguous:
+  /// either version may have begun them.
+  void OnVersionChanged(const EndpointId& aEndpoint, TimePoint aNow);
+
+  std::size_t Size() const { return m_streams.size(); }
+
+private:
+  struct Entry
+  {
+    ServiceName m_service;
+    EndpointId m_endpoint;
+    std::optional<SoftwareVersion> m_version;
+    TimePoint m_recorded_at;
+  };
+
+  void DropExpired(TimePoint aNow);
+
+  Limits m_limits;
+  absl::flat_hash_map<std::string, Entry> m_streams;
+  /// Names in the order in which they were recorded.
+  std::deque<std::string> m_order;
+};
+
+}
--- a/Libraries/LibCluster/Membership.cpp
+++ b/Libraries/LibCluster/Membership.cpp
@@ -121,8 +121,8 @@
   return found == m_members.end() ? std::nullopt : std::optional(found->second.m_member);
 }
 
-Member
-Membership::CoordinatorOf(const ServiceName& aService, const Member& aSelf, TimePoint aNow) const
+const Member*
+Membership::BestCoordinator(const ServiceName& aService, const Member* aBest, TimePoint aNow) const
 {
   // A daemon that is leaving or not ready comes last; one that can read the store comes before one
   // that cannot.
@@ -132,16 +132,29 @@
                       aMember.m_processor_millicores,
                       RankOf(aService, aMember.m_host));
   };
-  const Member* best = &aSelf;
+  const Member* best = aBest;
   for (const auto& [host, known] : m_members) {
     const bool is_suspected =
       known.m_suspected_at && aNow - *known.m_suspected_at <= m_limits.m_suspected_for;
     if (IsAliveWithin(known, m_limits.m_heartbeat_timeout, aNow) && !is_suspected &&
-        order(known.m_member) > order(*best)) {
+        (best == nullptr || order(known.m_member) > order(*best))) {
       best = &known.m_member;
     }
   }
-  return *best;
+  return best;
+}
+
+Member
+Membership::CoordinatorOf(const ServiceName& aService, const Member& aSelf, TimePoint aNow) const
+{
+  return *BestCoordinator(aService, &aSelf, aNow);
+}
+
+std::optional<Member>
+Membership::CoordinatorWithoutSelf(const ServiceName& aService, TimePoint aNow) const
+{
+  const Member* best = BestCoordinator(aService, nullptr, aNow);
+  return best == nullptr ? std::nullopt : std::optional(*best);
 }
 
 }
--- a/Libraries/LibCluster/include/LibCluster/Membership.h
+++ b/Libraries/LibCluster/include/LibCluster/Membership.h
@@ -91,6 +91,9 @@
   /// (rendezvous hashing), so that daemons with the same view choose the same coordinator and
   /// services spread over the hosts.
   Member CoordinatorOf(const ServiceName& aService, const Member& aSelf, TimePoint aNow) const;
+  /// The daemon that is the coordinator of a service if this one is not; nothing if no other daemon
+  /// is alive.
+  std::optional<Member> CoordinatorWithoutSelf(const ServiceName& aService, TimePoint aNow) const;
 
 private:
   struct Entry
@@ -101,6 +104,10 @@
     std::optional<TimePoint> m_suspected_at;
   };
 
+  /// The better of aBest, which may be null, and the other daemons; see CoordinatorOf().
+  const Member* BestCoordinator(const ServiceName& aService,
+                                const Member* aBest,
+                                TimePoint aNow) const;
   static bool IsAliveWithin(const Entry& aKnown, Duration aMaxSilence, TimePoint aNow);
 
   Limits m_limits;
--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -23,6 +23,10 @@
 // Retry-After for a request that this daemon fails late: another daemon can serve it at once.
 constexpr Milliseconds kShortRetryAfter{ 100 };
 
+// Retry-After for a stream whose version is not known here: the daemon that began it may be reached
+// again.
+constexpr Milliseconds kRetryAfterUnknownVersion{ 1'000 };
+
 constexpr int kNoContent = 204;
 constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerErrorStatus = 500;
@@ -76,6 +80,9 @@
 {
   m_exchange->SetOnClosed(nullptr);
   m_exchange->SetOnDrained(nullptr);
+  if (m_stream_lookup) {
+    m_dependencies.m_broker->Streams().Cancel(*m_stream_lookup);
+  }
 }
 
 TimePoint
@@ -93,9 +100,60 @@
       m_call->ResumeReading();
     }
   });
+  if (TakesUpStream()) {
+    FindStreamVersion();
+  } else {
+    RequestSlot();
+  }
+}
+
+bool
+ActiveRequest::TakesUpStream() const
+{
+  const CallerRequestHead& head = m_request.m_head;
+  return IsResumableStream() && !(head.m_resumed_stream.empty() && head.m_last_event_id.empty());
+}
+
+void
+ActiveRequest::FindStreamVersion()
+{
+  m_stream = m_request.m_head.m_resumed_stream;
+  m_stream_lookup = m_dependencies.m_broker->Streams().Find(
+    m_request.m_service, m_stream, [this](const std::optional<SoftwareVersion>& aVersion) {
+      OnStreamVersion(aVersion);
+    });
+}
+
+void
+ActiveRequest::OnStreamVersion(const std::optional<SoftwareVersion>& aVersion)
+{
+  m_stream_lookup = std::nullopt;
+  if (m_phase == Phase::Done) {
+    return;
+  }
+  if (!aVersion) {
+    RespondNotRun(kServiceUnavailable,
+                  "the software version that began the stream is not known",
+                  kRetryAfterUnknownVersion);
+    return;
+  }
+  m_required_version = aVersion;
   RequestSlot();
 }
 
+void
+ActiveRequest::BindToVersion()
+{
+  if (!IsResumableStream() || m_required_version ||
+      m_attempt->m_response_head.m_status >= kFirstErrorStatus) {
+    return;
+  }
+  m_stream = m_request.m_head.m_request_id;
+  m_required_version = m_attempt->m_endpoint.m_software_version;
+  m_dependencies.m_broker->Streams().RecordBegun(
+    m_request.m_service, StreamOrigin{ m_stream, m_attempt->m_endpoint.m_id, *m_required_version });
+}
+
 SlotRequest
 ActiveRequest::MakeSlotRequest() const
 {
@@ -106,6 +164,7 @@
   request.m_work = m_request.m_head.m_work;
   request.m_data_center = m_dependencies.m_data_center;
   request.m_avoided = m_tried_endpoints;
+  request.m_required_version = m_required_version;
   const bool is_charged_already = m_slot_request_count > 1;
   if (m_request.m_workspace && !is_charged_already) {
     request.m_workspace = *m_request.m_workspace;
@@ -166,6 +225,12 @@
     OnAttemptFailed(SlotOutcome::Unreachable, "the endpoint is no longer registered");
     return;
   }
+  if (m_required_version && endpoint->m_software_version != *m_required_version) {
+    // The coordinator has read another registration, or does not know of the restriction.
+    m_tried_endpoints.push_back(aGrant.m_endpoint);
+    OnAttemptFailed(SlotOutcome::Cancelled, "the endpoint has another software version");
+    return;
+  }
   StartAttempt(*endpoint);
 }
 
@@ -336,6 +401,7 @@
 ActiveRequest::StartResponse(BodyFraming aFraming)
 {
   m_phase = Phase::Relaying;
+  BindToVersion();
   m_first_byte_after = Milliseconds(ToMilliseconds(Now() - m_request.m_arrived_at));
   m_dependencies.m_metrics->OnFirstByte(m_request.m_service, Now() - m_request.m_arrived_at);
   HttpHeaders headers = ForwardedHeaders(m_attempt->m_response_head.m_headers, {});
@@ -462,7 +528,8 @@
 {
   const bool has_started = m_exchange->HasStarted();
   const bool may_resume =
-    !has_started || (IsResumableStream() && !m_event_splitter.LastEventId().empty());
+    !has_started || (IsResumableStream() && !m_event_splitter.LastEventId().empty() &&
+                     m_dependencies.m_broker->Streams().IsOf(m_stream, *m_required_version));
   const std::string endpoint =
     m_tried_endpoints.empty() ? "none" : m_tried_endpoints.back().Value();
   const bool is_retried = may_resume && TryReserveRetry();
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -42,6 +42,9 @@
 // heartbeats lost in a row.
 constexpr double kHeartbeatIntervalsUntilNotAlive = 3.5;
 
+// Callers do not come back to a stream that is older than this.
+constexpr Milliseconds kMaxStreamAge = StreamVersions::Limits().m_retention;
+
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
@@ -80,6 +83,7 @@
   , m_dialect(aDialect)
   , m_incarnation(RandomName())
   , m_registry(RegistryLimits(aSettings))
+  , m_versions(kMaxStreamAge)
   , m_membership(Membership::Limits(), aSettings.m_host)
   , m_quotas(aSettings.m_quota_tolerance)
   , m_readers(StoreReaderSelector::Limits())
@@ -91,7 +95,8 @@
                &m_membership,
                &m_quotas,
                [this] { return Self(); },
-               [this](const ServiceName& aService) { return EndpointsOf(aService); } })
+               [this](const ServiceName& aService) { return EndpointsOf(aService); },
+               [this](const ServiceName& aService) { return OnlyVersionOf(aService); } })
   , m_dependencies{ &aLoop,          &m_client, &m_broker,  &m_registry,
                     &m_retry_budget, &aDialect, &m_metrics, aSettings.m_data_center }
 {
@@ -165,6 +170,7 @@
 Gateway::OnRegistryRead()
 {
   m_registry.MarkLoaded();
+  m_versions.MarkLoaded(Now());
 }
 
 void
@@ -183,10 +189,21 @@
             change.m_entry.m_software_version.Value(),
             change.m_entry.m_slots,
             m_registry.Version());
+    if (m_versions.Record(change, Now())) {
+      m_broker.Streams().OnVersionChanged(change.m_entry.m_id);
+    }
   }
   m_broker.OnEndpointsChanged();
 }
 
+std::optional<SoftwareVersion>
+Gateway::OnlyVersionOf(const ServiceName& aService) const
+{
+  // Without the store, endpoints of a new version may serve unnoticed.
+  return m_is_store_reachable ? m_versions.OnlyVersionSince(aService, Now() - kMaxStreamAge)
+                              : std::nullopt;
+}
+
 std::vector<SlotEndpointInfo>
 Gateway::EndpointsOf(const ServiceName& aService) const
 {
@@ -196,6 +213,7 @@
                                       entry.m_data_center,
                                       entry.m_slots,
                                       entry.m_started_at_ms,
+                                      entry.m_software_version,
                                       m_broker.KnownLimitOf(entry.Run()) });
   }
   return infos;
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -92,6 +92,12 @@
   };
 
   TimePoint Now() const;
+  /// Whether the caller takes up a stream that an earlier request began.
+  bool TakesUpStream() const;
+  void FindStreamVersion();
+  void OnStreamVersion(const std::optional<SoftwareVersion>& aVersion);
+  /// Binds a resumable stream to the software version that sends its first event.
+  void BindToVersion();
   void RequestSlot();
   SlotRequest MakeSlotRequest() const;
   void OnGranted(const SlotGrant& aGrant, const HostName& aCoordinator);
@@ -133,6 +139,11 @@
   DoneHandler m_on_done;
   Phase m_phase = Phase::Waiting;
   std::optional<std::uint64_t> m_slot_request_id;
+  std::optional<std::uint64_t> m_stream_lookup;
+  /// The request that brought the first event of this stream.
+  std::string m_stream;
+  /// The only software version at which the stream may go on; nothing while it has not begun.
+  std::optional<SoftwareVersion> m_required_version;
   std::unique_ptr<RelayCall> m_call;
   std::optional<SendAttempt> m_attempt;
   std::vector<EndpointId> m_tried_endpoints;
--- a/Libraries/LibGateway/include/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -3,6 +3,7 @@
 #include <LibCluster/Heartbeat.h>
 #include <LibGateway/ActiveRequest.h>
 #include <LibGateway/GatewaySettings.h>
+#include <LibRegistry/VersionHistory.h>
 #include <map>
 #include <memory>
 
@@ -78,6 +79,9 @@
   /// Serves or refuses the requests that arrived before this daemon was ready.
   void ServeEarlyRequests();
   void Admit(const RelayExchangePtr& aExchange, CallerRequestHead aHead);
+  /// The software version that has begun all streams of a service that callers may take up again;
+  /// nothing if there were several, or if this daemon cannot know.
+  std::optional<SoftwareVersion> OnlyVersionOf(const ServiceName& aService) const;
   std::vector<SlotEndpointInfo> EndpointsOf(const ServiceName& aService) const;
   void OnRegistryChanges(const EndpointRegistry::Changes& aChanges);
   void UpdateDaemonCounts();
@@ -93,6 +97,7 @@
   GatewayMetrics m_metrics;
   RoutingTablePtr m_table;
   EndpointRegistry m_registry;
+  VersionHistory m_versions;
   Membership m_membership;
   QuotaLedger m_quotas;
   std::uint64_t m_announced_spending_changes = 0;
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -37,6 +37,8 @@
 // still be in time. A longer queue serves no more callers; it only makes each of them wait longer,
 // and callers that retry after a refusal return too late.
 constexpr double kOverloadSlackShare = 0.25;
+// An endpoint of a missing software version may come back after a restart, which takes seconds.
+constexpr double kRestartTimeMs = 1'000;
 // EWMA weight of a new request in the mean time for which a slot is held.
 constexpr double kSlotTimeWeight = 0.05;
 // Lower bound of the number of slots while rate limits apply.
@@ -80,6 +82,8 @@
       return "no-endpoint";
     case SlotRefusalReason::OverQuota:
       return "over-quota";
+    case SlotRefusalReason::NoEndpointOfVersion:
+      return "no-endpoint-of-version";
   }
   return "unknown";
 }
@@ -158,6 +162,10 @@
 void
 SlotScheduler::RequestSlot(const SlotRequest& aRequest, TimePoint aNow)
 {
+  if (aRequest.m_required_version && !HasEligibleEndpoint(aRequest)) {
+    m_ineligible.push_back(aRequest);
+    return;
+  }
   WaitingSlotRequest waiting{ aRequest, 0, 0, 0 };
   double min_first = -1;
   double total = 0;
@@ -313,7 +321,9 @@
                       TimePoint aNow,
                       SlotDecisions& aDecisions) const
 {
-  const double wait_ms = ExpectedWaitMs(aRequest.m_priority, aNow);
+  const double wait_ms = aReason == SlotRefusalReason::NoEndpointOfVersion
+                           ? kRestartTimeMs
+                           : ExpectedWaitMs(aRequest.m_priority, aNow);
   aDecisions.m_refusals.push_back(
     { aRequest.m_request_id, aReason, RetryAfter(aRequest, wait_ms) });
   aDecisions.m_refused.push_back(aRequest);
@@ -329,19 +339,39 @@
          kFailureCostMs * aEndpoint.FailureRate();
 }
 
+bool
+SlotScheduler::IsEligible(const SlotEndpoint& aEndpoint, const SlotRequest& aRequest)
+{
+  if (!aRequest.m_required_version) {
+    return true;
+  }
+  const SlotEndpointInfo& info = aEndpoint.Info();
+  return info.m_software_version == *aRequest.m_required_version &&
+         std::find(aRequest.m_avoided.begin(), aRequest.m_avoided.end(), info.m_id) ==
+           aRequest.m_avoided.end();
+}
+
+bool
+SlotScheduler::HasEligibleEndpoint(const SlotRequest& aRequest) const
+{
+  return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& aEntry) {
+    return IsEligible(aEntry.second, aRequest);
+  });
+}
+
 SlotEndpoint*
 SlotScheduler::Choose(const WaitingSlotRequest& aWaiting, TimePoint aNow)
 {
   const SlotRequest& request = aWaiting.m_request;
   const bool has_unsuspected =
     std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& aEntry) {
-      return !aEntry.second.IsSuspect(aNow);
+      return IsEligible(aEntry.second, request) && !aEntry.second.IsSuspect(aNow);
     });
   SlotEndpoint* best = nullptr;
   double best_cost = 0;
   bool is_best_avoided = false;
   for (auto& [id, endpoint] : m_endpoints) {
-    if (!endpoint.HasFreeSlot(m_slot_share, aNow) ||
+    if (!IsEligible(endpoint, request) || !endpoint.HasFreeSlot(m_slot_share, aNow) ||
         (has_unsuspected && endpoint.IsSuspect(aNow))) {
       continue;
     }
@@ -380,6 +410,9 @@
 SlotScheduler::Decide(TimePoint aNow)
 {
   SlotDecisions decisions;
+  for (const SlotRequest& request : std::exchange(m_ineligible, {})) {
+    Refuse(request, SlotRefusalReason::NoEndpointOfVersion, aNow, decisions);
+  }
   if (m_endpoints.empty()) {
     for (const WaitingSlotRequest& waiting : m_queue.TakeAll()) {
       Refuse(waiting.m_request, SlotRefusalReason::NoEndpoint, aNow, decisions);
@@ -390,8 +423,14 @@
   for (const WaitingSlotRequest& waiting : m_queue.TakeUnservable(SlotCount(aNow), aNow)) {
     Refuse(waiting.m_request, SlotRefusalReason::WaitedTooLong, aNow, decisions);
   }
+  // Requests for one software version whose endpoints are busy; they do not hold up the others.
+  std::vector<WaitingSlotRequest> set_aside;
   while (const WaitingSlotRequest* front = m_queue.Front(aNow)) {
     SlotEndpoint* endpoint = Choose(*front, aNow);
+    if (endpoint == nullptr && front->m_request.m_required_version) {
+      set_aside.push_back(*m_queue.Remove(SlotRequestId(front->m_request.m_request_id)));
+      continue;
+    }
     if (endpoint == nullptr) {
       break;
     }
@@ -402,6 +441,13 @@
                                    endpoint->Info().m_id,
                                    Milliseconds(static_cast<std::int64_t>(expected_ms)) });
   }
+  for (WaitingSlotRequest& waiting : set_aside) {
+    if (HasEligibleEndpoint(waiting.m_request)) {
+      m_queue.PutBack(std::move(waiting));
+    } else {
+      Refuse(waiting.m_request, SlotRefusalReason::NoEndpointOfVersion, aNow, decisions);
+    }
+  }
   // New requests that probably cannot be served in time are refused before they wait.
   for (const SlotRequestId& id : std::exchange(m_undecided, {})) {
     auto waiting = m_queue.Remove(id);
--- a/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
@@ -14,6 +14,7 @@
   DataCenterName m_data_center;
   int m_slots = 1;
   std::int64_t m_started_at_ms = 0;
+  SoftwareVersion m_software_version;
   /// The rate limit that this daemon has heard of. A scheduler reads it once, when the endpoint is
   /// new to it.
   std::optional<RequestRate> m_limit;
--- a/Libraries/LibPlacement/include/LibPlacement/SlotRequest.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotRequest.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibRegistry/EndpointRegistry.h>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,9 @@
   DataCenterName m_data_center;
   /// Endpoints that earlier attempts used; chosen only when no other endpoint has a free slot.
   std::vector<EndpointId> m_avoided;
+  /// The only software version that may serve it, when it takes up a stream. m_avoided is then
+  /// strict: one of those endpoints may have been restarted with another version.
+  std::optional<SoftwareVersion> m_required_version;
   /// The workspace whose quota is charged; empty when there is none.
   WorkspaceName m_workspace;
   /// Tokens to charge to the quota; 0 once they have been charged.
@@ -98,6 +102,8 @@
   NoEndpoint,
   /// Its workspace has exhausted its quota.
   OverQuota,
+  /// No endpoint of the software version that it requires is usable.
+  NoEndpointOfVersion,
 };
 
 const char*
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -95,6 +95,9 @@
 private:
   /// The endpoint with a free slot that costs least, or null if none has a free slot.
   SlotEndpoint* Choose(const WaitingSlotRequest& aWaiting, TimePoint aNow);
+  /// Whether an endpoint may serve a request, apart from free slots.
+  static bool IsEligible(const SlotEndpoint& aEndpoint, const SlotRequest& aRequest);
+  bool HasEligibleEndpoint(const SlotRequest& aRequest) const;
   double CostOf(const SlotEndpoint& aEndpoint, const SlotRequest& aRequest) const;
   double ExpectedWaitMs(int aPriority, TimePoint aNow) const;
   /// Whether to refuse a new request at once: the queue is full, its caller would stop waiting, or
@@ -115,6 +118,8 @@
   SlotQueue m_queue;
   /// Requests enqueued since the last Decide().
   std::vector<SlotRequestId> m_undecided;
+  /// Requests since the last decision that no endpoint may serve.
+  std::vector<SlotRequest> m_ineligible;
   /// EWMA of the deviation of times to first byte, as a share of the expected time.
   double m_deviation = 0.25;
 };
--- a/Tests/Process/TestStreamVersions.cpp
+++ b/Tests/Process/TestStreamVersions.cpp
@@ -125,6 +125,7 @@
 TEST_CASE("A stream whose daemon was killed does not go on at another software version")
 {
   VersionedCluster cluster(3, { "v1", "v1", "v2", "v2" });
+  int completed = 0;
   for (std::size_t killed = 0; killed < 3; ++killed) {
     cluster.SetBreaksAll(true);
     std::vector<std::string> ids;
@@ -135,10 +136,12 @@
     cluster.SetBreaksAll(false);
     cluster.Daemons().Daemon(killed).Signal(SIGKILL);
     for (const std::string& id : ids) {
-      cluster.TakeUp(id, "again-" + id, (killed + 1) % 3);
+      completed += cluster.TakeUp(id, "again-" + id, (killed + 1) % 3).m_is_complete ? 1 : 0;
       CHECK(HasOneVersion(cluster.VersionsOf(id)));
     }
     cluster.Daemons().StartDaemon(killed);
     cluster.Daemons().WaitUntilReady(killed);
   }
+  // Also when the coordinator was killed: another daemon keeps the streams that it served.
+  CHECK(completed == 12);
 }
--- a/Tests/Unit/TestRateLimits.cpp
+++ b/Tests/Unit/TestRateLimits.cpp
@@ -23,7 +23,8 @@
 InfoOf(const char* aId, std::optional<RequestRate> aLimit = std::nullopt)
 {
   constexpr int kSlots = 4;
-  return SlotEndpointInfo{ EndpointId(aId), DataCenterName("dc"), kSlots, 1, aLimit };
+  return SlotEndpointInfo{ EndpointId(aId), DataCenterName("dc"), kSlots, 1, SoftwareVersion("v1"),
+                           aLimit };
 }
 
 SlotRequest
--- a/Tests/Unit/TestSlotMessages.cpp
+++ b/Tests/Unit/TestSlotMessages.cpp
@@ -32,7 +32,12 @@
            QueuedMessage{ 7 },
            GrantMessage{ 7, endpoint, Milliseconds(40) },
            RefusalMessage{ 7, SlotRefusalReason::Overloaded, Milliseconds(250) },
-           EndpointNoticeMessage{ service, 7, endpoint, 1, RequestRate{ 1.3 } } };
+           EndpointNoticeMessage{ service, 7, endpoint, 1, RequestRate{ 1.3 } },
+           RequiredVersionMessage{ 7, SoftwareVersion("v1") },
+           StreamOriginsMessage{
+             service, { { { "stream-1", endpoint, SoftwareVersion("v1") }, Milliseconds(5) } } },
+           StreamLookupMessage{ 7, service, "stream-1" },
+           StreamVersionMessage{ 7, SoftwareVersion("v1") } };
 }
 
 }
