Add failing tests for responses that never end

An endpoint writes bytes until its caller closes: in a status line, header lines, informational responses, a chunk extension, trailers, a body without a length, an event, after a whole response, and a head of one byte each 100 ms.

--- /dev/null
+++ b/Tests/Process/TestEndlessResponses.cpp
@@ -0,0 +1,137 @@
+#include "GatewayCluster.h"
+
+#include <absl/strings/str_cat.h>
+#include <doctest.h>
+#include <thread>
+
+using namespace auburnhitch;
+using namespace auburnhitch::tests;
+
+namespace {
+
+/// A response that goes on until the caller closes: bytes that come first, then bytes that are
+/// repeated.
+struct EndlessResponse
+{
+  std::string m_name;
+  std::string m_begin;
+  std::string m_repeated;
+  /// Between two repetitions.
+  std::chrono::milliseconds m_pause{ 0 };
+};
+
+constexpr const char* kHead = "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n";
+// Far above the buffers of a socket, and far below what a flood writes within a deadline.
+constexpr std::size_t kMaxBytesWritten = 64 << 20;
+
+std::vector<EndlessResponse>
+EndlessHeads()
+{
+  const std::string block(1'000, 'x');
+  return {
+    { "bytes that are no HTTP", "", block },
+    { "a status line", "HTTP/1.1 200 ", block },
+    { "a header line", absl::StrCat(kHead, "X-Long: "), block },
+    { "header lines", kHead, absl::StrCat("X-Next: ", block, "\r\n") },
+    { "informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "a chunk extension", absl::StrCat(kHead, "Transfer-Encoding: chunked\r\n\r\n2;"), block },
+    { "trailer fields",
+      absl::StrCat(kHead, "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"),
+      absl::StrCat("X-Next: ", block, "\r\n") },
+    { "a body without a length", absl::StrCat(kHead, "\r\n"), block },
+    { "a head, one byte at a time", kHead, "X", std::chrono::milliseconds(100) }
+  };
+}
+
+/// Writes an endless response and returns how many bytes were written before the caller closed.
+std::size_t
+Flood(RawConnection& aConnection, const EndlessResponse& aResponse)
+{
+  std::size_t written = aResponse.m_begin.size();
+  bool is_open = aConnection.Write(aResponse.m_begin);
+  while (is_open && written < kMaxBytesWritten) {
+    is_open = aConnection.Write(aResponse.m_repeated);
+    written += aResponse.m_repeated.size();
+    if (aResponse.m_pause.count() > 0) {
+      std::this_thread::sleep_for(aResponse.m_pause);
+    }
+  }
+  return written;
+}
+
+}
+
+TEST_CASE("An endpoint whose response never ends costs bounded memory, and the request is retried")
+{
+  for (const EndlessResponse& response : EndlessHeads()) {
+    CAPTURE(response.m_name);
+    GatewayCluster cluster;
+    std::atomic<std::size_t> written = 0;
+    cluster.Endpoint(0).SetBehaviour([&](RawConnection& aConnection, const RawRequest&) {
+      written = std::max<std::size_t>(written, Flood(aConnection, response));
+      return false;
+    });
+    // The endpoints take turns at the latest when one of them is suspected.
+    for (int number = 0; cluster.Endpoint(0).Requests().empty() && number < 200; ++number) {
+      const std::string id = absl::StrCat("endless-", number);
+      const CallerResponse answer = cluster.Call("/safe/x", id);
+      CHECK(answer.m_status == 200);
+      CHECK(answer.m_body == "answer to " + id);
+    }
+    CHECK(cluster.Endpoint(0).Requests().size() == 1);
+    CHECK(WaitFor([&] { return written > 0; }));
+    CHECK(written < kMaxBytesWritten);
+  }
+}
+
+TEST_CASE("A stream whose event never ends is cut, and goes on at another endpoint")
+{
+  for (const std::string head : { "Content-Type: text/event-stream\r\n", "" }) {
+    CAPTURE(head);
+    GatewayCluster cluster;
+    std::atomic<std::size_t> written = 0;
+    const EndlessResponse endless{ "an event",
+                                   absl::StrCat(kHead, head, "\r\nid: 1\ndata: a\n\nid: 2\ndata: "),
+                                   std::string(1'000, 'x') };
+    for (std::size_t i = 0; i < 2; ++i) {
+      cluster.Endpoint(i).SetBehaviour([&](RawConnection& aConnection, const RawRequest& aRequest) {
+        if (aRequest.Header("last-event-id").empty()) {
+          written = std::max<std::size_t>(written, Flood(aConnection, endless));
+          return false;
+        }
+        aConnection.Write(
+          absl::StrCat(kHead,
+                       "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+                       "id: 2\ndata: b\n\n"));
+        return false;
+      });
+    }
+    const CallerResponse resumed = cluster.Call("/resumable/x", "resumable");
+    CHECK(resumed.m_is_complete);
+    CHECK(resumed.m_body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    const CallerResponse cut = cluster.Call("/stream/x", "stream");
+    CHECK(cut.m_status == 200);
+    CHECK_FALSE(cut.m_is_complete);
+    CHECK(WaitFor([&] { return written > 0; }));
+    CHECK(written < kMaxBytesWritten);
+  }
+}
+
+TEST_CASE("Bytes without end on an idle connection end that connection only")
+{
+  GatewayCluster cluster(1, 1);
+  std::atomic<std::size_t> written = 0;
+  std::atomic<bool> is_first = true;
+  cluster.Endpoint(0).SetBehaviour([&](RawConnection& aConnection, const RawRequest& aRequest) {
+    RespondWithSuccess(aConnection, aRequest);
+    if (is_first.exchange(false)) {
+      written = Flood(aConnection, { "after the response", "x", std::string(1'000, 'x') });
+      return false;
+    }
+    return true;
+  });
+  CHECK(cluster.Call("/safe/x", "idle-1").m_body == "answer to idle-1");
+  CHECK(WaitFor([&] { return written > 0; }));
+  CHECK(written < kMaxBytesWritten);
+  CHECK(cluster.Call("/safe/x", "idle-2").m_body == "answer to idle-2");
+}
--- a/Tests/Support/RawServer.cpp
+++ b/Tests/Support/RawServer.cpp
@@ -127,7 +127,7 @@
   return bytes;
 }
 
-void
+bool
 RawConnection::Write(const std::string& aBytes)
 {
   std::size_t written = 0;
@@ -135,10 +135,11 @@
     const ssize_t size =
       send(m_socket, aBytes.data() + written, aBytes.size() - written, MSG_NOSIGNAL);
     if (size <= 0) {
-      return;
+      return false;
     }
     written += static_cast<std::size_t>(size);
   }
+  return true;
 }
 
 void
--- a/Tests/Support/RawServer.h
+++ b/Tests/Support/RawServer.h
@@ -46,7 +46,8 @@
   std::optional<RawRequest> ReadHead();
   /// Reads up to this many bytes; fewer only if the peer closes.
   std::string ReadBytes(std::size_t aSize);
-  void Write(const std::string& aBytes);
+  /// Returns whether all bytes were written; false if the peer has closed.
+  bool Write(const std::string& aBytes);
   /// Discards what arrives until the peer closes.
   void WaitForClose();
   void Close();
