Bound the head of an endpoint's response in time and its informational responses in number

Callers of an endpoint in trouble waited until their deadline: an endpoint that sends a head byte by byte, or informational responses without end, kept its request, although another endpoint could have served it. The bound on the bytes of a head begins anew with each informational response and says nothing about time. A head must now end within a second of its first byte, and a ninth informational response makes the response malformed, so that the request is retried where it may be.

--- a/Libraries/LibRelay/RelayClient.cpp
+++ b/Libraries/LibRelay/RelayClient.cpp
@@ -21,6 +21,8 @@
 // Maximum time for which written bytes may stay unacknowledged (TCP_USER_TIMEOUT); long enough for
 // a few retransmissions.
 constexpr int kMaxUnacknowledgedMs = 6'000;
+// A peer sends a few informational (1xx) responses at most.
+constexpr int kMaxInformationalResponses = 8;
 constexpr int kKeepAliveIdleSeconds = 2;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 3;
@@ -361,9 +363,17 @@
       const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, size));
       const std::size_t used = m_parser.Feed({ bytes, static_cast<std::size_t>(size) });
       evbuffer_drain(input, used);
+      if (!m_parser.HasHead()) {
+        StartHeadTimer();
+      }
       constexpr int kFirstFinalStatus = 200;
       if (m_parser.State() == MessageParser::Progress::Complete &&
           m_parser.Head().m_status < kFirstFinalStatus) {
+        if (++m_informational_responses > kMaxInformationalResponses) {
+          Finish(RelayCallEnd::Malformed, "too many informational responses");
+          return;
+        }
+        m_head_timer = nullptr;
         m_parser.Restart();
         continue;
       }
@@ -371,11 +381,23 @@
     }
   }
 
+  void StartHeadTimer()
+  {
+    if (m_head_timer != nullptr) {
+      return;
+    }
+    m_head_timer =
+      std::make_unique<Timer>(Loop(), m_limits.m_head_timeout, Timer::Repeat::Once, [this] {
+        FinishFromTimer(RelayCallEnd::Malformed, "the head of the response did not end in time");
+      });
+  }
+
   // Reports to the handlers what the parser has read.
   void Deliver()
   {
     if (m_parser.HasHead() && !m_is_head_reported) {
       m_is_head_reported = true;
+      m_head_timer = nullptr;
       if (m_handlers.m_on_head) {
         m_handlers.m_on_head(m_parser.Head());
       }
@@ -458,6 +480,7 @@
   void StopTimers()
   {
     m_connect_timer = nullptr;
+    m_head_timer = nullptr;
     m_total_timer = nullptr;
   }
 
@@ -476,10 +499,12 @@
   MessageParser m_parser;
   bufferevent* m_events = nullptr;
   std::unique_ptr<Timer> m_connect_timer;
+  std::unique_ptr<Timer> m_head_timer;
   std::unique_ptr<Timer> m_total_timer;
   bool m_is_reused = false;
   bool m_is_written = false;
   bool m_is_head_reported = false;
+  int m_informational_responses = 0;
   bool m_is_over = false;
   bool m_is_counted = false;
 };
--- a/Libraries/LibRelay/include/LibRelay/RelayClient.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayClient.h
@@ -54,6 +54,8 @@
   /// Maximum time from the call of Send() to the end of the response.
   Milliseconds m_total_timeout{ 30'000 };
   std::size_t m_max_head_bytes = 16 << 10;
+  /// Maximum time from the first byte of a response to the end of its head.
+  Milliseconds m_head_timeout{ 1'000 };
   /// Whether the call may use an idle keep-alive connection. The peer may close such a connection
   /// while the request is being written; it is then not known whether the request was executed.
   bool m_may_reuse = true;
