Cut a stream whose event does not end

An endpoint in trouble may write bytes without end inside an event. BodyCompleteness, which follows the events already, now reports an event of over 1 MiB, and the attempt counts as broken: the stream goes on at another endpoint of its version, or is cut.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -369,7 +369,11 @@
 ActiveRequest::OnResponseBytes(std::string aBytes)
 {
   m_attempt->m_response_bytes += aBytes.size();
-  m_attempt->m_completeness->Follow(aBytes);
+  if (const absl::Status followed = m_attempt->m_completeness->Follow(aBytes); !followed.ok()) {
+    m_call = nullptr;
+    OnAttemptFailed(SlotOutcome::Broken, std::string(followed.message()));
+    return;
+  }
   const bool is_streamed = IsStream() && m_attempt->m_response_head.m_status < kFirstErrorStatus;
   if (!is_streamed) {
     m_buffered_body += aBytes;
--- a/Libraries/LibGateway/BodyCompleteness.cpp
+++ b/Libraries/LibGateway/BodyCompleteness.cpp
@@ -2,12 +2,15 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 
 namespace auburnhitch {
 
 namespace {
 
 constexpr absl::string_view kEventStream = "text/event-stream";
+// An event holds a few tokens, or a whole document at most.
+constexpr std::size_t kMaxEventBytes = 1 << 20;
 
 absl::string_view
 MediaType(const MessageHead& aHead)
@@ -43,12 +46,19 @@
 {
 }
 
-void
+absl::Status
 BodyCompleteness::Follow(absl::string_view aBytes)
 {
-  if (m_is_event_stream) {
-    m_events.Scan(aBytes);
+  if (!m_is_event_stream) {
+    return absl::OkStatus();
   }
+  const std::size_t outside = m_events.Scan(aBytes);
+  m_event_bytes = outside == 0 ? m_event_bytes + aBytes.size() : aBytes.size() - outside;
+  if (m_event_bytes > kMaxEventBytes) {
+    return absl::ResourceExhaustedError(
+      absl::StrCat("an event of the response is longer than ", kMaxEventBytes, " bytes"));
+  }
+  return absl::OkStatus();
 }
 
 absl::Status
--- a/Libraries/LibGateway/include/LibGateway/BodyCompleteness.h
+++ b/Libraries/LibGateway/include/LibGateway/BodyCompleteness.h
@@ -22,8 +22,9 @@
   /// an event stream.
   BodyCompleteness(const MessageHead& aHead, bool aIsStreamExpected);
 
-  /// Follows the next bytes of the body.
-  void Follow(absl::string_view aBytes);
+  /// Follows the next bytes of the body. Returns ResourceExhausted if an event is too long to be
+  /// one.
+  absl::Status Follow(absl::string_view aBytes);
   /// Returns DataLoss with the reason if the body is incomplete. Precondition: the call has ended,
   /// with Complete or Closed.
   absl::Status Check(RelayCallEnd aEnd) const;
@@ -31,6 +32,8 @@
 private:
   bool m_is_event_stream;
   EventScanner m_events;
+  /// Bytes of the event that has not ended.
+  std::size_t m_event_bytes = 0;
 };
 
 }
--- a/Tests/Unit/TestBodyCompleteness.cpp
+++ b/Tests/Unit/TestBodyCompleteness.cpp
@@ -28,10 +28,10 @@
            bool aIsStreamExpected = true)
 {
   BodyCompleteness whole(aHead, aIsStreamExpected);
-  whole.Follow(aBody);
+  CHECK(whole.Follow(aBody).ok());
   BodyCompleteness by_bytes(aHead, aIsStreamExpected);
   for (const char byte : aBody) {
-    by_bytes.Follow(absl::string_view(&byte, 1));
+    CHECK(by_bytes.Follow(absl::string_view(&byte, 1)).ok());
   }
   CHECK(whole.Check(aEnd) == by_bytes.Check(aEnd));
   return whole.Check(aEnd).ok();
@@ -80,3 +80,22 @@
     CHECK(IsComplete(HeadOf("", 200, framing), "no event", RelayCallEnd::Complete));
   }
 }
+
+TEST_CASE("An event that does not end is reported as soon as it is too long")
+{
+  MessageHead head;
+  head.m_status = 200;
+  head.m_framing = BodyFraming::Chunked;
+  head.m_headers = { { "Content-Type", "text/event-stream" } };
+  BodyCompleteness stream(head, true);
+  const std::string event = "data: " + std::string(400'000, 'x');
+  CHECK(stream.Follow(event + "\n\n").ok());
+  CHECK(stream.Follow(event).ok());
+  CHECK(stream.Follow(event).ok());
+  CHECK_FALSE(stream.Follow(event).ok());
+  // Whole events may be longer in sum.
+  BodyCompleteness whole(head, true);
+  for (int i = 0; i < 10; ++i) {
+    CHECK(whole.Follow(event + "\n\n").ok());
+  }
+}
