Bound a response that has neither a length nor chunks

An endpoint in trouble may send a body without end behind a valid head. The daemon forwarded it from 256 KB on until the deadline, over 64 MB in TestEndlessResponses, and the caller got no other answer, although the request may run again. Such a response proves nothing until its connection closes, so it is now buffered as a whole, up to 1 MiB; a longer one counts as broken and is retried where it may be. A response with a length or chunks is still forwarded as it arrives.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -12,6 +12,9 @@
 // Responses up to this size are buffered until they are complete, so that a truncated one can be
 // requested from another endpoint.
 constexpr std::size_t kMaxBufferedBytes = 256 << 10;
+// Only the close of its connection shows that a response without a length is complete, so it is
+// buffered as a whole, up to this size. A longer one counts as broken.
+constexpr std::size_t kMaxUnframedBytes = 1 << 20;
 // Reading from the endpoint pauses while more than this is waiting to be sent to a slower caller.
 constexpr std::size_t kMaxUnsentBytes = 256 << 10;
 // Slots that are requested for one request, including those after an endpoint was unreachable or
@@ -376,15 +379,7 @@
   }
   const bool is_streamed = IsStream() && m_attempt->m_response_head.m_status < kFirstErrorStatus;
   if (!is_streamed) {
-    m_buffered_body += aBytes;
-    if (m_exchange->HasStarted()) {
-      Forward(std::exchange(m_buffered_body, std::string()));
-    } else if (m_buffered_body.size() > kMaxBufferedBytes) {
-      StartResponse(m_attempt->m_response_head.m_framing == BodyFraming::Length
-                      ? BodyFraming::Length
-                      : BodyFraming::Chunked);
-      Forward(std::exchange(m_buffered_body, std::string()));
-    }
+    BufferResponse(aBytes);
     return;
   }
   if (!std::exchange(m_attempt->m_has_first_byte, true)) {
@@ -401,6 +396,30 @@
   Forward(bytes);
 }
 
+void
+ActiveRequest::BufferResponse(absl::string_view aBytes)
+{
+  m_buffered_body.append(aBytes.data(), aBytes.size());
+  if (m_exchange->HasStarted()) {
+    Forward(std::exchange(m_buffered_body, std::string()));
+    return;
+  }
+  const BodyFraming framing = m_attempt->m_response_head.m_framing;
+  if (framing == BodyFraming::UntilClose) {
+    if (m_buffered_body.size() > kMaxUnframedBytes) {
+      m_call = nullptr;
+      OnAttemptFailed(
+        SlotOutcome::Broken,
+        absl::StrCat("a response without a length exceeds ", kMaxUnframedBytes, " bytes"));
+    }
+    return;
+  }
+  if (m_buffered_body.size() > kMaxBufferedBytes) {
+    StartResponse(framing == BodyFraming::Length ? BodyFraming::Length : BodyFraming::Chunked);
+    Forward(std::exchange(m_buffered_body, std::string()));
+  }
+}
+
 void
 ActiveRequest::StartResponse(BodyFraming aFraming)
 {
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -108,6 +108,8 @@
   /// Records what the endpoint states about itself.
   void RecordNotice(ResponseMeaning aMeaning, const MessageHead& aHead);
   void OnResponseBytes(std::string aBytes);
+  /// Handles bytes of a response that is not streamed.
+  void BufferResponse(absl::string_view aBytes);
   void OnResponseEnd(const RelayResult& aResult);
   /// Called when the endpoint has ended its response in order. aEnd is Complete or Closed.
   void OnResponseReceived(RelayCallEnd aEnd);
