Let the tests of limits and versions notice what mutations showed

Three mutations were missed. The case of a killed daemon counted a refusal (503, whole) as a stream that went on; it now requires the last event. The cases of limits loaded the coordinator too, which then hears every limit itself; a new case gives it no callers. One mutation did not build. New cases: a stream that no daemon knows, and one whose version serves no more, are refused at once.

--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -102,7 +102,7 @@
 mutate "an endpoint's limit holds over all daemons: they report what they hear" \
   Libraries/LibBroker/SlotBroker.cpp \
   's/ \} else \{\n    SendToCoordinator\(outstanding.m_coordinator, message\);/ } else {/' \
-  "$PROCESS" "Daemons together send an endpoint*"
+  "$PROCESS" "Daemons whose coordinator has no callers*"
 mutate "an endpoint's limit holds when the coordinator changes: a bucket is empty at first" \
   Libraries/LibPlacement/TokenBucket.cpp \
   's/: m_rate\(aRate\)/: m_rate(aRate), m_level(10)/' \
@@ -112,7 +112,7 @@
   's/  m_rate.Apply\(m_info.m_limit, std::nullopt, aNow\);//' \
   "$UNIT" "A new coordinator starts with*"
 mutate "an endpoint's limit ends only by a later response" Libraries/LibPlacement/NamedRateLimit.cpp \
-  's/aSentAt \&\& \*aSentAt > m_heard_at/true/' \
+  's/\*aSentAt > m_heard_at/*aSentAt > TimePoint()/' \
   "$UNIT" "A limit ends or rises only*"
 mutate "an endpoint's limit counts each send" Libraries/LibPlacement/SlotEndpoint.cpp \
   's/  m_rate.RecordSent\(aNow\);//' \
--- a/Tests/Process/TestEndpointLimits.cpp
+++ b/Tests/Process/TestEndpointLimits.cpp
@@ -41,13 +41,18 @@
       });
   }
 
-  /// Sends requests to all daemons, without a pause, until aAction has returned.
-  void RunUnderLoad(const std::function<void()>& aAction)
+  /// Sends requests to all daemons but one, or to all, without a pause, until aAction has returned.
+  void RunUnderLoad(const std::function<void()>& aAction,
+                    std::optional<std::size_t> aExcept = std::nullopt)
   {
     std::atomic<bool> is_over = false;
     std::vector<std::thread> callers;
     for (std::size_t caller = 0; caller < kDaemons * kCallersPerDaemon; ++caller) {
-      callers.emplace_back([this, &is_over, daemon = caller % kDaemons] {
+      const std::size_t daemon = caller % kDaemons;
+      if (daemon == aExcept) {
+        continue;
+      }
+      callers.emplace_back([this, &is_over, daemon] {
         for (int number = 0; !is_over; ++number) {
           const std::string id = absl::StrCat(daemon, "-", ++m_last_id);
           if (m_cluster.Call("/safe/x", id, "", daemon).m_status == 0) {
@@ -95,6 +100,30 @@
   CHECK(cluster.Daemons().Endpoint(1).Requests().size() > 100);
 }
 
+TEST_CASE("Daemons whose coordinator has no callers send an endpoint no more than its limit")
+{
+  LimitedCluster cluster;
+  cluster.Daemons().Call("/safe/x", "0-first");
+  std::optional<std::size_t> coordinator;
+  REQUIRE(WaitFor([&] {
+    const std::string log = cluster.Daemons().LogOfDaemon(0);
+    for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+      if (log.find(absl::StrCat("home=gateway-", daemon, " before=")) != std::string::npos) {
+        coordinator = daemon;
+      }
+    }
+    return coordinator.has_value();
+  }));
+  cluster.RunUnderLoad(
+    [&] {
+      cluster.Limit().SetLimit(2);
+      std::this_thread::sleep_for(kLoadTime);
+    },
+    coordinator);
+  CHECK(FirstViolation(cluster.Limit()) == "none");
+  CHECK(cluster.Limit().ArrivalsWhileLimited() > 5);
+}
+
 TEST_CASE("Daemons that lose their coordinator send an endpoint no more than the limit it names")
 {
   LimitedCluster cluster;
--- a/Tests/Process/TestStreamVersions.cpp
+++ b/Tests/Process/TestStreamVersions.cpp
@@ -136,7 +136,8 @@
     cluster.SetBreaksAll(false);
     cluster.Daemons().Daemon(killed).Signal(SIGKILL);
     for (const std::string& id : ids) {
-      completed += cluster.TakeUp(id, "again-" + id, (killed + 1) % 3).m_is_complete ? 1 : 0;
+      const CallerResponse response = cluster.TakeUp(id, "again-" + id, (killed + 1) % 3);
+      completed += response.m_is_complete && response.m_body == kLastEvent ? 1 : 0;
       CHECK(HasOneVersion(cluster.VersionsOf(id)));
     }
     cluster.Daemons().StartDaemon(killed);
@@ -145,3 +146,37 @@
   // Also when the coordinator was killed: another daemon keeps the streams that it served.
   CHECK(completed == 12);
 }
+
+TEST_CASE("A stream that no daemon knows is refused while several software versions serve")
+{
+  VersionedCluster cluster(2, { "v1", "v2" });
+  for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+    const std::string id = absl::StrCat("unknown-", daemon);
+    const CallerResponse response = cluster.TakeUp(id, "again-" + id, daemon);
+    CHECK(response.m_status == 503);
+    CHECK_FALSE(response.Header("retry-after").empty());
+    CHECK(cluster.VersionsOf(id).empty());
+  }
+}
+
+TEST_CASE("A stream whose software version serves no more is refused at once")
+{
+  VersionedCluster cluster(2, { "v1", "v2" });
+  cluster.SetBreaksAll(true);
+  CHECK_FALSE(cluster.Daemons().Call("/resumable/x", "stream").m_is_complete);
+  cluster.SetBreaksAll(false);
+  const std::string version = cluster.VersionsOf("stream").front();
+  const std::size_t endpoint = version == "v1" ? 0 : 1;
+  cluster.Daemons().Deregister(endpoint);
+  for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+    REQUIRE(WaitFor([&] {
+      return cluster.Daemons().LogOfDaemon(daemon).find(
+               absl::StrCat("event=removed endpoint=i-", endpoint)) != std::string::npos;
+    }));
+    const CallerResponse response =
+      cluster.TakeUp("stream", absl::StrCat("again-", daemon), daemon);
+    CHECK(response.m_status == 503);
+    CHECK_FALSE(response.Header("retry-after").empty());
+  }
+  CHECK(cluster.VersionsOf("stream").size() == 1);
+}
