Bound what the HTTP clients buffer of a response that never ends

Found by tests with endless bytes, on both stacks: - LibHttp (own interface): libevent buffers the line that states the size of a chunk without a bound and scans it again with each read: 21 s of processor time in a call that ended only by its timeout of 30 s.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::size_t kMaxIdleConnectionsPerAddress = 256;
 constexpr std::size_t kMaxResponseHeaderBytes = 16 << 10;
+// libevent buffers the line that states the size of a chunk without a bound.
+constexpr std::size_t kMaxUnparsedBytes = 1 << 20;
 // Long enough that libevent's own timeouts never expire first: each call has its own timers.
 constexpr int kLibraryTimeoutSeconds = 86'400;
 
@@ -139,6 +141,7 @@
   HttpCallHandlers m_handlers;
   evhttp_connection* m_connection = nullptr;
   evbuffer_cb_entry* m_output_callback = nullptr;
+  evbuffer_cb_entry* m_input_callback = nullptr;
   std::unique_ptr<Timer> m_connect_timer;
   std::unique_ptr<Timer> m_total_timer;
   std::unique_ptr<Timer> m_silence_timer;
@@ -146,6 +149,11 @@
   bool m_is_over = false;
   bool m_has_headers = false;
 
+  evbuffer* Input() const
+  {
+    return bufferevent_get_input(evhttp_connection_get_bufferevent(m_connection));
+  }
+
   evbuffer* Output() const
   {
     return bufferevent_get_output(evhttp_connection_get_bufferevent(m_connection));
@@ -161,6 +169,14 @@
     }
   }
 
+  // libevent parses what it can each time bytes have been added.
+  static void OnInputChanged(evbuffer*, const evbuffer_cb_info* aInfo, void* aState)
+  {
+    if (aInfo->orig_size + aInfo->n_added > kMaxUnparsedBytes) {
+      static_cast<State*>(aState)->shared_from_this()->Finish(HttpEnd::Unusable);
+    }
+  }
+
   static int OnHeaders(evhttp_request* aRequest, void* aState)
   {
     auto self = static_cast<State*>(aState)->shared_from_this();
@@ -240,6 +256,7 @@
   void ReleaseConnection(bool aMayReuse)
   {
     evbuffer_remove_cb_entry(Output(), m_output_callback);
+    evbuffer_remove_cb_entry(Input(), m_input_callback);
     if (aMayReuse) {
       m_pool->AddIdle(m_address, m_connection);
     } else {
@@ -341,6 +358,8 @@
   }
   state->m_output_callback =
     evbuffer_add_cb(state->Output(), HttpCall::State::OnOutputChanged, state.get());
+  state->m_input_callback =
+    evbuffer_add_cb(state->Input(), HttpCall::State::OnInputChanged, state.get());
 
   evhttp_request* request = evhttp_request_new(HttpCall::State::OnEnd, state.get());
   evhttp_request_set_header_cb(request, HttpCall::State::OnHeaders);
--- a/Libraries/LibRelay/RelayClient.cpp
+++ b/Libraries/LibRelay/RelayClient.cpp
@@ -402,6 +402,12 @@
         m_handlers.m_on_head(m_parser.Head());
       }
     }
+    m_body_bytes += m_parser.PendingBodyBytes();
+    if (!m_is_over && m_body_bytes > m_limits.m_max_body_bytes) {
+      Finish(RelayCallEnd::Malformed,
+             absl::StrCat("the body exceeds ", m_limits.m_max_body_bytes, " bytes"));
+      return;
+    }
     if (!m_is_over && m_parser.PendingBodyBytes() > 0 && m_handlers.m_on_body) {
       m_handlers.m_on_body(m_parser.TakeBody());
     }
@@ -505,6 +511,7 @@
   bool m_is_written = false;
   bool m_is_head_reported = false;
   int m_informational_responses = 0;
+  std::size_t m_body_bytes = 0;
   bool m_is_over = false;
   bool m_is_counted = false;
 };
--- a/Libraries/LibRelay/include/LibRelay/RelayClient.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayClient.h
@@ -4,6 +4,7 @@
 #include <LibHttp/EventLoop.h>
 #include <LibRelay/MessageParser.h>
 #include <absl/container/flat_hash_map.h>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -56,6 +57,8 @@
   std::size_t m_max_head_bytes = 16 << 10;
   /// Maximum time from the first byte of a response to the end of its head.
   Milliseconds m_head_timeout{ 1'000 };
+  /// A response with a longer body is malformed.
+  std::size_t m_max_body_bytes = SIZE_MAX;
   /// Whether the call may use an idle keep-alive connection. The peer may close such a connection
   /// while the request is being written; it is then not known whether the request was executed.
   bool m_may_reuse = true;
