--- a/Tests/Process/TestEndlessClients.cpp
+++ b/Tests/Process/TestEndlessClients.cpp
@@ -54,7 +54,7 @@
     HttpEnd m_end = HttpEnd::Unusable;
   };
   const std::string block(1'000, 'x');
-  for (const auto& [begin, repeated, expected] : std::vector<EndlessResponse>{
+  for (const EndlessResponse& response : std::vector<EndlessResponse>{
          { "", block, HttpEnd::Broken },
          { "HTTP/1.1 200 OK\r\nX-Long: ", block, HttpEnd::Broken },
          { "HTTP/1.1 200 OK\r\n", absl::StrCat("X-Next: ", block, "\r\n"), HttpEnd::Broken },
@@ -64,35 +64,36 @@
            absl::StrCat("X-Next: ", block, "\r\n"),
            HttpEnd::Broken },
          { kOpenHead, block } }) {
-    CAPTURE(begin);
+    CAPTURE(response.m_begin);
     EventLoop loop;
-    EndlessServer server(begin, repeated);
+    EndlessServer server(response.m_begin, response.m_repeated);
     HttpClient client(loop);
     HttpRequest request;
     request.m_method = "GET";
     request.m_path = "/";
     HttpEnd end = HttpEnd::Complete;
-    const auto call = client.Send(server.Address(),
-                                  request,
-                                  HttpCallLimits(),
-                                  HttpCallHandlers{ nullptr, nullptr, [&](HttpOutcome aOutcome) {
-                                                     end = aOutcome.m_end;
-                                                     loop.Stop();
-                                                   } });
+    const auto call =
+      client.Send(server.Address(),
+                  request,
+                  HttpCallLimits(),
+                  HttpCallHandlers{ nullptr, nullptr, [&](const HttpOutcome& aOutcome) {
+                                     end = aOutcome.m_end;
+                                     loop.Stop();
+                                   } });
     loop.Run();
-    CHECK(end == expected);
+    CHECK(end == response.m_end);
     CHECK(server.Written() < kMaxBytesWritten);
   }
 }
 
 TEST_CASE("The relay's client ends a call whose body exceeds its limit")
 {
-  for (const auto& [begin, repeated] : std::vector<std::pair<std::string, std::string>>{
+  for (const auto& response : std::vector<std::pair<std::string, std::string>>{
          { kChunkedHead, absl::StrCat("3e8\r\n", std::string(1'000, 'x'), "\r\n") },
          { kOpenHead, std::string(1'000, 'x') } }) {
-    CAPTURE(begin);
+    CAPTURE(response.first);
     EventLoop loop;
-    EndlessServer server(begin, repeated);
+    EndlessServer server(response.first, response.second);
     RelayClient client(loop, Milliseconds(100), 1);
     RelayCallLimits limits;
     limits.m_max_body_bytes = 1 << 20;
