Apply changes of the membership to shares and keepers at the interval of heartbeats

Each tick of 20 ms computed the coordinator of each service four times, over all daemons. Shares of limits and the daemons that keep stream origins follow the membership, which changes with heartbeats, so 200 ms are enough; a changed coordinator is still told at once. Recording a stream computes its keeper once instead of three times.

--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -16,6 +16,10 @@
 template<typename... Ts>
 Overloaded(Ts...) -> Overloaded<Ts...>;
 
+// How often changes of the membership are applied that need not be applied at once; the interval of
+// heartbeats.
+constexpr Milliseconds kMembershipInterval{ 200 };
+
 Milliseconds
 MillisecondsBetween(TimePoint aFrom, TimePoint aTo)
 {
@@ -673,7 +677,11 @@
   for (InboundLink* link : not_alive) {
     CloseInboundLink(link, "no heartbeats from the daemon");
   }
-  UpdateShares();
+  if (now - m_membership_applied_at >= kMembershipInterval) {
+    m_membership_applied_at = now;
+    UpdateShares();
+    m_streams.UpdateKeepers();
+  }
   UpdateCoordinators();
   m_streams.Tick();
   m_coordinator.DecideAll(now);
--- a/Libraries/LibBroker/StreamTracker.cpp
+++ b/Libraries/LibBroker/StreamTracker.cpp
@@ -24,10 +24,10 @@
 void
 StreamTracker::RecordBegun(const ServiceName& aService, const StreamOrigin& aOrigin)
 {
-  UpdateKeeper(aService);
+  const auto keeper = UpdateKeeper(aService);
   const AgedStreamOrigin origin{ aOrigin, Milliseconds(0) };
   if (m_streams.Record(aService, origin, m_dependencies.m_loop->Now())) {
-    Report(aService, { origin });
+    Report(aService, keeper, { origin });
   }
 }
 
@@ -99,8 +99,7 @@
     }
   }
   if (!added.empty() && m_dependencies.m_is_coordinator(aMessage.m_service)) {
-    UpdateKeeper(aMessage.m_service);
-    Report(aMessage.m_service, added);
+    Report(aMessage.m_service, UpdateKeeper(aMessage.m_service), added);
   }
 }
 
@@ -123,35 +122,45 @@
                              : KnownVersion(lookup.m_service, lookup.m_stream));
 }
 
-void
+std::optional<Member>
 StreamTracker::UpdateKeeper(const ServiceName& aService)
 {
-  const auto keeper = m_dependencies.m_keeper(aService);
+  auto keeper = m_dependencies.m_keeper(aService);
   Incarnation& known = m_keepers[aService];
   const Incarnation now = keeper ? keeper->m_incarnation : Incarnation();
   if (now == known) {
-    return;
+    return keeper;
   }
   known = now;
-  Report(aService, m_streams.OriginsOf(aService, m_dependencies.m_loop->Now()));
+  Report(aService, keeper, m_streams.OriginsOf(aService, m_dependencies.m_loop->Now()));
   for (auto& [number, lookup] : m_lookups) {
     if (lookup.m_service == aService && lookup.m_asked != now) {
       Ask(number, lookup);
     }
   }
+  return keeper;
+}
+
+void
+StreamTracker::UpdateKeepers()
+{
+  for (const auto& [service, keeper] : m_keepers) {
+    UpdateKeeper(service);
+  }
 }
 
 void
-StreamTracker::Report(const ServiceName& aService, const std::vector<AgedStreamOrigin>& aOrigins)
+StreamTracker::Report(const ServiceName& aService,
+                      const std::optional<Member>& aKeeper,
+                      const std::vector<AgedStreamOrigin>& aOrigins)
 {
-  const auto keeper = m_dependencies.m_keeper(aService);
-  if (!keeper) {
+  if (!aKeeper) {
     return;
   }
   for (std::size_t first = 0; first < aOrigins.size(); first += kMaxOriginsPerMessage) {
     const std::size_t end = std::min(first + kMaxOriginsPerMessage, aOrigins.size());
     m_dependencies.m_send(
-      *keeper,
+      *aKeeper,
       StreamOriginsMessage{ aService,
                             { aOrigins.begin() + static_cast<std::ptrdiff_t>(first),
                               aOrigins.begin() + static_cast<std::ptrdiff_t>(end) } });
@@ -167,9 +176,6 @@
 void
 StreamTracker::Tick()
 {
-  for (const auto& [service, keeper] : m_keepers) {
-    UpdateKeeper(service);
-  }
   const TimePoint now = m_dependencies.m_loop->Now();
   std::vector<std::uint64_t> unanswered;
   for (const auto& [number, lookup] : m_lookups) {
--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -169,6 +169,8 @@
   std::vector<std::unique_ptr<InboundLink>> m_inbound;
   std::set<ServiceName> m_services_to_decide;
   std::unique_ptr<Timer> m_decide_timer;
+  /// When the shares and the keepers of streams were last updated.
+  TimePoint m_membership_applied_at;
 };
 
 }
--- a/Libraries/LibBroker/include/LibBroker/StreamTracker.h
+++ b/Libraries/LibBroker/include/LibBroker/StreamTracker.h
@@ -53,10 +53,13 @@
   StreamVersionMessage OnLookup(const StreamLookupMessage& aMessage) const;
   void OnVersion(const StreamVersionMessage& aMessage);
   /// Reports all streams of a service if they are to be kept by another daemon than before.
-  void UpdateKeeper(const ServiceName& aService);
+  /// Returns the daemon that keeps them.
+  std::optional<Member> UpdateKeeper(const ServiceName& aService);
   /// An endpoint has registered another software version under its id.
   void OnVersionChanged(const EndpointId& aEndpoint);
-  /// Ends the lookups that the coordinator does not answer, and updates the keepers. Call every few
+  /// Updates the keepers of all services.
+  void UpdateKeepers();
+  /// Ends the lookups that the coordinator does not answer. Call every few
   /// tens of milliseconds.
   void Tick();
 
@@ -73,7 +76,9 @@
 
   /// Sends a lookup to the coordinator, or resolves it if this daemon knows as much.
   void Ask(std::uint64_t aNumber, Lookup& aLookup);
-  void Report(const ServiceName& aService, const std::vector<AgedStreamOrigin>& aOrigins);
+  void Report(const ServiceName& aService,
+              const std::optional<Member>& aKeeper,
+              const std::vector<AgedStreamOrigin>& aOrigins);
   /// What this daemon knows by itself.
   std::optional<SoftwareVersion> KnownVersion(const ServiceName& aService,
                                               const std::string& aStream) const;
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -127,7 +127,7 @@
   "$PROCESS" "A stream does not go on at another*"
 mutate "a stream stays at its version: other daemons keep its origin" \
   Libraries/LibBroker/StreamTracker.cpp \
-  's/if \(!keeper\) \{\n    return;/if (true) {\n    return;/' \
+  's/if \(!aKeeper\) \{\n    return;/if (true) {\n    return;/' \
   "$PROCESS" "A stream whose daemon was killed*"
 mutate "a stream stays at its version: the next in line keeps its origin" \
   Libraries/LibBroker/StreamTracker.cpp \
@@ -135,7 +135,7 @@
   "$PROCESS" "A stream whose daemon was killed*"
 mutate "a stream stays at its version: the version is that of the incarnation, not of the id" \
   Libraries/LibBroker/StreamVersions.cpp \
-  's/aNow - entry.m_recorded_at <= m_limits.m_registration_lag/false/' \
+  's/aNow - entry.m_recorded_at <= m_limits.m_registration_lag/aNow < entry.m_recorded_at/' \
   "$UNIT" "A stream begun just before*"
 mutate "a stream stays at its version: an unknown one goes on only if one version served" \
   Libraries/LibRegistry/VersionHistory.cpp \
