--- a/Tests/Unit/TestPlacementLoad.cpp
+++ b/Tests/Unit/TestPlacementLoad.cpp
@@ -1,5 +1,6 @@
 #include <LibPlacement/SlotScheduler.h>
 
+#include <cmath>
 #include <doctest.h>
 #include <functional>
 #include <map>
@@ -58,6 +59,9 @@
 constexpr double kFastSlowness = 0.68;
 constexpr double kSlowSlowness = 3.0;
 constexpr double kDurationSeconds = 30;
+constexpr double kLimitTurnMs = 5'000;
+constexpr double kLimitWindowMs = 4'000;
+constexpr double kLimitToldMs = 500;
 
 /// Simulates arrivals, a scheduler, and endpoints whose service times the scheduler has to learn.
 class LoadSimulation
@@ -93,7 +97,21 @@
     }
   }
 
+  /// A third of the endpoints names a limit at a time, in turns of five seconds. aIsKept: whether
+  /// the scheduler hears of it.
+  void NameLimits(RequestRate aLimit, bool aIsKept)
+  {
+    m_limit = aLimit;
+    m_is_limit_kept = aIsKept;
+    constexpr double kTickMs = 20;
+    for (double at = 0; at < (kDurationSeconds + 4) * 1'000; at += kTickMs) {
+      Schedule(at, [] {});
+    }
+  }
+
   const Served& Of(std::size_t aKind) { return m_served[aKind]; }
+  /// The most grants of an endpoint in four seconds for which it had named its limit.
+  std::size_t MostGrantsWhileLimited() const { return m_most_grants_while_limited; }
 
 private:
   struct Event
@@ -174,8 +192,27 @@
     }
   }
 
+  std::optional<RequestRate> LimitOf(const EndpointId& aEndpoint, double aAtMs) const
+  {
+    const int turn = static_cast<int>(aAtMs / kLimitTurnMs) % 3;
+    return m_limit && (aEndpoint.Value().back() - '0') % 3 == turn ? m_limit : std::nullopt;
+  }
+
+  void CountGrant(const EndpointId& aEndpoint)
+  {
+    std::vector<double>& grants = m_grants[aEndpoint];
+    grants.push_back(m_now);
+    std::erase_if(grants, [&](double aAt) { return aAt <= m_now - kLimitWindowMs; });
+    // The whole window lies within the turn, half a second after its begin.
+    if (LimitOf(aEndpoint, m_now) &&
+        std::fmod(m_now, kLimitTurnMs) >= kLimitWindowMs + kLimitToldMs) {
+      m_most_grants_while_limited = std::max(m_most_grants_while_limited, grants.size());
+    }
+  }
+
   void Serve(const SlotGrant& aGrant)
   {
+    CountGrant(aGrant.m_endpoint);
     const Request request = m_requests.at(aGrant.m_request_id.m_number);
     const double slowness = m_slowness.at(aGrant.m_endpoint);
     const double first = slowness * (16 + request.m_actual_work.m_prompt_tokens / 48);
@@ -186,6 +223,12 @@
         first_byte_at - request.m_arrived <= kKinds[request.m_kind].m_objective_ms;
       Served& served = m_served[request.m_kind];
       ++(is_in_time ? served.m_in_time : served.m_late);
+      if (m_is_limit_kept) {
+        m_scheduler.RecordStatedLimit({ aGrant.m_endpoint, 1 },
+                                      LimitOf(aGrant.m_endpoint, m_now),
+                                      aGrant.m_request_id,
+                                      At(m_now));
+      }
       m_scheduler.RecordStarted(aGrant.m_request_id, aGrant.m_endpoint, At(m_now));
     });
     Schedule(first_byte_at + rest, [this, aGrant] {
@@ -203,6 +246,10 @@
   std::map<std::uint64_t, Request> m_requests;
   std::map<EndpointId, double> m_slowness;
   std::map<std::size_t, Served> m_served;
+  std::optional<RequestRate> m_limit;
+  bool m_is_limit_kept = false;
+  std::map<EndpointId, std::vector<double>> m_grants;
+  std::size_t m_most_grants_while_limited = 0;
 };
 
 constexpr unsigned kSeeds = 5;
@@ -259,3 +306,29 @@
     }
   }
 }
+
+TEST_CASE("While a third of the endpoints names limits in turns, they are kept and work goes on")
+{
+  // One and a half times the limit in a window, and five requests.
+  constexpr std::size_t kMaxGrants = 11;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    LoadSimulation unheard(seed);
+    unheard.NameLimits(RequestRate{ 1 }, false);
+    unheard.Run([](int, double) { return 1.0; });
+    CHECK(unheard.MostGrantsWhileLimited() > kMaxGrants);
+    LoadSimulation normal(seed);
+    normal.NameLimits(RequestRate{ 1 }, true);
+    normal.Run([](int, double) { return 1.0; });
+    CHECK(normal.MostGrantsWhileLimited() <= kMaxGrants);
+    for (std::size_t kind = 0; kind < kKinds.size(); ++kind) {
+      CHECK(normal.Of(kind).InTimeShare() >= 0.95);
+    }
+    LoadSimulation heavy(seed);
+    heavy.NameLimits(RequestRate{ 1 }, true);
+    heavy.Run([](int, double) { return 1.5; });
+    CHECK(heavy.MostGrantsWhileLimited() <= kMaxGrants);
+    CHECK(heavy.Of(0).InTimeShare() >= 0.9);
+    CHECK(heavy.Of(1).InTimeShare() >= 0.75);
+  }
+}
