--- a/Libraries/LibBroker/StreamTracker.cpp
+++ b/Libraries/LibBroker/StreamTracker.cpp
@@ -32,16 +32,18 @@
 }
 
 bool
-StreamTracker::IsOf(const std::string& aStream, const SoftwareVersion& aVersion) const
+StreamTracker::IsOf(const ServiceName& aService,
+                    const std::string& aStream,
+                    const SoftwareVersion& aVersion) const
 {
-  const auto knowledge = m_streams.Find(aStream, m_dependencies.m_loop->Now());
+  const auto knowledge = m_streams.Find(aService, aStream, m_dependencies.m_loop->Now());
   return !knowledge.m_is_known || knowledge.m_version == aVersion;
 }
 
 std::optional<SoftwareVersion>
 StreamTracker::KnownVersion(const ServiceName& aService, const std::string& aStream) const
 {
-  const auto knowledge = m_streams.Find(aStream, m_dependencies.m_loop->Now());
+  const auto knowledge = m_streams.Find(aService, aStream, m_dependencies.m_loop->Now());
   return knowledge.m_is_known ? knowledge.m_version : m_dependencies.m_only_version(aService);
 }
 
@@ -61,7 +63,8 @@
 void
 StreamTracker::Ask(std::uint64_t aNumber, Lookup& aLookup)
 {
-  const bool is_known = m_streams.Find(aLookup.m_stream, m_dependencies.m_loop->Now()).m_is_known;
+  const bool is_known =
+    m_streams.Find(aLookup.m_service, aLookup.m_stream, m_dependencies.m_loop->Now()).m_is_known;
   const auto coordinator = m_dependencies.m_keeper(aLookup.m_service);
   if (is_known || !coordinator || m_dependencies.m_is_coordinator(aLookup.m_service)) {
     m_dependencies.m_loop->Defer(
--- a/Libraries/LibBroker/StreamVersions.cpp
+++ b/Libraries/LibBroker/StreamVersions.cpp
@@ -25,13 +25,14 @@
 }
 
 StreamVersions::Knowledge
-StreamVersions::Find(const std::string& aStream, TimePoint aNow) const
+StreamVersions::Find(const ServiceName& aService, const std::string& aStream, TimePoint aNow) const
 {
   const auto found = m_streams.find(aStream);
   if (found == m_streams.end() || aNow - found->second.m_recorded_at > m_limits.m_retention) {
     return {};
   }
-  return Knowledge{ true, found->second.m_version };
+  const Entry& entry = found->second;
+  return Knowledge{ true, entry.m_service == aService ? entry.m_version : std::nullopt };
 }
 
 std::vector<AgedStreamOrigin>
--- a/Libraries/LibBroker/include/LibBroker/StreamTracker.h
+++ b/Libraries/LibBroker/include/LibBroker/StreamTracker.h
@@ -40,7 +40,9 @@
   void RecordBegun(const ServiceName& aService, const StreamOrigin& aOrigin);
   /// Whether a stream that this daemon has recorded is still known to be of one version. A later
   /// registration may have shown that another version of its endpoint may have begun it.
-  bool IsOf(const std::string& aStream, const SoftwareVersion& aVersion) const;
+  bool IsOf(const ServiceName& aService,
+            const std::string& aStream,
+            const SoftwareVersion& aVersion) const;
   /// Finds the version that began a stream; nothing if it is unknown or ambiguous. The handler is
   /// called from the event loop, never from inside Find(). Returns a number for Cancel().
   std::uint64_t Find(const ServiceName& aService,
--- a/Libraries/LibBroker/include/LibBroker/StreamVersions.h
+++ b/Libraries/LibBroker/include/LibBroker/StreamVersions.h
@@ -45,7 +45,8 @@
   struct Knowledge
   {
     bool m_is_known = false;
-    /// Nothing if the stream is known but its version is ambiguous.
+    /// Nothing if the stream is known, but its version is ambiguous or it belongs to another
+    /// service.
     std::optional<SoftwareVersion> m_version;
 
     auto operator<=>(const Knowledge&) const = default;
@@ -59,7 +60,7 @@
   /// Records an origin. A stream that two versions are said to have begun is ambiguous. Returns
   /// whether the stream is new.
   bool Record(const ServiceName& aService, const AgedStreamOrigin& aOrigin, TimePoint aNow);
-  Knowledge Find(const std::string& aStream, TimePoint aNow) const;
+  Knowledge Find(const ServiceName& aService, const std::string& aStream, TimePoint aNow) const;
   /// The unambiguous origins of a service's streams.
   std::vector<AgedStreamOrigin> OriginsOf(const ServiceName& aService, TimePoint aNow) const;
   /// The endpoint has registered another version. Streams that it began just before are ambiguous:
--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -551,8 +551,9 @@
 {
   const bool has_started = m_exchange->HasStarted();
   const bool may_resume =
-    !has_started || (IsResumableStream() && !m_event_splitter.LastEventId().empty() &&
-                     m_dependencies.m_broker->Streams().IsOf(m_stream, *m_required_version));
+    !has_started ||
+    (IsResumableStream() && !m_event_splitter.LastEventId().empty() &&
+     m_dependencies.m_broker->Streams().IsOf(m_request.m_service, m_stream, *m_required_version));
   const std::string endpoint =
     m_tried_endpoints.empty() ? "none" : m_tried_endpoints.back().Value();
   const bool is_retried = may_resume && TryReserveRetry();
--- a/Tests/Process/TestSoak.cpp
+++ b/Tests/Process/TestSoak.cpp
@@ -14,7 +14,7 @@
   const char* m_violation_found;
 };
 
-constexpr SoakCase kCases[]{ { 1, nullptr } };
+constexpr SoakCase kCases[]{ { 1, nullptr }, { 6001, nullptr }, { 6002, nullptr } };
 
 }
 
@@ -23,7 +23,7 @@
   for (const SoakCase& entry : kCases) {
     SoakOptions options;
     options.m_seed = entry.m_seed;
-    options.m_length = std::chrono::milliseconds(6'000);
+    options.m_length = std::chrono::milliseconds(8'000);
     const SoakResult result = RunSoak(options);
     std::string text = result.m_summary;
     for (const auto* lines : { &result.m_violations, &result.m_faults }) {
--- a/Tests/Process/TestStreamVersions.cpp
+++ b/Tests/Process/TestStreamVersions.cpp
@@ -41,6 +41,13 @@
     return m_served[aStream];
   }
 
+  /// The endpoints that sent events of a stream, in order.
+  std::vector<std::size_t> EndpointsOf(const std::string& aStream)
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_served_by[aStream];
+  }
+
   /// Takes a stream up again after its first event, as a caller does.
   CallerResponse TakeUp(const std::string& aStream,
                         const std::string& aRequestId,
@@ -62,6 +69,7 @@
     {
       const std::lock_guard lock(m_mutex);
       m_served[stream].push_back(m_versions[aEndpoint]);
+      m_served_by[stream].push_back(aEndpoint);
     }
     aConnection.Write(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                                    "Connection: close\r\nX-Response-Seal: s\r\n\r\n",
@@ -74,6 +82,7 @@
   std::atomic<bool> m_breaks_all = false;
   std::mutex m_mutex;
   std::map<std::string, std::vector<std::string>> m_served;
+  std::map<std::string, std::vector<std::size_t>> m_served_by;
   GatewayCluster m_cluster;
 };
 
@@ -180,3 +189,36 @@
   }
   CHECK(cluster.VersionsOf("stream").size() == 1);
 }
+
+TEST_CASE("A stream that its caller takes up again goes on in the service that began it")
+{
+  VersionedCluster cluster(2, { "v1", "v1", "v1", "v1" });
+  GatewayCluster& daemons = cluster.Daemons();
+  for (const std::size_t endpoint : { 2, 3 }) {
+    daemons.Register(endpoint, "ready", { { "service", "other" } });
+  }
+  daemons.Configure([](nlohmann::json& aConfiguration) {
+    aConfiguration["services"].push_back({ { "name", "other" }, { "max_conns", 100 } });
+    for (nlohmann::json& route : aConfiguration["routes"]) {
+      route.erase("service");
+      route["split"] = { { { "service", "s" }, { "weight", 50 } },
+                         { { "service", "other" }, { "weight", 50 } } };
+    }
+  });
+  for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+    REQUIRE(WaitFor([&] {
+      const std::string log = daemons.LogOfDaemon(daemon);
+      return log.find("in-force version=2") != std::string::npos &&
+             log.find("event=changed endpoint=i-3 service=other") != std::string::npos;
+    }));
+  }
+  for (int number = 0; number < 12; ++number) {
+    const std::string id = absl::StrCat("stream-", number);
+    cluster.SetBreaksAll(true);
+    CHECK_FALSE(daemons.Call("/resumable/x", id).m_is_complete);
+    cluster.SetBreaksAll(false);
+    CHECK(cluster.TakeUp(id, "again-" + id, 1).m_body == kLastEvent);
+    const std::vector<std::size_t> endpoints = cluster.EndpointsOf(id);
+    CHECK(endpoints.front() / 2 == endpoints.back() / 2);
+  }
+}
--- a/Tests/Unit/TestStreamVersions.cpp
+++ b/Tests/Unit/TestStreamVersions.cpp
@@ -96,11 +96,15 @@
   StreamVersions streams{ StreamVersions::Limits() };
   CHECK(streams.Record(kService, OriginOf("x", kOld), At(0)));
   CHECK_FALSE(streams.Record(kService, OriginOf("x", kOld), At(10)));
-  CHECK(streams.Find("x", At(20)) == StreamVersions::Knowledge{ true, kOld });
+  CHECK(streams.Find(kService, "x", At(20)) == StreamVersions::Knowledge{ true, kOld });
   CHECK_FALSE(streams.Record(kService, OriginOf("x", kNew), At(30)));
-  CHECK(streams.Find("x", At(40)) == StreamVersions::Knowledge{ true, std::nullopt });
-  CHECK(streams.Find("y", At(40)) == StreamVersions::Knowledge{ false, std::nullopt });
+  CHECK(streams.Find(kService, "x", At(40)) == StreamVersions::Knowledge{ true, std::nullopt });
+  CHECK(streams.Find(kService, "y", At(40)) == StreamVersions::Knowledge{ false, std::nullopt });
   CHECK(streams.OriginsOf(kService, At(40)).empty());
+  // Versions of different services have nothing in common.
+  streams.Record(kService, OriginOf("z", kOld), At(50));
+  CHECK(streams.Find(ServiceName("other"), "z", At(50)) ==
+        StreamVersions::Knowledge{ true, std::nullopt });
 }
 
 TEST_CASE("A stream begun just before its endpoint registered another version is ambiguous")
@@ -111,11 +115,11 @@
   // Reported late, but begun early.
   streams.Record(kService, OriginOf("relayed", kOld, 4'000), At(4'000));
   streams.OnVersionChanged(EndpointId("other"), At(5'000));
-  CHECK(streams.Find("late", At(5'000)).m_version == kOld);
+  CHECK(streams.Find(kService, "late", At(5'000)).m_version == kOld);
   streams.OnVersionChanged(EndpointId("a"), At(5'000));
-  CHECK(streams.Find("early", At(5'000)).m_version == kOld);
-  CHECK(streams.Find("relayed", At(5'000)).m_version == kOld);
-  CHECK_FALSE(streams.Find("late", At(5'000)).m_version);
+  CHECK(streams.Find(kService, "early", At(5'000)).m_version == kOld);
+  CHECK(streams.Find(kService, "relayed", At(5'000)).m_version == kOld);
+  CHECK_FALSE(streams.Find(kService, "late", At(5'000)).m_version);
 }
 
 TEST_CASE("The table of streams is bounded in time, number and the length of names")
@@ -127,9 +131,9 @@
     streams.Record(kService, OriginOf(absl::StrCat("x", i), kOld), At(i));
   }
   CHECK(streams.Size() == 100);
-  CHECK(streams.Find("x999", At(1'000)).m_is_known);
-  CHECK_FALSE(streams.Find("x1", At(1'000)).m_is_known);
-  CHECK_FALSE(streams.Find("x999", At(22'000)).m_is_known);
+  CHECK(streams.Find(kService, "x999", At(1'000)).m_is_known);
+  CHECK_FALSE(streams.Find(kService, "x1", At(1'000)).m_is_known);
+  CHECK_FALSE(streams.Find(kService, "x999", At(22'000)).m_is_known);
   CHECK_FALSE(streams.Record(kService, OriginOf(std::string(1'000, 'x'), kOld), At(22'000)));
   CHECK_FALSE(streams.Record(kService, OriginOf("", kOld), At(22'000)));
   CHECK_FALSE(streams.Record(kService, OriginOf("z", kOld, 30'000), At(22'000)));
