Keep the limit that a coordinator is told before its first slot request

A daemon that had just started became coordinator; the others told it the limits before they asked for slots, but a statement for a service without a scheduler was dropped, and the endpoint's slots were granted freely until it stated its limit again. A statement to the coordinator now creates the scheduler, and the daemon also keeps it for an endpoint whose registration it has not read yet.

--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -209,8 +209,10 @@
                                       static_cast<std::int64_t>(aNotice.m_started_at_ms) };
   m_known_limits.RecordReport(aNotice.m_service, endpoint, aNotice.m_limit, Now());
   // This daemon may grant slots of the service as well, while daemons disagree on the coordinator.
-  m_coordinator.RecordStatedLimit(
-    aNotice.m_service, endpoint, aNotice.m_limit, std::nullopt, Now());
+  if (m_coordinator.HasCoordinated(aNotice.m_service)) {
+    m_coordinator.RecordStatedLimit(
+      aNotice.m_service, endpoint, aNotice.m_limit, std::nullopt, Now());
+  }
 }
 
 void
@@ -219,6 +221,11 @@
   const EndpointIncarnation endpoint{ aNotice.m_endpoint,
                                       static_cast<std::int64_t>(aNotice.m_started_at_ms) };
   const Incarnation& daemon = aLink != nullptr ? aLink->m_peer.m_incarnation : m_incarnation;
+  const auto known = m_known_limits.LimitOf(endpoint);
+  if (aNotice.m_limit && (!known || *aNotice.m_limit < *known)) {
+    // Kept also if this daemon has not read the endpoint's registration yet.
+    m_known_limits.RecordReport(aNotice.m_service, endpoint, aNotice.m_limit, Now());
+  }
   const bool is_response = aNotice.m_number != 0;
   const bool is_changed = m_coordinator.RecordStatedLimit(
     aNotice.m_service,
--- a/Libraries/LibBroker/SlotCoordinator.cpp
+++ b/Libraries/LibBroker/SlotCoordinator.cpp
@@ -127,16 +127,15 @@
                                    const std::optional<SlotRequestId>& aRequestId,
                                    TimePoint aNow)
 {
-  const auto found = m_schedulers.find(aService);
-  if (found == m_schedulers.end() ||
-      !found->second.RecordStatedLimit(aEndpoint, aStated, aRequestId, aNow)) {
+  SlotScheduler& scheduler = SchedulerOf(aService, aNow);
+  if (!scheduler.RecordStatedLimit(aEndpoint, aStated, aRequestId, aNow)) {
     return false;
   }
   LogOf("home").info("event=limit-changed endpoint={} service={} limit_per_s={} waiting={}",
                      aEndpoint.m_id.Value(),
                      aService.Value(),
                      aStated ? aStated->m_per_second : -1,
-                     found->second.WaitingCount());
+                     scheduler.WaitingCount());
   return true;
 }
 
--- a/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
@@ -44,8 +44,7 @@
   /// Sets the share of the rate limits of a service's endpoints that may be used here.
   void SetRateShare(const ServiceName& aService, double aShare, TimePoint aNow);
   /// Applies the rate limit, or its absence, that an endpoint stated in the response to a request;
-  /// see SlotEndpoint::RecordStatedLimit(). Returns whether the limit has changed. Does nothing if
-  /// this daemon has not coordinated the service.
+  /// see SlotEndpoint::RecordStatedLimit(). Returns whether the limit has changed.
   bool RecordStatedLimit(const ServiceName& aService,
                          const EndpointIncarnation& aEndpoint,
                          const std::optional<RequestRate>& aStated,
@@ -57,6 +56,8 @@
   /// The endpoints of all services coordinated here that state a limit.
   std::vector<std::pair<ServiceName, StatedLimit>> StatedLimits() const;
   std::vector<ServiceName> Services() const;
+  /// Whether this daemon has coordinated a service.
+  bool HasCoordinated(const ServiceName& aService) const { return m_schedulers.contains(aService); }
   /// Drops the waiting requests of a daemon, refunding their quota charges, and frees the slots
   /// that it holds.
   void ForgetDaemon(const Incarnation& aDaemon);
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -111,6 +111,10 @@
   Libraries/LibPlacement/SlotEndpoint.cpp \
   's/  m_rate.Apply\(m_info.m_limit, std::nullopt, aNow\);//' \
   "$UNIT" "A new coordinator starts with*"
+mutate "an endpoint's limit holds when the coordinator changes: also one that has just started" \
+  Libraries/LibBroker/SlotCoordinator.cpp \
+  's/SlotScheduler\& scheduler = SchedulerOf\(aService, aNow\);\n  if \(!scheduler.RecordStatedLimit/if (!m_schedulers.contains(aService)) {\n    return false;\n  }\n  SlotScheduler\& scheduler = SchedulerOf(aService, aNow);\n  if (!scheduler.RecordStatedLimit/' \
+  "$UNIT" "A coordinator that has granted no slot*"
 mutate "an endpoint's limit ends only by a later response" Libraries/LibPlacement/NamedRateLimit.cpp \
   's/\*aSentAt > m_heard_at/*aSentAt > TimePoint()/' \
   "$UNIT" "A limit ends or rises only*"
--- a/Tests/Process/TestEndpointLimits.cpp
+++ b/Tests/Process/TestEndpointLimits.cpp
@@ -146,6 +146,26 @@
   CHECK(cluster.Limit().ArrivalsWhileLimited() > 10);
 }
 
+TEST_CASE("A daemon that starts and becomes coordinator is told the limits that endpoints name")
+{
+  LimitedCluster cluster;
+  GatewayCluster& daemons = cluster.Daemons();
+  cluster.RunUnderLoad([&] {
+    cluster.Limit().SetLimit(0);
+    // One of the three becomes the coordinator as soon as it has started.
+    for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+      std::this_thread::sleep_for(kLoadTime * 2 / 3);
+      cluster.Limit().BeginDisturbance(daemon);
+      daemons.Daemon(daemon).Signal(SIGKILL);
+      daemons.StartDaemon(daemon);
+      daemons.WaitUntilReady(daemon);
+      cluster.Limit().EndDisturbance(daemon);
+    }
+    std::this_thread::sleep_for(kLoadTime * 2 / 3);
+  });
+  CHECK(FirstViolation(cluster.Limit()) == "none");
+}
+
 TEST_CASE("Daemons whose coordinator is paused send an endpoint no more than the limit it names")
 {
   LimitedCluster cluster;
--- a/Tests/Unit/TestSlotCoordinator.cpp
+++ b/Tests/Unit/TestSlotCoordinator.cpp
@@ -256,3 +256,25 @@
     CHECK_MESSAGE(ledger.TrySpend(kWorkspace, kRate, now), reason);
   }
 }
+
+TEST_CASE("A coordinator that has granted no slot yet keeps the limit that it is told")
+{
+  QuotaLedger quotas(Tolerance());
+  std::vector<SlotGrant> grants;
+  SlotCoordinator coordinator(
+    SlotSchedulerLimits(),
+    quotas,
+    [](const ServiceName&) { return Endpoints(); },
+    [&](const ServiceName&, const SlotDecisions& aDecisions) {
+      grants.insert(grants.end(), aDecisions.m_grants.begin(), aDecisions.m_grants.end());
+    });
+  coordinator.RecordStatedLimit(
+    kService, { EndpointId("e"), 1 }, RequestRate{ 2 }, std::nullopt, kStart);
+  for (std::uint64_t number = 1; number <= 20; ++number) {
+    coordinator.RequestSlot(kService, RequestOf(Incarnation("d"), number, 0, kStart), kStart);
+  }
+  coordinator.Decide(kService, kStart);
+  CHECK(grants.empty());
+  coordinator.Decide(kService, kStart + Milliseconds(600));
+  CHECK(grants.size() == 1);
+}
