Spell OnlyVersionSince with a pointer, for GCC under the sanitizers

With the sanitizers, GCC 12 takes the optional string for maybe uninitialized, and Meta/auburnhitch.sh sanitize did not build. No change of behaviour.

--- a/Libraries/LibRegistry/VersionHistory.cpp
+++ b/Libraries/LibRegistry/VersionHistory.cpp
@@ -64,17 +64,17 @@
   if (!m_loaded_at || *m_loaded_at > aSince) {
     return std::nullopt;
   }
-  std::optional<SoftwareVersion> only;
+  const SoftwareVersion* only = nullptr;
   for (const auto& [served, usage] : m_usage) {
     if (served.m_service != aService || (usage.m_endpoints == 0 && usage.m_ended_at < aSince)) {
       continue;
     }
-    if (only) {
+    if (only != nullptr) {
       return std::nullopt;
     }
-    only = served.m_version;
+    only = &served.m_version;
   }
-  return only;
+  return only == nullptr ? std::nullopt : std::optional(*only);
 }
 
 }
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -143,7 +143,7 @@
   "$UNIT" "A stream begun just before*"
 mutate "a stream stays at its version: an unknown one goes on only if one version served" \
   Libraries/LibRegistry/VersionHistory.cpp \
-  's/if \(only\) \{/if (false) {/' \
+  's/if \(only != nullptr\) \{/if (false) {/' \
   "$UNIT" "The version of an unknown stream*"
 
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
