Let the share of a limit follow from the daemons that follow a coordinator

A daemon now grants the whole limit only while a majority of the known daemons requests its slots from it, and otherwise the part of its followers. Each daemon follows one other at a time, so the shares add up to one and a half at most, whichever connections fail; a unit test goes through all splits of up to nine daemons. Daemons that have requested nothing follow nobody, so a coordinator whose service few daemons use grants only their part.

--- a/Libraries/LibBroker/RateShare.cpp
+++ b/Libraries/LibBroker/RateShare.cpp
@@ -1,21 +1,15 @@
 #include <LibBroker/RateShare.h>
 
+#include <algorithm>
+
 namespace auburnhitch {
 
 double
-RateShareOf(const ServiceName& aService,
-            const Member& aSelf,
-            const Membership& aMembership,
-            TimePoint aNow)
+RateShare(std::size_t aFollowers, std::size_t aKnown)
 {
-  const double known = static_cast<double>(aMembership.KnownMembers().size()) + 1;
-  if (aMembership.CoordinatorOf(aService, aSelf, aNow).m_host != aSelf.m_host) {
-    return 1 / known;
-  }
-  const double alive_share =
-    (static_cast<double>(aMembership.AliveMembers(aNow).size()) + 1) / known;
-  constexpr double kMajority = 0.5;
-  return alive_share > kMajority ? 1 : alive_share;
+  const std::size_t followers = std::max(aFollowers, std::size_t{ 1 });
+  const bool is_majority = 2 * followers > aKnown;
+  return is_majority ? 1 : static_cast<double>(followers) / static_cast<double>(aKnown);
 }
 
 }
--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -468,6 +468,7 @@
         ScheduleDecision(aRelease.m_service);
       },
       [&](const LeaveMessage& aLeave) {
+        aLink.m_followed_services.erase(aLeave.m_service);
         m_coordinator.ForgetDaemon(aLeave.m_service, daemon, now);
         ScheduleDecision(aLeave.m_service);
       },
@@ -481,6 +482,7 @@
 SlotBroker::OnSlotRequest(InboundLink& aLink, const SlotRequestMessage& aSlotRequest)
 {
   const TimePoint now = Now();
+  aLink.m_followed_services.insert(aSlotRequest.m_service);
   SlotRequest request;
   request.m_request_id = SlotRequestId{ aLink.m_peer.m_incarnation, aSlotRequest.m_number };
   request.m_priority = aSlotRequest.m_priority;
@@ -579,11 +581,27 @@
   m_coordinator.SetSlotShare(is_isolated ? m_limits.m_slot_share_when_isolated : 1.0);
   for (const ServiceName& service : m_coordinator.Services()) {
     const double share =
-      RateShareOf(service, m_dependencies.m_self(), *m_dependencies.m_membership, Now());
+      RateShare(FollowerCount(service), m_dependencies.m_membership->KnownMembers().size() + 1);
     m_coordinator.SetRateShare(service, share, Now());
   }
 }
 
+std::size_t
+SlotBroker::FollowerCount(const ServiceName& aService) const
+{
+  std::set<Incarnation> followers;
+  if (const auto own = m_coordinators.find(aService);
+      own != m_coordinators.end() && IsSelf(own->second)) {
+    followers.insert(m_incarnation);
+  }
+  for (const auto& inbound : m_inbound) {
+    if (inbound->m_followed_services.contains(aService)) {
+      followers.insert(inbound->m_peer.m_incarnation);
+    }
+  }
+  return followers.size();
+}
+
 void
 SlotBroker::Tick()
 {
--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -116,6 +116,8 @@
     /// Empty until the daemon has identified itself.
     HelloMessage m_peer;
     TimePoint m_accepted_at;
+    /// The services whose slots the daemon requests from this one.
+    std::set<ServiceName> m_followed_services;
     /// Restricts the next slot request if that has its number.
     std::optional<RequiredVersionMessage> m_required_version;
   };
@@ -147,6 +149,8 @@
   InboundLink* FindInboundLink(const Incarnation& aDaemon);
   void ScheduleDecision(const ServiceName& aService);
   void UpdateShares();
+  /// How many daemons, including this one, request the slots of a service from this one.
+  std::size_t FollowerCount(const ServiceName& aService) const;
   TimePoint Now() const;
 
   Limits m_limits;
--- a/Tests/Unit/TestNoticeExchange.cpp
+++ b/Tests/Unit/TestNoticeExchange.cpp
@@ -1,4 +1,5 @@
 #include <LibBroker/NoticeExchange.h>
+#include <LibBroker/RateShare.h>
 
 #include <doctest.h>
 
@@ -136,3 +137,22 @@
     [](const ServiceName&) { return std::vector<SlotEndpointInfo>(); });
   CHECK_FALSE(daemon.m_exchange.KnownLimitOf(kEndpoint));
 }
+
+TEST_CASE(
+  "Limits: the shares of daemons that follow several coordinators stay within one and a half")
+{
+  for (std::size_t known = 1; known <= 9; ++known) {
+    CHECK(RateShare(known, known) == 1);
+    for (std::size_t first = 0; first <= known; ++first) {
+      for (std::size_t second = 0; first + second <= known; ++second) {
+        const std::size_t rest = known - first - second;
+        double sum = 0;
+        for (const std::size_t followers : { first, second, rest }) {
+          sum += followers == 0 ? 0 : RateShare(followers, known);
+        }
+        CHECK(sum <= 1.5);
+        CHECK(sum >= 1 - 1e-9);
+      }
+    }
+  }
+}
