Apply the limit of a restarted endpoint before its registration has been read

A daemon that reports a limit may have read a later registration of the endpoint than the coordinator, whose scheduler ignored statements of all other incarnations and went on granting freely until it read the registration itself. A statement of a later incarnation now applies: the registered one has ended. The new case of TestRateLimits failed before.

--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -143,7 +143,7 @@
 {
   const auto found = m_endpoints.find(aEndpoint.m_id);
   return found != m_endpoints.end() &&
-         found->second.Info().m_started_at_ms == aEndpoint.m_started_at_ms &&
+         found->second.Info().m_started_at_ms <= aEndpoint.m_started_at_ms &&
          found->second.RecordStatedLimit(aStated, aRequestId, aNow);
 }
 
--- a/Tests/Unit/TestRateLimits.cpp
+++ b/Tests/Unit/TestRateLimits.cpp
@@ -179,6 +179,16 @@
   CHECK(scheduler.StatedLimits().empty());
 }
 
+TEST_CASE("A limit applies before the registration of the restarted endpoint has been read")
+{
+  SlotScheduler scheduler{ SlotSchedulerLimits() };
+  scheduler.SetEndpoints({ InfoOf("a") }, kStart);
+  CHECK(
+    scheduler.RecordStatedLimit({ EndpointId("a"), 2 }, RequestRate{ 2 }, std::nullopt, kStart));
+  scheduler.RequestSlot(RequestOf(1, 0, kStart), kStart);
+  CHECK(scheduler.Decide(kStart).m_grants.empty());
+}
+
 TEST_CASE("A slot that another scheduler granted does not prove the end of a limit")
 {
   SlotScheduler scheduler{ SlotSchedulerLimits() };
