Decode and log whether an endpoint says that it leaves

The logs could not tell which response of an endpoint said that it leaves. event=ended now states it; values that cannot be understood are counted. A limit that cannot be understood no longer hides the rest of a notice. No decision depends on it yet.

--- a/Libraries/LibBroker/NoticeExchange.cpp
+++ b/Libraries/LibBroker/NoticeExchange.cpp
@@ -48,7 +48,7 @@
                                TimePoint aSentAt,
                                TimePoint aNow)
 {
-  if (aStated.m_is_malformed) {
+  if (aStated.m_is_limit_malformed) {
     return std::nullopt;
   }
   const auto before = m_known.LimitOf(aEndpoint);
--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -54,12 +54,22 @@
 std::string
 DescribeLimit(const EndpointNotice& aNotice)
 {
-  if (aNotice.m_is_malformed) {
+  if (aNotice.m_is_limit_malformed) {
     return "malformed";
   }
   return aNotice.m_limit ? absl::StrCat(aNotice.m_limit->m_per_second) : "none";
 }
 
+/// Whether an endpoint's notice says that it leaves, for logs.
+const char*
+DescribeLeaving(const EndpointNotice& aNotice)
+{
+  if (aNotice.m_is_leaving) {
+    return "yes";
+  }
+  return aNotice.m_is_leaving_malformed ? "malformed" : "no";
+}
+
 const char*
 OrNone(const std::string& aText)
 {
@@ -362,7 +372,7 @@
     return;
   }
   const EndpointNotice notice = m_dependencies.m_dialect->DecodeNotice(aHead);
-  if (notice.m_is_malformed) {
+  if (notice.IsMalformed()) {
     m_dependencies.m_metrics->OnMalformedNotice(m_request.m_service);
   }
   m_attempt->m_notice = notice;
@@ -665,7 +675,8 @@
   LogOf("request").info("event=ended request={} service={} route={} workspace={} priority={} "
                         "outcome={} status={} took_ms={} first_ms={} endpoint={} runs={} "
                         "arrivals={} framing={} response_bytes={} response_end={} "
-                        "stated_limit={} version={} resumes={} last_event={} config={} "
+                        "stated_limit={} stated_leaving={} version={} resumes={} last_event={} "
+                        "config={} "
                         "reason=\"{}\"",
                         m_request.m_head.m_request_id,
                         m_request.m_service.Value(),
@@ -685,6 +696,7 @@
                         m_attempt ? m_attempt->m_response_bytes : 0,
                         m_attempt ? m_attempt->m_end : "not-sent",
                         m_attempt ? DescribeLimit(m_attempt->m_notice) : "none",
+                        m_attempt ? DescribeLeaving(m_attempt->m_notice) : "no",
                         m_attempt ? m_attempt->m_endpoint.m_software_version.Value() : "none",
                         OrNone(m_request.m_head.m_resumed_stream),
                         OrNone(m_request.m_head.m_last_event_id),
--- a/Libraries/LibPlacement/include/LibPlacement/EndpointNotice.h
+++ b/Libraries/LibPlacement/include/LibPlacement/EndpointNotice.h
@@ -18,8 +18,15 @@
 {
   /// The requests that it accepts from all daemons together; nothing if it states no limit.
   std::optional<RequestRate> m_limit;
-  /// Whether it states something that cannot be understood, so that nothing follows from it.
-  bool m_is_malformed = false;
+  /// Whether its statement of a limit cannot be understood, so that nothing follows from it.
+  bool m_is_limit_malformed = false;
+  /// Whether it shuts down: it completes what it has and wants no further requests. Holds for the
+  /// rest of its incarnation.
+  bool m_is_leaving = false;
+  /// Whether its statement that it leaves cannot be understood, so that nothing follows from it.
+  bool m_is_leaving_malformed = false;
+
+  bool IsMalformed() const { return m_is_limit_malformed || m_is_leaving_malformed; }
 
   auto operator<=>(const EndpointNotice&) const = default;
 };
--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -236,6 +236,30 @@
   for (const char* value : { "", "-1", "nan", "inf", "1e400", "2, 3", "two", "2 per second" }) {
     CAPTURE(value);
     CHECK(notice({ { "Server-Limit", value } }) == EndpointNotice{ std::nullopt, true });
-    CHECK(notice({ { "Server-Limit", "2" }, { "Server-Limit", value } }).m_is_malformed);
+    CHECK(notice({ { "Server-Limit", "2" }, { "Server-Limit", value } }) ==
+          EndpointNotice{ std::nullopt, true });
   }
 }
+
+TEST_CASE("An endpoint's statement that it leaves is decoded, whatever else it states")
+{
+  const PlatformDialect dialect;
+  const auto notice = [&](HttpHeaders aHeaders, int aStatus = 200) {
+    return dialect.DecodeNotice(AnswerOf(aStatus, std::move(aHeaders)));
+  };
+  for (const int status : { 200, 400, 421, 429, 500, 503 }) {
+    CHECK(notice({ { "server-leaving", " 1 " } }, status).m_is_leaving);
+  }
+  CHECK(notice({ { "Server-Leaving", "0" } }) == EndpointNotice{});
+  for (const char* value : { "", "yes", "true", "2", "1, 1", "-1" }) {
+    CAPTURE(value);
+    const EndpointNotice malformed = notice({ { "Server-Leaving", value } });
+    CHECK_FALSE(malformed.m_is_leaving);
+    CHECK(malformed.m_is_leaving_malformed);
+    CHECK(notice({ { "Server-Leaving", value }, { "Server-Leaving", "1" } }).m_is_leaving);
+  }
+  const EndpointNotice both = notice({ { "Server-Limit", "two" }, { "Server-Leaving", "1" } });
+  CHECK(both.m_is_leaving);
+  CHECK(both.m_is_limit_malformed);
+  CHECK(notice({ { "Server-Limit", "2" }, { "Server-Leaving", "x" } }).m_limit == RequestRate{ 2 });
+}
