Send no further requests to an endpoint that has said that it leaves

Callers' requests went on reaching an endpoint that had said in its responses that it leaves, for as long as its registration permitted work.

Evidence: no code decoded the header, and with three daemons under load an endpoint that says so while it is registered as ready got 25,037 requests that callers had sent later than 2 s after their daemon had forwarded the statement.

The statement now takes the path of limits: one notice, one message, one exchange. The daemon that hears it excludes the incarnation at once, whoever grants; the coordinator withdraws its slots and informs all daemons, which tell the next coordinator. It is kept apart from registrations, so that a late, lapsed or older one does not end it, and by incarnation, so that the next one serves at once.

--- a/Libraries/LibBroker/NoticeExchange.cpp
+++ b/Libraries/LibBroker/NoticeExchange.cpp
@@ -1,6 +1,7 @@
 #include <LibBroker/NoticeExchange.h>
 
 #include <LibCore/Log.h>
+#include <algorithm>
 
 namespace auburnhitch {
 
@@ -15,9 +16,18 @@
          const std::optional<RequestRate>& aLimit,
          std::uint64_t aNumber = 0)
 {
-  return {
-    aService, aNumber, aEndpoint.m_id, static_cast<std::uint64_t>(aEndpoint.m_started_at_ms), aLimit
-  };
+  return { aService, aNumber, aEndpoint.m_id, static_cast<std::uint64_t>(aEndpoint.m_started_at_ms),
+           aLimit,   false };
+}
+
+EndpointNoticeMessage
+LeavingNoticeOf(const ServiceName& aService,
+                const EndpointIncarnation& aEndpoint,
+                std::uint64_t aNumber = 0)
+{
+  EndpointNoticeMessage notice = NoticeOf(aService, aEndpoint, std::nullopt, aNumber);
+  notice.m_is_leaving = true;
+  return notice;
 }
 
 EndpointIncarnation
@@ -34,12 +44,35 @@
 
 }
 
-NoticeExchange::NoticeExchange(SlotCoordinator& aCoordinator, Sender aInformAll)
+NoticeExchange::NoticeExchange(SlotCoordinator& aCoordinator,
+                               Sender aInformAll,
+                               LeavingHandler aOnLeaving)
   : m_coordinator(aCoordinator)
   , m_inform_all(std::move(aInformAll))
+  , m_on_leaving(std::move(aOnLeaving))
+  , m_leaving(LeavingEndpoints::Limits())
 {
 }
 
+bool
+NoticeExchange::RecordLeaving(const ServiceName& aService,
+                              const EndpointIncarnation& aEndpoint,
+                              const char* aSource,
+                              TimePoint aNow)
+{
+  if (!m_leaving.Record(aService, aEndpoint, aNow)) {
+    return false;
+  }
+  LogOf("broker").info("event=leaving-learned endpoint={} started_at_ms={} service={} from={}",
+                       aEndpoint.m_id.Value(),
+                       aEndpoint.m_started_at_ms,
+                       aService.Value(),
+                       aSource);
+  m_coordinator.UpdateEndpointsOf(aService, aNow);
+  m_on_leaving(aEndpoint);
+  return true;
+}
+
 std::optional<EndpointNoticeMessage>
 NoticeExchange::RecordResponse(const ServiceName& aService,
                                std::uint64_t aNumber,
@@ -48,6 +81,12 @@
                                TimePoint aSentAt,
                                TimePoint aNow)
 {
+  if (aStated.m_is_leaving) {
+    // Its limit no longer matters.
+    return RecordLeaving(aService, aEndpoint, "response", aNow)
+             ? std::optional(LeavingNoticeOf(aService, aEndpoint, aNumber))
+             : std::nullopt;
+  }
   if (aStated.m_is_limit_malformed) {
     return std::nullopt;
   }
@@ -72,6 +111,15 @@
 {
   const ServiceName& service = aNotice.m_service;
   const EndpointIncarnation endpoint = EndpointOf(aNotice);
+  if (aNotice.m_is_leaving) {
+    const bool is_new = RecordLeaving(service, endpoint, "daemon", aNow);
+    // What this daemon heard itself is recorded already. All daemons relay what they know to a new
+    // coordinator, so known relays are not sent on.
+    if (is_new || aNotice.m_number != 0) {
+      m_inform_all(LeavingNoticeOf(service, endpoint));
+    }
+    return std::nullopt;
+  }
   const bool is_response = aNotice.m_number != 0;
   const bool is_changed = m_coordinator.RecordStatedLimit(
     service,
@@ -99,6 +147,10 @@
 NoticeExchange::OnInformed(const EndpointNoticeMessage& aNotice, TimePoint aNow)
 {
   const EndpointIncarnation endpoint = EndpointOf(aNotice);
+  if (aNotice.m_is_leaving) {
+    RecordLeaving(aNotice.m_service, endpoint, "coordinator", aNow);
+    return;
+  }
   m_known.RecordReport(aNotice.m_service, endpoint, aNotice.m_limit, aNow);
   // This daemon may grant slots of the service as well while daemons disagree on the coordinator.
   if (m_coordinator.HasCoordinated(aNotice.m_service)) {
@@ -114,6 +166,9 @@
   for (const StatedLimit& limit : m_known.LimitsOf(aService)) {
     notices.push_back(NoticeOf(aService, limit.m_endpoint, limit.m_limit));
   }
+  for (const EndpointIncarnation& endpoint : m_leaving.OfService(aService)) {
+    notices.push_back(LeavingNoticeOf(aService, endpoint));
+  }
   return notices;
 }
 
@@ -124,19 +179,30 @@
   for (const auto& [service, limit] : m_coordinator.StatedLimits()) {
     notices.push_back(NoticeOf(service, limit.m_endpoint, limit.m_limit));
   }
+  for (const auto& [service, endpoint] : m_leaving.All()) {
+    notices.push_back(LeavingNoticeOf(service, endpoint));
+  }
   return notices;
 }
 
 void
-NoticeExchange::RetainEndpoints(const SlotCoordinator::EndpointSource& aEndpoints)
+NoticeExchange::RetainEndpoints(const SlotCoordinator::EndpointSource& aRegistered, TimePoint aNow)
 {
-  std::set<EndpointIncarnation> usable;
+  std::set<EndpointIncarnation> registered;
   for (const ServiceName& service : m_known.Services()) {
-    for (const SlotEndpointInfo& info : aEndpoints(service)) {
-      usable.insert({ info.m_id, info.m_started_at_ms });
+    for (const SlotEndpointInfo& info : aRegistered(service)) {
+      registered.insert({ info.m_id, info.m_started_at_ms });
     }
   }
-  m_known.Retain(usable);
+  m_known.Retain(registered);
+  m_leaving.DropExpired(
+    [&](const ServiceName& aService, const EndpointIncarnation& aEndpoint) {
+      const std::vector<SlotEndpointInfo> infos = aRegistered(aService);
+      return std::any_of(infos.begin(), infos.end(), [&](const SlotEndpointInfo& aInfo) {
+        return EndpointIncarnation{ aInfo.m_id, aInfo.m_started_at_ms } == aEndpoint;
+      });
+    },
+    aNow);
 }
 
 }
--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -19,6 +19,8 @@
 
 // How often shares and replicas follow the membership, which changes with heartbeats.
 constexpr Milliseconds kMembershipInterval{ 200 };
+// How often expired statements of endpoints are dropped; well below their retention.
+constexpr Milliseconds kNoticeSweepInterval{ 10'000 };
 
 Milliseconds
 MillisecondsBetween(TimePoint aFrom, TimePoint aTo)
@@ -36,9 +38,12 @@
   , m_coordinator(
       aLimits.m_scheduler,
       *m_dependencies.m_quotas,
-      m_dependencies.m_endpoints,
+      [this](const ServiceName& aService) { return UsableEndpoints(aService); },
       [this](const ServiceName&, const SlotDecisions& aDecisions) { OnDecisions(aDecisions); })
-  , m_notices(m_coordinator, [this](const EndpointNoticeMessage& aNotice) { SendToAll(aNotice); })
+  , m_notices(
+      m_coordinator,
+      [this](const EndpointNoticeMessage& aNotice) { SendToAll(aNotice); },
+      m_dependencies.m_on_leaving)
   , m_streams(StreamVersions::Limits(), StreamDependencies())
 {
 }
@@ -60,6 +65,16 @@
            m_dependencies.m_only_version };
 }
 
+std::vector<SlotEndpointInfo>
+SlotBroker::UsableEndpoints(const ServiceName& aService) const
+{
+  std::vector<SlotEndpointInfo> infos = m_dependencies.m_endpoints(aService);
+  std::erase_if(infos, [this](const SlotEndpointInfo& aInfo) {
+    return IsLeaving({ aInfo.m_id, aInfo.m_started_at_ms });
+  });
+  return infos;
+}
+
 TimePoint
 SlotBroker::Now() const
 {
@@ -213,7 +228,7 @@
 }
 
 void
-SlotBroker::ReportKnownLimits(const ServiceName& aService, const Member& aCoordinator)
+SlotBroker::ReportKnownNotices(const ServiceName& aService, const Member& aCoordinator)
 {
   for (const EndpointNoticeMessage& notice : m_notices.NoticesForCoordinator(aService)) {
     if (IsSelf(aCoordinator.m_host)) {
@@ -383,7 +398,7 @@
   } else {
     SendToCoordinator(old, LeaveMessage{ aService });
   }
-  ReportKnownLimits(aService, aCoordinator);
+  ReportKnownNotices(aService, aCoordinator);
   m_streams.UpdateReplica(aService);
   for (auto& [number, outstanding] : m_outstanding) {
     if (outstanding.m_service != aService) {
@@ -570,7 +585,7 @@
 {
   m_coordinator.UpdateEndpoints(Now());
   m_coordinator.DecideAll(Now());
-  m_notices.RetainEndpoints(m_dependencies.m_endpoints);
+  m_notices.RetainEndpoints(m_dependencies.m_endpoints, Now());
 }
 
 void
@@ -633,6 +648,10 @@
     UpdateShares();
     m_streams.UpdateReplicas();
   }
+  if (now - m_notices_swept_at >= kNoticeSweepInterval) {
+    m_notices_swept_at = now;
+    m_notices.RetainEndpoints(m_dependencies.m_endpoints, now);
+  }
   UpdateCoordinators();
   m_streams.Tick();
   m_coordinator.DecideAll(now);
--- a/Libraries/LibBroker/SlotCoordinator.cpp
+++ b/Libraries/LibBroker/SlotCoordinator.cpp
@@ -103,6 +103,14 @@
   }
 }
 
+void
+SlotCoordinator::UpdateEndpointsOf(const ServiceName& aService, TimePoint aNow)
+{
+  if (const auto found = m_schedulers.find(aService); found != m_schedulers.end()) {
+    found->second.SetEndpoints(m_endpoints(aService), aNow);
+  }
+}
+
 void
 SlotCoordinator::SetSlotShare(double aSlotShare)
 {
--- a/Libraries/LibBroker/SlotMessages.cpp
+++ b/Libraries/LibBroker/SlotMessages.cpp
@@ -58,6 +58,14 @@
     m_json.push_back(std::move(ids));
   }
 
+  /// Appends a flag that comes last and may be missing.
+  void LastFlag(bool aValue)
+  {
+    if (aValue) {
+      m_json.push_back(true);
+    }
+  }
+
   Json Take() { return std::move(m_json); }
 
 private:
@@ -181,6 +189,14 @@
     }
   }
 
+  void LastFlag(bool& aValue)
+  {
+    aValue = m_next < m_json.size();
+    if (aValue && !Check(m_json[m_next++] == true)) {
+      aValue = false;
+    }
+  }
+
   bool IsOk() const { return m_is_ok && m_next == m_json.size(); }
 
 private:
@@ -318,6 +334,7 @@
   aVisit(aMessage.m_endpoint);
   aVisit(aMessage.m_started_at_ms);
   aVisit(aMessage.m_limit);
+  aVisit.LastFlag(aMessage.m_is_leaving);
 }
 
 void
--- a/Libraries/LibBroker/include/LibBroker/NoticeExchange.h
+++ b/Libraries/LibBroker/include/LibBroker/NoticeExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBroker/KnownLimits.h>
+#include <LibBroker/LeavingEndpoints.h>
 #include <LibBroker/SlotCoordinator.h>
 #include <LibBroker/SlotMessages.h>
 
@@ -14,10 +15,12 @@
 {
 public:
   using Sender = std::function<void(const EndpointNoticeMessage& aNotice)>;
+  using LeavingHandler = std::function<void(const EndpointIncarnation& aEndpoint)>;
 
-  /// aInformAll: sends a notice to all daemons that have a link to this one. Precondition: the
-  /// coordinator outlives the exchange.
-  NoticeExchange(SlotCoordinator& aCoordinator, Sender aInformAll);
+  /// aInformAll: sends a notice to all daemons that have a link to this one. aOnLeaving: called
+  /// when this daemon learns that an endpoint leaves. Precondition: the coordinator outlives the
+  /// exchange.
+  NoticeExchange(SlotCoordinator& aCoordinator, Sender aInformAll, LeavingHandler aOnLeaving);
 
   /// Records the statement in a response to a request of this daemon. aSentAt: a time not later
   /// than that at which the request was sent. Returns the notice for the coordinator, if it needs
@@ -45,13 +48,27 @@
   {
     return m_known.LimitOf(aEndpoint);
   }
-  /// Drops what is known of endpoints that are not usable any more.
-  void RetainEndpoints(const SlotCoordinator::EndpointSource& aEndpoints);
+  /// Whether an endpoint has said that it leaves, as far as this daemon knows.
+  bool IsLeaving(const EndpointIncarnation& aEndpoint) const
+  {
+    return m_leaving.Contains(aEndpoint);
+  }
+  /// Drops what is known of endpoints that are not registered any more; see LeavingEndpoints for
+  /// those that leave. Call when registrations have changed, and at intervals of some seconds.
+  void RetainEndpoints(const SlotCoordinator::EndpointSource& aRegistered, TimePoint aNow);
 
 private:
+  /// Records that an endpoint leaves, and withdraws its slots. Returns whether that is new.
+  bool RecordLeaving(const ServiceName& aService,
+                     const EndpointIncarnation& aEndpoint,
+                     const char* aSource,
+                     TimePoint aNow);
+
   SlotCoordinator& m_coordinator;
   Sender m_inform_all;
+  LeavingHandler m_on_leaving;
   KnownLimits m_known;
+  LeavingEndpoints m_leaving;
 };
 
 }
--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -48,9 +48,12 @@
     Membership* m_membership = nullptr;
     QuotaLedger* m_quotas = nullptr;
     std::function<Member()> m_self;
+    /// The endpoints whose registrations permit work.
     SlotCoordinator::EndpointSource m_endpoints;
     /// See StreamTracker::Dependencies.
     std::function<std::optional<SoftwareVersion>(const ServiceName& aService)> m_only_version;
+    /// Called when this daemon learns that an endpoint leaves.
+    NoticeExchange::LeavingHandler m_on_leaving;
   };
 
   SlotBroker(Limits aLimits, Dependencies aDependencies);
@@ -77,6 +80,12 @@
   {
     return m_notices.KnownLimitOf(aEndpoint);
   }
+  /// Whether an endpoint has said that it leaves, as far as this daemon knows: it must get no
+  /// further requests, whoever granted their slots.
+  bool IsLeaving(const EndpointIncarnation& aEndpoint) const
+  {
+    return m_notices.IsLeaving(aEndpoint);
+  }
   /// Frees a slot that was granted.
   void RecordEnded(std::uint64_t aNumber, SlotOutcome aOutcome);
 
@@ -126,6 +135,8 @@
   /// Returns the coordinator of a service. Calls ChangeCoordinator() if it was another one before.
   Member CoordinatorFor(const ServiceName& aService);
   StreamTracker::Dependencies StreamDependencies();
+  /// The endpoints of a service whose slots may be granted.
+  std::vector<SlotEndpointInfo> UsableEndpoints(const ServiceName& aService) const;
   PeerLink& LinkTo(const Member& aCoordinator);
   void SendToCoordinator(const HostName& aCoordinator, const SlotMessage& aMessage);
   void RequestFromCoordinator(std::uint64_t aNumber,
@@ -144,8 +155,8 @@
   /// Handles a notice as coordinator. aLink is null for this daemon's own notices.
   void OnReport(InboundLink* aLink, const EndpointNoticeMessage& aNotice);
   void SendToAll(const EndpointNoticeMessage& aNotice);
-  /// Reports the limits that this daemon knows of to a new coordinator.
-  void ReportKnownLimits(const ServiceName& aService, const Member& aCoordinator);
+  /// Reports what this daemon knows of endpoints' statements to a new coordinator.
+  void ReportKnownNotices(const ServiceName& aService, const Member& aCoordinator);
   InboundLink* FindInboundLink(const Incarnation& aDaemon);
   void ScheduleDecision(const ServiceName& aService);
   void UpdateShares();
@@ -171,6 +182,7 @@
   std::unique_ptr<Timer> m_decide_timer;
   /// When the shares and the replicas of streams were last updated.
   TimePoint m_membership_applied_at;
+  TimePoint m_notices_swept_at;
 };
 
 }
--- a/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
@@ -39,6 +39,8 @@
   /// Reads the endpoints of all services again. Call when the endpoints, or what is known about
   /// them, have changed.
   void UpdateEndpoints(TimePoint aNow);
+  /// The same for one service.
+  void UpdateEndpointsOf(const ServiceName& aService, TimePoint aNow);
   /// Sets the share of each endpoint's slots that may be granted here.
   void SetSlotShare(double aSlotShare);
   /// Sets the share of the rate limits of a service's endpoints that may be used here.
--- a/Libraries/LibBroker/include/LibBroker/SlotMessages.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotMessages.h
@@ -122,6 +122,9 @@
   EndpointId m_endpoint;
   std::uint64_t m_started_at_ms = 0;
   std::optional<RequestRate> m_limit;
+  /// Whether it leaves; see EndpointNotice. Encoded only when set, since a daemon of an earlier
+  /// version rejects the additional field.
+  bool m_is_leaving = false;
 
   auto operator<=>(const EndpointNoticeMessage&) const = default;
 };
@@ -185,7 +188,8 @@
 
 /// Encodes a message as an array. Its first element is the index of the message's type in
 /// SlotMessage; the fields follow in order. A daemon of an earlier version ignores types that it
-/// does not know, so types are only added, at the end.
+/// does not know, so types are only added, at the end. A flag at the end of a message may be
+/// missing, which means that it is not set.
 nlohmann::json
 EncodeSlotMessage(const SlotMessage& aMessage);
 
--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -30,6 +30,8 @@
 // then.
 constexpr Milliseconds kRetryAfterUnknownVersion{ 1'000 };
 
+constexpr const char* kEndpointLeaves = "the endpoint has said that it leaves";
+
 constexpr int kNoContent = 204;
 constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerErrorStatus = 500;
@@ -238,6 +240,11 @@
     OnAttemptFailed(SlotOutcome::Unreachable, "the endpoint is no longer registered");
     return;
   }
+  if (m_dependencies.m_broker->IsLeaving(endpoint->Run())) {
+    m_tried_endpoints.push_back(aGrant.m_endpoint);
+    OnAttemptFailed(SlotOutcome::Cancelled, kEndpointLeaves);
+    return;
+  }
   if (m_required_version && endpoint->m_software_version != *m_required_version) {
     // The coordinator has read another registration, or is of a version that ignores the
     // constraint.
@@ -367,11 +374,14 @@
 void
 ActiveRequest::RecordNotice(ResponseMeaning aMeaning, const MessageHead& aHead)
 {
+  EndpointNotice notice = m_dependencies.m_dialect->DecodeNotice(aHead);
   if (aMeaning == ResponseMeaning::Mismatched) {
-    // A response to another request may be an old one.
-    return;
+    // A response to another request may be an old one, and a limit may have ended since.
+    if (!notice.m_is_leaving) {
+      return;
+    }
+    notice = EndpointNotice{ std::nullopt, false, true, false };
   }
-  const EndpointNotice notice = m_dependencies.m_dialect->DecodeNotice(aHead);
   if (notice.IsMalformed()) {
     m_dependencies.m_metrics->OnMalformedNotice(m_request.m_service);
   }
@@ -639,6 +649,16 @@
   }
 }
 
+void
+ActiveRequest::OnEndpointLeaving(const EndpointIncarnation& aEndpoint)
+{
+  if (m_call == nullptr || m_attempt->m_is_written || m_attempt->m_endpoint.Run() != aEndpoint) {
+    return;
+  }
+  m_call = nullptr;
+  OnAttemptFailed(SlotOutcome::Cancelled, kEndpointLeaves);
+}
+
 void
 ActiveRequest::RespondNotRun(int aStatus, const char* aReason, Milliseconds aRetryAfter)
 {
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -96,7 +96,8 @@
                &m_quotas,
                [this] { return Self(); },
                [this](const ServiceName& aService) { return EndpointsOf(aService); },
-               [this](const ServiceName& aService) { return OnlyVersionOf(aService); } })
+               [this](const ServiceName& aService) { return OnlyVersionOf(aService); },
+               [this](const EndpointIncarnation& aEndpoint) { OnEndpointLeaving(aEndpoint); } })
   , m_dependencies{ &aLoop,          &m_client, &m_broker,  &m_registry,
                     &m_retry_budget, &aDialect, &m_metrics, aSettings.m_data_center }
 {
@@ -196,6 +197,17 @@
   m_broker.OnEndpointsChanged();
 }
 
+void
+Gateway::OnEndpointLeaving(const EndpointIncarnation& aEndpoint)
+{
+  // Deferred, since this may run inside a callback of one of the requests.
+  m_loop.Defer([this, aEndpoint] {
+    for (const auto& [raw, active_request] : m_active_requests) {
+      raw->OnEndpointLeaving(aEndpoint);
+    }
+  });
+}
+
 std::optional<SoftwareVersion>
 Gateway::OnlyVersionOf(const ServiceName& aService) const
 {
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -64,6 +64,9 @@
   TimePoint Deadline() const { return m_request.m_deadline; }
   /// Called when the deadline has passed.
   void OnDeadline();
+  /// Called when an endpoint has said that it leaves. Requests another slot if the present one is
+  /// there and the request has not been written yet.
+  void OnEndpointLeaving(const EndpointIncarnation& aEndpoint);
 
 private:
   enum class Phase
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -147,6 +147,22 @@
 mutate "an endpoint's limit is ignored if malformed" platform/PlatformDialect.cpp \
   's/return EndpointNotice\{ std::nullopt, true \};/continue;/' \
   "$UNIT" "The limit that an endpoint states*"
+mutate "an endpoint that leaves gets no requests: the coordinator withdraws its slots" \
+  Libraries/LibBroker/SlotBroker.cpp \
+  's/return IsLeaving\(\{ aInfo.m_id, aInfo.m_started_at_ms \}\);/return false;/' \
+  "$PROCESS" "Leaving: callers are refused at once*"
+mutate "an endpoint that leaves gets no requests: the next coordinator learns it" \
+  Libraries/LibBroker/NoticeExchange.cpp \
+  's/for \(const EndpointIncarnation& endpoint : m_leaving.OfService\(aService\)\) \{\n[^}]*\}//' \
+  "$UNIT" "Leaving: *"
+mutate "an endpoint that leaves gets no requests: whatever its registration says" \
+  Libraries/LibBroker/LeavingEndpoints.cpp \
+  's/aNow - entry.m_renewed_at <= m_limits.m_retention \/ 2/false/; s/aNow - entry.m_renewed_at > m_limits.m_retention/true/' \
+  "$UNIT" "Leaving: *"
+mutate "an endpoint that leaves gets no requests: its next incarnation does" \
+  Libraries/LibBroker/include/LibBroker/LeavingEndpoints.h \
+  's/return m_entries.contains\(aEndpoint\);/return std::any_of(m_entries.begin(), m_entries.end(), [\&](const auto\& aEntry) { return aEntry.first.m_id == aEndpoint.m_id; });/; s/#include <functional>/#include <algorithm>\n#include <functional>/' \
+  "$UNIT" "Leaving: *"
 mutate "a stream stays at its version: the slot request carries the constraint" \
   Libraries/LibBroker/SlotBroker.cpp \
   's/request.m_required_version = required->m_version;//' \
--- a/Tests/Process/TestLeavingEndpoints.cpp
+++ b/Tests/Process/TestLeavingEndpoints.cpp
@@ -90,13 +90,16 @@
   }
 
   /// Disturbs one daemon after the other. One of them is the coordinator each time.
-  void DisturbEach(const std::function<void(std::size_t aDaemon)>& aDisturb)
+  void DisturbEach(const std::function<void(std::size_t aDaemon)>& aBegin,
+                   const std::function<void(std::size_t aDaemon)>& aEnd)
   {
     for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
-      aDisturb(daemon);
+      aBegin(daemon);
+      std::this_thread::sleep_for(kDisturbanceTime);
       for (LeavingChecker& checker : m_checkers) {
         checker.RecordDisturbance(daemon);
       }
+      aEnd(daemon);
       std::this_thread::sleep_for(kLoadTime);
     }
   }
@@ -223,12 +226,11 @@
   LeavingCluster cluster;
   LeaveUnderLoad(cluster, [&] {
     GatewayCluster& daemons = cluster.Daemons();
-    cluster.DisturbEach([&](std::size_t aDaemon) {
-      daemons.Daemon(aDaemon).Signal(SIGKILL);
-      std::this_thread::sleep_for(kDisturbanceTime);
-      daemons.StartDaemon(aDaemon);
-      daemons.WaitUntilReady(aDaemon);
-    });
+    cluster.DisturbEach([&](std::size_t aDaemon) { daemons.Daemon(aDaemon).Signal(SIGKILL); },
+                        [&](std::size_t aDaemon) {
+                          daemons.StartDaemon(aDaemon);
+                          daemons.WaitUntilReady(aDaemon);
+                        });
   });
   CHECK(cluster.FirstViolation() == "none");
 }
@@ -238,11 +240,8 @@
   LeavingCluster cluster;
   LeaveUnderLoad(cluster, [&] {
     GatewayCluster& daemons = cluster.Daemons();
-    cluster.DisturbEach([&](std::size_t aDaemon) {
-      daemons.Daemon(aDaemon).Signal(SIGSTOP);
-      std::this_thread::sleep_for(kDisturbanceTime);
-      daemons.Daemon(aDaemon).Signal(SIGCONT);
-    });
+    cluster.DisturbEach([&](std::size_t aDaemon) { daemons.Daemon(aDaemon).Signal(SIGSTOP); },
+                        [&](std::size_t aDaemon) { daemons.Daemon(aDaemon).Signal(SIGCONT); });
   });
   CHECK(cluster.FirstViolation() == "none");
 }
@@ -296,7 +295,9 @@
     }));
     CHECK_FALSE(response.Header("retry-after").empty());
   }
-  CHECK(cluster.Daemons().LogOfDaemon(0).find("reason=\"no-endpoint\"") != std::string::npos);
+  CHECK(WaitFor([&] {
+    return cluster.Daemons().LogOfDaemon(0).find("reason=\"no-endpoint\"") != std::string::npos;
+  }));
 }
 
 TEST_CASE("Leaving: another incarnation under the same id gets requests at once")
--- a/Tests/Process/TestLimitPartitions.cpp
+++ b/Tests/Process/TestLimitPartitions.cpp
@@ -187,7 +187,8 @@
                    &m_quotas,
                    [this] { return Self(); },
                    [this](const ServiceName&) { return Endpoints(); },
-                   [](const ServiceName&) { return std::optional<SoftwareVersion>(); } })
+                   [](const ServiceName&) { return std::optional<SoftwareVersion>(); },
+                   [](const EndpointIncarnation&) {} })
       , m_listener(PeerLinkListener::Create(
                      aFleet.m_loop,
                      m_address,
--- a/Tests/Unit/TestNoticeExchange.cpp
+++ b/Tests/Unit/TestNoticeExchange.cpp
@@ -36,23 +36,34 @@
         SlotSchedulerLimits(),
         m_quotas,
         [this](const ServiceName&) {
-          return std::vector{ SlotEndpointInfo{ kEndpoint.m_id,
-                                                DataCenterName("dc"),
-                                                4,
-                                                kEndpoint.m_started_at_ms,
-                                                SoftwareVersion("v1"),
-                                                m_exchange.KnownLimitOf(kEndpoint) } };
+          std::vector<SlotEndpointInfo> usable = Registered();
+          std::erase_if(usable, [this](const SlotEndpointInfo& aInfo) {
+            return m_exchange.IsLeaving({ aInfo.m_id, aInfo.m_started_at_ms });
+          });
+          return usable;
         },
         [this](const ServiceName&, const SlotDecisions& aDecisions) {
           m_grants.insert(m_grants.end(), aDecisions.m_grants.begin(), aDecisions.m_grants.end());
+          m_refusals += aDecisions.m_refusals.size();
         })
-    , m_exchange(m_coordinator,
-                 [this](const EndpointNoticeMessage& aNotice) { m_informed.push_back(aNotice); })
+    , m_exchange(
+        m_coordinator,
+        [this](const EndpointNoticeMessage& aNotice) { m_informed.push_back(aNotice); },
+        [this](const EndpointIncarnation& aEndpoint) { m_left.push_back(aEndpoint); })
   {
   }
 
-  /// Grants a slot to a request and returns its number.
-  std::uint64_t Grant(TimePoint aNow)
+  std::vector<SlotEndpointInfo> Registered() const
+  {
+    return { SlotEndpointInfo{ kEndpoint.m_id,
+                               DataCenterName("dc"),
+                               4,
+                               m_registered_start,
+                               SoftwareVersion("v1"),
+                               m_exchange.KnownLimitOf(kEndpoint) } };
+  }
+
+  void Request(TimePoint aNow)
   {
     SlotRequest request;
     request.m_request_id = { kDaemon, ++m_last_number };
@@ -60,6 +71,12 @@
     request.m_abandoned_at = aNow + Milliseconds(3'000);
     m_coordinator.RequestSlot(kService, request, aNow);
     m_coordinator.Decide(kService, aNow);
+  }
+
+  /// Grants a slot to a request and returns its number.
+  std::uint64_t Grant(TimePoint aNow)
+  {
+    Request(aNow);
     REQUIRE(m_grants.back().m_request_id.m_number == m_last_number);
     return m_last_number;
   }
@@ -68,10 +85,21 @@
   SlotCoordinator m_coordinator;
   NoticeExchange m_exchange;
   std::vector<SlotGrant> m_grants;
+  std::size_t m_refusals = 0;
   std::vector<EndpointNoticeMessage> m_informed;
+  std::vector<EndpointIncarnation> m_left;
+  std::int64_t m_registered_start = kEndpoint.m_started_at_ms;
   std::uint64_t m_last_number = 0;
 };
 
+EndpointNotice
+Leaving()
+{
+  EndpointNotice notice;
+  notice.m_is_leaving = true;
+  return notice;
+}
+
 }
 
 TEST_CASE("Limits: the coordinator informs all daemons of each change, and of nothing else")
@@ -134,10 +162,102 @@
   daemon.m_exchange.RecordResponse(kService, 1, kEndpoint, Stating(2), At(0), At(10));
   CHECK(daemon.m_exchange.KnownLimitOf(kEndpoint));
   daemon.m_exchange.RetainEndpoints(
-    [](const ServiceName&) { return std::vector<SlotEndpointInfo>(); });
+    [](const ServiceName&) { return std::vector<SlotEndpointInfo>(); }, At(20));
   CHECK_FALSE(daemon.m_exchange.KnownLimitOf(kEndpoint));
 }
 
+TEST_CASE("Leaving: a daemon's report withdraws the endpoint's slots and informs all daemons once")
+{
+  ExchangingDaemon daemon;
+  ExchangingDaemon coordinator;
+  coordinator.Grant(At(0));
+  const auto report =
+    daemon.m_exchange.RecordResponse(kService, 7, kEndpoint, Leaving(), At(0), At(10));
+  REQUIRE(report);
+  CHECK(daemon.m_exchange.IsLeaving(kEndpoint));
+  CHECK(daemon.m_left == std::vector{ kEndpoint });
+  CHECK_FALSE(
+    daemon.m_exchange.RecordResponse(kService, 8, kEndpoint, Leaving(), At(0), At(11)).has_value());
+  coordinator.m_exchange.OnReport(kDaemon, *report, At(20));
+  REQUIRE(coordinator.m_informed.size() == 1);
+  CHECK(coordinator.m_informed[0].m_is_leaving);
+  const std::size_t granted = coordinator.m_grants.size();
+  coordinator.Request(At(30));
+  CHECK(coordinator.m_grants.size() == granted);
+  CHECK(coordinator.m_refusals == 1);
+  // Relays of other daemons, as a new coordinator gets them.
+  for (const EndpointNoticeMessage& notice : daemon.m_exchange.NoticesForCoordinator(kService)) {
+    coordinator.m_exchange.OnReport(kDaemon, notice, At(40));
+  }
+  CHECK(coordinator.m_informed.size() == 1);
+}
+
+TEST_CASE("Leaving: a coordinator that hears it itself informs all daemons")
+{
+  ExchangingDaemon coordinator;
+  const auto report =
+    coordinator.m_exchange.RecordResponse(kService, 7, kEndpoint, Leaving(), At(0), At(10));
+  REQUIRE(report);
+  coordinator.m_exchange.OnReport(kDaemon, *report, At(10));
+  CHECK(coordinator.m_informed.size() == 1);
+  CHECK(coordinator.m_exchange.NoticesForDaemon() == coordinator.m_informed);
+}
+
+TEST_CASE("Leaving: a coordinator that starts later learns it from the daemons that it informed")
+{
+  ExchangingDaemon coordinator;
+  ExchangingDaemon other;
+  ExchangingDaemon next;
+  const auto report =
+    coordinator.m_exchange.RecordResponse(kService, 7, kEndpoint, Leaving(), At(0), At(10));
+  coordinator.m_exchange.OnReport(kDaemon, *report, At(10));
+  other.m_exchange.OnInformed(coordinator.m_informed.at(0), At(20));
+  const auto notices = other.m_exchange.NoticesForCoordinator(kService);
+  REQUIRE(notices.size() == 1);
+  next.m_exchange.OnReport(kDaemon, notices[0], At(30));
+  CHECK(next.m_exchange.IsLeaving(kEndpoint));
+  CHECK(next.m_informed.size() == 1);
+}
+
+TEST_CASE("Leaving: it outlasts a registration that is removed and returns, not its incarnation")
+{
+  ExchangingDaemon daemon;
+  daemon.m_exchange.RecordResponse(kService, 7, kEndpoint, Leaving(), At(0), At(10));
+  const auto none = [](const ServiceName&) { return std::vector<SlotEndpointInfo>(); };
+  const auto registered = [&](const ServiceName&) { return daemon.Registered(); };
+  daemon.m_exchange.RetainEndpoints(none, At(20));
+  daemon.m_exchange.RetainEndpoints(none, At(50'000));
+  CHECK(daemon.m_exchange.IsLeaving(kEndpoint));
+  // As long as it is registered, however long that is.
+  for (int at = 50'000; at <= 400'000; at += 10'000) {
+    daemon.m_exchange.RetainEndpoints(registered, At(at));
+  }
+  CHECK(daemon.m_exchange.IsLeaving(kEndpoint));
+  CHECK_FALSE(daemon.m_exchange.IsLeaving({ kEndpoint.m_id, kEndpoint.m_started_at_ms + 1 }));
+  daemon.m_registered_start = kEndpoint.m_started_at_ms + 1;
+  daemon.m_coordinator.UpdateEndpoints(At(400'000));
+  daemon.Grant(At(400'000));
+  daemon.m_exchange.RetainEndpoints(registered, At(470'000));
+  CHECK_FALSE(daemon.m_exchange.IsLeaving(kEndpoint));
+}
+
+TEST_CASE("Leaving: a malformed limit does not hide it, and the table is bounded")
+{
+  ExchangingDaemon daemon;
+  CHECK(daemon.m_exchange.RecordResponse(
+    kService, 7, kEndpoint, EndpointNotice{ std::nullopt, true, true, false }, At(0), At(10)));
+  CHECK(daemon.m_exchange.IsLeaving(kEndpoint));
+  LeavingEndpoints::Limits limits;
+  limits.m_max_entries = 2;
+  LeavingEndpoints leaving(limits);
+  for (int i = 0; i < 3; ++i) {
+    CHECK(leaving.Record(kService, { EndpointId("e"), i }, At(i)));
+  }
+  CHECK_FALSE(leaving.Contains({ EndpointId("e"), 0 }));
+  CHECK(leaving.Contains({ EndpointId("e"), 1 }));
+  CHECK(leaving.Contains({ EndpointId("e"), 2 }));
+}
+
 TEST_CASE(
   "Limits: the shares of daemons that follow several coordinators stay within one and a half")
 {
--- a/Tests/Unit/TestSlotMessages.cpp
+++ b/Tests/Unit/TestSlotMessages.cpp
@@ -74,6 +74,24 @@
   }
 }
 
+TEST_CASE("A notice that an endpoint leaves has one more field, which may be missing")
+{
+  EndpointNoticeMessage notice{ ServiceName("s"), 7, EndpointId("e"), 1, std::nullopt };
+  const nlohmann::json staying = EncodeSlotMessage(notice);
+  notice.m_is_leaving = true;
+  const nlohmann::json leaving = EncodeSlotMessage(notice);
+  CHECK(leaving.size() == staying.size() + 1);
+  CHECK(DecodeSlotMessage(leaving) == SlotMessage(notice));
+  nlohmann::json wrong = leaving;
+  for (const nlohmann::json& value : { nlohmann::json(false), nlohmann::json("1") }) {
+    wrong.back() = value;
+    CHECK_FALSE(DecodeSlotMessage(wrong));
+  }
+  wrong = leaving;
+  wrong.push_back(true);
+  CHECK_FALSE(DecodeSlotMessage(wrong));
+}
+
 TEST_CASE("Decoding a damaged message does not crash the process")
 {
   std::mt19937 random(1);
