Attribute a statement to the incarnation that is registered late

Callers' requests reached an endpoint 7.5 s after their daemon had forwarded that it leaves: it had started again under its id while the store was away, so its statement was remembered for the incarnation that the daemon knew, and the registration, once read, permitted work again.

A registration that is read soon after a statement under the same id, or after an outage of the store that lasted until after the statement, is presumed to leave for 30 s. A comparison of the start with the host's clock was ruled out: clocks step by seconds.

--- a/Libraries/LibBroker/LeavingEndpoints.cpp
+++ b/Libraries/LibBroker/LeavingEndpoints.cpp
@@ -1,6 +1,7 @@
 #include <LibBroker/LeavingEndpoints.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace auburnhitch {
 
@@ -9,14 +10,34 @@
                          const EndpointIncarnation& aEndpoint,
                          TimePoint aNow)
 {
-  const auto [found, is_new] = m_entries.try_emplace(aEndpoint, Entry{ aService, aNow });
-  found->second.m_renewed_at = aNow;
+  const auto found = m_entries.find(aEndpoint);
+  const bool is_new = found == m_entries.end() || found->second.m_presumed_until.has_value();
+  m_entries[aEndpoint] = Entry{ aService, aNow, aNow, std::nullopt };
   if (m_entries.size() > m_limits.m_max_entries) {
     DropOldest();
   }
   return is_new;
 }
 
+void
+LeavingEndpoints::RecordRegistered(const ServiceName& aService,
+                                   const EndpointIncarnation& aEndpoint,
+                                   TimePoint aReadableSince,
+                                   TimePoint aNow)
+{
+  const auto found = m_entries.lower_bound(aEndpoint);
+  if (found == m_entries.begin() || m_entries.contains(aEndpoint)) {
+    return;
+  }
+  const auto& [earlier, entry] = *std::prev(found);
+  const bool is_registered_late =
+    aReadableSince > entry.m_stated_at || aNow - entry.m_stated_at <= m_limits.m_registration_lag;
+  if (earlier.m_id == aEndpoint.m_id && is_registered_late) {
+    m_entries[aEndpoint] =
+      Entry{ aService, entry.m_stated_at, aNow, aNow + m_limits.m_presumed_for };
+  }
+}
+
 void
 LeavingEndpoints::DropOldest()
 {
@@ -49,12 +70,17 @@
   return all;
 }
 
-void
+bool
 LeavingEndpoints::DropExpired(const RegistrationCheck& aIsRegistered, TimePoint aNow)
 {
+  const std::size_t before = m_entries.size();
   for (auto next = m_entries.begin(); next != m_entries.end();) {
     const auto found = next++;
     Entry& entry = found->second;
+    if (entry.m_presumed_until && aNow > *entry.m_presumed_until) {
+      m_entries.erase(found);
+      continue;
+    }
     // Checked only when it matters, since a service may have thousands of endpoints.
     if (aNow - entry.m_renewed_at <= m_limits.m_retention / 2) {
       continue;
@@ -65,6 +91,7 @@
       m_entries.erase(found);
     }
   }
+  return m_entries.size() != before;
 }
 
 }
--- a/Libraries/LibBroker/NoticeExchange.cpp
+++ b/Libraries/LibBroker/NoticeExchange.cpp
@@ -195,14 +195,16 @@
     }
   }
   m_known.Retain(registered);
-  m_leaving.DropExpired(
-    [&](const ServiceName& aService, const EndpointIncarnation& aEndpoint) {
-      const std::vector<SlotEndpointInfo> infos = aRegistered(aService);
-      return std::any_of(infos.begin(), infos.end(), [&](const SlotEndpointInfo& aInfo) {
-        return EndpointIncarnation{ aInfo.m_id, aInfo.m_started_at_ms } == aEndpoint;
-      });
-    },
-    aNow);
+  const auto is_registered = [&](const ServiceName& aService,
+                                 const EndpointIncarnation& aEndpoint) {
+    const std::vector<SlotEndpointInfo> infos = aRegistered(aService);
+    return std::any_of(infos.begin(), infos.end(), [&](const SlotEndpointInfo& aInfo) {
+      return EndpointIncarnation{ aInfo.m_id, aInfo.m_started_at_ms } == aEndpoint;
+    });
+  };
+  if (m_leaving.DropExpired(is_registered, aNow)) {
+    m_coordinator.UpdateEndpoints(aNow);
+  }
 }
 
 }
--- a/Libraries/LibBroker/include/LibBroker/LeavingEndpoints.h
+++ b/Libraries/LibBroker/include/LibBroker/LeavingEndpoints.h
@@ -4,6 +4,7 @@
 #include <LibRegistry/EndpointRegistry.h>
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace auburnhitch {
@@ -21,6 +22,12 @@
     Milliseconds m_retention{ 60'000 };
     /// A release of all endpoints of the largest deployment fits.
     std::size_t m_max_entries = 20'000;
+    /// Time within which the registration of an endpoint that has started is read here, if the
+    /// store can be reached; also the time after which an unreachable store is noticed.
+    Milliseconds m_registration_lag{ 4'000 };
+    /// How long an incarnation is excluded that may have made a statement before its registration
+    /// was read. An endpoint that leaves has ended by then.
+    Milliseconds m_presumed_for{ 30'000 };
   };
 
   explicit LeavingEndpoints(Limits aLimits)
@@ -28,7 +35,7 @@
   {
   }
 
-  /// Returns whether the statement is new.
+  /// Records a statement. Returns whether it is new.
   bool Record(const ServiceName& aService, const EndpointIncarnation& aEndpoint, TimePoint aNow);
   bool Contains(const EndpointIncarnation& aEndpoint) const
   {
@@ -40,19 +47,31 @@
   std::vector<std::pair<ServiceName, EndpointIncarnation>> All() const;
   bool IsEmpty() const { return m_entries.empty(); }
 
+  /// Handles the registration of an incarnation. If an earlier one under the same id is known to
+  /// leave, the statement may have been made by this one, before its registration was read: it is
+  /// presumed to leave for a while. aReadableSince: since when the store could be reached.
+  void RecordRegistered(const ServiceName& aService,
+                        const EndpointIncarnation& aEndpoint,
+                        TimePoint aReadableSince,
+                        TimePoint aNow);
+
   using RegistrationCheck =
     std::function<bool(const ServiceName& aService, const EndpointIncarnation& aEndpoint)>;
 
-  /// Drops the incarnations that have not been registered for the retention. Call at intervals well
-  /// below it.
-  void DropExpired(const RegistrationCheck& aIsRegistered, TimePoint aNow);
+  /// Drops the incarnations that have not been registered for the retention, and ends presumptions.
+  /// Returns whether it dropped any. Call at intervals well below the retention.
+  bool DropExpired(const RegistrationCheck& aIsRegistered, TimePoint aNow);
 
 private:
   struct Entry
   {
     ServiceName m_service;
+    /// When it was heard last.
+    TimePoint m_stated_at;
     /// When it was heard, or known to be registered, last.
     TimePoint m_renewed_at;
+    /// Set while the statement may be that of an earlier incarnation.
+    std::optional<TimePoint> m_presumed_until;
   };
 
   void DropOldest();
--- a/Libraries/LibBroker/include/LibBroker/NoticeExchange.h
+++ b/Libraries/LibBroker/include/LibBroker/NoticeExchange.h
@@ -53,6 +53,15 @@
   {
     return m_leaving.Contains(aEndpoint);
   }
+  /// Handles the registration of an incarnation; see LeavingEndpoints::RecordRegistered(). Call
+  /// before the coordinator reads the endpoints again.
+  void OnRegistered(const ServiceName& aService,
+                    const EndpointIncarnation& aEndpoint,
+                    TimePoint aReadableSince,
+                    TimePoint aNow)
+  {
+    m_leaving.RecordRegistered(aService, aEndpoint, aReadableSince, aNow);
+  }
   /// Drops what is known of endpoints that are not registered any more; see LeavingEndpoints for
   /// those that leave. Call when registrations have changed, and at intervals of some seconds.
   void RetainEndpoints(const SlotCoordinator::EndpointSource& aRegistered, TimePoint aNow);
--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -94,6 +94,15 @@
 
   /// Takes ownership of a link that another daemon opened.
   void OnLink(std::unique_ptr<PeerLink> aLink);
+  /// Handles the registration of an incarnation of an endpoint. aReadableSince: since when the
+  /// store could be reached.
+  void OnEndpointRegistered(const ServiceName& aService,
+                            const EndpointIncarnation& aEndpoint,
+                            TimePoint aReadableSince)
+  {
+    m_notices.OnRegistered(aService, aEndpoint, aReadableSince, Now());
+  }
+  /// Call after all changes of registrations that were read together.
   void OnEndpointsChanged();
   /// Call every few tens of milliseconds. Detects coordinators that do not respond and daemons that
   /// are not alive, and refuses requests that have waited too long.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -193,6 +193,13 @@
     if (m_versions.Record(change, Now())) {
       m_broker.Streams().OnVersionChanged(change.m_entry.m_id);
     }
+    if (change.m_type == RegistryChange::Type::Added ||
+        change.m_type == RegistryChange::Type::Restarted) {
+      // Without the store, the registration may be as old as the outage.
+      m_broker.OnEndpointRegistered(change.m_entry.m_service,
+                                    change.m_entry.Run(),
+                                    m_is_store_reachable ? m_store_reachable_since : Now());
+    }
   }
   m_broker.OnEndpointsChanged();
 }
@@ -240,6 +247,7 @@
   m_is_store_reachable = aIsReachable;
   m_registry.SetStoreReachable(aIsReachable, Now());
   if (aIsReachable) {
+    m_store_reachable_since = Now();
     LogOf("store").info("event=regained why=\"{}\"", aReason);
   } else {
     m_store_lost_at = Now();
--- a/Libraries/LibGateway/include/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -96,6 +96,8 @@
   std::optional<TimePoint> m_leaving_since;
   bool m_is_store_reachable = false;
   std::optional<TimePoint> m_store_lost_at;
+  /// When the store was reachable again last.
+  TimePoint m_store_reachable_since;
   GatewayMetrics m_metrics;
   RoutingTablePtr m_table;
   EndpointRegistry m_registry;
--- a/Tests/Process/TestLeavingEndpoints.cpp
+++ b/Tests/Process/TestLeavingEndpoints.cpp
@@ -47,12 +47,16 @@
   void SetLeaving(std::size_t aEndpoint, bool aIsLeaving, Farewell aFarewell = Farewell::Success)
   {
     m_farewell = aFarewell;
-    if (!aIsLeaving) {
-      m_checkers[aEndpoint].Restart();
-    }
     m_is_leaving[aEndpoint] = aIsLeaving;
   }
 
+  /// Starts another incarnation of an endpoint under the same id, which is not registered yet.
+  void Restart(std::size_t aEndpoint)
+  {
+    ++m_incarnations[aEndpoint];
+    m_is_leaving[aEndpoint] = false;
+  }
+
   /// Sends requests to all daemons without a pause until aAction has returned.
   void RunUnderLoad(const std::function<void()>& aAction)
   {
@@ -84,7 +88,8 @@
     }
     CallerResponse response = m_cluster.Call(aPath, id, "", aDaemon);
     if (response.Header("server-leaving") == "1") {
-      m_checkers[response.Header("x-endpoint") == "0" ? 0 : 1].RecordForwarded(aDaemon);
+      m_checkers[response.Header("x-endpoint") == "0" ? 0 : 1].RecordForwarded(
+        aDaemon, std::stoi(response.Header("x-incarnation")));
     }
     return response;
   }
@@ -128,12 +133,15 @@
       sent_at = m_sent_at.at(id);
     }
     ++m_received[aEndpoint];
-    m_checkers[aEndpoint].RecordArrival(static_cast<std::size_t>(id.front() - '0'), sent_at, id);
+    m_checkers[aEndpoint].RecordArrival(
+      static_cast<std::size_t>(id.front() - '0'), m_incarnations[aEndpoint], sent_at, id);
     const std::string statements =
       absl::StrCat("X-Request-Id: ",
                    id,
                    "\r\nX-Endpoint: ",
                    aEndpoint,
+                   "\r\nX-Incarnation: ",
+                   m_incarnations[aEndpoint].load(),
                    m_is_leaving[aEndpoint] ? "\r\nServer-Leaving: 1\r\n" : "\r\n");
     if (aRequest.m_target.starts_with("/stream/")) {
       aConnection.Write(absl::StrCat("HTTP/1.1 200 OK\r\n",
@@ -166,6 +174,7 @@
 
   std::atomic<int> m_last_id = 0;
   std::atomic<Farewell> m_farewell = Farewell::Success;
+  std::array<std::atomic<int>, kEndpoints> m_incarnations{ 1, 1 };
   std::array<std::atomic<bool>, kEndpoints> m_is_leaving{};
   std::array<std::atomic<std::size_t>, kEndpoints> m_received{};
   std::array<LeavingChecker, kEndpoints> m_checkers;
@@ -181,7 +190,7 @@
   aCluster.RunUnderLoad([&] {
     REQUIRE(WaitFor([&] { return aCluster.Received(0) > 50; }));
     aCluster.SetLeaving(0, true);
-    REQUIRE(WaitFor([&] { return aCluster.CheckerOf(0).DaemonsThatForwarded() > 0; }));
+    REQUIRE(WaitFor([&] { return aCluster.CheckerOf(0).ForwardedCount() > 0; }));
     aAction();
   });
 }
@@ -304,11 +313,31 @@
 {
   LeavingCluster cluster;
   LeaveUnderLoad(cluster, [&] {
-    std::this_thread::sleep_for(kLoadTime);
-    cluster.SetLeaving(0, false);
+    std::this_thread::sleep_for(kLoadTime + kDisturbanceTime);
+    cluster.Restart(0);
     const std::size_t received = cluster.Received(0);
     cluster.Daemons().Register(0, "ready", { { "born", 2 } });
     CHECK(WaitFor([&] { return cluster.Received(0) > received + 100; }));
   });
   CHECK(cluster.FirstViolation() == "none");
 }
+
+TEST_CASE("Leaving: a statement of an incarnation that is not registered yet counts for it")
+{
+  LeavingCluster cluster;
+  GatewayCluster& daemons = cluster.Daemons();
+  cluster.RunUnderLoad([&] {
+    REQUIRE(WaitFor([&] { return cluster.Received(0) > 50; }));
+    // It starts again under its id while the store is away, and leaves before the store is back.
+    daemons.Store().SetMode(StoreStandIn::Mode::Silent);
+    cluster.Restart(0);
+    std::this_thread::sleep_for(kLoadTime);
+    cluster.SetLeaving(0, true);
+    REQUIRE(WaitFor([&] { return cluster.CheckerOf(0).ForwardedCount() > 0; }));
+    std::this_thread::sleep_for(kLoadTime + kDisturbanceTime);
+    daemons.Store().SetMode(StoreStandIn::Mode::Normal);
+    daemons.Register(0, "ready", { { "born", 2 } });
+    std::this_thread::sleep_for(kLoadTime);
+  });
+  CHECK(cluster.FirstViolation() == "none");
+}
--- a/Tests/Support/LeavingChecker.cpp
+++ b/Tests/Support/LeavingChecker.cpp
@@ -12,26 +12,22 @@
 }
 
 void
-LeavingChecker::Restart()
+LeavingChecker::RecordForwarded(std::size_t aDaemon,
+                                std::int64_t aIncarnation,
+                                Clock::time_point aAt)
 {
   const std::lock_guard lock(m_mutex);
-  m_forwarded_at.clear();
-}
-
-void
-LeavingChecker::RecordForwarded(std::size_t aDaemon, Clock::time_point aAt)
-{
-  const std::lock_guard lock(m_mutex);
-  m_forwarded_at.emplace(aDaemon, aAt);
+  m_forwarded_at.emplace(std::pair(aDaemon, aIncarnation), aAt);
 }
 
 void
 LeavingChecker::RecordArrival(std::size_t aDaemon,
+                              std::int64_t aIncarnation,
                               Clock::time_point aSentAt,
                               const std::string& aRequestId)
 {
   const std::lock_guard lock(m_mutex);
-  const auto found = m_forwarded_at.find(aDaemon);
+  const auto found = m_forwarded_at.find({ aDaemon, aIncarnation });
   if (found == m_forwarded_at.end() || aSentAt <= found->second + kDrainTime) {
     return;
   }
@@ -50,7 +46,7 @@
 LeavingChecker::RecordDisturbance(std::size_t aDaemon)
 {
   const std::lock_guard lock(m_mutex);
-  m_forwarded_at.erase(aDaemon);
+  std::erase_if(m_forwarded_at, [&](const auto& aEntry) { return aEntry.first.first == aDaemon; });
 }
 
 std::vector<std::string>
@@ -61,7 +57,7 @@
 }
 
 std::size_t
-LeavingChecker::DaemonsThatForwarded() const
+LeavingChecker::ForwardedCount() const
 {
   const std::lock_guard lock(m_mutex);
   return m_forwarded_at.size();
--- a/Tests/Unit/TestNoticeExchange.cpp
+++ b/Tests/Unit/TestNoticeExchange.cpp
@@ -241,6 +241,35 @@
   CHECK_FALSE(daemon.m_exchange.IsLeaving(kEndpoint));
 }
 
+TEST_CASE("Leaving: an incarnation that is registered late is presumed to have made the statement")
+{
+  const EndpointIncarnation next{ kEndpoint.m_id, kEndpoint.m_started_at_ms + 1 };
+  const LeavingEndpoints::RegistrationCheck registered =
+    [](const ServiceName&, const EndpointIncarnation&) { return true; };
+  const auto presumes = [&](TimePoint aReadableSince, TimePoint aNow) {
+    LeavingEndpoints leaving{ LeavingEndpoints::Limits() };
+    leaving.Record(kService, kEndpoint, At(10'000));
+    leaving.RecordRegistered(kService, { EndpointId("f"), 2 }, aReadableSince, aNow);
+    CHECK_FALSE(leaving.Contains({ EndpointId("f"), 2 }));
+    leaving.RecordRegistered(kService, next, aReadableSince, aNow);
+    const bool is_presumed = leaving.Contains(next);
+    CHECK(leaving.DropExpired(registered, aNow + Milliseconds(31'000)) == is_presumed);
+    CHECK_FALSE(leaving.Contains(next));
+    return is_presumed;
+  };
+  CHECK(presumes(At(0), At(12'000)));
+  CHECK_FALSE(presumes(At(0), At(15'000)));
+  // The store was away meanwhile.
+  CHECK(presumes(At(11'000), At(15'000)));
+  LeavingEndpoints leaving{ LeavingEndpoints::Limits() };
+  leaving.Record(kService, kEndpoint, At(0));
+  leaving.RecordRegistered(kService, next, At(0), At(100));
+  CHECK(leaving.Record(kService, next, At(200)));
+  CHECK_FALSE(leaving.Record(kService, next, At(300)));
+  leaving.DropExpired(registered, At(40'000));
+  CHECK(leaving.Contains(next));
+}
+
 TEST_CASE("Leaving: a malformed limit does not hide it, and the table is bounded")
 {
   ExchangingDaemon daemon;
