Let the soak's endpoints say that they leave

An endpoint says so in all its responses for 2.5 to 4.5 s, while its registration stays ready, says draining or is removed; then another incarnation starts, under the same id or another one. LeavingChecker compares what each daemon forwarded with what reaches the endpoint afterwards.

--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -32,6 +32,8 @@
 // Limits are drawn below this, in tenths of a request a second.
 constexpr unsigned kMaxLimitTenths = 60;
 constexpr unsigned kVersions = 3;
+// An endpoint that leaves goes on for at least this long.
+constexpr Ms kLeavingTime{ 2'500 };
 
 /// How an endpoint deviates from a correct response.
 enum class EndpointFault
@@ -74,20 +76,31 @@
   {
   }
 
-  /// Makes it another process at the same address.
-  void Replace(std::string aId, std::string aVersion)
+  /// Makes it another process at the same address, possibly under the same id.
+  void Replace(std::string aId, std::string aVersion, int aIncarnation)
   {
     const std::lock_guard lock(m_mutex);
     m_id = std::move(aId);
     m_version = std::move(aVersion);
+    m_incarnation = aIncarnation;
+    m_is_leaving = false;
+  }
+  std::string Version()
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_version;
   }
 
+  void Leave() { m_is_leaving = true; }
+  bool IsLeaving() const { return m_is_leaving; }
+
   bool Serve(RawConnection& aConnection, const RawRequest& aRequest)
   {
     const std::string id = aRequest.Header("x-request-id");
-    m_checker.RecordArrival(id, m_index);
     const auto [own_id, version] = Identity();
     const bool is_other = aRequest.Header("x-expect-instance") != own_id;
+    m_checker.RecordArrival(
+      id, m_index, is_other ? std::nullopt : std::optional(m_incarnation.load()));
     const EndpointFault fault = DrawFault();
     if (is_other || fault == EndpointFault::Refuse) {
       aConnection.Write(absl::StrCat("HTTP/1.1 ",
@@ -144,8 +157,12 @@
   std::string Statements() const
   {
     const auto limit = m_checker.LimitOf(m_index).Limit();
-    return absl::StrCat(
-      "\r\nX-Endpoint: ", m_index, limit ? absl::StrCat("\r\nServer-Limit: ", *limit) : "");
+    return absl::StrCat("\r\nX-Endpoint: ",
+                        m_index,
+                        "\r\nX-Incarnation: ",
+                        m_incarnation.load(),
+                        limit ? absl::StrCat("\r\nServer-Limit: ", *limit) : "",
+                        m_is_leaving ? "\r\nServer-Leaving: 1" : "");
   }
 
   unsigned DrawNumber()
@@ -246,6 +263,8 @@
   std::mutex m_mutex;
   std::string m_id;
   std::string m_version = "v1";
+  std::atomic<int> m_incarnation = 1;
+  std::atomic<bool> m_is_leaving = false;
   std::mt19937 m_random;
 };
 
@@ -301,6 +320,7 @@
     }
     m_checker.CheckNotExecuted();
     m_checker.CheckLimits();
+    m_checker.CheckLeaving();
     return Result();
   }
 
@@ -338,14 +358,14 @@
   void Inject()
   {
     using Fault = void (SoakRun::*)();
-    constexpr std::array<Fault, 13> kFaults{
+    constexpr std::array<Fault, 14> kFaults{
       &SoakRun::KillDaemon,          &SoakRun::PauseDaemon,
       &SoakRun::StopDaemon,          &SoakRun::ReloadDaemon,
       &SoakRun::InjectEndpointFault, &SoakRun::InjectEndpointFault,
       &SoakRun::InjectStoreFault,    &SoakRun::InjectStoreConnectionFault,
       &SoakRun::ReregisterEndpoint,  &SoakRun::Reconfigure,
       &SoakRun::StateLimit,          &SoakRun::StateLimit,
-      &SoakRun::ReplaceEndpoint,
+      &SoakRun::ReplaceEndpoint,     &SoakRun::LetEndpointLeave,
     };
     (this->*kFaults[m_random() % kFaults.size()])();
   }
@@ -494,11 +514,48 @@
     RecordFault(absl::StrCat("endpoint ", endpoint, " drains and registers again"));
     m_cluster.Register(endpoint, "draining");
     const int incarnation = ++m_last_incarnation;
-    ScheduleAfter(DrawFaultDuration(), [this, endpoint, incarnation] {
-      m_cluster.Register(endpoint, "ready", { { "born", incarnation } });
+    ScheduleAfter(DrawFaultDuration(),
+                  [this, endpoint, incarnation] { Start(endpoint, true, "", incarnation); });
+  }
+
+  /// An endpoint says in its responses that it leaves, whatever its registration says, and starts
+  /// again later.
+  void LetEndpointLeave()
+  {
+    const std::size_t endpoint = m_random() % m_options.m_endpoints;
+    if (m_endpoints[endpoint]->IsLeaving()) {
+      return;
+    }
+    constexpr std::array kRegistrations{ "ready", "draining", "removed" };
+    const std::string registration = kRegistrations[m_random() % kRegistrations.size()];
+    const bool keeps_id = m_random() % 2 == 0;
+    RecordFault(absl::StrCat(
+      "endpoint ", endpoint, " says that it leaves, its registration is ", registration));
+    m_endpoints[endpoint]->Leave();
+    if (registration == "draining") {
+      m_cluster.Register(endpoint, "draining");
+    } else if (registration == "removed") {
+      m_cluster.Deregister(endpoint);
+    }
+    const int incarnation = ++m_last_incarnation;
+    ScheduleAfter(kLeavingTime + DrawFaultDuration(), [this, endpoint, keeps_id, incarnation] {
+      Start(endpoint, keeps_id, "", incarnation);
     });
   }
 
+  /// Starts another incarnation of an endpoint, of the same software version if aVersion is empty.
+  void Start(std::size_t aEndpoint, bool aKeepsId, const std::string& aVersion, int aIncarnation)
+  {
+    if (!aKeepsId) {
+      m_cluster.Deregister(aEndpoint);
+      m_cluster.SetId(aEndpoint, absl::StrCat("i-", aEndpoint, "-", aIncarnation));
+    }
+    const std::string version = aVersion.empty() ? m_endpoints[aEndpoint]->Version() : aVersion;
+    m_endpoints[aEndpoint]->Replace(m_cluster.IdOf(aEndpoint), version, aIncarnation);
+    m_cluster.SetVersion(aEndpoint, version);
+    m_cluster.Register(aEndpoint, "ready", { { "born", aIncarnation } });
+  }
+
   /// An endpoint states a limit, another one than before or none any more.
   void StateLimit()
   {
@@ -523,11 +580,7 @@
     const int incarnation = ++m_last_incarnation;
     ScheduleAfter(DrawFaultDuration(), [this, endpoint, version, incarnation] {
       m_checker.LimitOf(endpoint).SetLimit(std::nullopt);
-      m_cluster.Deregister(endpoint);
-      m_cluster.SetId(endpoint, absl::StrCat("i-", endpoint, "-", incarnation));
-      m_endpoints[endpoint]->Replace(m_cluster.IdOf(endpoint), version);
-      m_cluster.SetVersion(endpoint, version);
-      m_cluster.Register(endpoint, "ready", { { "born", incarnation } });
+      Start(endpoint, false, version, incarnation);
     });
   }
 
--- a/Tests/Soak/SoakChecker.cpp
+++ b/Tests/Soak/SoakChecker.cpp
@@ -56,6 +56,7 @@
 {
   for (std::size_t i = 0; i < aEndpoints; ++i) {
     m_limits.push_back(std::make_unique<StatedLimitChecker>());
+    m_leaving.push_back(std::make_unique<LeavingChecker>());
   }
 }
 
@@ -64,14 +65,24 @@
 {
   const std::lock_guard lock(m_mutex);
   m_sent[aRequest.m_id] = aRequest;
+  m_sent_at[aRequest.m_id] = LeavingChecker::Clock::now();
 }
 
 void
-SoakChecker::RecordArrival(const std::string& aRequestId, std::size_t aEndpoint)
+SoakChecker::RecordArrival(const std::string& aRequestId,
+                           std::size_t aEndpoint,
+                           std::optional<int> aIncarnation)
 {
   const std::lock_guard lock(m_mutex);
-  if (const auto found = m_sent.find(aRequestId); found != m_sent.end()) {
-    m_limits.at(aEndpoint)->RecordArrival(found->second.m_daemon);
+  const auto found = m_sent.find(aRequestId);
+  if (found == m_sent.end()) {
+    return;
+  }
+  const std::size_t daemon = found->second.m_daemon;
+  m_limits.at(aEndpoint)->RecordArrival(daemon);
+  if (aIncarnation) {
+    m_leaving.at(aEndpoint)->RecordArrival(
+      daemon, *aIncarnation, m_sent_at.at(aRequestId), aRequestId);
   }
 }
 
@@ -85,6 +96,19 @@
       limit->BeginDisturbance(aDaemon);
     }
   }
+  for (const auto& leaving : m_leaving) {
+    leaving->RecordDisturbance(aDaemon);
+  }
+}
+
+void
+SoakChecker::CheckLeaving()
+{
+  for (std::size_t endpoint = 0; endpoint < m_leaving.size(); ++endpoint) {
+    for (const std::string& violation : m_leaving[endpoint]->Violations()) {
+      RecordViolation(absl::StrCat("endpoint ", endpoint, ": ", violation));
+    }
+  }
 }
 
 void
@@ -171,6 +195,12 @@
       absl::SimpleAtoi(aResponse.Header("x-endpoint"), &endpoint)) {
     m_limits.at(endpoint)->RecordNotified(aRequest.m_daemon);
   }
+  int incarnation = 0;
+  if (aResponse.Header("server-leaving") == "1" &&
+      absl::SimpleAtoi(aResponse.Header("x-endpoint"), &endpoint) &&
+      absl::SimpleAtoi(aResponse.Header("x-incarnation"), &incarnation)) {
+    m_leaving.at(endpoint)->RecordForwarded(aRequest.m_daemon, incarnation);
+  }
   ++m_responses[aResponse.m_is_complete ? aResponse.m_status : 0];
   RequestRecord& record = m_requests[id];
   record.m_kind = aRequest.m_kind;
--- a/Tests/Soak/SoakChecker.h
+++ b/Tests/Soak/SoakChecker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "GatewayCluster.h"
+#include "LeavingChecker.h"
 #include "StatedLimitChecker.h"
 
 #include <map>
@@ -62,8 +63,11 @@
 
   /// Called before a caller sends a request.
   void RecordSent(const SoakRequest& aRequest);
-  /// Called when an endpoint receives a request, whether or not it executes it.
-  void RecordArrival(const std::string& aRequestId, std::size_t aEndpoint);
+  /// Called when an endpoint receives a request, whether or not it executes it. aIncarnation: its
+  /// own, or nothing if the request is for another one.
+  void RecordArrival(const std::string& aRequestId,
+                     std::size_t aEndpoint,
+                     std::optional<int> aIncarnation);
   /// Called when an endpoint begins to execute a request. aFirstEvent is the first event that it
   /// will send: above 1 when a stream is resumed.
   void RecordExecution(const std::string& aRequestId, const SoakKind& aKind, int aFirstEvent);
@@ -74,6 +78,8 @@
   StatedLimitChecker& LimitOf(std::size_t aEndpoint) { return *m_limits.at(aEndpoint); }
   /// Checks that no endpoint received more requests than the limit that it stated.
   void CheckLimits();
+  /// Checks that no endpoint received requests after it had said that it leaves.
+  void CheckLeaving();
   void RecordViolation(const std::string& aWhat);
 
   /// Checks that no request was executed whose caller received a status that says that it was not.
@@ -100,7 +106,9 @@
   mutable std::mutex m_mutex;
   std::map<std::string, RequestRecord> m_requests;
   std::map<std::string, SoakRequest> m_sent;
+  std::map<std::string, LeavingChecker::Clock::time_point> m_sent_at;
   std::vector<std::unique_ptr<StatedLimitChecker>> m_limits;
+  std::vector<std::unique_ptr<LeavingChecker>> m_leaving;
   /// The versions whose events callers received, for each stream.
   std::map<std::string, std::set<std::string>> m_versions;
   std::map<int, int> m_responses;
