Decode the parts of a prompt and log them

The logs could not show which part of their prompts the requests had in common under which endpoints ended. Failed attempts and ends of requests now name them. No decision depends on them yet.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -72,6 +72,18 @@
   return aNotice.m_is_leaving_malformed ? "malformed" : "no";
 }
 
+/// The first parts of a prompt, for logs.
+std::string
+DescribeParts(const std::vector<PromptPart>& aParts)
+{
+  constexpr std::size_t kMaxLogged = 8;
+  std::string text;
+  for (std::size_t i = 0; i < std::min(aParts.size(), kMaxLogged); ++i) {
+    absl::StrAppend(&text, i == 0 ? "" : "/", aParts[i].Value());
+  }
+  return text.empty() ? "none" : text;
+}
+
 const char*
 OrNone(const std::string& aText)
 {
@@ -580,7 +592,7 @@
   const bool is_retried = may_resume && TryReserveRetry();
   LogOf("send").warn(
     "event=send-failed request={} service={} endpoint={} end={} why=\"{}\" runs={} "
-    "arrivals={} passed_on={} again={}",
+    "arrivals={} passed_on={} again={} prompt_parts={}",
     m_request.m_head.m_request_id,
     m_request.m_service.Value(),
     endpoint,
@@ -589,7 +601,8 @@
     m_possible_runs,
     m_written_attempts,
     has_started,
-    is_retried);
+    is_retried,
+    DescribeParts(m_request.m_head.m_prompt_parts));
   if (is_retried) {
     Retry(aSlotOutcome);
     return;
@@ -696,7 +709,7 @@
                         "outcome={} status={} took_ms={} first_ms={} endpoint={} runs={} "
                         "arrivals={} framing={} response_bytes={} response_end={} "
                         "stated_limit={} stated_leaving={} version={} resumes={} last_event={} "
-                        "config={} "
+                        "config={} prompt_parts={} "
                         "reason=\"{}\"",
                         m_request.m_head.m_request_id,
                         m_request.m_service.Value(),
@@ -721,6 +734,7 @@
                         OrNone(m_request.m_head.m_resumed_stream),
                         OrNone(m_request.m_head.m_last_event_id),
                         m_request.m_table->Version(),
+                        DescribeParts(m_request.m_head.m_prompt_parts),
                         aReason);
   // Destruction is deferred, since this may run inside a callback of its own call.
   m_dependencies.m_loop->Defer([this] { m_on_done(this); });
--- a/Libraries/LibGateway/include/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/include/LibGateway/Dialect.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibPlacement/EndpointNotice.h>
+#include <LibPlacement/PromptPart.h>
 #include <LibPlacement/SlotRequest.h>
 #include <LibRelay/MessageParser.h>
 #include <LibRouting/RoutingTable.h>
@@ -26,6 +27,9 @@
   std::string m_resumed_stream;
   /// The last event that the caller has of the stream; empty if it has none.
   std::string m_last_event_id;
+  /// The parts of the prompt that other requests may share, in order. Without the last part, which
+  /// belongs to this request alone.
+  std::vector<PromptPart> m_prompt_parts;
   /// Tokens that count against a quota, if the request states them.
   std::optional<std::int64_t> m_quota_tokens;
 
--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -223,6 +223,33 @@
         "0.250");
 }
 
+TEST_CASE("The parts of a prompt are decoded without the last, and malformed ones are ignored")
+{
+  const PlatformDialect dialect;
+  const auto parts = [&](const std::string& aValue) {
+    MessageHead head;
+    head.m_target = "/a/x";
+    head.m_headers = { { "X-Request-Id", "id-1" }, { "x-prefix-hash", aValue } };
+    const CallerRequestHead decoded = dialect.Decode(head).value();
+    std::string text;
+    for (const PromptPart& part : decoded.m_prompt_parts) {
+      text += part.Value() + " ";
+    }
+    return text;
+  };
+  CHECK(parts("5c1e07a2:800,91BD3f06:410,e4402b7d:250") == "5c1e07a2 91bd3f06 ");
+  CHECK(parts("5c:800, 5C:410 ,e4:250") == "5c ");
+  CHECK(parts("5c:800") == "");
+  CHECK(parts("") == "");
+  CHECK(parts("xy:800,:5,5c,-1:2," + std::string(65, 'a') + ":1,e4:250") == "5c ");
+  std::string many;
+  for (int i = 0; i < 1'000; ++i) {
+    many += std::to_string(i) + ":1,";
+  }
+  CHECK(parts(many).starts_with("0 1 2 "));
+  CHECK(parts(many).ends_with(" 63 "));
+}
+
 TEST_CASE("The limit that an endpoint states is decoded, and a malformed one is reported as such")
 {
   const PlatformDialect dialect;
