--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -128,6 +128,10 @@
     return;
   }
   const SlotRequest& request = aOutstanding.m_request;
+  if (!request.m_prompt_parts.empty()) {
+    LinkTo(aCoordinator)
+      .Send(EncodeSlotMessage(PromptPartsMessage{ aNumber, request.m_prompt_parts }));
+  }
   if (request.m_required_version) {
     LinkTo(aCoordinator)
       .Send(EncodeSlotMessage(RequiredVersionMessage{ aNumber, *request.m_required_version }));
@@ -220,13 +224,45 @@
 }
 
 void
-SlotBroker::SendToAll(const EndpointNoticeMessage& aNotice)
+SlotBroker::SendToAll(const SlotMessage& aMessage)
 {
   for (const auto& inbound : m_inbound) {
-    inbound->m_link->Send(EncodeSlotMessage(aNotice));
+    inbound->m_link->Send(EncodeSlotMessage(aMessage));
+  }
+}
+
+void
+SlotBroker::AnnounceSuspicions()
+{
+  for (auto& [service, suspicions] : m_coordinator.TakeSuspicionChanges(Now())) {
+    SendToAll(PartSuspicionsMessage{ service, std::move(suspicions) });
+  }
+}
+
+void
+SlotBroker::Acquit(std::uint64_t aNumber)
+{
+  const auto found = m_outstanding.find(aNumber);
+  if (found == m_outstanding.end()) {
+    return;
+  }
+  const OutstandingRequest& outstanding = found->second;
+  if (IsSelf(outstanding.m_coordinator)) {
+    m_coordinator.SuspectsOf(outstanding.m_service).Acquit(outstanding.m_request.m_request_id);
+  } else {
+    SendToCoordinator(outstanding.m_coordinator,
+                      AcquittalMessage{ outstanding.m_service, aNumber });
   }
 }
 
+std::vector<PromptPart>
+SlotBroker::InboundLink::TakePromptParts(std::uint64_t aNumber)
+{
+  auto parts = std::exchange(m_prompt_parts, std::nullopt);
+  return parts && parts->m_number == aNumber ? std::move(parts->m_parts)
+                                             : std::vector<PromptPart>();
+}
+
 void
 SlotBroker::ReportKnownNotices(const ServiceName& aService, const Member& aCoordinator)
 {
@@ -237,6 +273,11 @@
       LinkTo(aCoordinator).Send(EncodeSlotMessage(notice));
     }
   }
+  std::vector<PartSuspicion> suspicions = m_coordinator.SuspectsOf(aService).All(Now());
+  if (!suspicions.empty() && !IsSelf(aCoordinator.m_host)) {
+    LinkTo(aCoordinator)
+      .Send(EncodeSlotMessage(PartSuspicionsMessage{ aService, std::move(suspicions) }));
+  }
 }
 
 void
@@ -317,6 +358,12 @@
                 },
                 [&](const EndpointNoticeMessage& aNotice) { m_notices.OnInformed(aNotice, Now()); },
                 [&](const StreamVersionMessage& aVersion) { m_streams.OnVersion(aVersion); },
+                [&](const PartSuspicionsMessage& aSuspicions) {
+                  CrashSuspects& suspects = m_coordinator.SuspectsOf(aSuspicions.m_service);
+                  for (const PartSuspicion& suspicion : aSuspicions.m_suspicions) {
+                    suspects.Apply(suspicion, Now());
+                  }
+                },
                 [&](const auto&) {
                   LogOf("broker").warn("event=message-unexpected home={}", aCoordinator.Value());
                 } },
@@ -414,8 +461,14 @@
         .RecordHeld(outstanding.m_request.m_request_id,
                     outstanding.m_endpoint,
                     outstanding.m_request.m_work,
+                    outstanding.m_request.m_prompt_parts,
                     now);
     } else {
+      if (!outstanding.m_request.m_prompt_parts.empty()) {
+        LinkTo(aCoordinator)
+          .Send(
+            EncodeSlotMessage(PromptPartsMessage{ number, outstanding.m_request.m_prompt_parts }));
+      }
       LinkTo(aCoordinator)
         .Send(EncodeSlotMessage(
           HeldMessage{ aService, number, outstanding.m_endpoint, outstanding.m_request.m_work }));
@@ -457,6 +510,20 @@
         for (const EndpointNoticeMessage& notice : m_notices.NoticesForDaemon()) {
           aLink.m_link->Send(EncodeSlotMessage(notice));
         }
+        for (auto& [service, suspicions] : m_coordinator.Suspicions(now)) {
+          aLink.m_link->Send(
+            EncodeSlotMessage(PartSuspicionsMessage{ service, std::move(suspicions) }));
+        }
+      },
+      [&](const PromptPartsMessage& aParts) { aLink.m_prompt_parts = aParts; },
+      [&](const AcquittalMessage& aAcquittal) {
+        m_coordinator.SuspectsOf(aAcquittal.m_service).Acquit(id_of(aAcquittal.m_number));
+      },
+      [&](const PartSuspicionsMessage& aSuspicions) {
+        CrashSuspects& suspects = m_coordinator.SuspectsOf(aSuspicions.m_service);
+        for (const PartSuspicion& suspicion : aSuspicions.m_suspicions) {
+          suspects.Merge(suspicion, now);
+        }
       },
       [&](const EndpointNoticeMessage& aNotice) { OnReport(&aLink, aNotice); },
       [&](const RequiredVersionMessage& aRequired) { aLink.m_required_version = aRequired; },
@@ -471,7 +538,11 @@
       },
       [&](const HeldMessage& aHeld) {
         m_coordinator.SchedulerOf(aHeld.m_service, now)
-          .RecordHeld(id_of(aHeld.m_number), aHeld.m_endpoint, aHeld.m_work, now);
+          .RecordHeld(id_of(aHeld.m_number),
+                      aHeld.m_endpoint,
+                      aHeld.m_work,
+                      aLink.TakePromptParts(aHeld.m_number),
+                      now);
       },
       [&](const FirstByteMessage& aFirstByte) {
         m_coordinator.SchedulerOf(aFirstByte.m_service, now)
@@ -509,6 +580,7 @@
   request.m_avoided = aSlotRequest.m_avoided;
   request.m_workspace = aSlotRequest.m_workspace;
   request.m_quota_tokens = static_cast<std::int64_t>(aSlotRequest.m_quota_tokens);
+  request.m_prompt_parts = aLink.TakePromptParts(aSlotRequest.m_number);
   if (const auto required = std::exchange(aLink.m_required_version, std::nullopt);
       required && required->m_number == aSlotRequest.m_number) {
     request.m_required_version = required->m_version;
@@ -655,6 +727,7 @@
   UpdateCoordinators();
   m_streams.Tick();
   m_coordinator.DecideAll(now);
+  AnnounceSuspicions();
   m_coordinator.LogSuspicionChanges(now);
 }
 
--- a/Libraries/LibBroker/SlotMessages.cpp
+++ b/Libraries/LibBroker/SlotMessages.cpp
@@ -49,13 +49,25 @@
     }
     m_json.push_back(std::move(origins));
   }
-  void operator()(const std::vector<EndpointId>& aValues)
+  void operator()(const std::vector<PartSuspicion>& aValues)
   {
-    Json ids = Json::array();
-    for (const EndpointId& id : aValues) {
-      ids.push_back(id.Value());
+    Json suspicions = Json::array();
+    for (const PartSuspicion& suspicion : aValues) {
+      suspicions.push_back(Json::array({ suspicion.m_part.Value(),
+                                         suspicion.m_probability,
+                                         suspicion.m_crashes,
+                                         suspicion.m_refused_for.count() }));
     }
-    m_json.push_back(std::move(ids));
+    m_json.push_back(std::move(suspicions));
+  }
+  template<typename Tag>
+  void operator()(const std::vector<StrongString<Tag>>& aValues)
+  {
+    Json names = Json::array();
+    for (const StrongString<Tag>& name : aValues) {
+      names.push_back(name.Value());
+    }
+    m_json.push_back(std::move(names));
   }
 
   /// Appends a flag that comes last and may be missing.
@@ -174,17 +186,41 @@
   }
   void operator()(SlotRefusalReason& aValue)
   {
-    ReadEnum(aValue, static_cast<int>(SlotRefusalReason::NoEndpointOfVersion));
+    ReadEnum(aValue, static_cast<int>(SlotRefusalReason::HarmfulPrompt));
   }
-  void operator()(std::vector<EndpointId>& aValues)
+  void operator()(std::vector<PartSuspicion>& aValues)
   {
     const Json* field = Next();
     if (field == nullptr || !Check(field->is_array())) {
       return;
     }
-    for (const Json& id : *field) {
-      if (Check(id.is_string())) {
-        aValues.emplace_back(id.get<std::string>());
+    for (const Json& item : *field) {
+      if (!Check(item.is_array())) {
+        return;
+      }
+      Reader reader(item, 0);
+      PartSuspicion suspicion;
+      reader(suspicion.m_part);
+      reader(suspicion.m_probability);
+      reader(suspicion.m_crashes);
+      reader(suspicion.m_refused_for);
+      if (!Check(reader.IsOk() && suspicion.m_probability <= 1 && suspicion.m_crashes >= 0 &&
+                 suspicion.m_refused_for >= Milliseconds(0))) {
+        return;
+      }
+      aValues.push_back(std::move(suspicion));
+    }
+  }
+  template<typename Tag>
+  void operator()(std::vector<StrongString<Tag>>& aValues)
+  {
+    const Json* field = Next();
+    if (field == nullptr || !Check(field->is_array())) {
+      return;
+    }
+    for (const Json& name : *field) {
+      if (Check(name.is_string())) {
+        aValues.emplace_back(name.get<std::string>());
       }
     }
   }
@@ -366,6 +402,27 @@
   aVisit(aMessage.m_version);
 }
 
+void
+Visit(auto& aVisit, Is<PromptPartsMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_number);
+  aVisit(aMessage.m_parts);
+}
+
+void
+Visit(auto& aVisit, Is<AcquittalMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_service);
+  aVisit(aMessage.m_number);
+}
+
+void
+Visit(auto& aVisit, Is<PartSuspicionsMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_service);
+  aVisit(aMessage.m_suspicions);
+}
+
 template<typename Message>
 std::optional<SlotMessage>
 Decode(const Json& aJson)
--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -86,6 +86,15 @@
   {
     return m_notices.IsLeaving(aEndpoint);
   }
+  /// Whether requests with these parts in their prompt are refused, as far as this daemon knows:
+  /// a part crashes endpoints.
+  bool IsHarmful(const ServiceName& aService, const std::vector<PromptPart>& aParts) const
+  {
+    return m_coordinator.IsHarmful(aService, aParts, Now());
+  }
+  /// Reports that the end of a request proves nothing about its prompt. To be called before the
+  /// slot is freed.
+  void Acquit(std::uint64_t aNumber);
   /// Frees a slot that was granted.
   void RecordEnded(std::uint64_t aNumber, SlotOutcome aOutcome);
 
@@ -138,6 +147,10 @@
     std::set<ServiceName> m_followed_services;
     /// Restricts the next slot request if that has its number.
     std::optional<RequiredVersionMessage> m_required_version;
+    /// Belongs to the next slot request or held slot if that has its number.
+    std::optional<PromptPartsMessage> m_prompt_parts;
+
+    std::vector<PromptPart> TakePromptParts(std::uint64_t aNumber);
   };
 
   bool IsSelf(const HostName& aHost) const;
@@ -163,7 +176,9 @@
   void Deliver(const SlotRefusal& aRefusal, const HostName& aCoordinator);
   /// Handles a notice as coordinator. aLink is null for this daemon's own notices.
   void OnReport(InboundLink* aLink, const EndpointNoticeMessage& aNotice);
-  void SendToAll(const EndpointNoticeMessage& aNotice);
+  void SendToAll(const SlotMessage& aMessage);
+  /// Informs all daemons of changes in what is known of prompts that crash endpoints.
+  void AnnounceSuspicions();
   /// Reports what this daemon knows of endpoints' statements to a new coordinator.
   void ReportKnownNotices(const ServiceName& aService, const Member& aCoordinator);
   InboundLink* FindInboundLink(const Incarnation& aDaemon);
--- a/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
@@ -28,6 +28,18 @@
 
   /// Returns the scheduler of a service, creating it on first use. Call Decide() after changing it.
   SlotScheduler& SchedulerOf(const ServiceName& aService, TimePoint aNow);
+  /// What is known of prompts that crash a service's endpoints, whether or not it is coordinated
+  /// here.
+  CrashSuspects& SuspectsOf(const ServiceName& aService);
+  /// Whether requests with these parts in their prompt are refused.
+  bool IsHarmful(const ServiceName& aService,
+                 const std::vector<PromptPart>& aParts,
+                 TimePoint aNow) const;
+  /// Returns the suspicions that have changed since the last call, and logs them.
+  std::vector<std::pair<ServiceName, std::vector<PartSuspicion>>> TakeSuspicionChanges(
+    TimePoint aNow);
+  /// All suspected parts of prompts.
+  std::vector<std::pair<ServiceName, std::vector<PartSuspicion>>> Suspicions(TimePoint aNow) const;
   /// Charges a request to its workspace's quota and queues it. Decide() reports whether it is
   /// granted or refused, also when the quota refuses it.
   void RequestSlot(const ServiceName& aService, const SlotRequest& aRequest, TimePoint aNow);
@@ -80,6 +92,8 @@
   EndpointSource m_endpoints;
   DecisionHandler m_handler;
   double m_slot_share = 1.0;
+  /// Shared with the schedulers; exists also for services that are not coordinated here.
+  std::map<ServiceName, std::shared_ptr<CrashSuspects>> m_crash_suspects;
   std::map<ServiceName, SlotScheduler> m_schedulers;
   /// Refusals of requests over their quota since the last decision.
   std::map<ServiceName, std::vector<SlotRefusal>> m_quota_refusals;
--- a/Libraries/LibBroker/include/LibBroker/SlotMessages.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBroker/StreamVersions.h>
+#include <LibPlacement/CrashSuspects.h>
 #include <LibPlacement/EndpointNotice.h>
 #include <LibPlacement/SlotRequest.h>
 #include <nlohmann/json.hpp>
@@ -170,6 +171,36 @@
   auto operator<=>(const StreamVersionMessage&) const = default;
 };
 
+/// The parts of the prompt of the slot request or held slot with this number, which follows on the
+/// same link.
+struct PromptPartsMessage
+{
+  std::uint64_t m_number = 0;
+  std::vector<PromptPart> m_parts;
+
+  auto operator<=>(const PromptPartsMessage&) const = default;
+};
+
+/// Says that the end of a request, which a ReleaseMessage reports, proves nothing about its prompt:
+/// the response ended with its connection, so it may have been cut by a crash.
+struct AcquittalMessage
+{
+  ServiceName m_service;
+  std::uint64_t m_number = 0;
+
+  auto operator<=>(const AcquittalMessage&) const = default;
+};
+
+/// What the sender knows of prompts that crash a service's endpoints: from a coordinator to all
+/// daemons, and from a daemon to a new coordinator.
+struct PartSuspicionsMessage
+{
+  ServiceName m_service;
+  std::vector<PartSuspicion> m_suspicions;
+
+  auto operator<=>(const PartSuspicionsMessage&) const = default;
+};
+
 using SlotMessage = std::variant<HelloMessage,
                                  SlotRequestMessage,
                                  WithdrawMessage,
@@ -184,7 +215,10 @@
                                  RequiredVersionMessage,
                                  StreamOriginsMessage,
                                  StreamLookupMessage,
-                                 StreamVersionMessage>;
+                                 StreamVersionMessage,
+                                 PromptPartsMessage,
+                                 AcquittalMessage,
+                                 PartSuspicionsMessage>;
 
 /// Encodes a message as an array. Its first element is the index of the message's type in
 /// SlotMessage; the fields follow in order. A daemon of an earlier version ignores types that it
--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -30,6 +30,10 @@
 // then.
 constexpr Milliseconds kRetryAfterUnknownVersion{ 1'000 };
 
+// Retry-After for a request whose prompt crashes endpoints: waiting does not help it, so the
+// longest that callers respect.
+constexpr Milliseconds kRetryAfterHarmfulPrompt{ 10'000 };
+
 constexpr const char* kEndpointLeaves = "the endpoint has said that it leaves";
 
 constexpr int kNoContent = 204;
@@ -192,6 +196,7 @@
   request.m_data_center = m_dependencies.m_data_center;
   request.m_avoided = m_tried_endpoints;
   request.m_required_version = m_required_version;
+  request.m_prompt_parts = m_request.m_head.m_prompt_parts;
   const bool is_charged_already = m_slot_request_count > 1;
   if (m_request.m_workspace && !is_charged_already) {
     request.m_workspace = *m_request.m_workspace;
@@ -215,6 +220,11 @@
 void
 ActiveRequest::RequestSlot()
 {
+  if (m_dependencies.m_broker->IsHarmful(m_request.m_service, m_request.m_head.m_prompt_parts)) {
+    OnRefused(SlotRefusal{ {}, SlotRefusalReason::HarmfulPrompt, kRetryAfterHarmfulPrompt },
+              m_dependencies.m_host);
+    return;
+  }
   m_phase = Phase::Waiting;
   ++m_slot_request_count;
   m_slot_request_id = m_dependencies.m_broker->RequestSlot(
@@ -519,6 +529,10 @@
   if (IsResumableStream() && status < kFirstErrorStatus) {
     ForwardRemainder();
   }
+  if (aEnd == RelayCallEnd::Closed) {
+    // A crash after a whole event looks like this as well.
+    m_dependencies.m_broker->Acquit(*m_slot_request_id);
+  }
   ReleaseSlot(status >= kFirstServerErrorStatus ? SlotOutcome::Failed : SlotOutcome::Complete);
   const bool has_body = m_attempt->m_response_head.m_framing != BodyFraming::None;
   if (!has_body && !m_exchange->HasStarted()) {
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -99,7 +99,8 @@
                [this](const ServiceName& aService) { return OnlyVersionOf(aService); },
                [this](const EndpointIncarnation& aEndpoint) { OnEndpointLeaving(aEndpoint); } })
   , m_dependencies{ &aLoop,          &m_client, &m_broker,  &m_registry,
-                    &m_retry_budget, &aDialect, &m_metrics, aSettings.m_data_center }
+                    &m_retry_budget, &aDialect, &m_metrics, aSettings.m_data_center,
+                    aSettings.m_host }
 {
 }
 
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -84,13 +84,29 @@
       return "over-quota";
     case SlotRefusalReason::NoEndpointOfVersion:
       return "no-endpoint-of-version";
+    case SlotRefusalReason::HarmfulPrompt:
+      return "harmful-prompt";
   }
   return "unknown";
 }
 
+void
+SlotScheduler::RecordVersions(const std::vector<SlotEndpointInfo>& aEndpoints, TimePoint aNow)
+{
+  const bool is_first = m_versions.empty();
+  bool is_new = false;
+  for (const SlotEndpointInfo& info : aEndpoints) {
+    is_new = m_versions.insert(info.m_software_version).second || is_new;
+  }
+  if (is_new && !is_first) {
+    m_suspects->OnNewVersion(aNow);
+  }
+}
+
 void
 SlotScheduler::SetEndpoints(const std::vector<SlotEndpointInfo>& aEndpoints, TimePoint aNow)
 {
+  RecordVersions(aEndpoints, aNow);
   std::vector<double> firsts;
   std::vector<double> rests;
   for (const auto& [id, endpoint] : m_endpoints) {
@@ -163,7 +179,11 @@
 SlotScheduler::RequestSlot(const SlotRequest& aRequest, TimePoint aNow)
 {
   if (aRequest.m_required_version && !HasEligibleEndpoint(aRequest)) {
-    m_ineligible.push_back(aRequest);
+    m_ineligible.emplace_back(aRequest, SlotRefusalReason::NoEndpointOfVersion);
+    return;
+  }
+  if (m_suspects->Judge(aRequest.m_prompt_parts, aNow) == CrashSuspects::Verdict::Refuse) {
+    m_ineligible.emplace_back(aRequest, SlotRefusalReason::HarmfulPrompt);
     return;
   }
   WaitingSlotRequest waiting{ aRequest, 0, 0, 0 };
@@ -195,11 +215,13 @@
 SlotScheduler::RecordHeld(const SlotRequestId& aRequestId,
                           const EndpointId& aEndpoint,
                           const RequestWork& aWork,
+                          const std::vector<PromptPart>& aPromptParts,
                           TimePoint aNow)
 {
   const auto found = m_endpoints.find(aEndpoint);
   if (found != m_endpoints.end()) {
     found->second.Adopt(aRequestId, aWork, aNow);
+    m_suspects->Begin(aRequestId, aEndpoint, aPromptParts, aNow);
   }
 }
 
@@ -208,6 +230,7 @@
                              const EndpointId& aEndpoint,
                              TimePoint aNow)
 {
+  m_suspects->RecordStarted(aRequestId, aNow);
   const auto found = m_endpoints.find(aEndpoint);
   if (found == m_endpoints.end()) {
     return;
@@ -225,7 +248,9 @@
                            TimePoint aNow)
 {
   const auto found = m_endpoints.find(aEndpoint);
-  if (found != m_endpoints.end()) {
+  const bool is_usable = found != m_endpoints.end();
+  m_suspects->RecordEnded(aRequestId, aOutcome, !is_usable, aNow);
+  if (is_usable) {
     found->second.RecordEnded(aRequestId, aOutcome, aNow);
   }
 }
@@ -233,6 +258,7 @@
 void
 SlotScheduler::ReleaseSlot(const SlotRequestId& aRequestId, TimePoint aNow)
 {
+  m_suspects->RecordEnded(aRequestId, SlotOutcome::Cancelled, true, aNow);
   for (auto& [id, endpoint] : m_endpoints) {
     if (endpoint.RecordEnded(aRequestId, SlotOutcome::Cancelled, aNow)) {
       return;
@@ -243,6 +269,7 @@
 std::vector<SlotRequest>
 SlotScheduler::ForgetDaemon(const Incarnation& aDaemon)
 {
+  m_suspects->ForgetDaemon(aDaemon);
   for (auto& [id, endpoint] : m_endpoints) {
     endpoint.ReleaseDaemon(aDaemon);
   }
@@ -321,11 +348,17 @@
                       TimePoint aNow,
                       SlotDecisions& aDecisions) const
 {
-  const double wait_ms = aReason == SlotRefusalReason::NoEndpointOfVersion
-                           ? kRestartTimeMs
-                           : ExpectedWaitMs(aRequest.m_priority, aNow);
-  aDecisions.m_refusals.push_back(
-    { aRequest.m_request_id, aReason, RetryAfter(aRequest, wait_ms) });
+  const auto retry_after = [&] {
+    switch (aReason) {
+      case SlotRefusalReason::HarmfulPrompt:
+        return m_limits.m_max_retry_after;
+      case SlotRefusalReason::NoEndpointOfVersion:
+        return RetryAfter(aRequest, kRestartTimeMs);
+      default:
+        return RetryAfter(aRequest, ExpectedWaitMs(aRequest.m_priority, aNow));
+    }
+  };
+  aDecisions.m_refusals.push_back({ aRequest.m_request_id, aReason, retry_after() });
   aDecisions.m_refused.push_back(aRequest);
 }
 
@@ -410,8 +443,8 @@
 SlotScheduler::Decide(TimePoint aNow)
 {
   SlotDecisions decisions;
-  for (const SlotRequest& request : std::exchange(m_ineligible, {})) {
-    Refuse(request, SlotRefusalReason::NoEndpointOfVersion, aNow, decisions);
+  for (const auto& [request, reason] : std::exchange(m_ineligible, {})) {
+    Refuse(request, reason, aNow, decisions);
   }
   if (m_endpoints.empty()) {
     for (const WaitingSlotRequest& waiting : m_queue.TakeAll()) {
@@ -423,9 +456,20 @@
   for (const WaitingSlotRequest& waiting : m_queue.TakeUnservable(SlotCount(aNow), aNow)) {
     Refuse(waiting.m_request, SlotRefusalReason::WaitedTooLong, aNow, decisions);
   }
-  // Requests for one software version whose endpoints are busy; they do not hold up the others.
+  // Requests for one software version whose endpoints are busy, and those with a suspected part
+  // that another request runs with; they do not hold up the others.
   std::vector<WaitingSlotRequest> set_aside;
   while (const WaitingSlotRequest* front = m_queue.Front(aNow)) {
+    const CrashSuspects::Verdict verdict = m_suspects->Judge(front->m_request.m_prompt_parts, aNow);
+    if (verdict != CrashSuspects::Verdict::Admit) {
+      WaitingSlotRequest waiting = *m_queue.Remove(SlotRequestId(front->m_request.m_request_id));
+      if (verdict == CrashSuspects::Verdict::Refuse) {
+        Refuse(waiting.m_request, SlotRefusalReason::HarmfulPrompt, aNow, decisions);
+      } else {
+        set_aside.push_back(std::move(waiting));
+      }
+      continue;
+    }
     SlotEndpoint* endpoint = Choose(*front, aNow);
     if (endpoint == nullptr && front->m_request.m_required_version) {
       set_aside.push_back(*m_queue.Remove(SlotRequestId(front->m_request.m_request_id)));
@@ -437,6 +481,10 @@
     const WaitingSlotRequest granted = m_queue.PopFront(aNow);
     const double expected_ms = endpoint->ExpectedFirstByteMs(granted.m_request.m_work);
     endpoint->Hold(granted.m_request.m_request_id, granted.m_request.m_work, aNow);
+    m_suspects->Begin(granted.m_request.m_request_id,
+                      endpoint->Info().m_id,
+                      granted.m_request.m_prompt_parts,
+                      aNow);
     decisions.m_grants.push_back({ granted.m_request.m_request_id,
                                    endpoint->Info().m_id,
                                    Milliseconds(static_cast<std::int64_t>(expected_ms)) });
--- /dev/null
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <LibPlacement/PromptPart.h>
+#include <LibPlacement/SlotRequest.h>
+#include <absl/container/flat_hash_map.h>
+#include <deque>
+#include <vector>
+
+namespace auburnhitch {
+
+/// What daemons tell each other about a part of a prompt that is suspected to crash endpoints.
+struct PartSuspicion
+{
+  PromptPart m_part;
+  /// Probability that it crashes each endpoint that runs it.
+  double m_probability = 0;
+  /// Crashes that it was blamed for.
+  int m_crashes = 0;
+  /// Requests with it are refused for this long; 0 if they are not.
+  Milliseconds m_refused_for{ 0 };
+
+  auto operator<=>(const PartSuspicion&) const = default;
+};
+
+/// Decides which parts of prompts crash the endpoints that run them. Each crash of an endpoint is
+/// evidence against the parts of the requests that had not begun to respond there; each complete
+/// response is evidence for its parts. The evidence is weighed as a likelihood ratio against the
+/// rate of crashes that no part explains, so a part is refused after few crashes while endpoints
+/// are otherwise stable, and after more while they crash for other reasons. Requests with a
+/// suspected part run one at a time. Owns no clock. Not thread-safe.
+class CrashSuspects
+{
+public:
+  struct Limits
+  {
+    /// Share of parts that crash endpoints, before there is evidence.
+    double m_prior = 1e-3;
+    /// Probability from which requests with a part are refused: one refused part in fifty may be
+    /// sound.
+    double m_refuse_from = 0.98;
+    /// Probability from which requests with a part run one at a time.
+    double m_suspect_from = 0.01;
+    /// How long a part is refused before one request is admitted as a trial; doubles with each
+    /// trial that crashes an endpoint.
+    Milliseconds m_first_refusal{ 60'000 };
+    /// After this many crashes there are no more trials until another software version serves.
+    int m_max_crashes = 8;
+    std::size_t m_max_parts = 4'096;
+  };
+
+  enum class Verdict
+  {
+    /// May be granted a slot now.
+    Admit,
+    /// Has to wait until another request with the same part has ended.
+    Wait,
+    /// Crashes endpoints.
+    Refuse,
+  };
+
+  explicit CrashSuspects(Limits aLimits);
+  CrashSuspects()
+    : CrashSuspects(Limits())
+  {
+  }
+
+  /// Records that a request was granted a slot.
+  void Begin(const SlotRequestId& aRequestId,
+             const EndpointId& aEndpoint,
+             const std::vector<PromptPart>& aParts,
+             TimePoint aNow);
+  /// Withdraws what a request would say about its parts, because its end proves nothing.
+  void Acquit(const SlotRequestId& aRequestId);
+  /// Records the first byte of a response.
+  void RecordStarted(const SlotRequestId& aRequestId, TimePoint aNow);
+  /// Records the end of a request. aIsExpected: whether the endpoint leaves or is not registered,
+  /// so that its end is not a crash.
+  void RecordEnded(const SlotRequestId& aRequestId,
+                   SlotOutcome aOutcome,
+                   bool aIsExpected,
+                   TimePoint aNow);
+  /// Forgets the requests of a daemon that has stopped.
+  void ForgetDaemon(const Incarnation& aDaemon);
+
+  Verdict Judge(const std::vector<PromptPart>& aParts, TimePoint aNow) const;
+  /// Permits another trial of each refused part: endpoints of another software version serve.
+  void OnNewVersion(TimePoint aNow);
+
+  /// Applies what the coordinator knows.
+  void Apply(const PartSuspicion& aSuspicion, TimePoint aNow);
+  /// Applies what another daemon knows, unless more is known here.
+  void Merge(const PartSuspicion& aSuspicion, TimePoint aNow);
+  /// The parts whose suspicion has changed since the last call.
+  std::vector<PartSuspicion> TakeChanges(TimePoint aNow);
+  /// All suspected parts.
+  std::vector<PartSuspicion> All(TimePoint aNow) const;
+
+  /// Estimated probability that an endpoint crashes during a request for another reason than its
+  /// prompt.
+  double BaseRate() const;
+
+private:
+  struct Part
+  {
+    double m_log_odds = 0;
+    int m_crashes = 0;
+    int m_running = 0;
+    TimePoint m_used_at;
+    /// Set while requests with the part are refused.
+    std::optional<TimePoint> m_refused_until;
+    int m_failed_trials = 0;
+    bool m_is_changed = false;
+  };
+
+  struct Run
+  {
+    EndpointId m_endpoint;
+    std::vector<PromptPart> m_parts;
+    std::optional<TimePoint> m_started_at;
+  };
+
+  /// The end of an endpoint under several requests.
+  struct Crash
+  {
+    EndpointId m_endpoint;
+    TimePoint m_at;
+    /// The requests there that have not ended yet.
+    std::vector<SlotRequestId> m_runs;
+    /// What was added to the log odds of each part.
+    std::vector<std::pair<PromptPart, double>> m_evidence;
+    /// What was added to the crashes that no part explains.
+    double m_unexplained = 0;
+  };
+
+  Part& PartOf(const PromptPart& aPart, TimePoint aNow);
+  void DropOldest();
+  void Decay(TimePoint aNow);
+  void SetLogOdds(const PromptPart& aId, Part& aPart, double aLogOdds, TimePoint aNow);
+  void MarkChanged(const PromptPart& aId, Part& aPart);
+  std::vector<PromptPart> PartsInDoubt(const EndpointId& aEndpoint, TimePoint aNow) const;
+  Crash* CrashOf(const SlotRequestId& aRequestId, const EndpointId& aEndpoint, TimePoint aNow);
+  void RecordSound(const Run& aRun, TimePoint aNow);
+  void RecordCrash(const SlotRequestId& aRequestId, const Run& aRun, TimePoint aNow);
+  /// Withdraws the evidence of a crash if a request that ran there goes on: only a connection
+  /// broke.
+  void Refute(const SlotRequestId& aRequestId, TimePoint aNow);
+  void EndRun(const Run& aRun);
+  static PartSuspicion SuspicionOf(const PromptPart& aId, const Part& aPart, TimePoint aNow);
+
+  Limits m_limits;
+  double m_prior_log_odds;
+  double m_refuse_log_odds;
+  double m_suspect_log_odds;
+  absl::flat_hash_map<PromptPart, Part> m_parts;
+  absl::flat_hash_map<SlotRequestId, Run> m_runs;
+  std::deque<Crash> m_crashes;
+  std::vector<PromptPart> m_changed;
+  /// Exponentially decaying counts.
+  double m_ended = 0;
+  double m_unexplained = 0;
+  TimePoint m_decayed_at;
+};
+
+}
--- a/Libraries/LibPlacement/include/LibPlacement/SlotRequest.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibPlacement/PromptPart.h>
 #include <LibRegistry/EndpointRegistry.h>
 #include <cstdint>
 #include <optional>
@@ -56,6 +57,8 @@
   WorkspaceName m_workspace;
   /// Tokens to charge to the quota; 0 once they have been charged.
   std::int64_t m_quota_tokens = 0;
+  /// The parts of its prompt that other requests may share.
+  std::vector<PromptPart> m_prompt_parts;
 
   auto operator<=>(const SlotRequest&) const = default;
 };
@@ -104,6 +107,8 @@
   OverQuota,
   /// No endpoint of the software version that it requires is usable.
   NoEndpointOfVersion,
+  /// A part of its prompt crashes endpoints.
+  HarmfulPrompt,
 };
 
 const char*
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <LibPlacement/CrashSuspects.h>
 #include <LibPlacement/SlotEndpoint.h>
 #include <LibPlacement/SlotQueue.h>
 #include <map>
+#include <memory>
+#include <set>
 
 namespace auburnhitch {
 
@@ -40,8 +43,12 @@
 class SlotScheduler
 {
 public:
-  explicit SlotScheduler(SlotSchedulerLimits aLimits)
+  /// aSuspects: what is known of prompts that crash the service's endpoints.
+  explicit SlotScheduler(
+    SlotSchedulerLimits aLimits,
+    std::shared_ptr<CrashSuspects> aSuspects = std::make_shared<CrashSuspects>())
     : m_limits(aLimits)
+    , m_suspects(std::move(aSuspects))
   {
   }
 
@@ -71,6 +78,7 @@
   void RecordHeld(const SlotRequestId& aRequestId,
                   const EndpointId& aEndpoint,
                   const RequestWork& aWork,
+                  const std::vector<PromptPart>& aPromptParts,
                   TimePoint aNow);
   void RecordStarted(const SlotRequestId& aRequestId, const EndpointId& aEndpoint, TimePoint aNow);
   void RecordEnded(const SlotRequestId& aRequestId,
@@ -109,8 +117,13 @@
               SlotRefusalReason aReason,
               TimePoint aNow,
               SlotDecisions& aDecisions) const;
+  /// Informs the suspects when endpoints of another software version serve.
+  void RecordVersions(const std::vector<SlotEndpointInfo>& aEndpoints, TimePoint aNow);
 
   SlotSchedulerLimits m_limits;
+  std::shared_ptr<CrashSuspects> m_suspects;
+  /// The software versions that have served.
+  std::set<SoftwareVersion> m_versions;
   double m_slot_share = 1.0;
   double m_rate_share = 1.0;
   /// EWMA of the time for which requests are expected to hold a slot.
@@ -119,8 +132,8 @@
   SlotQueue m_queue;
   /// Requests enqueued since the last Decide().
   std::vector<SlotRequestId> m_undecided;
-  /// Requests since the last decision that no endpoint may serve.
-  std::vector<SlotRequest> m_ineligible;
+  /// Requests since the last decision that no endpoint may serve, with the reason.
+  std::vector<std::pair<SlotRequest, SlotRefusalReason>> m_ineligible;
   /// EWMA of the deviation of times to first byte, as a share of the expected time.
   double m_deviation = 0.25;
 };
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -163,6 +163,42 @@
   Libraries/LibBroker/include/LibBroker/LeavingEndpoints.h \
   's/return m_entries.contains\(aEndpoint\);/return std::any_of(m_entries.begin(), m_entries.end(), [\&](const auto\& aEntry) { return aEntry.first.m_id == aEndpoint.m_id; });/; s/#include <functional>/#include <algorithm>\n#include <functional>/' \
   "$UNIT" "Leaving: *"
+mutate "a prompt that crashes endpoints is refused: the daemons tell the next coordinator" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/if \(part.m_log_odds >= m_suspect_log_odds\) \{\n      all/if (false) {\n      all/' \
+  "$UNIT" "Crashes: what one daemon knows*"
+mutate "a prompt that crashes endpoints is refused: the slot request carries its parts" \
+  Libraries/LibBroker/SlotBroker.cpp \
+  's/  request.m_prompt_parts = aLink.TakePromptParts\(aSlotRequest.m_number\);//' \
+  "$PROCESS" "Crashing prompts: requests with*"
+mutate "a prompt that crashes endpoints is refused: what a sound one shares is not" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/      RecordSound\(run, aNow\);//' \
+  "$UNIT" "Crashes: *"
+mutate "a prompt that crashes endpoints is refused: a part explains the crash for those beside it" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/odds > aBound \? 1 - ProbabilityOf\(odds\) : 1/1.0/; s/constexpr double kExcuseMargin = 1;//; s/ \+ kExcuseMargin//' \
+  "$UNIT" "Crashes: *"
+mutate "a prompt that crashes endpoints is refused: one crash counts once" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/if \(Crash\* known = CrashOf\(aRequestId, aRun.m_endpoint, aNow\)\)/if (Crash* known = nullptr)/' \
+  "$UNIT" "Crashes: *"
+mutate "a prompt that crashes endpoints is refused: a response that had begun is not blamed" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/!run.m_started_at \|\| aNow - \*run.m_started_at <= kMaxTimeToCrash/true/' \
+  "$UNIT" "Crashes: *"
+mutate "a prompt that crashes endpoints is refused: the base rate counts" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/  m_unexplained \+= crash.m_unexplained;//' \
+  "$UNIT" "Crashes: *"
+mutate "a prompt that crashes endpoints is refused: its last part is not blamed" \
+  platform/PlatformDialect.cpp \
+  's/    if \(comma == absl::string_view::npos\) \{/    if (comma == absl::string_view::npos \&\& rest.empty()) {/' \
+  "$UNIT" "The parts of a prompt are decoded*"
+mutate "a prompt that crashes endpoints is refused: an end with the connection clears nothing" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/    found->second.m_parts.clear\(\);//' \
+  "$UNIT" "Crashes: *"
 mutate "a stream stays at its version: the slot request carries the constraint" \
   Libraries/LibBroker/SlotBroker.cpp \
   's/request.m_required_version = required->m_version;//' \
--- /dev/null
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -0,0 +1,364 @@
+#include <LibPlacement/CrashSuspects.h>
+#include <LibPlacement/SlotScheduler.h>
+
+#include <doctest.h>
+
+using namespace auburnhitch;
+
+namespace {
+
+using Verdict = CrashSuspects::Verdict;
+
+const PromptPart kCommon("c0");
+const PromptPart kBad("bad0");
+
+TimePoint
+At(int aMilliseconds)
+{
+  return TimePoint() + Milliseconds(aMilliseconds);
+}
+
+SlotRequestId
+IdOf(std::uint64_t aNumber, const char* aDaemon = "d")
+{
+  return { Incarnation(aDaemon), aNumber };
+}
+
+PromptPart
+Session(int aNumber)
+{
+  return PromptPart("5e" + std::to_string(aNumber));
+}
+
+/// Requests that begin and end one after the other.
+class Trace
+{
+public:
+  explicit Trace(CrashSuspects::Limits aLimits = CrashSuspects::Limits())
+    : m_suspects(aLimits)
+  {
+  }
+
+  /// Whole responses to requests with the common part and that of a session.
+  void RunSound(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      Run({ kCommon, Session(i % 4) }, SlotOutcome::Complete);
+    }
+  }
+
+  void Run(const std::vector<PromptPart>& aParts, SlotOutcome aOutcome)
+  {
+    const SlotRequestId id = IdOf(++m_number);
+    m_suspects.Begin(id, EndpointId("e" + std::to_string(m_number)), aParts, m_now);
+    m_now += Milliseconds(100);
+    m_suspects.RecordEnded(id, aOutcome, false, m_now);
+  }
+
+  /// An endpoint crashes under a request with these parts and under others beside it.
+  void Crash(const std::vector<std::vector<PromptPart>>& aRequests)
+  {
+    const EndpointId endpoint("e" + std::to_string(++m_number));
+    std::vector<SlotRequestId> ids;
+    for (const auto& parts : aRequests) {
+      ids.push_back(IdOf(++m_number));
+      m_suspects.Begin(ids.back(), endpoint, parts, m_now);
+    }
+    m_now += Milliseconds(100);
+    for (const SlotRequestId& id : ids) {
+      m_suspects.RecordEnded(id, SlotOutcome::Broken, false, m_now);
+    }
+  }
+
+  Verdict Judge(const PromptPart& aPart) const { return m_suspects.Judge({ aPart }, m_now); }
+  /// The number of crashes until a part is refused, at most aMax.
+  int CrashesUntilRefused(const std::vector<std::vector<PromptPart>>& aRequests, int aMax = 20)
+  {
+    int crashes = 0;
+    while (crashes < aMax && Judge(kBad) != Verdict::Refuse) {
+      Crash(aRequests);
+      ++crashes;
+    }
+    return crashes;
+  }
+
+  CrashSuspects m_suspects;
+  TimePoint m_now = At(0);
+  std::uint64_t m_number = 0;
+};
+
+}
+
+TEST_CASE("Crashes: a part is refused after two or three, and those beside it are not")
+{
+  for (const int sound : { 0, 30, 1'000 }) {
+    CAPTURE(sound);
+    Trace trace;
+    trace.RunSound(sound);
+    const int crashes =
+      trace.CrashesUntilRefused({ { kCommon, kBad, Session(1) }, { kCommon, Session(2) } });
+    CHECK(crashes >= 2);
+    CHECK(crashes <= 3);
+    if (sound > 0) {
+      CHECK(trace.Judge(kCommon) == Verdict::Admit);
+      CHECK(trace.Judge(Session(1)) == Verdict::Admit);
+      CHECK(trace.Judge(Session(2)) == Verdict::Admit);
+    }
+  }
+}
+
+TEST_CASE("Crashes: the part is found wherever it stands in the prompt, and two at once")
+{
+  Trace trace;
+  trace.RunSound(300);
+  const PromptPart other("bad1");
+  for (int i = 0; i < 4; ++i) {
+    trace.Crash({ { kBad, kCommon, Session(i) } });
+    trace.Crash({ { kCommon, Session(i), other } });
+    trace.RunSound(4);
+  }
+  CHECK(trace.Judge(kBad) == Verdict::Refuse);
+  CHECK(trace.Judge(other) == Verdict::Refuse);
+  CHECK(trace.Judge(kCommon) == Verdict::Admit);
+  for (int i = 0; i < 4; ++i) {
+    CHECK(trace.Judge(Session(i)) == Verdict::Admit);
+  }
+}
+
+TEST_CASE("Crashes: the more of them no part explains, the more it takes to refuse one")
+{
+  Trace calm;
+  calm.RunSound(1'000);
+  const int in_calm = calm.CrashesUntilRefused({ { kCommon, kBad } });
+  Trace stormy;
+  for (int i = 0; i < 200; ++i) {
+    stormy.RunSound(2);
+    stormy.Crash({ { kCommon, PromptPart("f" + std::to_string(i)) } });
+  }
+  CHECK(stormy.m_suspects.BaseRate() > 10 * calm.m_suspects.BaseRate());
+  CHECK(stormy.CrashesUntilRefused({ { kCommon, kBad } }) > in_calm);
+}
+
+TEST_CASE("Crashes: no part is refused under which responses are whole in between")
+{
+  Trace trace;
+  for (int i = 0; i < 500; ++i) {
+    trace.Crash({ { kCommon, Session(1) }, { kCommon, Session(2) } });
+    CHECK(trace.Judge(kCommon) != Verdict::Refuse);
+    CHECK(trace.Judge(Session(1)) != Verdict::Refuse);
+    trace.Run({ kCommon, Session(1) }, SlotOutcome::Complete);
+    trace.Run({ kCommon, Session(2) }, SlotOutcome::Complete);
+  }
+}
+
+TEST_CASE("Crashes: one that several daemons report is one piece of evidence")
+{
+  CrashSuspects suspects;
+  for (int i = 0; i < 6; ++i) {
+    const SlotRequestId id = IdOf(1, ("d" + std::to_string(i)).c_str());
+    suspects.Begin(id, EndpointId("e"), { kBad }, At(0));
+  }
+  for (int i = 0; i < 6; ++i) {
+    const SlotRequestId id = IdOf(1, ("d" + std::to_string(i)).c_str());
+    suspects.RecordEnded(id, SlotOutcome::Broken, false, At(100 + i * 1'000));
+  }
+  REQUIRE(suspects.All(At(7'000)).size() == 1);
+  CHECK(suspects.All(At(7'000)).front().m_crashes == 1);
+}
+
+TEST_CASE("Crashes: a connection that breaks while another request goes on there is none")
+{
+  CrashSuspects suspects;
+  suspects.Begin(IdOf(1), EndpointId("e"), { kBad }, At(0));
+  suspects.Begin(IdOf(2), EndpointId("e"), { kCommon }, At(0));
+  suspects.RecordEnded(IdOf(1), SlotOutcome::Broken, false, At(100));
+  CHECK(suspects.All(At(100)).size() == 2);
+  // May have been sent before the crash.
+  suspects.RecordStarted(IdOf(2), At(150));
+  CHECK(suspects.All(At(150)).size() == 2);
+  suspects.RecordEnded(IdOf(2), SlotOutcome::Complete, false, At(400));
+  CHECK(suspects.All(At(400)).empty());
+}
+
+TEST_CASE("Crashes: a response that had begun long before, and an expected end, blame no part")
+{
+  CrashSuspects suspects;
+  suspects.Begin(IdOf(1), EndpointId("e"), { kCommon }, At(0));
+  suspects.RecordStarted(IdOf(1), At(100));
+  suspects.Begin(IdOf(2), EndpointId("e"), { kBad }, At(900));
+  suspects.RecordEnded(IdOf(1), SlotOutcome::Broken, false, At(1'000));
+  const auto suspected = suspects.All(At(1'000));
+  REQUIRE(suspected.size() == 1);
+  CHECK(suspected[0].m_part == kBad);
+  CrashSuspects others;
+  for (const SlotOutcome outcome : { SlotOutcome::Failed,
+                                     SlotOutcome::Refused,
+                                     SlotOutcome::Unreachable,
+                                     SlotOutcome::Cancelled,
+                                     SlotOutcome::Broken }) {
+    others.Begin(IdOf(1), EndpointId("e"), { kBad }, At(0));
+    others.RecordEnded(IdOf(1), outcome, outcome == SlotOutcome::Broken, At(100));
+  }
+  CHECK(others.All(At(100)).empty());
+}
+
+TEST_CASE("Crashes: requests with a suspected part run one at a time")
+{
+  Trace trace;
+  trace.RunSound(300);
+  trace.Crash({ { kCommon, kBad } });
+  CHECK(trace.Judge(kBad) == Verdict::Admit);
+  trace.m_suspects.Begin(IdOf(1, "x"), EndpointId("e"), { kCommon, kBad }, trace.m_now);
+  CHECK(trace.Judge(kBad) == Verdict::Wait);
+  CHECK(trace.Judge(kCommon) == Verdict::Admit);
+  trace.m_suspects.ForgetDaemon(Incarnation("x"));
+  CHECK(trace.Judge(kBad) == Verdict::Admit);
+}
+
+TEST_CASE("Crashes: a whole response clears a part, one that ended with its connection does not")
+{
+  Trace trace;
+  trace.RunSound(300);
+  trace.CrashesUntilRefused({ { kCommon, kBad } });
+  const auto end = [&](bool aIsAcquitted) {
+    trace.m_suspects.Begin(IdOf(1, "x"), EndpointId("e"), { kCommon, kBad }, trace.m_now);
+    if (aIsAcquitted) {
+      trace.m_suspects.Acquit(IdOf(1, "x"));
+    }
+    trace.m_suspects.RecordEnded(IdOf(1, "x"), SlotOutcome::Complete, false, trace.m_now);
+  };
+  end(true);
+  CHECK(trace.Judge(kBad) == Verdict::Refuse);
+  end(false);
+  CHECK(trace.Judge(kBad) == Verdict::Admit);
+}
+
+TEST_CASE("Crashes: a refused part gets trials further and further apart, and at last none")
+{
+  Trace trace;
+  trace.RunSound(300);
+  int crashes = trace.CrashesUntilRefused({ { kCommon, kBad } });
+  Milliseconds refused_for(0);
+  for (; crashes < CrashSuspects::Limits().m_max_crashes; ++crashes) {
+    const TimePoint refused_at = trace.m_now;
+    while (trace.Judge(kBad) == Verdict::Refuse) {
+      trace.m_now += Milliseconds(1'000);
+    }
+    const Milliseconds waited(ToMilliseconds(trace.m_now - refused_at));
+    CHECK(waited > refused_for);
+    refused_for = waited;
+    // While the trial runs there is no other.
+    trace.m_suspects.Begin(IdOf(1, "x"), EndpointId("t"), { kBad }, trace.m_now);
+    CHECK(trace.Judge(kBad) == Verdict::Refuse);
+    trace.m_now += Milliseconds(50);
+    trace.m_suspects.RecordEnded(IdOf(1, "x"), SlotOutcome::Broken, false, trace.m_now);
+    trace.m_now += Milliseconds(3'000);
+  }
+  trace.m_now += Milliseconds(100'000'000);
+  CHECK(trace.Judge(kBad) == Verdict::Refuse);
+  trace.m_suspects.OnNewVersion(trace.m_now);
+  CHECK(trace.Judge(kBad) == Verdict::Admit);
+}
+
+TEST_CASE("Crashes: what one daemon knows of a part, the others and the next coordinator apply")
+{
+  Trace trace;
+  trace.RunSound(300);
+  trace.CrashesUntilRefused({ { kCommon, kBad } });
+  CrashSuspects other;
+  for (const PartSuspicion& suspicion : trace.m_suspects.TakeChanges(trace.m_now)) {
+    other.Apply(suspicion, At(0));
+  }
+  CHECK(trace.m_suspects.TakeChanges(trace.m_now).empty());
+  CHECK(other.Judge({ kBad }, At(0)) == Verdict::Refuse);
+  CHECK(other.Judge({ kCommon }, At(0)) == Verdict::Admit);
+  CrashSuspects next;
+  for (const PartSuspicion& suspicion : other.All(At(0))) {
+    next.Merge(suspicion, At(10));
+  }
+  CHECK(next.Judge({ kBad }, At(10)) == Verdict::Refuse);
+  CHECK(next.TakeChanges(At(10)).size() == 1);
+  // An older suspicion does not replace a stronger one.
+  next.Merge({ kBad, 0.3, 1, Milliseconds(0) }, At(20));
+  CHECK(next.Judge({ kBad }, At(20)) == Verdict::Refuse);
+  other.Apply({ kBad, 0.001, 0, Milliseconds(0) }, At(20));
+  CHECK(other.Judge({ kBad }, At(20)) == Verdict::Admit);
+}
+
+TEST_CASE("Crashes: the table is bounded, and a refused part outlasts forged ones")
+{
+  CrashSuspects::Limits limits;
+  limits.m_max_parts = 100;
+  Trace trace(limits);
+  trace.RunSound(300);
+  trace.CrashesUntilRefused({ { kBad } });
+  for (int i = 0; i < 1'000; ++i) {
+    trace.Run({ PromptPart("f" + std::to_string(i)) }, SlotOutcome::Complete);
+  }
+  const auto suspected = trace.m_suspects.All(trace.m_now);
+  REQUIRE(suspected.size() == 1);
+  CHECK(suspected[0].m_part == kBad);
+}
+
+TEST_CASE("Crashes: parts that always occur together are refused together")
+{
+  Trace trace;
+  trace.RunSound(300);
+  const PromptPart companion("c1");
+  CHECK(trace.CrashesUntilRefused({ { kCommon, companion, kBad } }) <= 3);
+  CHECK(trace.Judge(companion) == Verdict::Refuse);
+  CHECK(trace.Judge(kCommon) == Verdict::Admit);
+}
+
+TEST_CASE("Crashes: a scheduler refuses harmful requests at once, and lets suspected ones wait")
+{
+  SlotScheduler scheduler{ SlotSchedulerLimits() };
+  std::vector<SlotEndpointInfo> infos;
+  for (const char* id : { "a", "b", "c", "d", "e" }) {
+    infos.push_back({ EndpointId(id), DataCenterName("dc"), 4, 1, SoftwareVersion("v1"), {} });
+  }
+  scheduler.SetEndpoints(infos, At(0));
+  std::uint64_t number = 0;
+  const auto request = [&](const PromptPart& aPart, TimePoint aNow) {
+    SlotRequest request;
+    request.m_request_id = IdOf(++number);
+    request.m_arrived_at = aNow;
+    request.m_objective_at = aNow + Milliseconds(800);
+    request.m_abandoned_at = aNow + Milliseconds(8'000);
+    request.m_prompt_parts = { kCommon, aPart };
+    scheduler.RequestSlot(request, aNow);
+  };
+  for (int i = 0; i < 300; ++i) {
+    request(Session(1), At(0));
+    const SlotGrant grant = scheduler.Decide(At(0)).m_grants.at(0);
+    scheduler.RecordEnded(grant.m_request_id, grant.m_endpoint, SlotOutcome::Complete, At(0));
+  }
+  TimePoint now = At(0);
+  SlotDecisions decisions;
+  int crashes = 0;
+  for (; crashes < 5 && decisions.m_refusals.empty(); ++crashes) {
+    now += Milliseconds(3'000);
+    request(kBad, now);
+    request(kBad, now);
+    request(Session(2), now);
+    decisions = scheduler.Decide(now);
+    if (!decisions.m_refusals.empty()) {
+      break;
+    }
+    // After the first crash the second request with the part waits for the end of the first.
+    CHECK(decisions.m_grants.size() == (crashes == 0 ? 3 : 2));
+    // The others end before the endpoint crashes.
+    for (auto grant = decisions.m_grants.rbegin(); grant != decisions.m_grants.rend(); ++grant) {
+      const bool is_sound = grant->m_request_id.m_number == number;
+      const bool is_second = grant->m_request_id.m_number + 1 == number;
+      const SlotOutcome end = is_second ? SlotOutcome::Cancelled : SlotOutcome::Broken;
+      scheduler.RecordEnded(
+        grant->m_request_id, grant->m_endpoint, is_sound ? SlotOutcome::Complete : end, now);
+    }
+    scheduler.Withdraw(IdOf(number - 1));
+  }
+  CHECK(crashes <= 3);
+  REQUIRE(decisions.m_refusals.size() == 2);
+  CHECK(decisions.m_refusals[0].m_reason == SlotRefusalReason::HarmfulPrompt);
+  CHECK(decisions.m_grants.size() == 1);
+}
--- a/Tests/Unit/TestRateLimits.cpp
+++ b/Tests/Unit/TestRateLimits.cpp
@@ -194,7 +194,7 @@
   SlotScheduler scheduler{ SlotSchedulerLimits() };
   scheduler.SetEndpoints({ InfoOf("a", RequestRate{ 2 }) }, kStart);
   const SlotRequestId adopted{ Incarnation("d"), 1 };
-  scheduler.RecordHeld(adopted, EndpointId("a"), RequestWork(), At(100));
+  scheduler.RecordHeld(adopted, EndpointId("a"), RequestWork(), {}, At(100));
   CHECK_FALSE(scheduler.RecordStatedLimit({ EndpointId("a"), 1 }, std::nullopt, adopted, At(200)));
   scheduler.RequestSlot(RequestOf(2, 0, At(1'000)), At(1'000));
   const SlotDecisions decisions = scheduler.Decide(At(1'000));
--- a/Tests/Unit/TestSlotMessages.cpp
+++ b/Tests/Unit/TestSlotMessages.cpp
@@ -37,7 +37,10 @@
            StreamOriginsMessage{
              service, { { { "stream-1", endpoint, SoftwareVersion("v1") }, Milliseconds(5) } } },
            StreamLookupMessage{ 7, service, "stream-1" },
-           StreamVersionMessage{ 7, SoftwareVersion("v1") } };
+           StreamVersionMessage{ 7, SoftwareVersion("v1") },
+           PromptPartsMessage{ 7, { PromptPart("5c"), PromptPart("e4") } },
+           AcquittalMessage{ service, 7 },
+           PartSuspicionsMessage{ service, { { PromptPart("5c"), 0.5, 2, Milliseconds(7) } } } };
 }
 
 }
