Measure and soak prompts that crash endpoints

TestCrashLoad plays engines that crash under one bad part or two, and for other reasons, against three policies. In the soak, every second seed sends requests with a part that crashes endpoints; CrashChecker bounds what reaches them after the fifth crash.

--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -34,6 +34,8 @@
 constexpr unsigned kVersions = 3;
 // An endpoint that leaves goes on for at least this long.
 constexpr Ms kLeavingTime{ 2'500 };
+// Time from the crash of an endpoint to its next start.
+constexpr Ms kRestartTime{ 1'500 };
 
 /// How an endpoint deviates from a correct response.
 enum class EndpointFault
@@ -91,6 +93,8 @@
     return m_version;
   }
 
+  /// Whether the endpoint has crashed since the last call.
+  bool TakeCrash() { return m_has_crashed.exchange(false); }
   void Leave() { m_is_leaving = true; }
   bool IsLeaving() const { return m_is_leaving; }
 
@@ -121,6 +125,12 @@
     m_checker.RecordExecution(id, kind, events.m_first);
     constexpr int kMaxWorkMs = 20;
     std::this_thread::sleep_for(Ms(1 + DrawNumber() % kMaxWorkMs));
+    if (aRequest.Header("x-prefix-hash").find(kHarmfulPart) != std::string::npos) {
+      m_checker.RecordCrash();
+      m_has_crashed = true;
+      aConnection.WaitForClose();
+      return false;
+    }
     if (fault == EndpointFault::ResetConnection) {
       aConnection.Reset();
       return false;
@@ -265,6 +275,7 @@
   std::string m_version = "v1";
   std::atomic<int> m_incarnation = 1;
   std::atomic<bool> m_is_leaving = false;
+  std::atomic<bool> m_has_crashed = false;
   std::mt19937 m_random;
 };
 
@@ -299,13 +310,15 @@
           std::make_unique<SoakCaller>(m_cluster,
                                        m_options.m_daemons,
                                        m_checker,
-                                       m_options.m_seed * 1'000 + static_cast<unsigned>(i)));
+                                       m_options.m_seed * 1'000 + static_cast<unsigned>(i),
+                                       m_options.m_seed % 2 == 0));
       }
       while (Clock::now() - m_start < m_options.m_length) {
         Inject();
         const Clock::time_point next = Clock::now() + Ms(m_random() % kMaxPauseMs);
         while (Clock::now() < next) {
           RunDueActions(Clock::now());
+          RestartCrashedEndpoints();
           std::this_thread::sleep_for(Ms(5));
         }
         CheckDaemons();
@@ -313,14 +326,16 @@
       // Faults in progress end at their scheduled time: a daemon that was asked to stop has its
       // whole grace period.
       while (!m_scheduled_actions.empty()) {
-        std::this_thread::sleep_until(m_scheduled_actions.top().m_at);
+        RestartCrashedEndpoints();
         RunDueActions(Clock::now());
+        std::this_thread::sleep_for(Ms(5));
       }
       CheckRecovery();
     }
     m_checker.CheckNotExecuted();
     m_checker.CheckLimits();
     m_checker.CheckLeaving();
+    m_checker.CheckCrashes();
     return Result();
   }
 
@@ -584,6 +599,24 @@
     });
   }
 
+  /// Cuts the connections of endpoints that have crashed, and starts them again under another id.
+  void RestartCrashedEndpoints()
+  {
+    for (std::size_t endpoint = 0; endpoint < m_options.m_endpoints; ++endpoint) {
+      if (!m_endpoints[endpoint]->TakeCrash()) {
+        continue;
+      }
+      RecordFault(absl::StrCat("endpoint ", endpoint, " crashes under a prompt"));
+      m_cluster.CommandEndpointProxy(
+        endpoint, { { "fault", "refuse" }, { "cut_open", true }, { "reset", false } });
+      const int incarnation = ++m_last_incarnation;
+      ScheduleAfter(kRestartTime, [this, endpoint, incarnation] {
+        m_cluster.CommandEndpointProxy(endpoint, NoFault());
+        Start(endpoint, false, "", incarnation);
+      });
+    }
+  }
+
   void Reconfigure()
   {
     RecordFault("publish a new configuration version");
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -37,6 +37,7 @@
 /// - no request was executed whose response says that it was not;
 /// - responses are correct, and belong to the caller's own request;
 /// - no endpoint received further requests after it had said that it leaves;
+/// - few requests with a part that crashes endpoints reach them after the fifth crash;
 /// - no daemon exited by itself, and each daemon that was stopped exited with status 0 in time;
 /// - each daemon serves all kinds of requests again once the faults are over.
 /// The seed determines which faults are injected and when; the timing of the processes differs from
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -21,6 +21,9 @@
 constexpr int kMaxResumes = 3;
 constexpr std::chrono::milliseconds kResumePause{ 30 };
 constexpr int kOk = 200;
+// One request in this many has a part in its prompt that crashes endpoints.
+constexpr unsigned kHarmfulOneIn = 120;
+constexpr unsigned kSessions = 8;
 
 /// The number of whole events in the body of a stream.
 int
@@ -38,11 +41,13 @@
 SoakCaller::SoakCaller(const GatewayCluster& aCluster,
                        std::size_t aDaemons,
                        SoakChecker& aChecker,
-                       unsigned aSeed)
+                       unsigned aSeed,
+                       bool aIsHarmful)
   : m_cluster(aCluster)
   , m_daemons(aDaemons)
   , m_checker(aChecker)
   , m_seed(aSeed)
+  , m_is_harmful(aIsHarmful)
   , m_random(aSeed)
   , m_thread([this] { Run(); })
 {
@@ -75,7 +80,8 @@
     if (!reuses_connection) {
       CloseConnection();
     }
-    const SoakRequest request{ id, &kind, daemon, id };
+    SoakRequest request{ id, &kind, daemon, id };
+    request.m_is_harmful = m_is_harmful && m_random() % kHarmfulOneIn == 0;
     const CallerResponse response = Send(request);
     if (kind.m_is_stream && kind.m_is_idempotent) {
       Resume(request, response);
@@ -84,6 +90,18 @@
   }
 }
 
+std::string
+SoakCaller::PromptOf(const SoakRequest& aRequest)
+{
+  return absl::StrCat("X-Prefix-Hash: c0:60,",
+                      aRequest.m_is_harmful ? absl::StrCat(kHarmfulPart, ":40,") : "",
+                      "5e",
+                      m_random() % kSessions,
+                      ":400,",
+                      absl::Hex(m_random()),
+                      ":200\r\n");
+}
+
 CallerResponse
 SoakCaller::Send(const SoakRequest& aRequest)
 {
@@ -101,6 +119,7 @@
                           aRequest.m_id,
                           "\r\nAuthorization: Bearer key-1\r\nX-Deadline-Ms: 3000\r\n",
                           resume_fields,
+                          PromptOf(aRequest),
                           "Content-Length: 4\r\n\r\nbody"));
   m_checker.RecordResponse(aRequest, response);
   if (!response.m_is_complete || response.Header("connection") == "close") {
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -13,10 +13,12 @@
 class SoakCaller
 {
 public:
+  /// aIsHarmful: whether some of its prompts have a part that crashes endpoints.
   SoakCaller(const GatewayCluster& aCluster,
              std::size_t aDaemons,
              SoakChecker& aChecker,
-             unsigned aSeed);
+             unsigned aSeed,
+             bool aIsHarmful);
   /// Waits for the request in progress.
   ~SoakCaller();
   SoakCaller(const SoakCaller&) = delete;
@@ -30,11 +32,14 @@
   void Resume(SoakRequest aRequest, CallerResponse aResponse);
   CallerResponse Exchange(std::size_t aDaemon, const std::string& aRequest);
   void CloseConnection();
+  /// The header field with the parts of a request's prompt.
+  std::string PromptOf(const SoakRequest& aRequest);
 
   const GatewayCluster& m_cluster;
   std::size_t m_daemons;
   SoakChecker& m_checker;
   unsigned m_seed;
+  bool m_is_harmful;
   std::mt19937 m_random;
   int m_socket = -1;
   std::size_t m_connected_to = 0;
--- a/Tests/Soak/SoakChecker.cpp
+++ b/Tests/Soak/SoakChecker.cpp
@@ -79,6 +79,9 @@
     return;
   }
   const std::size_t daemon = found->second.m_daemon;
+  if (found->second.m_is_harmful && aIncarnation) {
+    m_crashes.RecordArrival(kHarmfulPart, daemon);
+  }
   m_limits.at(aEndpoint)->RecordArrival(daemon);
   if (aIncarnation) {
     m_leaving.at(aEndpoint)->RecordArrival(
@@ -99,6 +102,15 @@
   for (const auto& leaving : m_leaving) {
     leaving->RecordDisturbance(aDaemon);
   }
+  m_crashes.RecordDisturbance(aDaemon, aIsOver);
+}
+
+void
+SoakChecker::CheckCrashes()
+{
+  for (const std::string& violation : m_crashes.Violations()) {
+    RecordViolation(violation);
+  }
 }
 
 void
--- a/Tests/Soak/SoakChecker.h
+++ b/Tests/Soak/SoakChecker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CrashChecker.h"
 #include "GatewayCluster.h"
 #include "LeavingChecker.h"
 #include "StatedLimitChecker.h"
@@ -36,10 +37,15 @@
   std::string m_stream;
   /// The first event that the caller expects.
   int m_first_event = 1;
+  /// Whether its prompt has the part that crashes endpoints.
+  bool m_is_harmful = false;
 
   bool ResumesStream() const { return m_stream != m_id; }
 };
 
+/// The part of a prompt that crashes endpoints.
+inline constexpr const char* kHarmfulPart = "bad0";
+
 /// Number of events in a complete stream.
 inline constexpr int kEventsPerStream = 6;
 
@@ -71,6 +77,8 @@
   /// Called when an endpoint begins to execute a request. aFirstEvent is the first event that it
   /// will send: above 1 when a stream is resumed.
   void RecordExecution(const std::string& aRequestId, const SoakKind& aKind, int aFirstEvent);
+  /// Called when an endpoint crashes under a prompt.
+  void RecordCrash() { m_crashes.RecordCrash(kHarmfulPart); }
   /// Called when a caller has received a response, complete or not, or has none to expect.
   void RecordResponse(const SoakRequest& aRequest, const CallerResponse& aResponse);
   /// A daemon is stopped, killed or paused, or serves again.
@@ -80,6 +88,8 @@
   void CheckLimits();
   /// Checks that no endpoint received requests after it had said that it leaves.
   void CheckLeaving();
+  /// Checks that requests which crash endpoints are refused after a few crashes.
+  void CheckCrashes();
   void RecordViolation(const std::string& aWhat);
 
   /// Checks that no request was executed whose caller received a status that says that it was not.
@@ -109,6 +119,7 @@
   std::map<std::string, LeavingChecker::Clock::time_point> m_sent_at;
   std::vector<std::unique_ptr<StatedLimitChecker>> m_limits;
   std::vector<std::unique_ptr<LeavingChecker>> m_leaving;
+  CrashChecker m_crashes;
   /// The versions whose events callers received, for each stream.
   std::map<std::string, std::set<std::string>> m_versions;
   std::map<int, int> m_responses;
--- /dev/null
+++ b/Tests/Unit/TestCrashLoad.cpp
@@ -0,0 +1,366 @@
+#include <LibPlacement/SlotScheduler.h>
+
+#include <doctest.h>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+
+using namespace auburnhitch;
+
+namespace {
+
+using Ms = std::chrono::duration<double, std::milli>;
+
+TimePoint
+At(double aMs)
+{
+  return TimePoint() + std::chrono::duration_cast<Duration>(Ms(aMs));
+}
+
+constexpr std::size_t kEndpoints = 9;
+constexpr int kSlots = 4;
+constexpr double kDurationMs = 60'000;
+constexpr double kBadFromMs = 10'000;
+constexpr double kBadPerSecond = 3;
+constexpr double kDownMs = 3'000;
+// An endpoint that crashes under a prompt does so this long after it began to respond.
+constexpr double kTimeToCrashMs = 60;
+constexpr int kSessions = 40;
+
+/// What refuses requests because of their prompt.
+enum class Policy
+{
+  None,
+  /// Three crashes in a row without a whole response between them.
+  Count,
+  /// CrashSuspects.
+  Likelihood,
+};
+
+struct Load
+{
+  int m_bad_parts = 0;
+  /// Crashes for other reasons, over all endpoints.
+  double m_crashes_per_second = 0;
+};
+
+struct Result
+{
+  int m_crashes = 0;
+  int m_bad_crashes = 0;
+  int m_sound = 0;
+  int m_in_time = 0;
+  /// Sound requests that were refused for their prompt.
+  int m_false_alarms = 0;
+
+  double InTimeShare() const { return static_cast<double>(m_in_time) / m_sound; }
+  double FalseAlarmShare() const { return static_cast<double>(m_false_alarms) / m_sound; }
+};
+
+/// Simulates a scheduler before engines of which some crash. Sound requests share a part, that of
+/// their session, and callers with the bad ones.
+class CrashSimulation
+{
+public:
+  CrashSimulation(unsigned aSeed, Policy aPolicy, Load aLoad)
+    : m_random(aSeed)
+    , m_policy(aPolicy)
+    , m_load(aLoad)
+    , m_scheduler(SlotSchedulerLimits())
+  {
+    for (std::size_t i = 0; i < kEndpoints; ++i) {
+      m_ids.push_back(NewId());
+    }
+    Register();
+  }
+
+  Result Run()
+  {
+    constexpr double kSoundPerSecond = 38;
+    ScheduleEach(0, kSoundPerSecond, [this] { Arrive(-1); });
+    for (int part = 0; part < m_load.m_bad_parts; ++part) {
+      ScheduleEach(kBadFromMs, kBadPerSecond, [this, part] { Arrive(part); });
+    }
+    if (m_load.m_crashes_per_second > 0) {
+      ScheduleEach(0, m_load.m_crashes_per_second, [this] { Crash(m_random() % kEndpoints); });
+    }
+    while (!m_events.empty()) {
+      const Event event = m_events.top();
+      m_events.pop();
+      m_now = event.m_at;
+      event.m_run();
+      for (SlotDecisions decisions = m_scheduler.Decide(At(m_now));
+           !decisions.m_grants.empty() || !decisions.m_refusals.empty();
+           decisions = m_scheduler.Decide(At(m_now))) {
+        Apply(decisions);
+      }
+    }
+    return m_result;
+  }
+
+private:
+  struct Event
+  {
+    double m_at;
+    std::uint64_t m_order;
+    std::function<void()> m_run;
+
+    bool operator<(const Event& aOther) const
+    {
+      return std::pair(m_at, m_order) > std::pair(aOther.m_at, aOther.m_order);
+    }
+  };
+
+  struct Request
+  {
+    int m_bad_part = -1;
+    double m_arrived = 0;
+    std::vector<PromptPart> m_parts;
+    bool m_has_begun = false;
+  };
+
+  void Schedule(double aAt, std::function<void()> aRun)
+  {
+    m_events.push({ aAt, ++m_last_event, std::move(aRun) });
+  }
+
+  void ScheduleEach(double aFrom, double aPerSecond, const std::function<void()>& aRun)
+  {
+    const double at = aFrom + std::exponential_distribution<double>(aPerSecond)(m_random) * 1'000;
+    if (at < kDurationMs) {
+      Schedule(at, [this, at, aPerSecond, aRun] {
+        aRun();
+        ScheduleEach(at, aPerSecond, aRun);
+      });
+    }
+  }
+
+  EndpointId NewId() { return EndpointId("e" + std::to_string(++m_last_id)); }
+
+  void Register()
+  {
+    std::vector<SlotEndpointInfo> infos;
+    for (const EndpointId& id : m_ids) {
+      infos.push_back({ id, DataCenterName("dc"), kSlots, 1, SoftwareVersion("v1"), {} });
+    }
+    m_scheduler.SetEndpoints(infos, At(m_now));
+  }
+
+  void Arrive(int aBadPart)
+  {
+    const std::uint64_t number = ++m_last_number;
+    Request& request = m_requests[number];
+    request.m_bad_part = aBadPart;
+    request.m_arrived = m_now;
+    // Some sessions are asked for often, most rarely.
+    const double drawn = std::uniform_real_distribution<double>(0, 1)(m_random);
+    const int session = static_cast<int>(kSessions * drawn * drawn);
+    request.m_parts = { PromptPart("c0"), PromptPart("5e" + std::to_string(session)) };
+    if (aBadPart >= 0) {
+      request.m_parts.insert(request.m_parts.begin() + 1,
+                             PromptPart("bad" + std::to_string(aBadPart)));
+    }
+    const bool is_sound = aBadPart < 0;
+    m_result.m_sound += is_sound ? 1 : 0;
+    if (m_policy == Policy::Count && CountRefuses(request.m_parts)) {
+      m_result.m_false_alarms += is_sound ? 1 : 0;
+      return;
+    }
+    SlotRequest slot;
+    slot.m_request_id = { Incarnation("d"), number };
+    slot.m_work = { 2'500, 110 };
+    slot.m_arrived_at = At(m_now);
+    slot.m_objective_at = At(m_now + 800);
+    slot.m_abandoned_at = At(m_now + 3'200);
+    slot.m_data_center = DataCenterName("dc");
+    if (m_policy == Policy::Likelihood) {
+      slot.m_prompt_parts = request.m_parts;
+    }
+    m_scheduler.RequestSlot(slot, At(m_now));
+    Schedule(m_now + 3'200, [] {});
+  }
+
+  bool CountRefuses(const std::vector<PromptPart>& aParts) const
+  {
+    constexpr int kMaxCrashesInARow = 3;
+    return std::any_of(aParts.begin(), aParts.end(), [&](const PromptPart& aPart) {
+      const auto found = m_crashes_in_a_row.find(aPart);
+      return found != m_crashes_in_a_row.end() && found->second >= kMaxCrashesInARow;
+    });
+  }
+
+  void Apply(const SlotDecisions& aDecisions)
+  {
+    for (const SlotRefusal& refusal : aDecisions.m_refusals) {
+      const Request& request = m_requests.at(refusal.m_request_id.m_number);
+      const bool is_alarm = refusal.m_reason == SlotRefusalReason::HarmfulPrompt;
+      m_result.m_false_alarms += is_alarm && request.m_bad_part < 0 ? 1 : 0;
+    }
+    for (const SlotGrant& grant : aDecisions.m_grants) {
+      Serve(grant);
+    }
+  }
+
+  void Serve(const SlotGrant& aGrant)
+  {
+    const auto found = std::find(m_ids.begin(), m_ids.end(), aGrant.m_endpoint);
+    const auto endpoint = static_cast<std::size_t>(found - m_ids.begin());
+    const std::uint64_t number = aGrant.m_request_id.m_number;
+    if (found == m_ids.end() || m_down.contains(endpoint)) {
+      m_scheduler.RecordEnded(
+        aGrant.m_request_id, aGrant.m_endpoint, SlotOutcome::Unreachable, At(m_now));
+      return;
+    }
+    m_running[endpoint].push_back(aGrant);
+    const double first = std::lognormal_distribution<double>(4.2, 0.5)(m_random);
+    const double rest = std::lognormal_distribution<double>(6.2, 0.7)(m_random);
+    const bool is_bad = m_requests.at(number).m_bad_part >= 0;
+    Schedule(m_now + first, [this, aGrant, endpoint, number, is_bad] {
+      if (!IsRunning(endpoint, number)) {
+        return;
+      }
+      if (is_bad) {
+        Schedule(m_now + kTimeToCrashMs, [this, endpoint, number] {
+          if (IsRunning(endpoint, number)) {
+            ++m_result.m_bad_crashes;
+            Crash(endpoint);
+          }
+        });
+        return;
+      }
+      m_requests.at(number).m_has_begun = m_now - m_requests.at(number).m_arrived <= 800;
+      m_scheduler.RecordStarted(aGrant.m_request_id, aGrant.m_endpoint, At(m_now));
+    });
+    if (!is_bad) {
+      Schedule(m_now + first + rest, [this, endpoint, number] { Complete(endpoint, number); });
+    }
+  }
+
+  bool IsRunning(std::size_t aEndpoint, std::uint64_t aNumber)
+  {
+    const auto& running = m_running[aEndpoint];
+    return std::any_of(running.begin(), running.end(), [&](const SlotGrant& aGrant) {
+      return aGrant.m_request_id.m_number == aNumber;
+    });
+  }
+
+  void Complete(std::size_t aEndpoint, std::uint64_t aNumber)
+  {
+    auto& running = m_running[aEndpoint];
+    const auto found = std::find_if(running.begin(), running.end(), [&](const SlotGrant& aGrant) {
+      return aGrant.m_request_id.m_number == aNumber;
+    });
+    if (found == running.end()) {
+      return;
+    }
+    const SlotGrant grant = *found;
+    running.erase(found);
+    const Request& request = m_requests.at(aNumber);
+    m_result.m_in_time += request.m_has_begun ? 1 : 0;
+    for (const PromptPart& part : request.m_parts) {
+      m_crashes_in_a_row.erase(part);
+    }
+    m_scheduler.RecordEnded(grant.m_request_id, grant.m_endpoint, SlotOutcome::Complete, At(m_now));
+  }
+
+  void Crash(std::size_t aEndpoint)
+  {
+    if (!m_down.insert(aEndpoint).second) {
+      return;
+    }
+    ++m_result.m_crashes;
+    std::set<PromptPart> blamed;
+    for (const SlotGrant& grant : std::exchange(m_running[aEndpoint], {})) {
+      const Request& request = m_requests.at(grant.m_request_id.m_number);
+      blamed.insert(request.m_parts.begin(), request.m_parts.end());
+      m_scheduler.RecordEnded(grant.m_request_id, grant.m_endpoint, SlotOutcome::Broken, At(m_now));
+    }
+    for (const PromptPart& part : blamed) {
+      ++m_crashes_in_a_row[part];
+    }
+    Schedule(m_now + kDownMs, [this, aEndpoint] {
+      m_down.erase(aEndpoint);
+      m_ids[aEndpoint] = NewId();
+      Register();
+    });
+  }
+
+  std::mt19937 m_random;
+  Policy m_policy;
+  Load m_load;
+  SlotScheduler m_scheduler;
+  double m_now = 0;
+  std::uint64_t m_last_event = 0;
+  std::uint64_t m_last_number = 0;
+  int m_last_id = 0;
+  std::vector<EndpointId> m_ids;
+  std::set<std::size_t> m_down;
+  std::map<std::size_t, std::vector<SlotGrant>> m_running;
+  std::map<std::uint64_t, Request> m_requests;
+  std::map<PromptPart, int> m_crashes_in_a_row;
+  std::priority_queue<Event> m_events;
+  Result m_result;
+};
+
+Result
+Simulate(Policy aPolicy, Load aLoad)
+{
+  constexpr unsigned kSeeds = 5;
+  Result sum;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    const Result result = CrashSimulation(seed, aPolicy, aLoad).Run();
+    sum.m_crashes += result.m_crashes;
+    sum.m_bad_crashes += result.m_bad_crashes;
+    sum.m_sound += result.m_sound;
+    sum.m_in_time += result.m_in_time;
+    sum.m_false_alarms += result.m_false_alarms;
+  }
+  MESSAGE("policy ",
+          static_cast<int>(aPolicy),
+          ", bad parts ",
+          aLoad.m_bad_parts,
+          ", other crashes a second ",
+          aLoad.m_crashes_per_second,
+          ": crashes ",
+          sum.m_crashes,
+          ", under a bad part ",
+          sum.m_bad_crashes,
+          ", in time ",
+          sum.InTimeShare(),
+          ", false alarms ",
+          sum.FalseAlarmShare());
+  return sum;
+}
+
+}
+
+TEST_CASE("Crash load: bad parts cost few endpoints, and sound requests are served in time")
+{
+  for (const int bad_parts : { 1, 2 }) {
+    for (const double crashes_per_second : { 0.0, 0.1, 0.5 }) {
+      const Load load{ bad_parts, crashes_per_second };
+      const Result none = Simulate(Policy::None, load);
+      Simulate(Policy::Count, load);
+      const Result likelihood = Simulate(Policy::Likelihood, load);
+      // In each of five runs, five crashes and three more requests for each bad part.
+      constexpr int kMaxCrashes = 5 * 8;
+      CHECK(none.m_bad_crashes > bad_parts * kMaxCrashes);
+      CHECK(likelihood.m_bad_crashes <= bad_parts * kMaxCrashes);
+      CHECK(likelihood.FalseAlarmShare() <= 0.02);
+      CHECK(likelihood.InTimeShare() > none.InTimeShare());
+    }
+  }
+}
+
+TEST_CASE("Crash load: no sound request is refused for crashes that have other reasons")
+{
+  for (const double crashes_per_second : { 0.1, 0.5, 1.0 }) {
+    const Load load{ 0, crashes_per_second };
+    const Result none = Simulate(Policy::None, load);
+    Simulate(Policy::Count, load);
+    const Result likelihood = Simulate(Policy::Likelihood, load);
+    CHECK(likelihood.FalseAlarmShare() <= 0.02);
+    CHECK(likelihood.InTimeShare() >= none.InTimeShare() - 0.02);
+  }
+}
