Count a crash against a part only if its request was granted after the last one

Found by weighing the kinds of trouble that crash a share of the endpoints.

Evidence is now independent only if the request was granted after its part was blamed last, which costs nothing against a bad part, since its requests run one at a time by then; and one crash never casts suspicion on a part that sound requests share.

--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 #include <tuple>
 
 namespace auburnhitch {
@@ -26,6 +25,9 @@
 // Initial base rate, and the number of requests that it counts for.
 constexpr double kInitialBaseRate = 0.01;
 constexpr double kInitialWeight = 100;
+// Bounds the evidence of one crash, so that a single one does not cast suspicion on a part that
+// many sound requests share.
+constexpr double kMinBaseRate = 3e-3;
 // Half of what is known about the base rate is forgotten after this time.
 constexpr double kBaseRateHalfLifeMs = 60'000;
 constexpr int kMaxDoublings = 6;
@@ -102,7 +104,8 @@
 double
 CrashSuspects::BaseRate() const
 {
-  return (m_unexplained + kInitialBaseRate * kInitialWeight) / (m_ended + kInitialWeight);
+  return std::max(kMinBaseRate,
+                  (m_unexplained + kInitialBaseRate * kInitialWeight) / (m_ended + kInitialWeight));
 }
 
 void
@@ -144,7 +147,7 @@
   if (const auto found = m_runs.find(aRequestId); found != m_runs.end()) {
     EndRun(found->second);
   }
-  m_runs[aRequestId] = Run{ aEndpoint, aParts, std::nullopt };
+  m_runs[aRequestId] = Run{ aEndpoint, aParts, aNow, std::nullopt };
   for (const PromptPart& id : aParts) {
     ++PartOf(id, aNow).m_running;
   }
@@ -257,17 +260,24 @@
   return found == m_crashes.end() ? nullptr : &*found;
 }
 
-std::vector<PromptPart>
-CrashSuspects::PartsInDoubt(const EndpointId& aEndpoint, TimePoint aNow) const
+std::map<PromptPart, CrashSuspects::PartInDoubt>
+CrashSuspects::PartsInDoubt(const EndpointId& aEndpoint, TimePoint aNow)
 {
-  std::set<PromptPart> parts;
-  for (const auto& [id, run] : m_runs) {
-    if (run.m_endpoint == aEndpoint &&
-        (!run.m_started_at || aNow - *run.m_started_at <= kMaxTimeToCrash)) {
-      parts.insert(run.m_parts.begin(), run.m_parts.end());
+  std::map<PromptPart, PartInDoubt> in_doubt;
+  for (const auto& [request, run] : m_runs) {
+    if (run.m_endpoint != aEndpoint ||
+        (run.m_started_at && aNow - *run.m_started_at > kMaxTimeToCrash)) {
+      continue;
+    }
+    for (const PromptPart& id : run.m_parts) {
+      const Part& part = PartOf(id, aNow);
+      PartInDoubt& entry = in_doubt[id];
+      entry.m_log_odds = part.m_log_odds;
+      entry.m_is_independent =
+        entry.m_is_independent || !part.m_blamed_at || run.m_granted_at >= *part.m_blamed_at;
     }
   }
-  return { parts.begin(), parts.end() };
+  return in_doubt;
 }
 
 void
@@ -285,29 +295,28 @@
       crash.m_runs.push_back(id);
     }
   }
-  const std::vector<PromptPart> parts = PartsInDoubt(aRun.m_endpoint, aNow);
-  std::vector<double> log_odds;
-  log_odds.reserve(parts.size());
-  for (const PromptPart& id : parts) {
-    log_odds.push_back(PartOf(id, aNow).m_log_odds);
-  }
+  const std::map<PromptPart, PartInDoubt> in_doubt = PartsInDoubt(aRun.m_endpoint, aNow);
   const double base_rate = BaseRate();
   // The probability that no part with log odds above a bound crashed the endpoint, nor anything
   // else.
   const auto no_cause_above = [&](double aBound) {
     double no_cause = 1 - base_rate;
-    for (const double odds : log_odds) {
-      no_cause *= odds > aBound ? 1 - ProbabilityOf(odds) : 1;
+    for (const auto& [id, doubt] : in_doubt) {
+      no_cause *= doubt.m_log_odds > aBound ? 1 - ProbabilityOf(doubt.m_log_odds) : 1;
     }
     return no_cause;
   };
-  for (std::size_t i = 0; i < parts.size(); ++i) {
-    Part& part = PartOf(parts[i], aNow);
+  for (const auto& [id, doubt] : in_doubt) {
+    if (!doubt.m_is_independent) {
+      continue;
+    }
+    Part& part = PartOf(id, aNow);
     // Parts that always occur together cannot be told apart, and must not excuse each other.
-    const double evidence = -std::log(1 - no_cause_above(log_odds[i] + kExcuseMargin));
+    const double evidence = -std::log(1 - no_cause_above(doubt.m_log_odds + kExcuseMargin));
     ++part.m_crashes;
-    SetLogOdds(parts[i], part, log_odds[i] + evidence, aNow);
-    crash.m_evidence.emplace_back(parts[i], part.m_log_odds - log_odds[i]);
+    part.m_blamed_at = aNow;
+    SetLogOdds(id, part, doubt.m_log_odds + evidence, aNow);
+    crash.m_evidence.emplace_back(id, part.m_log_odds - doubt.m_log_odds);
   }
   crash.m_unexplained = no_cause_above(kMinLogOdds) / (1 - base_rate);
   m_unexplained += crash.m_unexplained;
--- a/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -4,6 +4,7 @@
 #include <LibPlacement/SlotRequest.h>
 #include <absl/container/flat_hash_map.h>
 #include <deque>
+#include <map>
 #include <vector>
 
 namespace auburnhitch {
@@ -108,6 +109,8 @@
     TimePoint m_used_at;
     /// Set while requests with the part are refused.
     std::optional<TimePoint> m_refused_until;
+    /// When it was blamed last.
+    std::optional<TimePoint> m_blamed_at;
     int m_failed_trials = 0;
     bool m_is_changed = false;
   };
@@ -116,9 +119,19 @@
   {
     EndpointId m_endpoint;
     std::vector<PromptPart> m_parts;
+    TimePoint m_granted_at;
     std::optional<TimePoint> m_started_at;
   };
 
+  /// A part of a request that ran at an endpoint when that crashed.
+  struct PartInDoubt
+  {
+    double m_log_odds = 0;
+    /// Whether the crash is evidence that is independent of the one before: the request was granted
+    /// after that. Many endpoints may crash at once.
+    bool m_is_independent = false;
+  };
+
   /// The end of an endpoint under several requests.
   struct Crash
   {
@@ -137,7 +150,7 @@
   void Decay(TimePoint aNow);
   void SetLogOdds(const PromptPart& aId, Part& aPart, double aLogOdds, TimePoint aNow);
   void MarkChanged(const PromptPart& aId, Part& aPart);
-  std::vector<PromptPart> PartsInDoubt(const EndpointId& aEndpoint, TimePoint aNow) const;
+  std::map<PromptPart, PartInDoubt> PartsInDoubt(const EndpointId& aEndpoint, TimePoint aNow);
   Crash* CrashOf(const SlotRequestId& aRequestId, const EndpointId& aEndpoint, TimePoint aNow);
   void RecordSound(const Run& aRun, TimePoint aNow);
   void RecordCrash(const SlotRequestId& aRequestId, const Run& aRun, TimePoint aNow);
--- a/Tests/Unit/TestCrashLoad.cpp
+++ b/Tests/Unit/TestCrashLoad.cpp
@@ -43,6 +43,8 @@
   int m_bad_parts = 0;
   /// Crashes for other reasons, over all endpoints.
   double m_crashes_per_second = 0;
+  /// How many endpoints crash at once for other reasons.
+  std::size_t m_crashes_at_once = 1;
 };
 
 struct Result
@@ -65,6 +67,7 @@
 public:
   CrashSimulation(unsigned aSeed, Policy aPolicy, Load aLoad)
     : m_random(aSeed)
+    , m_crash_random(aSeed)
     , m_policy(aPolicy)
     , m_load(aLoad)
     , m_scheduler(SlotSchedulerLimits())
@@ -78,12 +81,20 @@
   Result Run()
   {
     constexpr double kSoundPerSecond = 38;
-    ScheduleEach(0, kSoundPerSecond, [this] { Arrive(-1); });
+    ScheduleEach(m_random, 0, kSoundPerSecond, [this] { Arrive(-1); });
     for (int part = 0; part < m_load.m_bad_parts; ++part) {
-      ScheduleEach(kBadFromMs, kBadPerSecond, [this, part] { Arrive(part); });
+      ScheduleEach(m_random, kBadFromMs, kBadPerSecond, [this, part] { Arrive(part); });
     }
     if (m_load.m_crashes_per_second > 0) {
-      ScheduleEach(0, m_load.m_crashes_per_second, [this] { Crash(m_random() % kEndpoints); });
+      ScheduleEach(m_crash_random,
+                   0,
+                   m_load.m_crashes_per_second / static_cast<double>(m_load.m_crashes_at_once),
+                   [this] {
+                     const std::size_t first = m_crash_random() % kEndpoints;
+                     for (std::size_t i = 0; i < m_load.m_crashes_at_once; ++i) {
+                       Crash((first + i) % kEndpoints);
+                     }
+                   });
     }
     while (!m_events.empty()) {
       const Event event = m_events.top();
@@ -125,13 +136,16 @@
     m_events.push({ aAt, ++m_last_event, std::move(aRun) });
   }
 
-  void ScheduleEach(double aFrom, double aPerSecond, const std::function<void()>& aRun)
+  void ScheduleEach(std::mt19937& aRandom,
+                    double aFrom,
+                    double aPerSecond,
+                    const std::function<void()>& aRun)
   {
-    const double at = aFrom + std::exponential_distribution<double>(aPerSecond)(m_random) * 1'000;
+    const double at = aFrom + std::exponential_distribution<double>(aPerSecond)(aRandom) * 1'000;
     if (at < kDurationMs) {
-      Schedule(at, [this, at, aPerSecond, aRun] {
+      Schedule(at, [this, &aRandom, at, aPerSecond, aRun] {
         aRun();
-        ScheduleEach(at, aPerSecond, aRun);
+        ScheduleEach(aRandom, at, aPerSecond, aRun);
       });
     }
   }
@@ -287,6 +301,8 @@
   }
 
   std::mt19937 m_random;
+  /// Of its own, so that all policies meet the same crashes.
+  std::mt19937 m_crash_random;
   Policy m_policy;
   Load m_load;
   SlotScheduler m_scheduler;
@@ -322,6 +338,8 @@
           aLoad.m_bad_parts,
           ", other crashes a second ",
           aLoad.m_crashes_per_second,
+          ", at once ",
+          aLoad.m_crashes_at_once,
           ": crashes ",
           sum.m_crashes,
           ", under a bad part ",
@@ -355,8 +373,8 @@
 
 TEST_CASE("Crash load: no sound request is refused for crashes that have other reasons")
 {
-  for (const double crashes_per_second : { 0.1, 0.5, 1.0 }) {
-    const Load load{ 0, crashes_per_second };
+  for (const Load load :
+       { Load{ 0, 0.1 }, Load{ 0, 0.5 }, Load{ 0, 1.0 }, Load{ 0, 0.5, 3 }, Load{ 0, 0.9, 9 } }) {
     const Result none = Simulate(Policy::None, load);
     Simulate(Policy::Count, load);
     const Result likelihood = Simulate(Policy::Likelihood, load);
--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -151,6 +151,23 @@
   }
 }
 
+TEST_CASE(
+  "Crashes: many endpoints that crash at once cast little suspicion on what their requests share")
+{
+  Trace trace;
+  trace.RunSound(10'000);
+  constexpr std::uint64_t kEndpoints = 20;
+  for (std::uint64_t i = 0; i < kEndpoints; ++i) {
+    trace.m_suspects.Begin(IdOf(i, "x"), EndpointId(std::to_string(i)), { kCommon }, trace.m_now);
+  }
+  trace.m_now += Milliseconds(50);
+  for (std::uint64_t i = 0; i < kEndpoints; ++i) {
+    trace.m_suspects.RecordEnded(IdOf(i, "x"), SlotOutcome::Broken, false, trace.m_now);
+    trace.m_now += Milliseconds(1);
+  }
+  CHECK(trace.m_suspects.All(trace.m_now).empty());
+}
+
 TEST_CASE("Crashes: one that several daemons report is one piece of evidence")
 {
   CrashSuspects suspects;
