Tell other daemons of suspected prompt parts only above a threshold, in parts

While connections break for other reasons, a coordinator would have sent each change of each part to all daemons and logged it, and a full table in one message would have exceeded the 64 KB that a link accepts, which closes the link. Found by reading. Suspicions below 0.05 now stay with the coordinator, messages hold 100 at most, and only the coordinator's word replaces what a daemon knows: any other daemon may know less.

--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -234,8 +234,26 @@
 void
 SlotBroker::AnnounceSuspicions()
 {
-  for (auto& [service, suspicions] : m_coordinator.TakeSuspicionChanges(Now())) {
-    SendToAll(PartSuspicionsMessage{ service, std::move(suspicions) });
+  for (const auto& [service, suspicions] : m_coordinator.TakeSuspicionChanges(Now())) {
+    for (const PartSuspicionsMessage& message : DivideSuspicions(service, suspicions)) {
+      SendToAll(message);
+    }
+  }
+}
+
+void
+SlotBroker::OnSuspicions(const PartSuspicionsMessage& aMessage, const HostName& aSender)
+{
+  // Other daemons than the coordinator may know less.
+  const auto coordinator = m_coordinators.find(aMessage.m_service);
+  const bool is_coordinator = coordinator != m_coordinators.end() && coordinator->second == aSender;
+  CrashSuspects& suspects = m_coordinator.SuspectsOf(aMessage.m_service);
+  for (const PartSuspicion& suspicion : aMessage.m_suspicions) {
+    if (is_coordinator) {
+      suspects.Apply(suspicion, Now());
+    } else {
+      suspects.Merge(suspicion, Now());
+    }
   }
 }
 
@@ -273,10 +291,12 @@
       LinkTo(aCoordinator).Send(EncodeSlotMessage(notice));
     }
   }
-  std::vector<PartSuspicion> suspicions = m_coordinator.SuspectsOf(aService).All(Now());
-  if (!suspicions.empty() && !IsSelf(aCoordinator.m_host)) {
-    LinkTo(aCoordinator)
-      .Send(EncodeSlotMessage(PartSuspicionsMessage{ aService, std::move(suspicions) }));
+  if (IsSelf(aCoordinator.m_host)) {
+    return;
+  }
+  for (const PartSuspicionsMessage& message :
+       DivideSuspicions(aService, m_coordinator.SuspectsOf(aService).All(Now()))) {
+    LinkTo(aCoordinator).Send(EncodeSlotMessage(message));
   }
 }
 
@@ -338,35 +358,31 @@
     return;
   }
   std::visit(
-    Overloaded{ [&](const QueuedMessage& aQueued) {
-                 const auto found = m_outstanding.find(aQueued.m_number);
-                 if (found != m_outstanding.end()) {
-                   found->second.m_is_acknowledged = true;
-                 }
-               },
-                [&](const GrantMessage& aGrant) {
-                  Deliver(SlotGrant{ SlotRequestId{ m_incarnation, aGrant.m_number },
-                                     aGrant.m_endpoint,
-                                     aGrant.m_expected },
-                          aCoordinator);
-                },
-                [&](const RefusalMessage& aRefusal) {
-                  Deliver(SlotRefusal{ SlotRequestId{ m_incarnation, aRefusal.m_number },
-                                       aRefusal.m_reason,
-                                       aRefusal.m_retry_after },
-                          aCoordinator);
-                },
-                [&](const EndpointNoticeMessage& aNotice) { m_notices.OnInformed(aNotice, Now()); },
-                [&](const StreamVersionMessage& aVersion) { m_streams.OnVersion(aVersion); },
-                [&](const PartSuspicionsMessage& aSuspicions) {
-                  CrashSuspects& suspects = m_coordinator.SuspectsOf(aSuspicions.m_service);
-                  for (const PartSuspicion& suspicion : aSuspicions.m_suspicions) {
-                    suspects.Apply(suspicion, Now());
-                  }
-                },
-                [&](const auto&) {
-                  LogOf("broker").warn("event=message-unexpected home={}", aCoordinator.Value());
-                } },
+    Overloaded{
+      [&](const QueuedMessage& aQueued) {
+        const auto found = m_outstanding.find(aQueued.m_number);
+        if (found != m_outstanding.end()) {
+          found->second.m_is_acknowledged = true;
+        }
+      },
+      [&](const GrantMessage& aGrant) {
+        Deliver(SlotGrant{ SlotRequestId{ m_incarnation, aGrant.m_number },
+                           aGrant.m_endpoint,
+                           aGrant.m_expected },
+                aCoordinator);
+      },
+      [&](const RefusalMessage& aRefusal) {
+        Deliver(SlotRefusal{ SlotRequestId{ m_incarnation, aRefusal.m_number },
+                             aRefusal.m_reason,
+                             aRefusal.m_retry_after },
+                aCoordinator);
+      },
+      [&](const EndpointNoticeMessage& aNotice) { m_notices.OnInformed(aNotice, Now()); },
+      [&](const StreamVersionMessage& aVersion) { m_streams.OnVersion(aVersion); },
+      [&](const PartSuspicionsMessage& aSuspicions) { OnSuspicions(aSuspicions, aCoordinator); },
+      [&](const auto&) {
+        LogOf("broker").warn("event=message-unexpected home={}", aCoordinator.Value());
+      } },
     *message);
 }
 
@@ -510,9 +526,10 @@
         for (const EndpointNoticeMessage& notice : m_notices.NoticesForDaemon()) {
           aLink.m_link->Send(EncodeSlotMessage(notice));
         }
-        for (auto& [service, suspicions] : m_coordinator.Suspicions(now)) {
-          aLink.m_link->Send(
-            EncodeSlotMessage(PartSuspicionsMessage{ service, std::move(suspicions) }));
+        for (const auto& [service, suspicions] : m_coordinator.Suspicions(now)) {
+          for (const PartSuspicionsMessage& message : DivideSuspicions(service, suspicions)) {
+            aLink.m_link->Send(EncodeSlotMessage(message));
+          }
         }
       },
       [&](const PromptPartsMessage& aParts) { aLink.m_prompt_parts = aParts; },
@@ -520,10 +537,8 @@
         m_coordinator.SuspectsOf(aAcquittal.m_service).Acquit(id_of(aAcquittal.m_number));
       },
       [&](const PartSuspicionsMessage& aSuspicions) {
-        CrashSuspects& suspects = m_coordinator.SuspectsOf(aSuspicions.m_service);
-        for (const PartSuspicion& suspicion : aSuspicions.m_suspicions) {
-          suspects.Merge(suspicion, now);
-        }
+        // A daemon that requests slots here is not the coordinator.
+        OnSuspicions(aSuspicions, HostName());
       },
       [&](const EndpointNoticeMessage& aNotice) { OnReport(&aLink, aNotice); },
       [&](const RequiredVersionMessage& aRequired) { aLink.m_required_version = aRequired; },
--- a/Libraries/LibBroker/SlotMessages.cpp
+++ b/Libraries/LibBroker/SlotMessages.cpp
@@ -449,6 +449,20 @@
 
 }
 
+std::vector<PartSuspicionsMessage>
+DivideSuspicions(const ServiceName& aService, const std::vector<PartSuspicion>& aSuspicions)
+{
+  constexpr std::size_t kMaxInMessage = 100;
+  std::vector<PartSuspicionsMessage> messages;
+  for (const PartSuspicion& suspicion : aSuspicions) {
+    if (messages.empty() || messages.back().m_suspicions.size() == kMaxInMessage) {
+      messages.push_back({ aService, {} });
+    }
+    messages.back().m_suspicions.push_back(suspicion);
+  }
+  return messages;
+}
+
 nlohmann::json
 EncodeSlotMessage(const SlotMessage& aMessage)
 {
--- a/Libraries/LibBroker/include/LibBroker/LeavingEndpoints.h
+++ b/Libraries/LibBroker/include/LibBroker/LeavingEndpoints.h
@@ -21,7 +21,7 @@
     /// store, in which it is still registered, is seconds old.
     Milliseconds m_retention{ 60'000 };
     /// A release of all endpoints of the largest deployment fits.
-    std::size_t m_max_entries = 20'000;
+    std::size_t m_max_entries = 10'000;
     /// Time within which the registration of an endpoint that has started is read here, if the
     /// store can be reached; also the time after which an unreachable store is noticed.
     Milliseconds m_registration_lag{ 4'000 };
--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -177,6 +177,7 @@
   /// Handles a notice as coordinator. aLink is null for this daemon's own notices.
   void OnReport(InboundLink* aLink, const EndpointNoticeMessage& aNotice);
   void SendToAll(const SlotMessage& aMessage);
+  void OnSuspicions(const PartSuspicionsMessage& aMessage, const HostName& aSender);
   /// Informs all daemons of changes in what is known of prompts that crash endpoints.
   void AnnounceSuspicions();
   /// Reports what this daemon knows of endpoints' statements to a new coordinator.
--- a/Libraries/LibBroker/include/LibBroker/SlotMessages.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotMessages.h
@@ -201,6 +201,10 @@
   auto operator<=>(const PartSuspicionsMessage&) const = default;
 };
 
+/// Divides suspicions into messages that are well below the maximum size of a message on a link.
+std::vector<PartSuspicionsMessage>
+DivideSuspicions(const ServiceName& aService, const std::vector<PartSuspicion>& aSuspicions);
+
 using SlotMessage = std::variant<HelloMessage,
                                  SlotRequestMessage,
                                  WithdrawMessage,
--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -55,6 +55,7 @@
   , m_prior_log_odds(LogOddsOf(aLimits.m_prior))
   , m_refuse_log_odds(LogOddsOf(aLimits.m_refuse_from))
   , m_suspect_log_odds(LogOddsOf(aLimits.m_suspect_from))
+  , m_announce_log_odds(LogOddsOf(aLimits.m_announce_from))
 {
 }
 
@@ -121,7 +122,7 @@
 {
   const double before = aPart.m_log_odds;
   aPart.m_log_odds = std::clamp(aLogOdds, kMinLogOdds, kMaxLogOdds);
-  if (std::max(before, aPart.m_log_odds) >= m_suspect_log_odds) {
+  if (std::max(before, aPart.m_log_odds) >= m_announce_log_odds) {
     MarkChanged(aId, aPart);
   }
   if (aPart.m_log_odds < m_refuse_log_odds) {
@@ -425,7 +426,7 @@
 {
   std::vector<PartSuspicion> all;
   for (const auto& [id, part] : m_parts) {
-    if (part.m_log_odds >= m_suspect_log_odds) {
+    if (part.m_log_odds >= m_announce_log_odds) {
       all.push_back(SuspicionOf(id, part, aNow));
     }
   }
--- a/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -41,6 +41,9 @@
     double m_refuse_from = 0.98;
     /// Probability from which requests with a part run one at a time.
     double m_suspect_from = 0.01;
+    /// Probability from which other daemons are told. Connections that break for other reasons,
+    /// which may be many, leave their parts below it.
+    double m_announce_from = 0.05;
     /// How long a part is refused before one request is admitted as a trial; doubles with each
     /// trial that crashes an endpoint.
     Milliseconds m_first_refusal{ 60'000 };
@@ -91,9 +94,9 @@
   void Apply(const PartSuspicion& aSuspicion, TimePoint aNow);
   /// Applies what another daemon knows, unless more is known here.
   void Merge(const PartSuspicion& aSuspicion, TimePoint aNow);
-  /// The parts whose suspicion has changed since the last call.
+  /// What other daemons need to know of changes since the last call.
   std::vector<PartSuspicion> TakeChanges(TimePoint aNow);
-  /// All suspected parts.
+  /// All that other daemons need to know.
   std::vector<PartSuspicion> All(TimePoint aNow) const;
 
   /// Estimated probability that an endpoint crashes during a request for another reason than its
@@ -164,6 +167,7 @@
   double m_prior_log_odds;
   double m_refuse_log_odds;
   double m_suspect_log_odds;
+  double m_announce_log_odds;
   absl::flat_hash_map<PromptPart, Part> m_parts;
   absl::flat_hash_map<SlotRequestId, Run> m_runs;
   std::deque<Crash> m_crashes;
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -165,7 +165,7 @@
   "$UNIT" "Leaving: *"
 mutate "a prompt that crashes endpoints is refused: the daemons tell the next coordinator" \
   Libraries/LibPlacement/CrashSuspects.cpp \
-  's/if \(part.m_log_odds >= m_suspect_log_odds\) \{\n      all/if (false) {\n      all/' \
+  's/if \(part.m_log_odds >= m_announce_log_odds\) \{\n      all/if (false) {\n      all/' \
   "$UNIT" "Crashes: what one daemon knows*"
 mutate "a prompt that crashes endpoints is refused: the slot request carries its parts" \
   Libraries/LibBroker/SlotBroker.cpp \
@@ -179,6 +179,10 @@
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/odds > aBound \? 1 - ProbabilityOf\(odds\) : 1/1.0/; s/constexpr double kExcuseMargin = 1;//; s/ \+ kExcuseMargin//' \
   "$UNIT" "Crashes: *"
+mutate "a prompt that crashes endpoints is refused: many crashes at once have one cause" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/if \(!doubt.m_is_independent\)/if (false)/' \
+  "$UNIT" "Crash load: no sound request*"
 mutate "a prompt that crashes endpoints is refused: one crash counts once" \
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/if \(Crash\* known = CrashOf\(aRequestId, aRun.m_endpoint, aNow\)\)/if (Crash* known = nullptr)/' \
