Tell the crash of an endpoint from connections that broke there before

Cause: all connections that break at one endpoint within 2 s counted as one crash, so a connection that had broken before hid the crash that followed. A break now belongs to an earlier crash only if its request ran then, or was granted before all daemons had noticed.

--- a/Libraries/LibBroker/LeavingEndpoints.cpp
+++ b/Libraries/LibBroker/LeavingEndpoints.cpp
@@ -19,7 +19,7 @@
   return is_new;
 }
 
-void
+bool
 LeavingEndpoints::RecordRegistered(const ServiceName& aService,
                                    const EndpointIncarnation& aEndpoint,
                                    TimePoint aReadableSince,
@@ -27,15 +27,17 @@
 {
   const auto found = m_entries.lower_bound(aEndpoint);
   if (found == m_entries.begin() || m_entries.contains(aEndpoint)) {
-    return;
+    return false;
   }
   const auto& [earlier, entry] = *std::prev(found);
   const bool is_registered_late =
     aReadableSince > entry.m_stated_at || aNow - entry.m_stated_at <= m_limits.m_registration_lag;
-  if (earlier.m_id == aEndpoint.m_id && is_registered_late) {
-    m_entries[aEndpoint] =
-      Entry{ aService, entry.m_stated_at, aNow, aNow + m_limits.m_presumed_for };
+  if (earlier.m_id != aEndpoint.m_id || !is_registered_late) {
+    return false;
   }
+  const TimePoint stated_at = entry.m_stated_at;
+  m_entries[aEndpoint] = Entry{ aService, stated_at, aNow, aNow + m_limits.m_presumed_for };
+  return true;
 }
 
 void
--- a/Libraries/LibBroker/NoticeExchange.cpp
+++ b/Libraries/LibBroker/NoticeExchange.cpp
@@ -73,6 +73,20 @@
   return true;
 }
 
+void
+NoticeExchange::OnRegistered(const ServiceName& aService,
+                             const EndpointIncarnation& aEndpoint,
+                             TimePoint aReadableSince,
+                             TimePoint aNow)
+{
+  if (m_leaving.RecordRegistered(aService, aEndpoint, aReadableSince, aNow)) {
+    LogOf("broker").info("event=leaving-presumed endpoint={} started_at_ms={} service={}",
+                         aEndpoint.m_id.Value(),
+                         aEndpoint.m_started_at_ms,
+                         aService.Value());
+  }
+}
+
 std::optional<EndpointNoticeMessage>
 NoticeExchange::RecordResponse(const ServiceName& aService,
                                std::uint64_t aNumber,
--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -234,7 +234,7 @@
 void
 SlotBroker::AnnounceSuspicions()
 {
-  for (const auto& [service, suspicions] : m_coordinator.TakeSuspicionChanges(Now())) {
+  for (const auto& [service, suspicions] : m_coordinator.TakePromptSuspicionChanges(Now())) {
     for (const PartSuspicionsMessage& message : DivideSuspicions(service, suspicions)) {
       SendToAll(message);
     }
@@ -526,7 +526,7 @@
         for (const EndpointNoticeMessage& notice : m_notices.NoticesForDaemon()) {
           aLink.m_link->Send(EncodeSlotMessage(notice));
         }
-        for (const auto& [service, suspicions] : m_coordinator.Suspicions(now)) {
+        for (const auto& [service, suspicions] : m_coordinator.PromptSuspicions(now)) {
           for (const PartSuspicionsMessage& message : DivideSuspicions(service, suspicions)) {
             aLink.m_link->Send(EncodeSlotMessage(message));
           }
--- a/Libraries/LibBroker/SlotCoordinator.cpp
+++ b/Libraries/LibBroker/SlotCoordinator.cpp
@@ -50,7 +50,7 @@
 }
 
 std::vector<std::pair<ServiceName, std::vector<PartSuspicion>>>
-SlotCoordinator::TakeSuspicionChanges(TimePoint aNow)
+SlotCoordinator::TakePromptSuspicionChanges(TimePoint aNow)
 {
   std::vector<std::pair<ServiceName, std::vector<PartSuspicion>>> all;
   for (const auto& [service, suspects] : m_crash_suspects) {
@@ -74,7 +74,7 @@
 }
 
 std::vector<std::pair<ServiceName, std::vector<PartSuspicion>>>
-SlotCoordinator::Suspicions(TimePoint aNow) const
+SlotCoordinator::PromptSuspicions(TimePoint aNow) const
 {
   std::vector<std::pair<ServiceName, std::vector<PartSuspicion>>> all;
   for (const auto& [service, suspects] : m_crash_suspects) {
--- a/Libraries/LibBroker/include/LibBroker/LeavingEndpoints.h
+++ b/Libraries/LibBroker/include/LibBroker/LeavingEndpoints.h
@@ -49,8 +49,9 @@
 
   /// Handles the registration of an incarnation. If an earlier one under the same id is known to
   /// leave, the statement may have been made by this one, before its registration was read: it is
-  /// presumed to leave for a while. aReadableSince: since when the store could be reached.
-  void RecordRegistered(const ServiceName& aService,
+  /// presumed to leave for a while. aReadableSince: since when the store could be reached. Returns
+  /// whether it is presumed to leave.
+  bool RecordRegistered(const ServiceName& aService,
                         const EndpointIncarnation& aEndpoint,
                         TimePoint aReadableSince,
                         TimePoint aNow);
--- a/Libraries/LibBroker/include/LibBroker/NoticeExchange.h
+++ b/Libraries/LibBroker/include/LibBroker/NoticeExchange.h
@@ -58,10 +58,7 @@
   void OnRegistered(const ServiceName& aService,
                     const EndpointIncarnation& aEndpoint,
                     TimePoint aReadableSince,
-                    TimePoint aNow)
-  {
-    m_leaving.RecordRegistered(aService, aEndpoint, aReadableSince, aNow);
-  }
+                    TimePoint aNow);
   /// Drops what is known of endpoints that are not registered any more; see LeavingEndpoints for
   /// those that leave. Call when registrations have changed, and at intervals of some seconds.
   void RetainEndpoints(const SlotCoordinator::EndpointSource& aRegistered, TimePoint aNow);
--- a/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
@@ -36,10 +36,11 @@
                  const std::vector<PromptPart>& aParts,
                  TimePoint aNow) const;
   /// Returns the suspicions that have changed since the last call, and logs them.
-  std::vector<std::pair<ServiceName, std::vector<PartSuspicion>>> TakeSuspicionChanges(
+  std::vector<std::pair<ServiceName, std::vector<PartSuspicion>>> TakePromptSuspicionChanges(
     TimePoint aNow);
   /// All suspected parts of prompts.
-  std::vector<std::pair<ServiceName, std::vector<PartSuspicion>>> Suspicions(TimePoint aNow) const;
+  std::vector<std::pair<ServiceName, std::vector<PartSuspicion>>> PromptSuspicions(
+    TimePoint aNow) const;
   /// Charges a request to its workspace's quota and queues it. Decide() reports whether it is
   /// granted or refused, also when the quota refuses it.
   void RequestSlot(const ServiceName& aService, const SlotRequest& aRequest, TimePoint aNow);
--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -11,11 +11,10 @@
 // A request whose response had begun for longer than this does not crash its endpoint: a crash by a
 // prompt comes when the endpoint begins to respond.
 constexpr Milliseconds kMaxTimeToCrash{ 250 };
-// Reports about the same crash arrive from several daemons within this time.
-constexpr Milliseconds kReportSpread{ 2'000 };
 // How long the requests that an endpoint ran when it crashed are remembered.
 constexpr Milliseconds kCrashRetention{ 10'000 };
-// A first byte that was sent before the crash may be reported this much after it.
+// What happened before a crash, at a daemon that has not noticed it yet, may be reported this much
+// after it.
 constexpr Milliseconds kReportDelay{ 100 };
 // Evidence of one complete response, in log odds: an endpoint survives a part that crashes
 // endpoints once in a thousand times.
@@ -247,14 +246,14 @@
 }
 
 CrashSuspects::Crash*
-CrashSuspects::CrashOf(const SlotRequestId& aRequestId, const EndpointId& aEndpoint, TimePoint aNow)
+CrashSuspects::CrashOf(const SlotRequestId& aRequestId, const Run& aRun, TimePoint aNow)
 {
   while (!m_crashes.empty() && aNow - m_crashes.front().m_at > kCrashRetention) {
     m_crashes.pop_front();
   }
   const auto found = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash& aCrash) {
-    return aCrash.m_endpoint == aEndpoint &&
-           (aNow - aCrash.m_at <= kReportSpread ||
+    return aCrash.m_endpoint == aRun.m_endpoint &&
+           (aRun.m_granted_at - aCrash.m_at <= kReportDelay ||
             std::find(aCrash.m_runs.begin(), aCrash.m_runs.end(), aRequestId) !=
               aCrash.m_runs.end());
   });
@@ -284,7 +283,7 @@
 void
 CrashSuspects::RecordCrash(const SlotRequestId& aRequestId, const Run& aRun, TimePoint aNow)
 {
-  if (Crash* known = CrashOf(aRequestId, aRun.m_endpoint, aNow)) {
+  if (Crash* known = CrashOf(aRequestId, aRun, aNow)) {
     std::erase(known->m_runs, aRequestId);
     return;
   }
--- a/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -154,7 +154,9 @@
   void SetLogOdds(const PromptPart& aId, Part& aPart, double aLogOdds, TimePoint aNow);
   void MarkChanged(const PromptPart& aId, Part& aPart);
   std::map<PromptPart, PartInDoubt> PartsInDoubt(const EndpointId& aEndpoint, TimePoint aNow);
-  Crash* CrashOf(const SlotRequestId& aRequestId, const EndpointId& aEndpoint, TimePoint aNow);
+  /// The known crash in which a request broke off, if there is one: it ran there then, or was
+  /// granted before all daemons had noticed.
+  Crash* CrashOf(const SlotRequestId& aRequestId, const Run& aRun, TimePoint aNow);
   void RecordSound(const Run& aRun, TimePoint aNow);
   void RecordCrash(const SlotRequestId& aRequestId, const Run& aRun, TimePoint aNow);
   /// Withdraws the evidence of a crash if a request that ran there goes on: only a connection
--- a/Tests/Process/TestSoak.cpp
+++ b/Tests/Process/TestSoak.cpp
@@ -20,7 +20,11 @@
   { 6002, nullptr },
   { 8013,
     "28 requests in 4 s to an endpoint that states 3.7 a second: the soak "
-    "registered an endpoint under an incarnation that had ended" }
+    "registered an endpoint under an incarnation that had ended" },
+  { 31002,
+    "6 requests after the fifth crash under one prompt part: a connection that broke at the same "
+    "endpoint up to 2 s before hid the crash" },
+  { 31108, "7 requests after the fifth crash, as seed 31002" }
 };
 
 }
--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -197,6 +197,24 @@
   CHECK(suspects.All(At(400)).empty());
 }
 
+TEST_CASE("Crashes: one soon after another connection broke at the same endpoint counts")
+{
+  Trace trace;
+  trace.RunSound(300);
+  const EndpointId endpoint("e");
+  int crashes = 0;
+  for (; crashes < 6 && trace.Judge(kBad) != Verdict::Refuse; ++crashes) {
+    trace.m_suspects.Begin(IdOf(1, "x"), endpoint, { kCommon, Session(1) }, trace.m_now);
+    trace.m_suspects.RecordEnded(IdOf(1, "x"), SlotOutcome::Broken, false, trace.m_now);
+    trace.m_now += Milliseconds(300);
+    trace.Run({ kCommon, Session(1) }, SlotOutcome::Complete);
+    trace.m_suspects.Begin(IdOf(2, "x"), endpoint, { kCommon, kBad }, trace.m_now);
+    trace.m_now += Milliseconds(50);
+    trace.m_suspects.RecordEnded(IdOf(2, "x"), SlotOutcome::Broken, false, trace.m_now);
+  }
+  CHECK(crashes <= 5);
+}
+
 TEST_CASE("Crashes: a response that had begun long before, and an expected end, blame no part")
 {
   CrashSuspects suspects;
