--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -177,7 +177,7 @@
   "$UNIT" "Crashes: *"
 mutate "a prompt that crashes endpoints is refused: a part explains the crash for those beside it" \
   Libraries/LibPlacement/CrashSuspects.cpp \
-  's/odds > aBound \? 1 - ProbabilityOf\(odds\) : 1/1.0/; s/constexpr double kExcuseMargin = 1;//; s/ \+ kExcuseMargin//' \
+  's/m_log_odds > aBound \? 1 - ProbabilityOf\(doubt.m_log_odds\) : 1/m_log_odds > 99 + aBound ? 0.5 : 1.0/' \
   "$UNIT" "Crashes: *"
 mutate "a prompt that crashes endpoints is refused: many crashes at once have one cause" \
   Libraries/LibPlacement/CrashSuspects.cpp \
@@ -185,11 +185,11 @@
   "$UNIT" "Crash load: no sound request*"
 mutate "a prompt that crashes endpoints is refused: one crash counts once" \
   Libraries/LibPlacement/CrashSuspects.cpp \
-  's/if \(Crash\* known = CrashOf\(aRequestId, aRun.m_endpoint, aNow\)\)/if (Crash* known = nullptr)/' \
+  's/if \(Crash\* known = CrashOf\(aRequestId, aRun, aNow\)\)/if (Crash* known = nullptr)/' \
   "$UNIT" "Crashes: *"
 mutate "a prompt that crashes endpoints is refused: a response that had begun is not blamed" \
   Libraries/LibPlacement/CrashSuspects.cpp \
-  's/!run.m_started_at \|\| aNow - \*run.m_started_at <= kMaxTimeToCrash/true/' \
+  's/\(run.m_started_at \&\& aNow - \*run.m_started_at > kMaxTimeToCrash\)/false/' \
   "$UNIT" "Crashes: *"
 mutate "a prompt that crashes endpoints is refused: the base rate counts" \
   Libraries/LibPlacement/CrashSuspects.cpp \
--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -181,6 +181,8 @@
   }
   REQUIRE(suspects.All(At(7'000)).size() == 1);
   CHECK(suspects.All(At(7'000)).front().m_crashes == 1);
+  constexpr double kRateAfterOneCrash = 0.025;
+  CHECK(suspects.BaseRate() < kRateAfterOneCrash);
 }
 
 TEST_CASE("Crashes: a connection that breaks while another request goes on there is none")
@@ -335,6 +337,17 @@
   CHECK(suspected[0].m_part == kBad);
 }
 
+TEST_CASE("Crashes: a part that is suspected already excuses the parts beside it")
+{
+  Trace trace;
+  trace.RunSound(300);
+  trace.Crash({ { kCommon, kBad } });
+  trace.Crash({ { kCommon, kBad }, { kCommon, Session(9) } });
+  const auto suspected = trace.m_suspects.All(trace.m_now);
+  REQUIRE(suspected.size() == 1);
+  CHECK(suspected[0].m_part == kBad);
+}
+
 TEST_CASE("Crashes: parts that always occur together are refused together")
 {
   Trace trace;
