--- a/Libraries/LibBroker/NoticeExchange.cpp
+++ b/Libraries/LibBroker/NoticeExchange.cpp
@@ -16,8 +16,9 @@
          const std::optional<RequestRate>& aLimit,
          std::uint64_t aNumber = 0)
 {
-  return { aService, aNumber, aEndpoint.m_id, static_cast<std::uint64_t>(aEndpoint.m_started_at_ms),
-           aLimit,   false };
+  return {
+    aService, aNumber, aEndpoint.m_id, static_cast<std::uint64_t>(aEndpoint.m_started_at_ms), aLimit
+  };
 }
 
 EndpointNoticeMessage
--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -402,7 +402,8 @@
     if (!notice.m_is_leaving) {
       return;
     }
-    notice = EndpointNotice{ std::nullopt, false, true, false };
+    notice = EndpointNotice();
+    notice.m_is_leaving = true;
   }
   if (notice.IsMalformed()) {
     m_dependencies.m_metrics->OnMalformedNotice(m_request.m_service);
