--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -97,10 +97,40 @@
   outstanding.m_service = aService;
   outstanding.m_request = std::move(aRequest);
   outstanding.m_handlers = std::move(aHandlers);
-  RequestFromCoordinator(number, outstanding, coordinator);
+  if (m_coordinator.PromptSuspects().IsHarmful(
+        aService, outstanding.m_request.m_prompt_parts, Now())) {
+    RefuseHarmful(number, outstanding);
+  } else {
+    RequestFromCoordinator(number, outstanding, coordinator);
+  }
   return number;
 }
 
+void
+SlotBroker::RefuseHarmful(std::uint64_t aNumber, OutstandingRequest& aOutstanding)
+{
+  aOutstanding.m_coordinator = m_own_host;
+  aOutstanding.m_requested_at = Now();
+  aOutstanding.m_is_acknowledged = true;
+  m_dependencies.m_loop->Defer([this, aNumber] {
+    Deliver(SlotRefusal{ SlotRequestId{ m_incarnation, aNumber },
+                         SlotRefusalReason::HarmfulPrompt,
+                         m_limits.m_scheduler.m_max_retry_after },
+            m_own_host);
+  });
+}
+
+void
+SlotBroker::SendPromptParts(std::uint64_t aNumber,
+                            const SlotRequest& aRequest,
+                            const Member& aCoordinator)
+{
+  if (!aRequest.m_prompt_parts.empty()) {
+    LinkTo(aCoordinator)
+      .Send(EncodeSlotMessage(PromptPartsMessage{ aNumber, aRequest.m_prompt_parts }));
+  }
+}
+
 Member
 SlotBroker::CoordinatorFor(const ServiceName& aService)
 {
@@ -128,10 +158,7 @@
     return;
   }
   const SlotRequest& request = aOutstanding.m_request;
-  if (!request.m_prompt_parts.empty()) {
-    LinkTo(aCoordinator)
-      .Send(EncodeSlotMessage(PromptPartsMessage{ aNumber, request.m_prompt_parts }));
-  }
+  SendPromptParts(aNumber, request, aCoordinator);
   if (request.m_required_version) {
     LinkTo(aCoordinator)
       .Send(EncodeSlotMessage(RequiredVersionMessage{ aNumber, *request.m_required_version }));
@@ -232,33 +259,7 @@
 }
 
 void
-SlotBroker::AnnounceSuspicions()
-{
-  for (const auto& [service, suspicions] : m_coordinator.TakePromptSuspicionChanges(Now())) {
-    for (const PartSuspicionsMessage& message : DivideSuspicions(service, suspicions)) {
-      SendToAll(message);
-    }
-  }
-}
-
-void
-SlotBroker::OnSuspicions(const PartSuspicionsMessage& aMessage, const HostName& aSender)
-{
-  // Other daemons than the coordinator may know less.
-  const auto coordinator = m_coordinators.find(aMessage.m_service);
-  const bool is_coordinator = coordinator != m_coordinators.end() && coordinator->second == aSender;
-  CrashSuspects& suspects = m_coordinator.SuspectsOf(aMessage.m_service);
-  for (const PartSuspicion& suspicion : aMessage.m_suspicions) {
-    if (is_coordinator) {
-      suspects.Apply(suspicion, Now());
-    } else {
-      suspects.Merge(suspicion, Now());
-    }
-  }
-}
-
-void
-SlotBroker::Acquit(std::uint64_t aNumber)
+SlotBroker::MarkEndUnproven(std::uint64_t aNumber)
 {
   const auto found = m_outstanding.find(aNumber);
   if (found == m_outstanding.end()) {
@@ -266,10 +267,12 @@
   }
   const OutstandingRequest& outstanding = found->second;
   if (IsSelf(outstanding.m_coordinator)) {
-    m_coordinator.SuspectsOf(outstanding.m_service).Acquit(outstanding.m_request.m_request_id);
+    m_coordinator.PromptSuspects()
+      .Of(outstanding.m_service)
+      ->MarkEndUnproven(outstanding.m_request.m_request_id);
   } else {
     SendToCoordinator(outstanding.m_coordinator,
-                      AcquittalMessage{ outstanding.m_service, aNumber });
+                      UnprovenEndMessage{ outstanding.m_service, aNumber });
   }
 }
 
@@ -282,7 +285,7 @@
 }
 
 void
-SlotBroker::ReportKnownNotices(const ServiceName& aService, const Member& aCoordinator)
+SlotBroker::ReportKnown(const ServiceName& aService, const Member& aCoordinator)
 {
   for (const EndpointNoticeMessage& notice : m_notices.NoticesForCoordinator(aService)) {
     if (IsSelf(aCoordinator.m_host)) {
@@ -295,7 +298,7 @@
     return;
   }
   for (const PartSuspicionsMessage& message :
-       DivideSuspicions(aService, m_coordinator.SuspectsOf(aService).All(Now()))) {
+       m_coordinator.PromptSuspects().MessagesForCoordinator(aService, Now())) {
     LinkTo(aCoordinator).Send(EncodeSlotMessage(message));
   }
 }
@@ -358,31 +361,36 @@
     return;
   }
   std::visit(
-    Overloaded{
-      [&](const QueuedMessage& aQueued) {
-        const auto found = m_outstanding.find(aQueued.m_number);
-        if (found != m_outstanding.end()) {
-          found->second.m_is_acknowledged = true;
-        }
-      },
-      [&](const GrantMessage& aGrant) {
-        Deliver(SlotGrant{ SlotRequestId{ m_incarnation, aGrant.m_number },
-                           aGrant.m_endpoint,
-                           aGrant.m_expected },
-                aCoordinator);
-      },
-      [&](const RefusalMessage& aRefusal) {
-        Deliver(SlotRefusal{ SlotRequestId{ m_incarnation, aRefusal.m_number },
-                             aRefusal.m_reason,
-                             aRefusal.m_retry_after },
-                aCoordinator);
-      },
-      [&](const EndpointNoticeMessage& aNotice) { m_notices.OnInformed(aNotice, Now()); },
-      [&](const StreamVersionMessage& aVersion) { m_streams.OnVersion(aVersion); },
-      [&](const PartSuspicionsMessage& aSuspicions) { OnSuspicions(aSuspicions, aCoordinator); },
-      [&](const auto&) {
-        LogOf("broker").warn("event=message-unexpected home={}", aCoordinator.Value());
-      } },
+    Overloaded{ [&](const QueuedMessage& aQueued) {
+                 const auto found = m_outstanding.find(aQueued.m_number);
+                 if (found != m_outstanding.end()) {
+                   found->second.m_is_acknowledged = true;
+                 }
+               },
+                [&](const GrantMessage& aGrant) {
+                  Deliver(SlotGrant{ SlotRequestId{ m_incarnation, aGrant.m_number },
+                                     aGrant.m_endpoint,
+                                     aGrant.m_expected },
+                          aCoordinator);
+                },
+                [&](const RefusalMessage& aRefusal) {
+                  Deliver(SlotRefusal{ SlotRequestId{ m_incarnation, aRefusal.m_number },
+                                       aRefusal.m_reason,
+                                       aRefusal.m_retry_after },
+                          aCoordinator);
+                },
+                [&](const EndpointNoticeMessage& aNotice) { m_notices.OnInformed(aNotice, Now()); },
+                [&](const StreamVersionMessage& aVersion) { m_streams.OnVersion(aVersion); },
+                [&](const PartSuspicionsMessage& aSuspicions) {
+                  const auto coordinator = m_coordinators.find(aSuspicions.m_service);
+                  m_coordinator.PromptSuspects().OnMessage(aSuspicions,
+                                                           coordinator != m_coordinators.end() &&
+                                                             coordinator->second == aCoordinator,
+                                                           Now());
+                },
+                [&](const auto&) {
+                  LogOf("broker").warn("event=message-unexpected home={}", aCoordinator.Value());
+                } },
     *message);
 }
 
@@ -461,7 +469,7 @@
   } else {
     SendToCoordinator(old, LeaveMessage{ aService });
   }
-  ReportKnownNotices(aService, aCoordinator);
+  ReportKnown(aService, aCoordinator);
   m_streams.UpdateReplica(aService);
   for (auto& [number, outstanding] : m_outstanding) {
     if (outstanding.m_service != aService) {
@@ -480,11 +488,7 @@
                     outstanding.m_request.m_prompt_parts,
                     now);
     } else {
-      if (!outstanding.m_request.m_prompt_parts.empty()) {
-        LinkTo(aCoordinator)
-          .Send(
-            EncodeSlotMessage(PromptPartsMessage{ number, outstanding.m_request.m_prompt_parts }));
-      }
+      SendPromptParts(number, outstanding.m_request, aCoordinator);
       LinkTo(aCoordinator)
         .Send(EncodeSlotMessage(
           HeldMessage{ aService, number, outstanding.m_endpoint, outstanding.m_request.m_work }));
@@ -526,19 +530,17 @@
         for (const EndpointNoticeMessage& notice : m_notices.NoticesForDaemon()) {
           aLink.m_link->Send(EncodeSlotMessage(notice));
         }
-        for (const auto& [service, suspicions] : m_coordinator.PromptSuspicions(now)) {
-          for (const PartSuspicionsMessage& message : DivideSuspicions(service, suspicions)) {
-            aLink.m_link->Send(EncodeSlotMessage(message));
-          }
+        for (const PartSuspicionsMessage& message :
+             m_coordinator.PromptSuspects().MessagesForDaemon(now)) {
+          aLink.m_link->Send(EncodeSlotMessage(message));
         }
       },
       [&](const PromptPartsMessage& aParts) { aLink.m_prompt_parts = aParts; },
-      [&](const AcquittalMessage& aAcquittal) {
-        m_coordinator.SuspectsOf(aAcquittal.m_service).Acquit(id_of(aAcquittal.m_number));
+      [&](const UnprovenEndMessage& aEnd) {
+        m_coordinator.PromptSuspects().Of(aEnd.m_service)->MarkEndUnproven(id_of(aEnd.m_number));
       },
       [&](const PartSuspicionsMessage& aSuspicions) {
-        // A daemon that requests slots here is not the coordinator.
-        OnSuspicions(aSuspicions, HostName());
+        m_coordinator.PromptSuspects().OnMessage(aSuspicions, false, now);
       },
       [&](const EndpointNoticeMessage& aNotice) { OnReport(&aLink, aNotice); },
       [&](const RequiredVersionMessage& aRequired) { aLink.m_required_version = aRequired; },
@@ -742,7 +744,9 @@
   UpdateCoordinators();
   m_streams.Tick();
   m_coordinator.DecideAll(now);
-  AnnounceSuspicions();
+  for (const PartSuspicionsMessage& changes : m_coordinator.PromptSuspects().TakeChanges(now)) {
+    SendToAll(changes);
+  }
   m_coordinator.LogSuspicionChanges(now);
 }
 
--- a/Libraries/LibBroker/SlotCoordinator.cpp
+++ b/Libraries/LibBroker/SlotCoordinator.cpp
@@ -19,9 +19,8 @@
 SlotScheduler&
 SlotCoordinator::SchedulerOf(const ServiceName& aService, TimePoint aNow)
 {
-  SuspectsOf(aService);
   const auto [found, is_new] =
-    m_schedulers.try_emplace(aService, m_limits, m_crash_suspects.at(aService));
+    m_schedulers.try_emplace(aService, m_limits, m_prompt_suspects.Of(aService));
   if (is_new) {
     found->second.SetEndpoints(m_endpoints(aService), aNow);
     found->second.SetSlotShare(m_slot_share);
@@ -29,62 +28,6 @@
   return found->second;
 }
 
-CrashSuspects&
-SlotCoordinator::SuspectsOf(const ServiceName& aService)
-{
-  auto& suspects = m_crash_suspects[aService];
-  if (suspects == nullptr) {
-    suspects = std::make_shared<CrashSuspects>();
-  }
-  return *suspects;
-}
-
-bool
-SlotCoordinator::IsHarmful(const ServiceName& aService,
-                           const std::vector<PromptPart>& aParts,
-                           TimePoint aNow) const
-{
-  const auto found = m_crash_suspects.find(aService);
-  return found != m_crash_suspects.end() &&
-         found->second->Judge(aParts, aNow) == CrashSuspects::Verdict::Refuse;
-}
-
-std::vector<std::pair<ServiceName, std::vector<PartSuspicion>>>
-SlotCoordinator::TakePromptSuspicionChanges(TimePoint aNow)
-{
-  std::vector<std::pair<ServiceName, std::vector<PartSuspicion>>> all;
-  for (const auto& [service, suspects] : m_crash_suspects) {
-    std::vector<PartSuspicion> changes = suspects->TakeChanges(aNow);
-    for (const PartSuspicion& change : changes) {
-      LogOf("home").info(
-        "event=prompt-part-judged service={} part={} probability={:.4f} crashes={} "
-        "refused_for_ms={} base_rate={:.4f}",
-        service.Value(),
-        change.m_part.Value(),
-        change.m_probability,
-        change.m_crashes,
-        change.m_refused_for.count(),
-        suspects->BaseRate());
-    }
-    if (!changes.empty()) {
-      all.emplace_back(service, std::move(changes));
-    }
-  }
-  return all;
-}
-
-std::vector<std::pair<ServiceName, std::vector<PartSuspicion>>>
-SlotCoordinator::PromptSuspicions(TimePoint aNow) const
-{
-  std::vector<std::pair<ServiceName, std::vector<PartSuspicion>>> all;
-  for (const auto& [service, suspects] : m_crash_suspects) {
-    if (std::vector<PartSuspicion> suspicions = suspects->All(aNow); !suspicions.empty()) {
-      all.emplace_back(service, std::move(suspicions));
-    }
-  }
-  return all;
-}
-
 void
 SlotCoordinator::RequestSlot(const ServiceName& aService,
                              const SlotRequest& aRequest,
--- a/Libraries/LibBroker/SlotMessages.cpp
+++ b/Libraries/LibBroker/SlotMessages.cpp
@@ -160,25 +160,13 @@
   }
   void operator()(std::vector<AgedStreamOrigin>& aValues)
   {
-    const Json* field = Next();
-    if (field == nullptr || !Check(field->is_array())) {
-      return;
-    }
-    for (const Json& item : *field) {
-      if (!Check(item.is_array())) {
-        return;
-      }
-      Reader reader(item, 0);
-      AgedStreamOrigin aged;
-      reader(aged.m_origin.m_stream);
-      reader(aged.m_origin.m_endpoint);
-      reader(aged.m_origin.m_version);
-      reader(aged.m_age);
-      if (!Check(reader.IsOk() && aged.m_age >= Milliseconds(0))) {
-        return;
-      }
-      aValues.push_back(std::move(aged));
-    }
+    ReadTuples(aValues, [](Reader& aReader, AgedStreamOrigin& aAged) {
+      aReader(aAged.m_origin.m_stream);
+      aReader(aAged.m_origin.m_endpoint);
+      aReader(aAged.m_origin.m_version);
+      aReader(aAged.m_age);
+      return aAged.m_age >= Milliseconds(0);
+    });
   }
   void operator()(SlotOutcome& aValue)
   {
@@ -190,26 +178,14 @@
   }
   void operator()(std::vector<PartSuspicion>& aValues)
   {
-    const Json* field = Next();
-    if (field == nullptr || !Check(field->is_array())) {
-      return;
-    }
-    for (const Json& item : *field) {
-      if (!Check(item.is_array())) {
-        return;
-      }
-      Reader reader(item, 0);
-      PartSuspicion suspicion;
-      reader(suspicion.m_part);
-      reader(suspicion.m_probability);
-      reader(suspicion.m_crashes);
-      reader(suspicion.m_refused_for);
-      if (!Check(reader.IsOk() && suspicion.m_probability <= 1 && suspicion.m_crashes >= 0 &&
-                 suspicion.m_refused_for >= Milliseconds(0))) {
-        return;
-      }
-      aValues.push_back(std::move(suspicion));
-    }
+    ReadTuples(aValues, [](Reader& aReader, PartSuspicion& aSuspicion) {
+      aReader(aSuspicion.m_part);
+      aReader(aSuspicion.m_probability);
+      aReader(aSuspicion.m_crashes);
+      aReader(aSuspicion.m_refused_for);
+      return aSuspicion.m_probability <= 1 && aSuspicion.m_crashes >= 0 &&
+             aSuspicion.m_refused_for >= Milliseconds(0);
+    });
   }
   template<typename Tag>
   void operator()(std::vector<StrongString<Tag>>& aValues)
@@ -242,6 +218,29 @@
            aField.get<std::int64_t>() <= aMaxMagnitude;
   }
 
+  /// Reads an array of arrays. aRead: reads the fields of an item and returns whether they are
+  /// within range.
+  template<typename T, typename ReadFields>
+  void ReadTuples(std::vector<T>& aValues, ReadFields aRead)
+  {
+    const Json* field = Next();
+    if (field == nullptr || !Check(field->is_array())) {
+      return;
+    }
+    for (const Json& item : *field) {
+      if (!Check(item.is_array())) {
+        return;
+      }
+      Reader reader(item, 0);
+      T value;
+      const bool is_within_range = aRead(reader, value);
+      if (!Check(reader.IsOk() && is_within_range)) {
+        return;
+      }
+      aValues.push_back(std::move(value));
+    }
+  }
+
   const Json* Next()
   {
     if (!Check(m_next < m_json.size())) {
@@ -410,7 +409,7 @@
 }
 
 void
-Visit(auto& aVisit, Is<AcquittalMessage> auto& aMessage)
+Visit(auto& aVisit, Is<UnprovenEndMessage> auto& aMessage)
 {
   aVisit(aMessage.m_service);
   aVisit(aMessage.m_number);
@@ -449,20 +448,6 @@
 
 }
 
-std::vector<PartSuspicionsMessage>
-DivideSuspicions(const ServiceName& aService, const std::vector<PartSuspicion>& aSuspicions)
-{
-  constexpr std::size_t kMaxInMessage = 100;
-  std::vector<PartSuspicionsMessage> messages;
-  for (const PartSuspicion& suspicion : aSuspicions) {
-    if (messages.empty() || messages.back().m_suspicions.size() == kMaxInMessage) {
-      messages.push_back({ aService, {} });
-    }
-    messages.back().m_suspicions.push_back(suspicion);
-  }
-  return messages;
-}
-
 nlohmann::json
 EncodeSlotMessage(const SlotMessage& aMessage)
 {
--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -86,15 +86,9 @@
   {
     return m_notices.IsLeaving(aEndpoint);
   }
-  /// Whether requests with these parts in their prompt are refused, as far as this daemon knows:
-  /// a part crashes endpoints.
-  bool IsHarmful(const ServiceName& aService, const std::vector<PromptPart>& aParts) const
-  {
-    return m_coordinator.IsHarmful(aService, aParts, Now());
-  }
-  /// Reports that the end of a request proves nothing about its prompt. To be called before the
-  /// slot is freed.
-  void Acquit(std::uint64_t aNumber);
+  /// Reports that the end of a request does not prove that its response is complete. To be called
+  /// before the slot is freed.
+  void MarkEndUnproven(std::uint64_t aNumber);
   /// Frees a slot that was granted.
   void RecordEnded(std::uint64_t aNumber, SlotOutcome aOutcome);
 
@@ -177,11 +171,14 @@
   /// Handles a notice as coordinator. aLink is null for this daemon's own notices.
   void OnReport(InboundLink* aLink, const EndpointNoticeMessage& aNotice);
   void SendToAll(const SlotMessage& aMessage);
-  void OnSuspicions(const PartSuspicionsMessage& aMessage, const HostName& aSender);
-  /// Informs all daemons of changes in what is known of prompts that crash endpoints.
-  void AnnounceSuspicions();
-  /// Reports what this daemon knows of endpoints' statements to a new coordinator.
-  void ReportKnownNotices(const ServiceName& aService, const Member& aCoordinator);
+  /// Refuses a request because this daemon knows that its prompt crashes endpoints.
+  void RefuseHarmful(std::uint64_t aNumber, OutstandingRequest& aOutstanding);
+  void SendPromptParts(std::uint64_t aNumber,
+                       const SlotRequest& aRequest,
+                       const Member& aCoordinator);
+  /// Reports to a new coordinator what this daemon knows of endpoints' statements and of prompts
+  /// that crash endpoints.
+  void ReportKnown(const ServiceName& aService, const Member& aCoordinator);
   InboundLink* FindInboundLink(const Incarnation& aDaemon);
   void ScheduleDecision(const ServiceName& aService);
   void UpdateShares();
--- a/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibAllowance/QuotaLedger.h>
+#include <LibBroker/CrashSuspectTable.h>
 #include <LibPlacement/SlotScheduler.h>
 #include <functional>
 #include <map>
@@ -28,19 +29,9 @@
 
   /// Returns the scheduler of a service, creating it on first use. Call Decide() after changing it.
   SlotScheduler& SchedulerOf(const ServiceName& aService, TimePoint aNow);
-  /// What is known of prompts that crash a service's endpoints, whether or not it is coordinated
-  /// here.
-  CrashSuspects& SuspectsOf(const ServiceName& aService);
-  /// Whether requests with these parts in their prompt are refused.
-  bool IsHarmful(const ServiceName& aService,
-                 const std::vector<PromptPart>& aParts,
-                 TimePoint aNow) const;
-  /// Returns the suspicions that have changed since the last call, and logs them.
-  std::vector<std::pair<ServiceName, std::vector<PartSuspicion>>> TakePromptSuspicionChanges(
-    TimePoint aNow);
-  /// All suspected parts of prompts.
-  std::vector<std::pair<ServiceName, std::vector<PartSuspicion>>> PromptSuspicions(
-    TimePoint aNow) const;
+  /// What this daemon knows of prompts that crash endpoints.
+  CrashSuspectTable& PromptSuspects() { return m_prompt_suspects; }
+  const CrashSuspectTable& PromptSuspects() const { return m_prompt_suspects; }
   /// Charges a request to its workspace's quota and queues it. Decide() reports whether it is
   /// granted or refused, also when the quota refuses it.
   void RequestSlot(const ServiceName& aService, const SlotRequest& aRequest, TimePoint aNow);
@@ -93,8 +84,7 @@
   EndpointSource m_endpoints;
   DecisionHandler m_handler;
   double m_slot_share = 1.0;
-  /// Shared with the schedulers; exists also for services that are not coordinated here.
-  std::map<ServiceName, std::shared_ptr<CrashSuspects>> m_crash_suspects;
+  CrashSuspectTable m_prompt_suspects;
   std::map<ServiceName, SlotScheduler> m_schedulers;
   /// Refusals of requests over their quota since the last decision.
   std::map<ServiceName, std::vector<SlotRefusal>> m_quota_refusals;
--- a/Libraries/LibBroker/include/LibBroker/SlotMessages.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotMessages.h
@@ -181,14 +181,14 @@
   auto operator<=>(const PromptPartsMessage&) const = default;
 };
 
-/// Says that the end of a request, which a ReleaseMessage reports, proves nothing about its prompt:
-/// the response ended with its connection, so it may have been cut by a crash.
-struct AcquittalMessage
+/// Says that the end of a request, which a ReleaseMessage reports next, does not prove that its
+/// response is complete: it ended with its connection, as in a crash.
+struct UnprovenEndMessage
 {
   ServiceName m_service;
   std::uint64_t m_number = 0;
 
-  auto operator<=>(const AcquittalMessage&) const = default;
+  auto operator<=>(const UnprovenEndMessage&) const = default;
 };
 
 /// What the sender knows of prompts that crash a service's endpoints: from a coordinator to all
@@ -201,10 +201,6 @@
   auto operator<=>(const PartSuspicionsMessage&) const = default;
 };
 
-/// Divides suspicions into messages that are well below the maximum size of a message on a link.
-std::vector<PartSuspicionsMessage>
-DivideSuspicions(const ServiceName& aService, const std::vector<PartSuspicion>& aSuspicions);
-
 using SlotMessage = std::variant<HelloMessage,
                                  SlotRequestMessage,
                                  WithdrawMessage,
@@ -221,7 +217,7 @@
                                  StreamLookupMessage,
                                  StreamVersionMessage,
                                  PromptPartsMessage,
-                                 AcquittalMessage,
+                                 UnprovenEndMessage,
                                  PartSuspicionsMessage>;
 
 /// Encodes a message as an array. Its first element is the index of the message's type in
--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -30,10 +30,6 @@
 // then.
 constexpr Milliseconds kRetryAfterUnknownVersion{ 1'000 };
 
-// Retry-After for a request whose prompt crashes endpoints: waiting does not help it, so the
-// longest that callers respect.
-constexpr Milliseconds kRetryAfterHarmfulPrompt{ 10'000 };
-
 constexpr const char* kEndpointLeaves = "the endpoint has said that it leaves";
 
 constexpr int kNoContent = 204;
@@ -220,11 +216,6 @@
 void
 ActiveRequest::RequestSlot()
 {
-  if (m_dependencies.m_broker->IsHarmful(m_request.m_service, m_request.m_head.m_prompt_parts)) {
-    OnRefused(SlotRefusal{ {}, SlotRefusalReason::HarmfulPrompt, kRetryAfterHarmfulPrompt },
-              m_dependencies.m_host);
-    return;
-  }
   m_phase = Phase::Waiting;
   ++m_slot_request_count;
   m_slot_request_id = m_dependencies.m_broker->RequestSlot(
@@ -531,8 +522,7 @@
     ForwardRemainder();
   }
   if (aEnd == RelayCallEnd::Closed) {
-    // A crash after a whole event looks like this as well.
-    m_dependencies.m_broker->Acquit(*m_slot_request_id);
+    m_dependencies.m_broker->MarkEndUnproven(*m_slot_request_id);
   }
   ReleaseSlot(status >= kFirstServerErrorStatus ? SlotOutcome::Failed : SlotOutcome::Complete);
   const bool has_body = m_attempt->m_response_head.m_framing != BodyFraming::None;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -99,8 +99,7 @@
                [this](const ServiceName& aService) { return OnlyVersionOf(aService); },
                [this](const EndpointIncarnation& aEndpoint) { OnEndpointLeaving(aEndpoint); } })
   , m_dependencies{ &aLoop,          &m_client, &m_broker,  &m_registry,
-                    &m_retry_budget, &aDialect, &m_metrics, aSettings.m_data_center,
-                    aSettings.m_host }
+                    &m_retry_budget, &aDialect, &m_metrics, aSettings.m_data_center }
 {
 }
 
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -22,7 +22,6 @@
   const Dialect* m_dialect = nullptr;
   GatewayMetrics* m_metrics = nullptr;
   DataCenterName m_data_center;
-  HostName m_host;
 };
 
 /// A request with what was determined on admission. Immutable.
--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -18,20 +18,21 @@
 constexpr Milliseconds kReportDelay{ 100 };
 // Evidence of one complete response, in log odds: an endpoint survives a part that crashes
 // endpoints once in a thousand times.
-constexpr double kSoundEvidence = -7;
+constexpr double kCompletionEvidence = -7;
 constexpr double kMinLogOdds = -12;
 constexpr double kMaxLogOdds = 7;
 // Initial base rate, and the number of requests that it counts for.
 constexpr double kInitialBaseRate = 0.01;
 constexpr double kInitialWeight = 100;
-// Bounds the evidence of one crash, so that a single one does not cast suspicion on a part that
-// many sound requests share.
+// Bounds the evidence of one crash, so that a single one does not make a part suspected under which
+// responses are usually complete.
 constexpr double kMinBaseRate = 3e-3;
 // Half of what is known about the base rate is forgotten after this time.
 constexpr double kBaseRateHalfLifeMs = 60'000;
 constexpr int kMaxDoublings = 6;
-// A part is excused from a crash only by parts whose log odds are higher by this much.
-constexpr double kExcuseMargin = 1;
+// Another part explains a crash in place of this one only if its log odds are higher by this much:
+// parts that always occur together cannot be told apart.
+constexpr double kAlternativeMargin = 1;
 
 double
 LogOddsOf(double aProbability)
@@ -75,8 +76,8 @@
 void
 CrashSuspects::DropOldest()
 {
-  // A quarter at a time, so that the cost of a new part stays small on average. Refused parts go
-  // last, and those that run not at all.
+  // A quarter at a time, so that the cost of a new part stays small on average. Refused parts are
+  // dropped last, and parts of running requests are kept.
   std::vector<std::tuple<bool, TimePoint, PromptPart>> unused;
   for (const auto& [id, part] : m_parts) {
     if (part.m_running == 0) {
@@ -144,19 +145,19 @@
                      const std::vector<PromptPart>& aParts,
                      TimePoint aNow)
 {
-  if (const auto found = m_runs.find(aRequestId); found != m_runs.end()) {
-    EndRun(found->second);
+  if (const auto found = m_requests.find(aRequestId); found != m_requests.end()) {
+    RecordNotRunning(found->second);
   }
-  m_runs[aRequestId] = Run{ aEndpoint, aParts, aNow, std::nullopt };
+  m_requests[aRequestId] = RunningRequest{ aEndpoint, aParts, aNow, std::nullopt };
   for (const PromptPart& id : aParts) {
     ++PartOf(id, aNow).m_running;
   }
 }
 
 void
-CrashSuspects::EndRun(const Run& aRun)
+CrashSuspects::RecordNotRunning(const RunningRequest& aRequest)
 {
-  for (const PromptPart& id : aRun.m_parts) {
+  for (const PromptPart& id : aRequest.m_parts) {
     if (const auto part = m_parts.find(id); part != m_parts.end()) {
       part->second.m_running = std::max(0, part->second.m_running - 1);
     }
@@ -164,11 +165,11 @@
 }
 
 void
-CrashSuspects::Acquit(const SlotRequestId& aRequestId)
+CrashSuspects::MarkEndUnproven(const SlotRequestId& aRequestId)
 {
-  const auto found = m_runs.find(aRequestId);
-  if (found != m_runs.end()) {
-    EndRun(found->second);
+  const auto found = m_requests.find(aRequestId);
+  if (found != m_requests.end()) {
+    RecordNotRunning(found->second);
     found->second.m_parts.clear();
   }
 }
@@ -176,10 +177,10 @@
 void
 CrashSuspects::RecordStarted(const SlotRequestId& aRequestId, TimePoint aNow)
 {
-  const auto found = m_runs.find(aRequestId);
-  if (found != m_runs.end()) {
+  const auto found = m_requests.find(aRequestId);
+  if (found != m_requests.end()) {
     found->second.m_started_at = aNow;
-    Refute(aRequestId, aNow);
+    WithdrawEvidence(aRequestId, aNow);
   }
 }
 
@@ -189,29 +190,29 @@
                            bool aIsExpected,
                            TimePoint aNow)
 {
-  const auto found = m_runs.find(aRequestId);
-  if (found == m_runs.end()) {
+  const auto found = m_requests.find(aRequestId);
+  if (found == m_requests.end()) {
     return;
   }
-  const Run run = std::move(found->second);
-  // The crash of an endpoint counts the requests that run there, so this one is removed after it.
+  const RunningRequest request = std::move(found->second);
   switch (aOutcome) {
     case SlotOutcome::Complete:
       Decay(aNow);
       ++m_ended;
-      Refute(aRequestId, aNow);
-      RecordSound(run, aNow);
+      WithdrawEvidence(aRequestId, aNow);
+      RecordCompleted(request, aNow);
       break;
     case SlotOutcome::Failed:
       // An error says that the endpoint is alive, not that it could run the prompt.
-      Refute(aRequestId, aNow);
+      WithdrawEvidence(aRequestId, aNow);
       break;
     case SlotOutcome::Broken:
       Decay(aNow);
       ++m_ended;
       if (!aIsExpected) {
-        m_runs[aRequestId] = run;
-        RecordCrash(aRequestId, run, aNow);
+        // This request is a candidate as well.
+        m_requests[aRequestId] = request;
+        RecordCrash(aRequestId, request, aNow);
       }
       break;
     case SlotOutcome::Refused:
@@ -219,104 +220,108 @@
     case SlotOutcome::Cancelled:
       break;
   }
-  m_runs.erase(aRequestId);
-  EndRun(run);
+  m_requests.erase(aRequestId);
+  RecordNotRunning(request);
 }
 
 void
 CrashSuspects::ForgetDaemon(const Incarnation& aDaemon)
 {
-  for (auto next = m_runs.begin(); next != m_runs.end();) {
+  for (auto next = m_requests.begin(); next != m_requests.end();) {
     const auto found = next++;
     if (found->first.m_daemon == aDaemon) {
-      EndRun(found->second);
-      m_runs.erase(found);
+      RecordNotRunning(found->second);
+      m_requests.erase(found);
     }
   }
 }
 
 void
-CrashSuspects::RecordSound(const Run& aRun, TimePoint aNow)
+CrashSuspects::RecordCompleted(const RunningRequest& aRequest, TimePoint aNow)
 {
-  for (const PromptPart& id : aRun.m_parts) {
+  for (const PromptPart& id : aRequest.m_parts) {
     Part& part = PartOf(id, aNow);
     part.m_crashes = 0;
-    SetLogOdds(id, part, part.m_log_odds + kSoundEvidence, aNow);
+    SetLogOdds(id, part, part.m_log_odds + kCompletionEvidence, aNow);
   }
 }
 
 CrashSuspects::Crash*
-CrashSuspects::CrashOf(const SlotRequestId& aRequestId, const Run& aRun, TimePoint aNow)
+CrashSuspects::CrashOf(const SlotRequestId& aRequestId,
+                       const RunningRequest& aRequest,
+                       TimePoint aNow)
 {
   while (!m_crashes.empty() && aNow - m_crashes.front().m_at > kCrashRetention) {
     m_crashes.pop_front();
   }
   const auto found = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash& aCrash) {
-    return aCrash.m_endpoint == aRun.m_endpoint &&
-           (aRun.m_granted_at - aCrash.m_at <= kReportDelay ||
-            std::find(aCrash.m_runs.begin(), aCrash.m_runs.end(), aRequestId) !=
-              aCrash.m_runs.end());
+    return aCrash.m_endpoint == aRequest.m_endpoint &&
+           (aRequest.m_granted_at - aCrash.m_at <= kReportDelay ||
+            std::find(aCrash.m_requests.begin(), aCrash.m_requests.end(), aRequestId) !=
+              aCrash.m_requests.end());
   });
   return found == m_crashes.end() ? nullptr : &*found;
 }
 
-std::map<PromptPart, CrashSuspects::PartInDoubt>
-CrashSuspects::PartsInDoubt(const EndpointId& aEndpoint, TimePoint aNow)
+std::map<PromptPart, CrashSuspects::Candidate>
+CrashSuspects::CandidatesAt(const EndpointId& aEndpoint, TimePoint aNow)
 {
-  std::map<PromptPart, PartInDoubt> in_doubt;
-  for (const auto& [request, run] : m_runs) {
-    if (run.m_endpoint != aEndpoint ||
-        (run.m_started_at && aNow - *run.m_started_at > kMaxTimeToCrash)) {
+  std::map<PromptPart, Candidate> candidates;
+  for (const auto& [request_id, request] : m_requests) {
+    if (request.m_endpoint != aEndpoint ||
+        (request.m_started_at && aNow - *request.m_started_at > kMaxTimeToCrash)) {
       continue;
     }
-    for (const PromptPart& id : run.m_parts) {
+    for (const PromptPart& id : request.m_parts) {
       const Part& part = PartOf(id, aNow);
-      PartInDoubt& entry = in_doubt[id];
+      Candidate& entry = candidates[id];
       entry.m_log_odds = part.m_log_odds;
-      entry.m_is_independent =
-        entry.m_is_independent || !part.m_blamed_at || run.m_granted_at >= *part.m_blamed_at;
+      entry.m_is_independent = entry.m_is_independent || !part.m_last_evidence_at ||
+                               request.m_granted_at >= *part.m_last_evidence_at;
     }
   }
-  return in_doubt;
+  return candidates;
 }
 
 void
-CrashSuspects::RecordCrash(const SlotRequestId& aRequestId, const Run& aRun, TimePoint aNow)
+CrashSuspects::RecordCrash(const SlotRequestId& aRequestId,
+                           const RunningRequest& aRequest,
+                           TimePoint aNow)
 {
-  if (Crash* known = CrashOf(aRequestId, aRun, aNow)) {
-    std::erase(known->m_runs, aRequestId);
+  if (Crash* known = CrashOf(aRequestId, aRequest, aNow)) {
+    std::erase(known->m_requests, aRequestId);
     return;
   }
   Crash crash;
-  crash.m_endpoint = aRun.m_endpoint;
+  crash.m_endpoint = aRequest.m_endpoint;
   crash.m_at = aNow;
-  for (const auto& [id, run] : m_runs) {
-    if (run.m_endpoint == aRun.m_endpoint && id != aRequestId) {
-      crash.m_runs.push_back(id);
+  for (const auto& [id, request] : m_requests) {
+    if (request.m_endpoint == aRequest.m_endpoint && id != aRequestId) {
+      crash.m_requests.push_back(id);
     }
   }
-  const std::map<PromptPart, PartInDoubt> in_doubt = PartsInDoubt(aRun.m_endpoint, aNow);
+  const std::map<PromptPart, Candidate> candidates = CandidatesAt(aRequest.m_endpoint, aNow);
   const double base_rate = BaseRate();
   // The probability that no part with log odds above a bound crashed the endpoint, nor anything
   // else.
   const auto no_cause_above = [&](double aBound) {
     double no_cause = 1 - base_rate;
-    for (const auto& [id, doubt] : in_doubt) {
-      no_cause *= doubt.m_log_odds > aBound ? 1 - ProbabilityOf(doubt.m_log_odds) : 1;
+    for (const auto& [id, candidate] : candidates) {
+      no_cause *= candidate.m_log_odds > aBound ? 1 - ProbabilityOf(candidate.m_log_odds) : 1;
     }
     return no_cause;
   };
-  for (const auto& [id, doubt] : in_doubt) {
-    if (!doubt.m_is_independent) {
+  for (const auto& [id, candidate] : candidates) {
+    if (!candidate.m_is_independent) {
       continue;
     }
     Part& part = PartOf(id, aNow);
-    // Parts that always occur together cannot be told apart, and must not excuse each other.
-    const double evidence = -std::log(1 - no_cause_above(doubt.m_log_odds + kExcuseMargin));
+    const double evidence =
+      -std::log(1 - no_cause_above(candidate.m_log_odds + kAlternativeMargin));
     ++part.m_crashes;
-    part.m_blamed_at = aNow;
-    SetLogOdds(id, part, doubt.m_log_odds + evidence, aNow);
-    crash.m_evidence.emplace_back(id, part.m_log_odds - doubt.m_log_odds);
+    part.m_last_evidence_at = aNow;
+    SetLogOdds(id, part, candidate.m_log_odds + evidence, aNow);
+    crash.m_evidence.emplace_back(id, part.m_log_odds - candidate.m_log_odds);
   }
   crash.m_unexplained = no_cause_above(kMinLogOdds) / (1 - base_rate);
   m_unexplained += crash.m_unexplained;
@@ -324,11 +329,12 @@
 }
 
 void
-CrashSuspects::Refute(const SlotRequestId& aRequestId, TimePoint aNow)
+CrashSuspects::WithdrawEvidence(const SlotRequestId& aRequestId, TimePoint aNow)
 {
   const auto found = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash& aCrash) {
     return aNow - aCrash.m_at > kReportDelay && aNow - aCrash.m_at <= kCrashRetention &&
-           std::find(aCrash.m_runs.begin(), aCrash.m_runs.end(), aRequestId) != aCrash.m_runs.end();
+           std::find(aCrash.m_requests.begin(), aCrash.m_requests.end(), aRequestId) !=
+             aCrash.m_requests.end();
   });
   if (found == m_crashes.end()) {
     return;
@@ -343,10 +349,10 @@
   m_crashes.erase(found);
 }
 
-CrashSuspects::Verdict
-CrashSuspects::Judge(const std::vector<PromptPart>& aParts, TimePoint aNow) const
+CrashSuspects::Admission
+CrashSuspects::AdmissionOf(const std::vector<PromptPart>& aParts, TimePoint aNow) const
 {
-  Verdict verdict = Verdict::Admit;
+  Admission admission = Admission::Admit;
   for (const PromptPart& id : aParts) {
     const auto found = m_parts.find(id);
     if (found == m_parts.end()) {
@@ -355,13 +361,13 @@
     const Part& part = found->second;
     if (part.m_refused_until && (aNow < *part.m_refused_until || part.m_running > 0 ||
                                  part.m_crashes >= m_limits.m_max_crashes)) {
-      return Verdict::Refuse;
+      return Admission::Refuse;
     }
     if (part.m_running > 0 && part.m_log_odds >= m_suspect_log_odds) {
-      verdict = Verdict::Wait;
+      admission = Admission::Wait;
     }
   }
-  return verdict;
+  return admission;
 }
 
 void
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -99,7 +99,7 @@
     is_new = m_versions.insert(info.m_software_version).second || is_new;
   }
   if (is_new && !is_first) {
-    m_suspects->OnNewVersion(aNow);
+    m_prompt_suspects->OnNewVersion(aNow);
   }
 }
 
@@ -182,7 +182,8 @@
     m_ineligible.emplace_back(aRequest, SlotRefusalReason::NoEndpointOfVersion);
     return;
   }
-  if (m_suspects->Judge(aRequest.m_prompt_parts, aNow) == CrashSuspects::Verdict::Refuse) {
+  if (m_prompt_suspects->AdmissionOf(aRequest.m_prompt_parts, aNow) ==
+      CrashSuspects::Admission::Refuse) {
     m_ineligible.emplace_back(aRequest, SlotRefusalReason::HarmfulPrompt);
     return;
   }
@@ -221,7 +222,7 @@
   const auto found = m_endpoints.find(aEndpoint);
   if (found != m_endpoints.end()) {
     found->second.Adopt(aRequestId, aWork, aNow);
-    m_suspects->Begin(aRequestId, aEndpoint, aPromptParts, aNow);
+    m_prompt_suspects->Begin(aRequestId, aEndpoint, aPromptParts, aNow);
   }
 }
 
@@ -230,7 +231,7 @@
                              const EndpointId& aEndpoint,
                              TimePoint aNow)
 {
-  m_suspects->RecordStarted(aRequestId, aNow);
+  m_prompt_suspects->RecordStarted(aRequestId, aNow);
   const auto found = m_endpoints.find(aEndpoint);
   if (found == m_endpoints.end()) {
     return;
@@ -249,7 +250,7 @@
 {
   const auto found = m_endpoints.find(aEndpoint);
   const bool is_usable = found != m_endpoints.end();
-  m_suspects->RecordEnded(aRequestId, aOutcome, !is_usable, aNow);
+  m_prompt_suspects->RecordEnded(aRequestId, aOutcome, !is_usable, aNow);
   if (is_usable) {
     found->second.RecordEnded(aRequestId, aOutcome, aNow);
   }
@@ -258,7 +259,7 @@
 void
 SlotScheduler::ReleaseSlot(const SlotRequestId& aRequestId, TimePoint aNow)
 {
-  m_suspects->RecordEnded(aRequestId, SlotOutcome::Cancelled, true, aNow);
+  m_prompt_suspects->RecordEnded(aRequestId, SlotOutcome::Cancelled, true, aNow);
   for (auto& [id, endpoint] : m_endpoints) {
     if (endpoint.RecordEnded(aRequestId, SlotOutcome::Cancelled, aNow)) {
       return;
@@ -269,7 +270,7 @@
 std::vector<SlotRequest>
 SlotScheduler::ForgetDaemon(const Incarnation& aDaemon)
 {
-  m_suspects->ForgetDaemon(aDaemon);
+  m_prompt_suspects->ForgetDaemon(aDaemon);
   for (auto& [id, endpoint] : m_endpoints) {
     endpoint.ReleaseDaemon(aDaemon);
   }
@@ -460,10 +461,11 @@
   // that another request runs with; they do not hold up the others.
   std::vector<WaitingSlotRequest> set_aside;
   while (const WaitingSlotRequest* front = m_queue.Front(aNow)) {
-    const CrashSuspects::Verdict verdict = m_suspects->Judge(front->m_request.m_prompt_parts, aNow);
-    if (verdict != CrashSuspects::Verdict::Admit) {
+    const CrashSuspects::Admission admission =
+      m_prompt_suspects->AdmissionOf(front->m_request.m_prompt_parts, aNow);
+    if (admission != CrashSuspects::Admission::Admit) {
       WaitingSlotRequest waiting = *m_queue.Remove(SlotRequestId(front->m_request.m_request_id));
-      if (verdict == CrashSuspects::Verdict::Refuse) {
+      if (admission == CrashSuspects::Admission::Refuse) {
         Refuse(waiting.m_request, SlotRefusalReason::HarmfulPrompt, aNow, decisions);
       } else {
         set_aside.push_back(std::move(waiting));
@@ -481,10 +483,10 @@
     const WaitingSlotRequest granted = m_queue.PopFront(aNow);
     const double expected_ms = endpoint->ExpectedFirstByteMs(granted.m_request.m_work);
     endpoint->Hold(granted.m_request.m_request_id, granted.m_request.m_work, aNow);
-    m_suspects->Begin(granted.m_request.m_request_id,
-                      endpoint->Info().m_id,
-                      granted.m_request.m_prompt_parts,
-                      aNow);
+    m_prompt_suspects->Begin(granted.m_request.m_request_id,
+                             endpoint->Info().m_id,
+                             granted.m_request.m_prompt_parts,
+                             aNow);
     decisions.m_grants.push_back({ granted.m_request.m_request_id,
                                    endpoint->Info().m_id,
                                    Milliseconds(static_cast<std::int64_t>(expected_ms)) });
--- a/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -15,7 +15,7 @@
   PromptPart m_part;
   /// Probability that it crashes each endpoint that runs it.
   double m_probability = 0;
-  /// Crashes that it was blamed for.
+  /// Crashes in a row that were evidence against it.
   int m_crashes = 0;
   /// Requests with it are refused for this long; 0 if they are not.
   Milliseconds m_refused_for{ 0 };
@@ -52,7 +52,7 @@
     std::size_t m_max_parts = 4'096;
   };
 
-  enum class Verdict
+  enum class Admission
   {
     /// May be granted a slot now.
     Admit,
@@ -73,8 +73,9 @@
              const EndpointId& aEndpoint,
              const std::vector<PromptPart>& aParts,
              TimePoint aNow);
-  /// Withdraws what a request would say about its parts, because its end proves nothing.
-  void Acquit(const SlotRequestId& aRequestId);
+  /// Records that the end of a request, which is reported next, does not prove that its response is
+  /// complete: it may be a crash.
+  void MarkEndUnproven(const SlotRequestId& aRequestId);
   /// Records the first byte of a response.
   void RecordStarted(const SlotRequestId& aRequestId, TimePoint aNow);
   /// Records the end of a request. aIsExpected: whether the endpoint leaves or is not registered,
@@ -86,7 +87,8 @@
   /// Forgets the requests of a daemon that has stopped.
   void ForgetDaemon(const Incarnation& aDaemon);
 
-  Verdict Judge(const std::vector<PromptPart>& aParts, TimePoint aNow) const;
+  /// Whether a request with these parts may be granted a slot.
+  Admission AdmissionOf(const std::vector<PromptPart>& aParts, TimePoint aNow) const;
   /// Permits another trial of each refused part: endpoints of another software version serve.
   void OnNewVersion(TimePoint aNow);
 
@@ -112,13 +114,13 @@
     TimePoint m_used_at;
     /// Set while requests with the part are refused.
     std::optional<TimePoint> m_refused_until;
-    /// When it was blamed last.
-    std::optional<TimePoint> m_blamed_at;
+    /// When a crash was evidence against it last.
+    std::optional<TimePoint> m_last_evidence_at;
     int m_failed_trials = 0;
     bool m_is_changed = false;
   };
 
-  struct Run
+  struct RunningRequest
   {
     EndpointId m_endpoint;
     std::vector<PromptPart> m_parts;
@@ -126,8 +128,8 @@
     std::optional<TimePoint> m_started_at;
   };
 
-  /// A part of a request that ran at an endpoint when that crashed.
-  struct PartInDoubt
+  /// A part that may have crashed an endpoint.
+  struct Candidate
   {
     double m_log_odds = 0;
     /// Whether the crash is evidence that is independent of the one before: the request was granted
@@ -135,13 +137,12 @@
     bool m_is_independent = false;
   };
 
-  /// The end of an endpoint under several requests.
   struct Crash
   {
     EndpointId m_endpoint;
     TimePoint m_at;
-    /// The requests there that have not ended yet.
-    std::vector<SlotRequestId> m_runs;
+    /// The requests that ran there and whose end has not been reported yet.
+    std::vector<SlotRequestId> m_requests;
     /// What was added to the log odds of each part.
     std::vector<std::pair<PromptPart, double>> m_evidence;
     /// What was added to the crashes that no part explains.
@@ -153,16 +154,16 @@
   void Decay(TimePoint aNow);
   void SetLogOdds(const PromptPart& aId, Part& aPart, double aLogOdds, TimePoint aNow);
   void MarkChanged(const PromptPart& aId, Part& aPart);
-  std::map<PromptPart, PartInDoubt> PartsInDoubt(const EndpointId& aEndpoint, TimePoint aNow);
+  std::map<PromptPart, Candidate> CandidatesAt(const EndpointId& aEndpoint, TimePoint aNow);
   /// The known crash in which a request broke off, if there is one: it ran there then, or was
   /// granted before all daemons had noticed.
-  Crash* CrashOf(const SlotRequestId& aRequestId, const Run& aRun, TimePoint aNow);
-  void RecordSound(const Run& aRun, TimePoint aNow);
-  void RecordCrash(const SlotRequestId& aRequestId, const Run& aRun, TimePoint aNow);
+  Crash* CrashOf(const SlotRequestId& aRequestId, const RunningRequest& aRequest, TimePoint aNow);
+  void RecordCompleted(const RunningRequest& aRequest, TimePoint aNow);
+  void RecordCrash(const SlotRequestId& aRequestId, const RunningRequest& aRequest, TimePoint aNow);
   /// Withdraws the evidence of a crash if a request that ran there goes on: only a connection
   /// broke.
-  void Refute(const SlotRequestId& aRequestId, TimePoint aNow);
-  void EndRun(const Run& aRun);
+  void WithdrawEvidence(const SlotRequestId& aRequestId, TimePoint aNow);
+  void RecordNotRunning(const RunningRequest& aRequest);
   static PartSuspicion SuspicionOf(const PromptPart& aId, const Part& aPart, TimePoint aNow);
 
   Limits m_limits;
@@ -171,7 +172,7 @@
   double m_suspect_log_odds;
   double m_announce_log_odds;
   absl::flat_hash_map<PromptPart, Part> m_parts;
-  absl::flat_hash_map<SlotRequestId, Run> m_runs;
+  absl::flat_hash_map<SlotRequestId, RunningRequest> m_requests;
   std::deque<Crash> m_crashes;
   std::vector<PromptPart> m_changed;
   /// Exponentially decaying counts.
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -48,7 +48,7 @@
     SlotSchedulerLimits aLimits,
     std::shared_ptr<CrashSuspects> aSuspects = std::make_shared<CrashSuspects>())
     : m_limits(aLimits)
-    , m_suspects(std::move(aSuspects))
+    , m_prompt_suspects(std::move(aSuspects))
   {
   }
 
@@ -121,7 +121,7 @@
   void RecordVersions(const std::vector<SlotEndpointInfo>& aEndpoints, TimePoint aNow);
 
   SlotSchedulerLimits m_limits;
-  std::shared_ptr<CrashSuspects> m_suspects;
+  std::shared_ptr<CrashSuspects> m_prompt_suspects;
   /// The software versions that have served.
   std::set<SoftwareVersion> m_versions;
   double m_slot_share = 1.0;
--- /dev/null
+++ b/Tests/Unit/TestCrashSuspectTable.cpp
@@ -0,0 +1,65 @@
+#include <LibBroker/CrashSuspectTable.h>
+#include <LibCluster/PeerLink.h>
+
+#include <doctest.h>
+
+using namespace auburnhitch;
+
+namespace {
+
+constexpr TimePoint kNow{};
+const ServiceName kService("s");
+const PromptPart kPart("5c");
+
+PartSuspicionsMessage
+MessageOf(const PromptPart& aPart, double aProbability)
+{
+  return { kService, { { aPart, aProbability, 3, Milliseconds(60'000) } } };
+}
+
+}
+
+TEST_CASE("Crashes: only the coordinator's word replaces a stronger suspicion")
+{
+  CrashSuspectTable table;
+  table.OnMessage(MessageOf(kPart, 0.99), false, kNow);
+  CHECK(table.IsHarmful(kService, { kPart }, kNow));
+  CHECK_FALSE(table.IsHarmful(ServiceName("t"), { kPart }, kNow));
+  table.OnMessage(MessageOf(kPart, 0.3), false, kNow);
+  CHECK(table.IsHarmful(kService, { kPart }, kNow));
+  table.OnMessage(MessageOf(kPart, 0.3), true, kNow);
+  CHECK_FALSE(table.IsHarmful(kService, { kPart }, kNow));
+}
+
+TEST_CASE(
+  "Crashes: a daemon passes on what it learned, and what the coordinator says only if asked")
+{
+  CrashSuspectTable table;
+  table.OnMessage(MessageOf(kPart, 0.99), true, kNow);
+  CHECK(table.TakeChanges(kNow).empty());
+  CHECK(table.MessagesForCoordinator(kService, kNow).size() == 1);
+  CHECK(table.MessagesForCoordinator(ServiceName("t"), kNow).empty());
+  table.OnMessage(MessageOf(PromptPart("5d"), 0.99), false, kNow);
+  CHECK(table.TakeChanges(kNow).size() == 1);
+  CHECK(table.TakeChanges(kNow).empty());
+  REQUIRE(table.MessagesForDaemon(kNow).size() == 1);
+  CHECK(table.MessagesForDaemon(kNow).front().m_suspicions.size() == 2);
+}
+
+TEST_CASE("Crashes: a full table is divided into messages that fit on a link")
+{
+  CrashSuspectTable table;
+  const std::size_t size = CrashSuspects::Limits().m_max_parts;
+  for (std::size_t i = 0; i < size; ++i) {
+    std::string id = std::to_string(i);
+    id.resize(64, 'f');
+    table.OnMessage(MessageOf(PromptPart(id), 0.987654321), true, kNow);
+  }
+  std::size_t received = 0;
+  for (const PartSuspicionsMessage& message : table.MessagesForDaemon(kNow)) {
+    const auto bytes = nlohmann::json::to_msgpack(EncodeSlotMessage(message));
+    CHECK(bytes.size() <= PeerLink::kMaxMessageBytes / 2);
+    received += message.m_suspicions.size();
+  }
+  CHECK(received == size);
+}
--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-using Verdict = CrashSuspects::Verdict;
+using Admission = CrashSuspects::Admission;
 
 const PromptPart kCommon("c0");
 const PromptPart kBad("bad0");
@@ -70,12 +70,15 @@
     }
   }
 
-  Verdict Judge(const PromptPart& aPart) const { return m_suspects.Judge({ aPart }, m_now); }
+  Admission AdmissionOf(const PromptPart& aPart) const
+  {
+    return m_suspects.AdmissionOf({ aPart }, m_now);
+  }
   /// The number of crashes until a part is refused, at most aMax.
   int CrashesUntilRefused(const std::vector<std::vector<PromptPart>>& aRequests, int aMax = 20)
   {
     int crashes = 0;
-    while (crashes < aMax && Judge(kBad) != Verdict::Refuse) {
+    while (crashes < aMax && AdmissionOf(kBad) != Admission::Refuse) {
       Crash(aRequests);
       ++crashes;
     }
@@ -100,9 +103,9 @@
     CHECK(crashes >= 2);
     CHECK(crashes <= 3);
     if (sound > 0) {
-      CHECK(trace.Judge(kCommon) == Verdict::Admit);
-      CHECK(trace.Judge(Session(1)) == Verdict::Admit);
-      CHECK(trace.Judge(Session(2)) == Verdict::Admit);
+      CHECK(trace.AdmissionOf(kCommon) == Admission::Admit);
+      CHECK(trace.AdmissionOf(Session(1)) == Admission::Admit);
+      CHECK(trace.AdmissionOf(Session(2)) == Admission::Admit);
     }
   }
 }
@@ -117,11 +120,11 @@
     trace.Crash({ { kCommon, Session(i), other } });
     trace.RunSound(4);
   }
-  CHECK(trace.Judge(kBad) == Verdict::Refuse);
-  CHECK(trace.Judge(other) == Verdict::Refuse);
-  CHECK(trace.Judge(kCommon) == Verdict::Admit);
+  CHECK(trace.AdmissionOf(kBad) == Admission::Refuse);
+  CHECK(trace.AdmissionOf(other) == Admission::Refuse);
+  CHECK(trace.AdmissionOf(kCommon) == Admission::Admit);
   for (int i = 0; i < 4; ++i) {
-    CHECK(trace.Judge(Session(i)) == Verdict::Admit);
+    CHECK(trace.AdmissionOf(Session(i)) == Admission::Admit);
   }
 }
 
@@ -144,8 +147,8 @@
   Trace trace;
   for (int i = 0; i < 500; ++i) {
     trace.Crash({ { kCommon, Session(1) }, { kCommon, Session(2) } });
-    CHECK(trace.Judge(kCommon) != Verdict::Refuse);
-    CHECK(trace.Judge(Session(1)) != Verdict::Refuse);
+    CHECK(trace.AdmissionOf(kCommon) != Admission::Refuse);
+    CHECK(trace.AdmissionOf(Session(1)) != Admission::Refuse);
     trace.Run({ kCommon, Session(1) }, SlotOutcome::Complete);
     trace.Run({ kCommon, Session(2) }, SlotOutcome::Complete);
   }
@@ -205,7 +208,7 @@
   trace.RunSound(300);
   const EndpointId endpoint("e");
   int crashes = 0;
-  for (; crashes < 6 && trace.Judge(kBad) != Verdict::Refuse; ++crashes) {
+  for (; crashes < 6 && trace.AdmissionOf(kBad) != Admission::Refuse; ++crashes) {
     trace.m_suspects.Begin(IdOf(1, "x"), endpoint, { kCommon, Session(1) }, trace.m_now);
     trace.m_suspects.RecordEnded(IdOf(1, "x"), SlotOutcome::Broken, false, trace.m_now);
     trace.m_now += Milliseconds(300);
@@ -244,12 +247,12 @@
   Trace trace;
   trace.RunSound(300);
   trace.Crash({ { kCommon, kBad } });
-  CHECK(trace.Judge(kBad) == Verdict::Admit);
+  CHECK(trace.AdmissionOf(kBad) == Admission::Admit);
   trace.m_suspects.Begin(IdOf(1, "x"), EndpointId("e"), { kCommon, kBad }, trace.m_now);
-  CHECK(trace.Judge(kBad) == Verdict::Wait);
-  CHECK(trace.Judge(kCommon) == Verdict::Admit);
+  CHECK(trace.AdmissionOf(kBad) == Admission::Wait);
+  CHECK(trace.AdmissionOf(kCommon) == Admission::Admit);
   trace.m_suspects.ForgetDaemon(Incarnation("x"));
-  CHECK(trace.Judge(kBad) == Verdict::Admit);
+  CHECK(trace.AdmissionOf(kBad) == Admission::Admit);
 }
 
 TEST_CASE("Crashes: a whole response clears a part, one that ended with its connection does not")
@@ -257,17 +260,17 @@
   Trace trace;
   trace.RunSound(300);
   trace.CrashesUntilRefused({ { kCommon, kBad } });
-  const auto end = [&](bool aIsAcquitted) {
+  const auto end = [&](bool aIsUnproven) {
     trace.m_suspects.Begin(IdOf(1, "x"), EndpointId("e"), { kCommon, kBad }, trace.m_now);
-    if (aIsAcquitted) {
-      trace.m_suspects.Acquit(IdOf(1, "x"));
+    if (aIsUnproven) {
+      trace.m_suspects.MarkEndUnproven(IdOf(1, "x"));
     }
     trace.m_suspects.RecordEnded(IdOf(1, "x"), SlotOutcome::Complete, false, trace.m_now);
   };
   end(true);
-  CHECK(trace.Judge(kBad) == Verdict::Refuse);
+  CHECK(trace.AdmissionOf(kBad) == Admission::Refuse);
   end(false);
-  CHECK(trace.Judge(kBad) == Verdict::Admit);
+  CHECK(trace.AdmissionOf(kBad) == Admission::Admit);
 }
 
 TEST_CASE("Crashes: a refused part gets trials further and further apart, and at last none")
@@ -278,7 +281,7 @@
   Milliseconds refused_for(0);
   for (; crashes < CrashSuspects::Limits().m_max_crashes; ++crashes) {
     const TimePoint refused_at = trace.m_now;
-    while (trace.Judge(kBad) == Verdict::Refuse) {
+    while (trace.AdmissionOf(kBad) == Admission::Refuse) {
       trace.m_now += Milliseconds(1'000);
     }
     const Milliseconds waited(ToMilliseconds(trace.m_now - refused_at));
@@ -286,15 +289,15 @@
     refused_for = waited;
     // While the trial runs there is no other.
     trace.m_suspects.Begin(IdOf(1, "x"), EndpointId("t"), { kBad }, trace.m_now);
-    CHECK(trace.Judge(kBad) == Verdict::Refuse);
+    CHECK(trace.AdmissionOf(kBad) == Admission::Refuse);
     trace.m_now += Milliseconds(50);
     trace.m_suspects.RecordEnded(IdOf(1, "x"), SlotOutcome::Broken, false, trace.m_now);
     trace.m_now += Milliseconds(3'000);
   }
   trace.m_now += Milliseconds(100'000'000);
-  CHECK(trace.Judge(kBad) == Verdict::Refuse);
+  CHECK(trace.AdmissionOf(kBad) == Admission::Refuse);
   trace.m_suspects.OnNewVersion(trace.m_now);
-  CHECK(trace.Judge(kBad) == Verdict::Admit);
+  CHECK(trace.AdmissionOf(kBad) == Admission::Admit);
 }
 
 TEST_CASE("Crashes: what one daemon knows of a part, the others and the next coordinator apply")
@@ -307,19 +310,19 @@
     other.Apply(suspicion, At(0));
   }
   CHECK(trace.m_suspects.TakeChanges(trace.m_now).empty());
-  CHECK(other.Judge({ kBad }, At(0)) == Verdict::Refuse);
-  CHECK(other.Judge({ kCommon }, At(0)) == Verdict::Admit);
+  CHECK(other.AdmissionOf({ kBad }, At(0)) == Admission::Refuse);
+  CHECK(other.AdmissionOf({ kCommon }, At(0)) == Admission::Admit);
   CrashSuspects next;
   for (const PartSuspicion& suspicion : other.All(At(0))) {
     next.Merge(suspicion, At(10));
   }
-  CHECK(next.Judge({ kBad }, At(10)) == Verdict::Refuse);
+  CHECK(next.AdmissionOf({ kBad }, At(10)) == Admission::Refuse);
   CHECK(next.TakeChanges(At(10)).size() == 1);
   // An older suspicion does not replace a stronger one.
   next.Merge({ kBad, 0.3, 1, Milliseconds(0) }, At(20));
-  CHECK(next.Judge({ kBad }, At(20)) == Verdict::Refuse);
+  CHECK(next.AdmissionOf({ kBad }, At(20)) == Admission::Refuse);
   other.Apply({ kBad, 0.001, 0, Milliseconds(0) }, At(20));
-  CHECK(other.Judge({ kBad }, At(20)) == Verdict::Admit);
+  CHECK(other.AdmissionOf({ kBad }, At(20)) == Admission::Admit);
 }
 
 TEST_CASE("Crashes: the table is bounded, and a refused part outlasts forged ones")
@@ -354,8 +357,8 @@
   trace.RunSound(300);
   const PromptPart companion("c1");
   CHECK(trace.CrashesUntilRefused({ { kCommon, companion, kBad } }) <= 3);
-  CHECK(trace.Judge(companion) == Verdict::Refuse);
-  CHECK(trace.Judge(kCommon) == Verdict::Admit);
+  CHECK(trace.AdmissionOf(companion) == Admission::Refuse);
+  CHECK(trace.AdmissionOf(kCommon) == Admission::Admit);
 }
 
 TEST_CASE("Crashes: a scheduler refuses harmful requests at once, and lets suspected ones wait")
--- a/Tests/Unit/TestSlotMessages.cpp
+++ b/Tests/Unit/TestSlotMessages.cpp
@@ -1,5 +1,4 @@
 #include <LibBroker/SlotMessages.h>
-#include <LibCluster/PeerLink.h>
 
 #include <doctest.h>
 #include <random>
@@ -40,7 +39,7 @@
            StreamLookupMessage{ 7, service, "stream-1" },
            StreamVersionMessage{ 7, SoftwareVersion("v1") },
            PromptPartsMessage{ 7, { PromptPart("5c"), PromptPart("e4") } },
-           AcquittalMessage{ service, 7 },
+           UnprovenEndMessage{ service, 7 },
            PartSuspicionsMessage{ service, { { PromptPart("5c"), 0.5, 2, Milliseconds(7) } } } };
 }
 
@@ -96,24 +95,6 @@
   CHECK_FALSE(DecodeSlotMessage(wrong));
 }
 
-TEST_CASE("The suspicions of a full table are divided into messages that fit on a link")
-{
-  std::vector<PartSuspicion> suspicions;
-  for (std::size_t i = 0; i < CrashSuspects::Limits().m_max_parts; ++i) {
-    std::string id = std::to_string(i);
-    id.resize(64, 'f');
-    suspicions.push_back({ PromptPart(id), 0.987654321, 8, Milliseconds(60'000) });
-  }
-  std::vector<PartSuspicion> received;
-  for (const PartSuspicionsMessage& message : DivideSuspicions(ServiceName("s"), suspicions)) {
-    const auto bytes = nlohmann::json::to_msgpack(EncodeSlotMessage(message));
-    CHECK(bytes.size() <= PeerLink::kMaxMessageBytes / 2);
-    received.insert(received.end(), message.m_suspicions.begin(), message.m_suspicions.end());
-  }
-  CHECK(received == suspicions);
-  CHECK(DivideSuspicions(ServiceName("s"), {}).empty());
-}
-
 TEST_CASE("Decoding a damaged message does not crash the process")
 {
   std::mt19937 random(1);
