--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -199,7 +199,7 @@
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/if \(Crash\* known = CrashOf\(aRequestId, aRequest\)\)/if (Crash* known = nullptr)/' \
   "$UNIT" "Crashes: *"
-mutate "a prompt that crashes endpoints is refused: a response that had begun is not blamed" \
+mutate "a prompt that crashes endpoints is refused: one whose response had begun is no candidate" \
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/\(aRequest.m_started_at \&\& aEndedAt - \*aRequest.m_started_at > kMaxTimeToCrash\)/false/' \
   "$UNIT" "Crashes: *"
@@ -207,9 +207,9 @@
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/  m_unexplained \+= crash.m_unexplained;//' \
   "$UNIT" "Crashes: *"
-mutate "a prompt that crashes endpoints is refused: its last part is not blamed" \
+mutate "a prompt that crashes endpoints is refused: its last part is no candidate" \
   platform/PlatformDialect.cpp \
-  's/    if \(comma == absl::string_view::npos\) \{/    if (comma == absl::string_view::npos \&\& rest.empty()) {/' \
+  's/absl::string_view rest = FindHeader\(aHeaders, kPromptParts\);/const std::string all = std::string(FindHeader(aHeaders, kPromptParts)) + ",";\n  absl::string_view rest = all;/' \
   "$UNIT" "The parts of a prompt are decoded*"
 mutate "a prompt that crashes endpoints is refused: an end with the connection clears nothing" \
   Libraries/LibPlacement/CrashSuspects.cpp \
--- a/Tests/Unit/TestCrashLoad.cpp
+++ b/Tests/Unit/TestCrashLoad.cpp
@@ -1,12 +1,14 @@
+#include "EventQueue.h"
+
 #include <LibPlacement/SlotScheduler.h>
 
 #include <doctest.h>
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
 
 using namespace auburnhitch;
+using namespace auburnhitch::tests;
 
 namespace {
 
@@ -96,14 +98,10 @@
                      }
                    });
     }
-    while (!m_events.empty()) {
-      const Event event = m_events.top();
-      m_events.pop();
-      m_now = event.m_at;
-      event.m_run();
-      for (SlotDecisions decisions = m_scheduler.Decide(At(m_now));
+    while (m_events.RunNext()) {
+      for (SlotDecisions decisions = m_scheduler.Decide(At(m_events.Now()));
            !decisions.m_grants.empty() || !decisions.m_refusals.empty();
-           decisions = m_scheduler.Decide(At(m_now))) {
+           decisions = m_scheduler.Decide(At(m_events.Now()))) {
         Apply(decisions);
       }
     }
@@ -111,18 +109,6 @@
   }
 
 private:
-  struct Event
-  {
-    double m_at;
-    std::uint64_t m_order;
-    std::function<void()> m_run;
-
-    bool operator<(const Event& aOther) const
-    {
-      return std::pair(m_at, m_order) > std::pair(aOther.m_at, aOther.m_order);
-    }
-  };
-
   struct Request
   {
     int m_bad_part = -1;
@@ -131,11 +117,6 @@
     bool m_has_begun = false;
   };
 
-  void Schedule(double aAt, std::function<void()> aRun)
-  {
-    m_events.push({ aAt, ++m_last_event, std::move(aRun) });
-  }
-
   void ScheduleEach(std::mt19937& aRandom,
                     double aFrom,
                     double aPerSecond,
@@ -143,7 +124,7 @@
   {
     const double at = aFrom + std::exponential_distribution<double>(aPerSecond)(aRandom) * 1'000;
     if (at < kDurationMs) {
-      Schedule(at, [this, &aRandom, at, aPerSecond, aRun] {
+      m_events.Schedule(at, [this, &aRandom, at, aPerSecond, aRun] {
         aRun();
         ScheduleEach(aRandom, at, aPerSecond, aRun);
       });
@@ -158,7 +139,7 @@
     for (const EndpointId& id : m_ids) {
       infos.push_back({ id, DataCenterName("dc"), kSlots, 1, SoftwareVersion("v1"), {} });
     }
-    m_scheduler.SetEndpoints(infos, At(m_now));
+    m_scheduler.SetEndpoints(infos, At(m_events.Now()));
   }
 
   void Arrive(int aBadPart)
@@ -166,7 +147,7 @@
     const std::uint64_t number = ++m_last_number;
     Request& request = m_requests[number];
     request.m_bad_part = aBadPart;
-    request.m_arrived = m_now;
+    request.m_arrived = m_events.Now();
     // Some sessions are asked for often, most rarely.
     const double drawn = std::uniform_real_distribution<double>(0, 1)(m_random);
     const int session = static_cast<int>(kSessions * drawn * drawn);
@@ -184,15 +165,15 @@
     SlotRequest slot;
     slot.m_request_id = { Incarnation("d"), number };
     slot.m_work = { 2'500, 110 };
-    slot.m_arrived_at = At(m_now);
-    slot.m_objective_at = At(m_now + 800);
-    slot.m_abandoned_at = At(m_now + 3'200);
+    slot.m_arrived_at = At(m_events.Now());
+    slot.m_objective_at = At(m_events.Now() + 800);
+    slot.m_abandoned_at = At(m_events.Now() + 3'200);
     slot.m_data_center = DataCenterName("dc");
     if (m_policy == Policy::Likelihood) {
       slot.m_prompt_parts = request.m_parts;
     }
-    m_scheduler.RequestSlot(slot, At(m_now));
-    Schedule(m_now + 3'200, [] {});
+    m_scheduler.RequestSlot(slot, At(m_events.Now()));
+    m_events.Schedule(m_events.Now() + 3'200, [] {});
   }
 
   bool CountRefuses(const std::vector<PromptPart>& aParts) const
@@ -223,19 +204,19 @@
     const std::uint64_t number = aGrant.m_request_id.m_number;
     if (found == m_ids.end() || m_down.contains(endpoint)) {
       m_scheduler.RecordEnded(
-        aGrant.m_request_id, aGrant.m_endpoint, SlotOutcome::Unreachable, At(m_now));
+        aGrant.m_request_id, aGrant.m_endpoint, SlotOutcome::Unreachable, At(m_events.Now()));
       return;
     }
     m_running[endpoint].push_back(aGrant);
     const double first = std::lognormal_distribution<double>(4.2, 0.5)(m_random);
     const double rest = std::lognormal_distribution<double>(6.2, 0.7)(m_random);
     const bool is_bad = m_requests.at(number).m_bad_part >= 0;
-    Schedule(m_now + first, [this, aGrant, endpoint, number, is_bad] {
+    m_events.Schedule(m_events.Now() + first, [this, aGrant, endpoint, number, is_bad] {
       if (!IsRunning(endpoint, number)) {
         return;
       }
       if (is_bad) {
-        Schedule(m_now + kTimeToCrashMs, [this, endpoint, number] {
+        m_events.Schedule(m_events.Now() + kTimeToCrashMs, [this, endpoint, number] {
           if (IsRunning(endpoint, number)) {
             ++m_result.m_bad_crashes;
             Crash(endpoint);
@@ -243,11 +224,12 @@
         });
         return;
       }
-      m_requests.at(number).m_has_begun = m_now - m_requests.at(number).m_arrived <= 800;
-      m_scheduler.RecordStarted(aGrant.m_request_id, aGrant.m_endpoint, At(m_now));
+      m_requests.at(number).m_has_begun = m_events.Now() - m_requests.at(number).m_arrived <= 800;
+      m_scheduler.RecordStarted(aGrant.m_request_id, aGrant.m_endpoint, At(m_events.Now()));
     });
     if (!is_bad) {
-      Schedule(m_now + first + rest, [this, endpoint, number] { Complete(endpoint, number); });
+      m_events.Schedule(m_events.Now() + first + rest,
+                        [this, endpoint, number] { Complete(endpoint, number); });
     }
   }
 
@@ -275,7 +257,8 @@
     for (const PromptPart& part : request.m_parts) {
       m_crashes_in_a_row.erase(part);
     }
-    m_scheduler.RecordEnded(grant.m_request_id, grant.m_endpoint, SlotOutcome::Complete, At(m_now));
+    m_scheduler.RecordEnded(
+      grant.m_request_id, grant.m_endpoint, SlotOutcome::Complete, At(m_events.Now()));
   }
 
   void Crash(std::size_t aEndpoint)
@@ -284,16 +267,17 @@
       return;
     }
     ++m_result.m_crashes;
-    std::set<PromptPart> blamed;
+    std::set<PromptPart> running;
     for (const SlotGrant& grant : std::exchange(m_running[aEndpoint], {})) {
       const Request& request = m_requests.at(grant.m_request_id.m_number);
-      blamed.insert(request.m_parts.begin(), request.m_parts.end());
-      m_scheduler.RecordEnded(grant.m_request_id, grant.m_endpoint, SlotOutcome::Broken, At(m_now));
+      running.insert(request.m_parts.begin(), request.m_parts.end());
+      m_scheduler.RecordEnded(
+        grant.m_request_id, grant.m_endpoint, SlotOutcome::Broken, At(m_events.Now()));
     }
-    for (const PromptPart& part : blamed) {
+    for (const PromptPart& part : running) {
       ++m_crashes_in_a_row[part];
     }
-    Schedule(m_now + kDownMs, [this, aEndpoint] {
+    m_events.Schedule(m_events.Now() + kDownMs, [this, aEndpoint] {
       m_down.erase(aEndpoint);
       m_ids[aEndpoint] = NewId();
       Register();
@@ -306,8 +290,6 @@
   Policy m_policy;
   Load m_load;
   SlotScheduler m_scheduler;
-  double m_now = 0;
-  std::uint64_t m_last_event = 0;
   std::uint64_t m_last_number = 0;
   int m_last_id = 0;
   std::vector<EndpointId> m_ids;
@@ -315,7 +297,7 @@
   std::map<std::size_t, std::vector<SlotGrant>> m_running;
   std::map<std::uint64_t, Request> m_requests;
   std::map<PromptPart, int> m_crashes_in_a_row;
-  std::priority_queue<Event> m_events;
+  EventQueue m_events;
   Result m_result;
 };
 
--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -220,7 +220,7 @@
   CHECK(crashes <= 5);
 }
 
-TEST_CASE("Crashes: a response that had begun long before, and an expected end, blame no part")
+TEST_CASE("Crashes: a response that had begun long before, and an expected end, are no evidence")
 {
   CrashSuspects suspects;
   suspects.Begin(IdOf(1), EndpointId("e"), { kCommon }, At(0));
@@ -369,7 +369,7 @@
   CHECK(suspected[0].m_part == kBad);
 }
 
-TEST_CASE("Crashes: a part that is suspected already excuses the parts beside it")
+TEST_CASE("Crashes: a part that is suspected already explains a crash for those beside it")
 {
   Trace trace;
   trace.RunSound(300);
--- a/Tests/Unit/TestPlacementLoad.cpp
+++ b/Tests/Unit/TestPlacementLoad.cpp
@@ -1,13 +1,15 @@
+#include "EventQueue.h"
+
 #include <LibPlacement/SlotScheduler.h>
 
 #include <cmath>
 #include <doctest.h>
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
 
 using namespace auburnhitch;
+using namespace auburnhitch::tests;
 
 namespace {
 
@@ -88,11 +90,7 @@
     for (std::size_t kind = 0; kind < kKinds.size(); ++kind) {
       ScheduleArrival(kind, 0, aFactor);
     }
-    while (!m_events.empty()) {
-      const Event event = m_events.top();
-      m_events.pop();
-      m_now = event.m_at;
-      event.m_run();
+    while (m_events.RunNext()) {
       Decide();
     }
   }
@@ -105,7 +103,7 @@
     m_is_limit_known = aIsKnown;
     constexpr double kTickMs = 20;
     for (double at = 0; at < (kDurationSeconds + 4) * 1'000; at += kTickMs) {
-      Schedule(at, [] {});
+      m_events.Schedule(at, [] {});
     }
   }
 
@@ -114,18 +112,6 @@
   std::size_t MostGrantsWhileLimited() const { return m_most_grants_while_limited; }
 
 private:
-  struct Event
-  {
-    double m_at;
-    std::uint64_t m_order;
-    std::function<void()> m_run;
-
-    bool operator<(const Event& aOther) const
-    {
-      return std::pair(m_at, m_order) > std::pair(aOther.m_at, aOther.m_order);
-    }
-  };
-
   struct Request
   {
     std::size_t m_kind;
@@ -133,11 +119,6 @@
     RequestWork m_actual_work;
   };
 
-  void Schedule(double aAt, std::function<void()> aRun)
-  {
-    m_events.push(Event{ aAt, ++m_last_event, std::move(aRun) });
-  }
-
   void ScheduleArrival(std::size_t aKind, double aFrom, const Factor& aFactor)
   {
     const double per_second =
@@ -146,7 +127,7 @@
     if (at > kDurationSeconds * 1'000) {
       return;
     }
-    Schedule(at, [this, aKind, at, aFactor] {
+    m_events.Schedule(at, [this, aKind, at, aFactor] {
       Arrive(aKind);
       ScheduleArrival(aKind, at, aFactor);
     });
@@ -165,25 +146,26 @@
     request.m_request_id = SlotRequestId{ Incarnation("d"), number };
     request.m_priority = kind.m_priority;
     Request& stored = m_requests[number];
-    stored = Request{
-      aKind, m_now, { LogNormal(kind.m_prompt_tokens, 1.0), LogNormal(kind.m_output_tokens, 1.2) }
-    };
+    stored =
+      Request{ aKind,
+               m_events.Now(),
+               { LogNormal(kind.m_prompt_tokens, 1.0), LogNormal(kind.m_output_tokens, 1.2) } };
     // The caller's estimate of its output is right at the median and often far off.
     request.m_work = { stored.m_actual_work.m_prompt_tokens,
                        LogNormal(stored.m_actual_work.m_output_tokens, 0.5) };
-    request.m_arrived_at = At(m_now);
-    request.m_objective_at = At(m_now + kind.m_objective_ms);
-    request.m_abandoned_at = At(m_now + kind.m_max_wait_ms);
+    request.m_arrived_at = At(m_events.Now());
+    request.m_objective_at = At(m_events.Now() + kind.m_objective_ms);
+    request.m_abandoned_at = At(m_events.Now() + kind.m_max_wait_ms);
     request.m_data_center = DataCenterName("dc");
     ++m_served[aKind].m_arrived_count;
-    m_scheduler.RequestSlot(request, At(m_now));
+    m_scheduler.RequestSlot(request, At(m_events.Now()));
     // Makes the scheduler decide again when the caller stops waiting, as the daemon's tick does.
-    Schedule(m_now + kind.m_max_wait_ms, [] {});
+    m_events.Schedule(m_events.Now() + kind.m_max_wait_ms, [] {});
   }
 
   void Decide()
   {
-    const SlotDecisions decisions = m_scheduler.Decide(At(m_now));
+    const SlotDecisions decisions = m_scheduler.Decide(At(m_events.Now()));
     for (const SlotRefusal& refusal : decisions.m_refusals) {
       ++m_served[m_requests.at(refusal.m_request_id.m_number).m_kind].m_refused;
     }
@@ -201,11 +183,11 @@
   void CountGrant(const EndpointId& aEndpoint)
   {
     std::vector<double>& grants = m_grants[aEndpoint];
-    grants.push_back(m_now);
-    std::erase_if(grants, [&](double aAt) { return aAt <= m_now - kLimitWindowMs; });
+    grants.push_back(m_events.Now());
+    std::erase_if(grants, [&](double aAt) { return aAt <= m_events.Now() - kLimitWindowMs; });
     // The whole window lies within the turn, half a second after its begin.
-    if (LimitOf(aEndpoint, m_now) &&
-        std::fmod(m_now, kLimitTurnMs) >= kLimitWindowMs + kLimitNotifiedMs) {
+    if (LimitOf(aEndpoint, m_events.Now()) &&
+        std::fmod(m_events.Now(), kLimitTurnMs) >= kLimitWindowMs + kLimitNotifiedMs) {
       m_most_grants_while_limited = std::max(m_most_grants_while_limited, grants.size());
     }
   }
@@ -217,32 +199,30 @@
     const double slowness = m_slowness.at(aGrant.m_endpoint);
     const double first = slowness * (16 + request.m_actual_work.m_prompt_tokens / 48);
     const double rest = slowness * request.m_actual_work.m_output_tokens * 3;
-    const double first_byte_at = m_now + first;
-    Schedule(first_byte_at, [this, aGrant, request, first_byte_at] {
+    const double first_byte_at = m_events.Now() + first;
+    m_events.Schedule(first_byte_at, [this, aGrant, request, first_byte_at] {
       const bool is_in_time =
         first_byte_at - request.m_arrived <= kKinds[request.m_kind].m_objective_ms;
       Served& served = m_served[request.m_kind];
       ++(is_in_time ? served.m_in_time : served.m_late);
       if (m_is_limit_known) {
         m_scheduler.RecordStatedLimit({ aGrant.m_endpoint, 1 },
-                                      LimitOf(aGrant.m_endpoint, m_now),
+                                      LimitOf(aGrant.m_endpoint, m_events.Now()),
                                       aGrant.m_request_id,
-                                      At(m_now));
+                                      At(m_events.Now()));
       }
-      m_scheduler.RecordStarted(aGrant.m_request_id, aGrant.m_endpoint, At(m_now));
+      m_scheduler.RecordStarted(aGrant.m_request_id, aGrant.m_endpoint, At(m_events.Now()));
     });
-    Schedule(first_byte_at + rest, [this, aGrant] {
+    m_events.Schedule(first_byte_at + rest, [this, aGrant] {
       m_scheduler.RecordEnded(
-        aGrant.m_request_id, aGrant.m_endpoint, SlotOutcome::Complete, At(m_now));
+        aGrant.m_request_id, aGrant.m_endpoint, SlotOutcome::Complete, At(m_events.Now()));
     });
   }
 
   std::mt19937 m_random;
   SlotScheduler m_scheduler;
-  double m_now = 0;
-  std::uint64_t m_last_event = 0;
   std::uint64_t m_last_number = 0;
-  std::priority_queue<Event> m_events;
+  EventQueue m_events;
   std::map<std::uint64_t, Request> m_requests;
   std::map<EndpointId, double> m_slowness;
   std::map<std::size_t, Served> m_served;
--- a/Tests/Unit/TestPlainLoad.cpp
+++ b/Tests/Unit/TestPlainLoad.cpp
@@ -1,12 +1,14 @@
+#include "EventQueue.h"
+
 #include <LibPlacement/SlotScheduler.h>
 
 #include <doctest.h>
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
 
 using namespace auburnhitch;
+using namespace auburnhitch::tests;
 
 namespace {
 
@@ -63,29 +65,13 @@
   Results Run(double aLoad)
   {
     ScheduleArrival(0, aLoad * kCapacityPerSecond / 1'000);
-    while (!m_events.empty()) {
-      const Event event = m_events.top();
-      m_events.pop();
-      m_now = event.m_at;
-      event.m_run();
+    while (m_events.RunNext()) {
       Decide();
     }
     return m_results;
   }
 
 private:
-  struct Event
-  {
-    double m_at;
-    std::uint64_t m_order;
-    std::function<void()> m_run;
-
-    bool operator<(const Event& aOther) const
-    {
-      return std::pair(m_at, m_order) > std::pair(aOther.m_at, aOther.m_order);
-    }
-  };
-
   /// A caller, which may send its request twice.
   struct Caller
   {
@@ -94,18 +80,13 @@
     int m_tries = 0;
   };
 
-  void Schedule(double aAt, std::function<void()> aRun)
-  {
-    m_events.push(Event{ aAt, ++m_last_event, std::move(aRun) });
-  }
-
   void ScheduleArrival(double aFrom, double aPerMs)
   {
     const double at = aFrom + std::exponential_distribution<double>(aPerMs)(m_random);
     if (at > kDurationS * 1'000) {
       return;
     }
-    Schedule(at, [this, at, aPerMs] {
+    m_events.Schedule(at, [this, at, aPerMs] {
       ++m_results.m_requests;
       SendRequest(Caller{ at, at, 0 });
       ScheduleArrival(at, aPerMs);
@@ -114,20 +95,20 @@
 
   void SendRequest(Caller aCaller)
   {
-    aCaller.m_sent_at_ms = m_now;
+    aCaller.m_sent_at_ms = m_events.Now();
     ++aCaller.m_tries;
     const std::uint64_t number = ++m_last_number;
     m_callers[number] = aCaller;
     SlotRequest request;
     request.m_request_id = SlotRequestId{ Incarnation("d"), number };
-    request.m_arrived_at = At(m_now);
-    request.m_objective_at = At(m_now + kObjectiveMs);
-    request.m_abandoned_at = At(m_now + kMaxWaitMs);
+    request.m_arrived_at = At(m_events.Now());
+    request.m_objective_at = At(m_events.Now() + kObjectiveMs);
+    request.m_abandoned_at = At(m_events.Now() + kMaxWaitMs);
     request.m_data_center = DataCenterName("dc");
-    m_scheduler.RequestSlot(request, At(m_now));
+    m_scheduler.RequestSlot(request, At(m_events.Now()));
     // The daemon calls Decide() for waiting requests every 20 ms.
-    for (double tick = m_now + 20; tick < m_now + kMaxWaitMs; tick += 20) {
-      Schedule(tick, [] {});
+    for (double tick = m_events.Now() + 20; tick < m_events.Now() + kMaxWaitMs; tick += 20) {
+      m_events.Schedule(tick, [] {});
     }
   }
 
@@ -135,7 +116,7 @@
   {
     constexpr int kMaxTries = 2;
     const Caller caller = m_callers.at(aRefusal.m_request_id.m_number);
-    if (m_now - caller.m_sent_at_ms > kObjectiveMs / 8) {
+    if (m_events.Now() - caller.m_sent_at_ms > kObjectiveMs / 8) {
       ++m_results.m_refused_late;
     }
     if (caller.m_tries == kMaxTries) {
@@ -143,12 +124,13 @@
       return;
     }
     const auto pause = static_cast<double>(aRefusal.m_retry_after.count());
-    Schedule(m_now + std::min(pause, kMaxWaitMs / 3), [this, caller] { SendRequest(caller); });
+    m_events.Schedule(m_events.Now() + std::min(pause, kMaxWaitMs / 3),
+                      [this, caller] { SendRequest(caller); });
   }
 
   void Decide()
   {
-    const SlotDecisions decisions = m_scheduler.Decide(At(m_now));
+    const SlotDecisions decisions = m_scheduler.Decide(At(m_events.Now()));
     for (const SlotRefusal& refusal : decisions.m_refusals) {
       OnRefused(refusal);
     }
@@ -164,21 +146,19 @@
     const double took =
       mean * std::lognormal_distribution<double>(-kServiceTimeSigma * kServiceTimeSigma / 2,
                                                  kServiceTimeSigma)(m_random);
-    Schedule(m_now + took, [this, aGrant, caller] {
-      const bool is_in_time = m_now - caller.m_first_sent_at_ms <= kObjectiveMs;
+    m_events.Schedule(m_events.Now() + took, [this, aGrant, caller] {
+      const bool is_in_time = m_events.Now() - caller.m_first_sent_at_ms <= kObjectiveMs;
       ++(is_in_time ? m_results.m_completed_in_time : m_results.m_completed_late);
-      m_scheduler.RecordStarted(aGrant.m_request_id, aGrant.m_endpoint, At(m_now));
+      m_scheduler.RecordStarted(aGrant.m_request_id, aGrant.m_endpoint, At(m_events.Now()));
       m_scheduler.RecordEnded(
-        aGrant.m_request_id, aGrant.m_endpoint, SlotOutcome::Complete, At(m_now));
+        aGrant.m_request_id, aGrant.m_endpoint, SlotOutcome::Complete, At(m_events.Now()));
     });
   }
 
   std::mt19937 m_random;
   SlotScheduler m_scheduler;
-  double m_now = 0;
-  std::uint64_t m_last_event = 0;
   std::uint64_t m_last_number = 0;
-  std::priority_queue<Event> m_events;
+  EventQueue m_events;
   std::map<std::uint64_t, Caller> m_callers;
   Results m_results;
 };
