Cut the paths between daemon processes in tests and in the soak

The tests of leaving endpoints and of crashing prompts cut no connection between real daemons (PROMISES.md listed that as not proved for both). Daemons can now advertise another address for their peers than the one they listen on, as behind an address translation; PeerNetwork stands at that address, forwards heartbeats and links, and cuts the path from one daemon to another, in one direction or both. Endpoints that crash in the soak now keep their id every second time.

New cases: a daemon that is cut off from the others, each in turn; paths cut in one direction; one daemon or all cut off from each other while a prompt crashes endpoints.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -113,7 +113,7 @@
   return Member{ m_settings.m_host,
                  m_incarnation,
                  m_settings.m_data_center,
-                 m_settings.m_peer_address,
+                 m_settings.m_advertised_peer_address,
                  m_settings.m_caller_address,
                  IsLeaving(),
                  IsReady(),
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -113,6 +113,9 @@
   settings.m_directory_address = ReadAddress(reader, "directory_address", aFindings);
   settings.m_metrics_address = ReadAddress(reader, "metrics_address", aFindings);
   settings.m_peer_address = ReadAddress(reader, "peer_address", aFindings);
+  settings.m_advertised_peer_address = reader.Member("advertised_peer_address") != nullptr
+                                         ? ReadAddress(reader, "advertised_peer_address", aFindings)
+                                         : settings.m_peer_address;
   settings.m_store_address = ReadAddress(reader, "store_address", aFindings);
   settings.m_log_level = reader.OptionalString("log_level", settings.m_log_level);
   reader.ForEach("seed_addresses", 0, [&](const Json& aElement, const std::string& aPath) {
--- a/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
@@ -20,6 +20,9 @@
   SocketAddress m_metrics_address;
   /// Where the daemon receives heartbeats and links from other daemons.
   SocketAddress m_peer_address;
+  /// The address under which other daemons reach m_peer_address; it differs behind an address
+  /// translation.
+  SocketAddress m_advertised_peer_address;
   /// Peer addresses of the daemons to contact first; some may no longer exist.
   std::vector<SocketAddress> m_seed_addresses;
   SocketAddress m_store_address;
--- a/Tests/Process/TestCrashingPrompts.cpp
+++ b/Tests/Process/TestCrashingPrompts.cpp
@@ -42,11 +42,12 @@
 public:
   explicit CrashingCluster(std::vector<std::string> aHarmfulParts,
                            CrashPoint aCrashPoint = CrashPoint::BeforeFirstEvent,
-                           std::size_t aHarmlessCallers = kHarmlessCallers)
+                           std::size_t aHarmlessCallers = kHarmlessCallers,
+                           bool aHasPeerNetwork = false)
     : m_harmful_parts(std::move(aHarmfulParts))
     , m_crash_point(aCrashPoint)
     , m_harmless_callers(aHarmlessCallers)
-    , m_cluster(GatewayClusterOptions{ kDaemons, kEndpoints, 1, true, {} })
+    , m_cluster(GatewayClusterOptions{ kDaemons, kEndpoints, 1, true, {}, aHasPeerNetwork })
     , m_operator([this] { RunOperator(); })
   {
     for (std::size_t endpoint = 0; endpoint < kEndpoints; ++endpoint) {
@@ -355,3 +356,26 @@
   CHECK_FALSE(cluster.IsLogged("harmful-prompt"));
   CHECK(cluster.HarmlessShareKept() >= 0.5);
 }
+
+TEST_CASE("Crashing prompts: daemons that are cut off from each other stop as well")
+{
+  constexpr Ms kCutTime{ 8'000 };
+  for (const std::size_t isolated : { std::size_t{ 1 }, kDaemons }) {
+    CrashingCluster cluster({ "bad0" }, CrashPoint::BeforeFirstEvent, kHarmlessCallers, true);
+    PeerNetwork& network = cluster.Daemons().Network();
+    for (std::size_t daemon = 0; daemon < isolated; ++daemon) {
+      network.SetIsolated(daemon, true);
+    }
+    cluster.Run([&] {
+      std::this_thread::sleep_for(kCutTime);
+      for (std::size_t daemon = 0; daemon < isolated; ++daemon) {
+        network.SetIsolated(daemon, false);
+      }
+      std::this_thread::sleep_for(kCutTime);
+    });
+    CHECK(network.HeldBackCount() > 0);
+    CHECK(cluster.FirstViolation() == "none");
+    CHECK(cluster.Checker().CrashesOf("bad0") > 0);
+    CHECK(cluster.HarmlessShareKept() >= 0.5);
+  }
+}
--- a/Tests/Process/TestLeavingEndpoints.cpp
+++ b/Tests/Process/TestLeavingEndpoints.cpp
@@ -38,8 +38,8 @@
 class LeavingCluster
 {
 public:
-  LeavingCluster()
-    : m_cluster(kDaemons, kEndpoints)
+  explicit LeavingCluster(bool aHasPeerNetwork = false)
+    : m_cluster(GatewayClusterOptions{ kDaemons, kEndpoints, 1, false, {}, aHasPeerNetwork })
   {
     for (std::size_t endpoint = 0; endpoint < kEndpoints; ++endpoint) {
       m_cluster.Endpoint(endpoint).SetBehaviour(
@@ -482,3 +482,41 @@
   });
   CHECK(cluster.FirstViolation() == "none");
 }
+
+TEST_CASE("Leaving: a daemon that is cut off from the others keeps to what it has heard")
+{
+  for (std::size_t isolated = 0; isolated < kDaemons; ++isolated) {
+    LeavingCluster cluster(true);
+    PeerNetwork& network = cluster.Daemons().Network();
+    network.SetIsolated(isolated, true);
+    LeaveUnderLoad(cluster, [&] {
+      std::this_thread::sleep_for(kLoadTime);
+      network.SetIsolated(isolated, false);
+      std::this_thread::sleep_for(kLoadTime);
+    });
+    CHECK(network.HeldBackCount() > 0);
+    CHECK(cluster.FirstViolation() == "none");
+    const std::size_t received = cluster.Received(0);
+    for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+      CHECK(cluster.Call(daemon).m_status == 200);
+    }
+    CHECK(cluster.Received(0) == received);
+  }
+}
+
+TEST_CASE("Leaving: no request follows while paths between daemons are cut in one direction")
+{
+  LeavingCluster cluster(true);
+  PeerNetwork& network = cluster.Daemons().Network();
+  LeaveUnderLoad(cluster, [&] {
+    for (std::size_t from = 0; from < kDaemons; ++from) {
+      for (std::size_t to = 0; to < kDaemons; ++to) {
+        network.SetCut(from, to, from != to);
+        std::this_thread::sleep_for(kDisturbanceTime);
+        network.SetCut(from, to, false);
+      }
+    }
+  });
+  CHECK(network.HeldBackCount() > 0);
+  CHECK(cluster.FirstViolation() == "none");
+}
--- a/Tests/Process/TestSoak.cpp
+++ b/Tests/Process/TestSoak.cpp
@@ -12,6 +12,8 @@
   unsigned m_seed;
   /// The violation that this seed once found; null if it has found none.
   const char* m_violation_found;
+  /// See SoakOptions. Seeds from before paths were cut run without.
+  bool m_cuts_paths = false;
 };
 
 constexpr SoakCase kCases[]{
@@ -24,7 +26,9 @@
   { 31002,
     "6 requests after the fifth crash under one prompt part: a connection that broke at the same "
     "endpoint up to 2 s before hid the crash" },
-  { 31108, "7 requests after the fifth crash, as seed 31002" }
+  { 31108, "7 requests after the fifth crash, as seed 31002" },
+  { 34001, nullptr, true },
+  { 34002, nullptr, true }
 };
 
 }
@@ -35,6 +39,7 @@
     SoakOptions options;
     options.m_seed = entry.m_seed;
     options.m_length = std::chrono::milliseconds(8'000);
+    options.m_cuts_paths = entry.m_cuts_paths;
     const SoakResult result = RunSoak(options);
     std::string text = result.m_summary;
     for (const auto* lines : { &result.m_violations, &result.m_faults }) {
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -286,8 +286,14 @@
   explicit SoakRun(const SoakOptions& aOptions)
     : m_options(aOptions)
     , m_random(aOptions.m_seed)
+    , m_cut_random(aOptions.m_seed)
     , m_checker(aOptions.m_endpoints)
-    , m_cluster(GatewayClusterOptions{ aOptions.m_daemons, aOptions.m_endpoints, 2, true, {} })
+    , m_cluster(GatewayClusterOptions{ aOptions.m_daemons,
+                                       aOptions.m_endpoints,
+                                       2,
+                                       true,
+                                       {},
+                                       aOptions.m_cuts_paths })
     , m_is_down(aOptions.m_daemons, false)
     , m_start(Clock::now())
   {
@@ -315,6 +321,9 @@
       }
       while (Clock::now() - m_start < m_options.m_length) {
         Inject();
+        if (m_options.m_cuts_paths && m_cut_random() % 3 == 0) {
+          CutPaths();
+        }
         const Clock::time_point next = Clock::now() + Ms(m_random() % kMaxPauseMs);
         while (Clock::now() < next) {
           RunDueActions(Clock::now());
@@ -497,6 +506,50 @@
                   [this, endpoint] { m_cluster.CommandEndpointProxy(endpoint, NoFault()); });
   }
 
+  /// Cuts paths between daemons: one path in one direction, all paths of one daemon, or those
+  /// between two halves of the daemons.
+  void CutPaths()
+  {
+    enum class Shape
+    {
+      OnePath,
+      OneDaemon,
+      Halves,
+    };
+    constexpr std::array kShapes{ Shape::OnePath, Shape::OneDaemon, Shape::Halves };
+    const Shape shape = kShapes[m_cut_random() % kShapes.size()];
+    const std::size_t drawn = m_cut_random() % m_options.m_daemons;
+    const std::size_t other = m_cut_random() % m_options.m_daemons;
+    const auto is_cut = [&](std::size_t aFrom, std::size_t aTo) {
+      switch (shape) {
+        case Shape::OnePath:
+          return aFrom == drawn && aTo == other;
+        case Shape::OneDaemon:
+          return (aFrom == drawn) != (aTo == drawn);
+        case Shape::Halves:
+          return (aFrom < m_options.m_daemons / 2) != (aTo < m_options.m_daemons / 2);
+      }
+      return false;
+    };
+    std::vector<std::pair<std::size_t, std::size_t>> paths;
+    for (std::size_t from = 0; from < m_options.m_daemons; ++from) {
+      for (std::size_t to = 0; to < m_options.m_daemons; ++to) {
+        if (is_cut(from, to)) {
+          paths.emplace_back(from, to);
+          m_cluster.Network().SetCut(from, to, true);
+        }
+      }
+    }
+    RecordFault(absl::StrCat(
+      "cut ", paths.size(), " paths between daemons, of daemon ", drawn, " or to ", other));
+    const Ms duration(kMinFaultMs + m_cut_random() % (kMaxFaultMs - kMinFaultMs));
+    ScheduleAfter(duration, [this, paths] {
+      for (const auto& [from, to] : paths) {
+        m_cluster.Network().SetCut(from, to, false);
+      }
+    });
+  }
+
   void InjectStoreConnectionFault()
   {
     const std::size_t daemon = m_random() % m_options.m_daemons;
@@ -599,7 +652,8 @@
     });
   }
 
-  /// Cuts the connections of endpoints that have crashed, and starts them again under another id.
+  /// Cuts the connections of endpoints that have crashed, and starts them again, every second one
+  /// under another id.
   void RestartCrashedEndpoints()
   {
     for (std::size_t endpoint = 0; endpoint < m_options.m_endpoints; ++endpoint) {
@@ -612,7 +666,7 @@
       const int incarnation = ++m_last_incarnation;
       ScheduleAfter(kRestartTime, [this, endpoint, incarnation] {
         m_cluster.CommandEndpointProxy(endpoint, NoFault());
-        Start(endpoint, false, "", incarnation);
+        Start(endpoint, incarnation % 2 == 0, "", incarnation);
       });
     }
   }
@@ -691,6 +745,8 @@
 
   SoakOptions m_options;
   std::mt19937 m_random;
+  /// Draws the cuts, so that the other faults of a seed do not depend on them.
+  std::mt19937 m_cut_random;
   SoakChecker m_checker;
   std::vector<std::unique_ptr<SoakEndpoint>> m_endpoints;
   GatewayCluster m_cluster;
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -13,6 +13,8 @@
   std::size_t m_daemons = 4;
   std::size_t m_endpoints = 5;
   std::size_t m_callers = 12;
+  /// Whether the paths between daemons are cut.
+  bool m_cuts_paths = true;
   /// Directory to which the daemons' logs are written when there are violations. Empty: no logs are
   /// written.
   std::string m_log_directory;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -20,6 +20,9 @@
   app.add_option("--callers", options.m_callers, "Number of callers");
   app.add_option(
     "--keep-logs", options.m_log_directory, "Directory for the daemons' logs of seeds that failed");
+  app.add_flag("--cut-paths,!--no-cut-paths",
+               options.m_cuts_paths,
+               "Cut paths between daemons (default: yes)");
   app.add_flag("--faults", shows_faults, "Print the faults of each seed");
   CLI11_PARSE(app, aArgumentCount, aArguments);
   options.m_length = std::chrono::seconds(seconds);
--- a/Tests/Support/GatewayCluster.cpp
+++ b/Tests/Support/GatewayCluster.cpp
@@ -207,6 +207,9 @@
       daemon.m_addresses.push_back(Cluster::UnusedAddress());
     }
     m_daemons.push_back(std::move(daemon));
+  }
+  StartNetwork();
+  for (std::size_t i = 0; i < m_options.m_daemons; ++i) {
     StartDaemon(i);
   }
   for (std::size_t i = 0; i < m_options.m_daemons; ++i) {
@@ -224,6 +227,26 @@
   std::filesystem::remove_all(m_directory, ignored);
 }
 
+void
+GatewayCluster::StartNetwork()
+{
+  if (!m_options.m_has_peer_network) {
+    return;
+  }
+  std::vector<PeerNetwork::Node> nodes;
+  for (std::size_t i = 0; i < m_options.m_daemons; ++i) {
+    m_daemons[i].m_advertised_peer_address = Cluster::UnusedAddress();
+    nodes.push_back({ HostOf(i), PeerAddress(i), m_daemons[i].m_advertised_peer_address });
+  }
+  m_network = std::make_unique<PeerNetwork>(std::move(nodes));
+}
+
+HostName
+GatewayCluster::HostOf(std::size_t aIndex)
+{
+  return HostName(absl::StrCat("gateway-", aIndex));
+}
+
 std::string
 GatewayCluster::DataCenterOf(std::size_t aIndex) const
 {
@@ -288,18 +311,21 @@
 GatewayCluster::StartDaemon(std::size_t aIndex)
 {
   GatewayProcess& daemon = m_daemons.at(aIndex);
-  const nlohmann::json settings{ { "gateway",
-                                   { { "host", absl::StrCat("gateway-", aIndex) },
-                                     { "data_center", DataCenterOf(aIndex) },
-                                     { "caller_address", daemon.m_addresses[0].Value() },
-                                     { "readiness_address", daemon.m_addresses[1].Value() },
-                                     { "directory_address", daemon.m_addresses[2].Value() },
-                                     { "metrics_address", daemon.m_addresses[3].Value() },
-                                     { "peer_address", daemon.m_addresses[4].Value() },
-                                     { "store_address",
-                                       m_options.m_has_proxies
-                                         ? m_store_proxies.at(aIndex).m_address.Value()
-                                         : m_store.Address().Value() } } } };
+  nlohmann::json settings{ { "gateway",
+                             { { "host", HostOf(aIndex).Value() },
+                               { "data_center", DataCenterOf(aIndex) },
+                               { "caller_address", daemon.m_addresses[0].Value() },
+                               { "readiness_address", daemon.m_addresses[1].Value() },
+                               { "directory_address", daemon.m_addresses[2].Value() },
+                               { "metrics_address", daemon.m_addresses[3].Value() },
+                               { "peer_address", daemon.m_addresses[4].Value() },
+                               { "store_address",
+                                 m_options.m_has_proxies
+                                   ? m_store_proxies.at(aIndex).m_address.Value()
+                                   : m_store.Address().Value() } } } };
+  if (m_network != nullptr) {
+    settings["gateway"]["advertised_peer_address"] = daemon.m_advertised_peer_address.Value();
+  }
   std::ofstream(SettingsPath(aIndex)) << settings;
   StartDaemonAsItIs(aIndex);
 }
--- a/Tests/Support/GatewayCluster.h
+++ b/Tests/Support/GatewayCluster.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ChildProcess.h"
+#include "PeerNetwork.h"
 #include "RawServer.h"
 #include "StoreStandIn.h"
 
@@ -66,6 +67,8 @@
   bool m_has_proxies = false;
   /// The software version of each endpoint; "v1" for those beyond the end of the list.
   std::vector<std::string> m_versions;
+  /// Whether daemons reach each other through a network whose paths can be cut.
+  bool m_has_peer_network = false;
 };
 
 /// Gateway daemons as child processes, with the store and the endpoints in the process of the test.
@@ -91,6 +94,8 @@
 
   /// Writes the settings file of a daemon and starts the daemon.
   void StartDaemon(std::size_t aIndex);
+  /// The paths between the daemons. Precondition: GatewayClusterOptions::m_has_peer_network.
+  PeerNetwork& Network() { return *m_network; }
   /// Starts a daemon with the settings file that is there.
   void StartDaemonAsItIs(std::size_t aIndex);
   std::filesystem::path SettingsPath(std::size_t aIndex) const;
@@ -129,6 +134,7 @@
   struct GatewayProcess
   {
     std::vector<SocketAddress> m_addresses;
+    SocketAddress m_advertised_peer_address;
     std::unique_ptr<ChildProcess> m_process;
   };
 
@@ -141,6 +147,8 @@
 
   ProxyProcess StartProxy(const std::string& aName, const SocketAddress& aTarget);
   static void Command(const ProxyProcess& aProxy, const nlohmann::json& aCommand);
+  void StartNetwork();
+  static HostName HostOf(std::size_t aIndex);
   std::string DataCenterOf(std::size_t aIndex) const;
 
   SocketAddress AddressOf(std::size_t aIndex, std::size_t aPort) const
@@ -158,6 +166,7 @@
   std::vector<ProxyProcess> m_store_proxies;
   std::vector<ProxyProcess> m_endpoint_proxies;
   std::vector<GatewayProcess> m_daemons;
+  std::unique_ptr<PeerNetwork> m_network;
   int m_version = 0;
 };
 
--- a/Tests/Unit/TestGatewayParts.cpp
+++ b/Tests/Unit/TestGatewayParts.cpp
@@ -96,12 +96,17 @@
   CHECK(settings->m_drain_bound == Milliseconds(1'500));
   CHECK(settings->m_stop_grace == Milliseconds(8'500));
   CHECK(settings->m_directory_lifetime == Milliseconds(1'000));
+  CHECK(settings->m_advertised_peer_address == settings->m_peer_address);
+  json["advertised_peer_address"] = "127.0.0.1:7";
+  CHECK(GatewaySettings::FromJson(json, findings)->m_advertised_peer_address ==
+        SocketAddress("127.0.0.1:7"));
 }
 
 TEST_CASE("Every error in gateway settings is reported with its path")
 {
   Json json = ValidSettings();
   json["caller_address"] = "nowhere";
+  json["advertised_peer_address"] = "127.0.0.1";
   json["max_descriptors"] = 3;
   json["surprise"] = 1;
   json["seed_addresses"] = { "127.0.0.1:7", 5 };
@@ -111,6 +116,7 @@
   CHECK_FALSE(GatewaySettings::FromJson(json, findings));
   const std::string text = findings.Describe("f");
   for (const char* path : { "/caller_address",
+                            "/advertised_peer_address",
                             "/max_descriptors",
                             "/surprise",
                             "/seed_addresses/1",
