--- a/Tests/Process/TestStreamVersions.cpp
+++ b/Tests/Process/TestStreamVersions.cpp
@@ -1,6 +1,7 @@
 #include "GatewayCluster.h"
 
 #include <absl/strings/str_cat.h>
+#include <array>
 #include <csignal>
 #include <doctest.h>
 
@@ -11,6 +12,7 @@
 
 constexpr const char* kFirstEvent = "id: 1\ndata: a\n\n";
 constexpr const char* kLastEvent = "id: 2\ndata: b\n\n";
+constexpr std::size_t kMaxEndpoints = 4;
 
 /// Daemons before endpoints of several software versions, which break off each new stream after its
 /// first event and complete the streams that continue.
@@ -33,6 +35,16 @@
   /// Whether streams that continue are broken off as well.
   void SetBreaksAll(bool aBreaksAll) { m_breaks_all = aBreaksAll; }
 
+  /// Lets an endpoint reset the connection of each request until Restart() is called.
+  void Crash(std::size_t aEndpoint) { m_is_down[aEndpoint] = true; }
+  /// Starts an endpoint again, which is not registered yet.
+  void Restart(std::size_t aEndpoint, std::string aVersion)
+  {
+    const std::lock_guard lock(m_mutex);
+    m_versions[aEndpoint] = std::move(aVersion);
+    m_is_down[aEndpoint] = false;
+  }
+
   /// The versions of the endpoints that sent events of a stream, in order. A stream is named by the
   /// request that began it.
   std::vector<std::string> VersionsOf(const std::string& aStream)
@@ -67,6 +79,10 @@
     const std::string stream =
       resumed_stream.empty() ? aRequest.Header("x-request-id") : resumed_stream;
     const bool is_complete = is_continued && !m_breaks_all;
+    if (m_is_down[aEndpoint]) {
+      aConnection.Reset();
+      return false;
+    }
     {
       const std::lock_guard lock(m_mutex);
       m_served[stream].push_back(m_versions[aEndpoint]);
@@ -80,6 +96,7 @@
   }
 
   std::vector<std::string> m_versions;
+  std::array<std::atomic<bool>, kMaxEndpoints> m_is_down{};
   std::atomic<bool> m_breaks_all = false;
   std::mutex m_mutex;
   std::map<std::string, std::vector<std::string>> m_served;
@@ -223,3 +240,52 @@
     CHECK(endpoints.front() / 2 == endpoints.back() / 2);
   }
 }
+
+TEST_CASE("A stream does not continue at an endpoint that has started again unregistered")
+{
+  VersionedCluster cluster(3, { "v1", "v1", "v1" });
+  GatewayCluster& daemons = cluster.Daemons();
+  cluster.Crash(1);
+  int number = 0;
+  REQUIRE(WaitFor([&] {
+    daemons.Call("/safe/x", absl::StrCat("safe-", ++number));
+    return !daemons.Endpoint(1).Requests().empty();
+  }));
+  cluster.Restart(1, "v2");
+  const std::size_t received = daemons.Endpoint(1).Requests().size();
+  int completed = 0;
+  // Until the endpoint is no longer avoided for its failure.
+  REQUIRE(WaitFor([&] {
+    const std::string id = absl::StrCat("stream-", ++number);
+    const auto daemon = static_cast<std::size_t>(number) % 3;
+    completed += daemons.Call("/resumable/x", id, "", daemon).m_is_complete ? 1 : 0;
+    cluster.Resume(id, "again-" + id, daemon);
+    CHECK(HasOneVersion(cluster.VersionsOf(id)));
+    return daemons.Endpoint(1).Requests().size() >= received + 6;
+  }));
+  CHECK(completed > 0);
+}
+
+TEST_CASE("Streams continue again at an endpoint that renews its registration after a failure")
+{
+  VersionedCluster cluster(1, { "v1", "v1" });
+  GatewayCluster& daemons = cluster.Daemons();
+  cluster.Crash(1);
+  int number = 0;
+  REQUIRE(WaitFor([&] {
+    daemons.Call("/safe/x", absl::StrCat("safe-", ++number));
+    return !daemons.Endpoint(1).Requests().empty();
+  }));
+  cluster.Restart(1, "v1");
+  REQUIRE(WaitFor([&] {
+    daemons.Register(1);
+    const std::string id = absl::StrCat("stream-", ++number);
+    return daemons.Call("/resumable/x", id).m_is_complete &&
+           cluster.EndpointsOf(id) == std::vector<std::size_t>{ 0, 1 };
+  }));
+  REQUIRE(WaitFor([&] {
+    const std::string id = absl::StrCat("stream-", ++number);
+    return daemons.Call("/resumable/x", id).m_is_complete &&
+           cluster.EndpointsOf(id) == std::vector<std::size_t>{ 1, 0 };
+  }));
+}
