Add a failing test of streams at an endpoint that was down and is not registered yet

As the case before it, but the endpoint refuses connections before it starts again, as a process that starts does. With nothing but a response that breaks off, a restart can't be told from any other failure, and the other cases of this file require that such streams continue; that case stays listed.

--- a/Tests/Process/TestStreamVersions.cpp
+++ b/Tests/Process/TestStreamVersions.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <csignal>
 #include <doctest.h>
+#include <thread>
 
 using namespace auburnhitch;
 using namespace auburnhitch::tests;
@@ -19,9 +20,11 @@
 class VersionedCluster
 {
 public:
-  VersionedCluster(std::size_t aDaemons, std::vector<std::string> aVersions)
+  VersionedCluster(std::size_t aDaemons,
+                   std::vector<std::string> aVersions,
+                   bool aHasProxies = false)
     : m_versions(std::move(aVersions))
-    , m_cluster(GatewayClusterOptions{ aDaemons, m_versions.size(), 1, false, m_versions })
+    , m_cluster(GatewayClusterOptions{ aDaemons, m_versions.size(), 1, aHasProxies, m_versions })
   {
     for (std::size_t i = 0; i < m_versions.size(); ++i) {
       m_cluster.Endpoint(i).SetBehaviour(
@@ -45,6 +48,9 @@
     m_is_down[aEndpoint] = false;
   }
 
+  /// Sets how long an endpoint works on each request.
+  void SetWorkTime(std::chrono::milliseconds aTime) { m_work_time = aTime; }
+
   /// The versions of the endpoints that sent events of a stream, in order. A stream is named by the
   /// request that began it.
   std::vector<std::string> VersionsOf(const std::string& aStream)
@@ -88,6 +94,7 @@
       m_served[stream].push_back(m_versions[aEndpoint]);
       m_served_by[stream].push_back(aEndpoint);
     }
+    std::this_thread::sleep_for(m_work_time.load());
     aConnection.Write(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                                    "Connection: close\r\nX-Response-Seal: s\r\n\r\n",
                                    is_continued ? "" : kFirstEvent,
@@ -98,6 +105,7 @@
   std::vector<std::string> m_versions;
   std::array<std::atomic<bool>, kMaxEndpoints> m_is_down{};
   std::atomic<bool> m_breaks_all = false;
+  std::atomic<std::chrono::milliseconds> m_work_time{ std::chrono::milliseconds(0) };
   std::mutex m_mutex;
   std::map<std::string, std::vector<std::string>> m_served;
   std::map<std::string, std::vector<std::size_t>> m_served_by;
@@ -266,26 +274,68 @@
   CHECK(completed > 0);
 }
 
-TEST_CASE("Streams continue again at an endpoint that renews its registration after a failure")
+/// Lets an endpoint refuse connections until a request could not be sent there, and starts it again
+/// with a software version that is not registered.
+void
+RestartUnreachable(VersionedCluster& aCluster, std::size_t aEndpoint, const std::string& aVersion)
 {
-  VersionedCluster cluster(1, { "v1", "v1" });
-  GatewayCluster& daemons = cluster.Daemons();
-  cluster.Crash(1);
+  GatewayCluster& daemons = aCluster.Daemons();
+  daemons.CommandEndpointProxy(aEndpoint,
+                               { { "fault", "refuse" }, { "cut_open", true }, { "reset", true } });
   int number = 0;
   REQUIRE(WaitFor([&] {
     daemons.Call("/safe/x", absl::StrCat("safe-", ++number));
-    return !daemons.Endpoint(1).Requests().empty();
-  }));
-  cluster.Restart(1, "v1");
-  REQUIRE(WaitFor([&] {
-    daemons.Register(1);
-    const std::string id = absl::StrCat("stream-", ++number);
-    return daemons.Call("/resumable/x", id).m_is_complete &&
-           cluster.EndpointsOf(id) == std::vector<std::size_t>{ 0, 1 };
-  }));
-  REQUIRE(WaitFor([&] {
-    const std::string id = absl::StrCat("stream-", ++number);
-    return daemons.Call("/resumable/x", id).m_is_complete &&
-           cluster.EndpointsOf(id) == std::vector<std::size_t>{ 1, 0 };
+    return daemons.LogOfDaemon(0).find(
+             absl::StrCat("endpoint=i-", aEndpoint, " end=unreachable")) != std::string::npos;
   }));
+  aCluster.Restart(aEndpoint, aVersion);
+  daemons.CommandEndpointProxy(aEndpoint, { { "fault", "none" } });
+}
+
+TEST_CASE("A stream does not continue at an endpoint that was down and has not registered again")
+{
+  VersionedCluster cluster(3, { "v1", "v1", "v1" }, true);
+  GatewayCluster& daemons = cluster.Daemons();
+  RestartUnreachable(cluster, 1, "v2");
+  // Long enough for all endpoints to be in use at once.
+  cluster.SetWorkTime(std::chrono::milliseconds(30));
+  constexpr std::size_t kCallers = 16;
+  const std::size_t received = daemons.Endpoint(1).Requests().size();
+  std::atomic<int> completed = 0;
+  std::atomic<int> number = 0;
+  std::vector<std::thread> callers;
+  for (std::size_t caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&, daemon = caller % 3] {
+      WaitFor([&] {
+        const std::string id = absl::StrCat("stream-", ++number);
+        completed += daemons.Call("/resumable/x", id, "", daemon).m_is_complete ? 1 : 0;
+        cluster.Resume(id, "again-" + id, daemon);
+        return daemons.Endpoint(1).Requests().size() >= received + kCallers;
+      });
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK(daemons.Endpoint(1).Requests().size() >= received + kCallers);
+  CHECK(completed > 0);
+  for (int stream = 1; stream <= number; ++stream) {
+    CHECK(HasOneVersion(cluster.VersionsOf(absl::StrCat("stream-", stream))));
+  }
+}
+
+TEST_CASE("Streams continue again at an endpoint that renews its registration after it was down")
+{
+  VersionedCluster cluster(1, { "v1", "v1" }, true);
+  GatewayCluster& daemons = cluster.Daemons();
+  RestartUnreachable(cluster, 1, "v1");
+  int number = 0;
+  for (const std::vector<std::size_t>& endpoints :
+       { std::vector<std::size_t>{ 0, 1 }, std::vector<std::size_t>{ 1, 0 } }) {
+    CHECK(WaitFor([&] {
+      daemons.Register(1);
+      const std::string id = absl::StrCat("stream-", ++number);
+      return daemons.Call("/resumable/x", id).m_is_complete && cluster.EndpointsOf(id) == endpoints;
+    }));
+  }
 }
