Do not continue streams at an endpoint that may have started again unregistered

Cause: nothing held that a registration may no longer be that of the process. An endpoint that could not be reached is in doubt now until its registration is read again, a second or more later, or a request that ran there before goes on. The coordinator hears of it from all daemons: it grants such an endpoint to no stream of a known version, and tells the daemon before any other grant there, which then records the origin as ambiguous. Ambiguous origins are passed to the replicas too; the test of the table, which required that they are not, requires now that the replica knows them as ambiguous, since a replica that knows nothing would take the only version.

Ruled out: doubt after each connection that breaks off, tried first: six cases that require streams to go on at endpoints that broke off a response failed.

--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -151,6 +151,7 @@
   const TimePoint now = Now();
   aOutstanding.m_coordinator = aCoordinator.m_host;
   aOutstanding.m_requested_at = now;
+  aOutstanding.m_may_have_restarted = false;
   aOutstanding.m_is_acknowledged = IsSelf(aCoordinator.m_host);
   if (IsSelf(aCoordinator.m_host)) {
     m_coordinator.RequestSlot(aOutstanding.m_service, aOutstanding.m_request, now);
@@ -367,11 +368,20 @@
                    found->second.m_is_acknowledged = true;
                  }
                },
+                [&](const UncertainGrantMessage& aUncertain) {
+                  const auto found = m_outstanding.find(aUncertain.m_number);
+                  if (found != m_outstanding.end() && found->second.m_coordinator == aCoordinator) {
+                    found->second.m_may_have_restarted = true;
+                  }
+                },
                 [&](const GrantMessage& aGrant) {
-                  Deliver(SlotGrant{ SlotRequestId{ m_incarnation, aGrant.m_number },
-                                     aGrant.m_endpoint,
-                                     aGrant.m_expected },
-                          aCoordinator);
+                  const auto found = m_outstanding.find(aGrant.m_number);
+                  Deliver(
+                    SlotGrant{ SlotRequestId{ m_incarnation, aGrant.m_number },
+                               aGrant.m_endpoint,
+                               aGrant.m_expected,
+                               found != m_outstanding.end() && found->second.m_may_have_restarted },
+                    aCoordinator);
                 },
                 [&](const RefusalMessage& aRefusal) {
                   Deliver(SlotRefusal{ SlotRequestId{ m_incarnation, aRefusal.m_number },
@@ -655,6 +665,9 @@
     if (grant.m_request_id.m_daemon == m_incarnation) {
       Deliver(grant, m_own_host);
     } else if (InboundLink* link = FindInboundLink(grant.m_request_id.m_daemon)) {
+      if (grant.m_may_have_restarted) {
+        link->m_link->Send(EncodeSlotMessage(UncertainGrantMessage{ grant.m_request_id.m_number }));
+      }
       link->m_link->Send(EncodeSlotMessage(
         GrantMessage{ grant.m_request_id.m_number, grant.m_endpoint, grant.m_expected }));
     }
--- a/Libraries/LibBroker/SlotCoordinator.cpp
+++ b/Libraries/LibBroker/SlotCoordinator.cpp
@@ -129,6 +129,17 @@
   }
 }
 
+void
+SlotCoordinator::RecordRenewed(const ServiceName& aService,
+                               const EndpointIncarnation& aEndpoint,
+                               TimePoint aReadableSince,
+                               TimePoint aNow)
+{
+  if (const auto found = m_schedulers.find(aService); found != m_schedulers.end()) {
+    found->second.RecordRenewed(aEndpoint, aReadableSince, aNow);
+  }
+}
+
 bool
 SlotCoordinator::RecordStatedLimit(const ServiceName& aService,
                                    const EndpointIncarnation& aEndpoint,
--- a/Libraries/LibBroker/SlotMessages.cpp
+++ b/Libraries/LibBroker/SlotMessages.cpp
@@ -422,6 +422,12 @@
   aVisit(aMessage.m_suspicions);
 }
 
+void
+Visit(auto& aVisit, Is<UncertainGrantMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_number);
+}
+
 template<typename Message>
 std::optional<SlotMessage>
 Decode(const Json& aJson)
--- a/Libraries/LibBroker/StreamVersions.cpp
+++ b/Libraries/LibBroker/StreamVersions.cpp
@@ -12,7 +12,11 @@
     return false;
   }
   const auto [found, is_new] = m_streams.try_emplace(
-    origin.m_stream, Entry{ aService, origin.m_endpoint, origin.m_version, aNow - aOrigin.m_age });
+    origin.m_stream,
+    Entry{ aService,
+           origin.m_endpoint,
+           origin.m_version.IsEmpty() ? std::nullopt : std::optional(origin.m_version),
+           aNow - aOrigin.m_age });
   if (is_new) {
     m_order.push_back(origin.m_stream);
     return true;
@@ -41,8 +45,10 @@
   std::vector<AgedStreamOrigin> origins;
   for (const auto& [stream, entry] : m_streams) {
     const Milliseconds age(ToMilliseconds(aNow - entry.m_recorded_at));
-    if (entry.m_service == aService && entry.m_version && age <= m_limits.m_retention) {
-      origins.push_back({ StreamOrigin{ stream, entry.m_endpoint, *entry.m_version }, age });
+    if (entry.m_service == aService && age <= m_limits.m_retention) {
+      origins.push_back(
+        { StreamOrigin{ stream, entry.m_endpoint, entry.m_version.value_or(SoftwareVersion()) },
+          age });
     }
   }
   return origins;
--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -105,6 +105,13 @@
   {
     m_notices.OnRegistered(aService, aEndpoint, aReadableSince, Now());
   }
+  /// Handles a registration that was read again or for the first time. aReadableSince: as above.
+  void OnEndpointRenewed(const ServiceName& aService,
+                         const EndpointIncarnation& aEndpoint,
+                         TimePoint aReadableSince)
+  {
+    m_coordinator.RecordRenewed(aService, aEndpoint, aReadableSince, Now());
+  }
   /// Call after all changes of registrations that were read together.
   void OnEndpointsChanged();
   /// Call every few tens of milliseconds. Detects coordinators that do not respond and daemons that
@@ -128,6 +135,8 @@
     bool m_is_granted = false;
     TimePoint m_granted_at;
     EndpointId m_endpoint;
+    /// What the coordinator says of the endpoint before it grants a slot there.
+    bool m_may_have_restarted = false;
   };
 
   /// A link that another daemon opened to request slots from this one.
--- a/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
@@ -49,6 +49,12 @@
   void SetSlotShare(double aSlotShare);
   /// Sets the share of the rate limits of a service's endpoints that may be used here.
   void SetRateShare(const ServiceName& aService, double aShare, TimePoint aNow);
+  /// Records that the registration of an endpoint was read again; see
+  /// SlotEndpoint::RecordRenewed().
+  void RecordRenewed(const ServiceName& aService,
+                     const EndpointIncarnation& aEndpoint,
+                     TimePoint aReadableSince,
+                     TimePoint aNow);
   /// Applies the rate limit, or its absence, that an endpoint stated in the response to a request;
   /// see SlotEndpoint::RecordStatedLimit(). Returns whether the limit has changed.
   bool RecordStatedLimit(const ServiceName& aService,
--- a/Libraries/LibBroker/include/LibBroker/SlotMessages.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotMessages.h
@@ -201,6 +201,15 @@
   auto operator<=>(const PartSuspicionsMessage&) const = default;
 };
 
+/// The endpoint of the grant that follows may be another incarnation than the registered one. Sent
+/// by the coordinator before a GrantMessage.
+struct UncertainGrantMessage
+{
+  std::uint64_t m_number = 0;
+
+  auto operator<=>(const UncertainGrantMessage&) const = default;
+};
+
 using SlotMessage = std::variant<HelloMessage,
                                  SlotRequestMessage,
                                  WithdrawMessage,
@@ -218,7 +227,8 @@
                                  StreamVersionMessage,
                                  PromptPartsMessage,
                                  UnprovenEndMessage,
-                                 PartSuspicionsMessage>;
+                                 PartSuspicionsMessage,
+                                 UncertainGrantMessage>;
 
 /// Encodes a message as an array. Its first element is the index of the message's type in
 /// SlotMessage; the fields follow in order. A daemon of an earlier version ignores types that it
--- a/Libraries/LibBroker/include/LibBroker/StreamVersions.h
+++ b/Libraries/LibBroker/include/LibBroker/StreamVersions.h
@@ -11,6 +11,7 @@
 {
   std::string m_stream;
   EndpointId m_endpoint;
+  /// Empty if it is ambiguous.
   SoftwareVersion m_version;
 
   auto operator<=>(const StreamOrigin&) const = default;
@@ -62,7 +63,7 @@
   /// stream is new.
   bool Record(const ServiceName& aService, const AgedStreamOrigin& aOrigin, TimePoint aNow);
   Knowledge Find(const ServiceName& aService, const std::string& aStream, TimePoint aNow) const;
-  /// The unambiguous origins of a service's streams.
+  /// The origins of a service's streams.
   std::vector<AgedStreamOrigin> OriginsOf(const ServiceName& aService, TimePoint aNow) const;
   /// Called when an endpoint has registered another version under its id. The streams whose origin
   /// it became within the registration lag are ambiguous: either version may have served them.
--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -177,8 +177,14 @@
   }
   m_stream = m_request.m_head.m_request_id;
   m_required_version = m_attempt->m_endpoint.m_software_version;
+  // The registered version may be that of an earlier incarnation; the stream then ends with this
+  // response.
+  const bool is_ambiguous = m_attempt->m_may_have_restarted;
   m_dependencies.m_broker->Streams().RecordOrigin(
-    m_request.m_service, StreamOrigin{ m_stream, m_attempt->m_endpoint.m_id, *m_required_version });
+    m_request.m_service,
+    StreamOrigin{ m_stream,
+                  m_attempt->m_endpoint.m_id,
+                  is_ambiguous ? SoftwareVersion() : *m_required_version });
 }
 
 SlotRequest
@@ -235,7 +241,7 @@
   const TimePoint now = Now();
   const auto endpoint = m_dependencies.m_registry->FindUsable(aGrant.m_endpoint);
   LogOf("place").info("event=granted request={} service={} endpoint={} home={} waited_ms={} "
-                      "expected_ms={} config={} registered={}",
+                      "expected_ms={} config={} registered={} may_have_restarted={}",
                       m_request.m_head.m_request_id,
                       m_request.m_service.Value(),
                       aGrant.m_endpoint.Value(),
@@ -243,7 +249,8 @@
                       ToMilliseconds(now - m_request.m_arrived_at),
                       aGrant.m_expected.count(),
                       m_request.m_table->Version(),
-                      endpoint.has_value());
+                      endpoint.has_value(),
+                      aGrant.m_may_have_restarted);
   if (now >= m_request.m_deadline) {
     OnDeadline();
     return;
@@ -265,7 +272,7 @@
     OnAttemptFailed(SlotOutcome::Cancelled, "the endpoint has another software version");
     return;
   }
-  StartAttempt(*endpoint);
+  StartAttempt(*endpoint, aGrant.m_may_have_restarted);
 }
 
 void
@@ -292,10 +299,10 @@
 }
 
 void
-ActiveRequest::StartAttempt(const EndpointEntry& aEndpoint)
+ActiveRequest::StartAttempt(const EndpointEntry& aEndpoint, bool aMayHaveRestarted)
 {
   m_phase = Phase::Sending;
-  m_attempt = SendAttempt{ aEndpoint, Now() };
+  m_attempt = SendAttempt{ aEndpoint, Now(), aMayHaveRestarted };
   m_tried_endpoints.push_back(aEndpoint.m_id);
   EndpointInstructions instructions;
   instructions.m_endpoint = aEndpoint.m_id;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -153,6 +153,7 @@
 Gateway::RenewEndpoint(const EndpointEntry& aEntry)
 {
   OnRegistryChanges(m_registry.AddOrRenew(aEntry));
+  m_broker.OnEndpointRenewed(aEntry.m_service, aEntry.Run(), StoreReadableSince());
 }
 
 void
@@ -195,10 +196,8 @@
     }
     if (change.m_type == RegistryChange::Type::Added ||
         change.m_type == RegistryChange::Type::Restarted) {
-      // Without the store, the registration may be as old as the outage.
-      m_broker.OnEndpointRegistered(change.m_entry.m_service,
-                                    change.m_entry.Run(),
-                                    m_is_store_reachable ? m_store_reachable_since : Now());
+      m_broker.OnEndpointRegistered(
+        change.m_entry.m_service, change.m_entry.Run(), StoreReadableSince());
     }
   }
   m_broker.OnEndpointsChanged();
@@ -215,6 +214,13 @@
   });
 }
 
+TimePoint
+Gateway::StoreReadableSince() const
+{
+  // Without the store, a registration may be as old as the outage.
+  return m_is_store_reachable ? m_store_reachable_since : Now();
+}
+
 std::optional<SoftwareVersion>
 Gateway::OnlyVersionOf(const ServiceName& aService) const
 {
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -83,6 +83,8 @@
   {
     EndpointEntry m_endpoint;
     TimePoint m_granted_at;
+    /// See SlotGrant.
+    bool m_may_have_restarted = false;
     bool m_is_written = false;
     bool m_has_first_byte = false;
     MessageHead m_response_head;
@@ -105,7 +107,7 @@
   SlotRequest MakeSlotRequest() const;
   void OnGranted(const SlotGrant& aGrant, const HostName& aCoordinator);
   void OnRefused(const SlotRefusal& aRefusal, const HostName& aCoordinator);
-  void StartAttempt(const EndpointEntry& aEndpoint);
+  void StartAttempt(const EndpointEntry& aEndpoint, bool aMayHaveRestarted);
   void OnRequestWritten();
   void OnResponseHead(const MessageHead& aHead);
   /// Records what the endpoint states about itself.
--- a/Libraries/LibGateway/include/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -79,6 +79,8 @@
   /// Serves or refuses the requests that arrived before this daemon was ready.
   void ServeEarlyRequests();
   void Admit(const RelayExchangePtr& aExchange, CallerRequestHead aHead);
+  /// Since when the store has been readable; now if it is not.
+  TimePoint StoreReadableSince() const;
   /// The software version that sent the first event of all streams of a service that callers may
   /// resume; nothing if there may be several.
   std::optional<SoftwareVersion> OnlyVersionOf(const ServiceName& aService) const;
--- a/Libraries/LibPlacement/SlotEndpoint.cpp
+++ b/Libraries/LibPlacement/SlotEndpoint.cpp
@@ -17,6 +17,11 @@
 constexpr int kMaxBackOffDoublings = 4;
 // Time for which an endpoint that refused a request gets no more requests than it holds.
 constexpr Milliseconds kFullBackOff{ 200 };
+// Within this time all daemons have reported the requests that the end of an endpoint broke off.
+constexpr Milliseconds kReportDelay{ 150 };
+// A registration that is read may have been written this long before: daemons that do not long-poll
+// the store read it when a heartbeat tells them of it.
+constexpr Milliseconds kRegistrationLag{ 1'000 };
 // EWMA weight of a new outcome in the failure rate, which averages about ten responses.
 constexpr double kOutcomeWeight = 0.1;
 
@@ -77,6 +82,7 @@
   Held& held = found->second;
   held.m_started_at = aNow;
   m_prompt_tokens_ahead -= held.m_work.m_prompt_tokens;
+  RecordAlive(held.m_granted_at, aNow);
   const double took = std::chrono::duration<double, std::milli>(aNow - held.m_granted_at).count();
   // The expectation at the time of the grant included the prompts ahead of this one.
   m_times.LearnFirstByte(held.m_expected_first_byte_ms / m_times.FirstByteSlowness(), took);
@@ -100,6 +106,7 @@
   m_held.erase(found);
   switch (aOutcome) {
     case SlotOutcome::Complete:
+      RecordAlive(held.m_granted_at, aNow);
       if (held.m_started_at) {
         m_times.LearnRest(
           ServiceTimeModel::ReferenceRestMs(held.m_work),
@@ -115,6 +122,10 @@
       RecordOutcome(true);
       break;
     case SlotOutcome::Unreachable:
+      m_unreachable_at = aNow;
+      RecordOutcome(true);
+      Suspect(aNow);
+      break;
     case SlotOutcome::Broken:
       RecordOutcome(true);
       Suspect(aNow);
@@ -125,6 +136,38 @@
   return true;
 }
 
+void
+SlotEndpoint::RecordAlive(TimePoint aGrantedAt, TimePoint aNow)
+{
+  if (m_unreachable_at && aGrantedAt < *m_unreachable_at &&
+      aNow - *m_unreachable_at > kReportDelay) {
+    m_unreachable_at = std::nullopt;
+  }
+}
+
+void
+SlotEndpoint::RecordRenewed(TimePoint aReadableSince, TimePoint aNow)
+{
+  if (m_unreachable_at && aNow - std::max(*m_unreachable_at, aReadableSince) > kRegistrationLag) {
+    m_unreachable_at = std::nullopt;
+  }
+}
+
+bool
+SlotEndpoint::MayHaveRestarted(TimePoint aNow) const
+{
+  if (!m_unreachable_at) {
+    return false;
+  }
+  // A restart ends all requests, so the endpoint lives if some of them still run.
+  const bool has_survivors =
+    aNow - *m_unreachable_at > kReportDelay &&
+    std::any_of(m_held.begin(), m_held.end(), [this](const auto& aEntry) {
+      return aEntry.second.m_granted_at < *m_unreachable_at && !aEntry.second.m_is_adopted;
+    });
+  return !has_survivors;
+}
+
 void
 SlotEndpoint::ReleaseDaemon(const Incarnation& aDaemon)
 {
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -175,6 +175,18 @@
   return limits;
 }
 
+void
+SlotScheduler::RecordRenewed(const EndpointIncarnation& aEndpoint,
+                             TimePoint aReadableSince,
+                             TimePoint aNow)
+{
+  const auto found = m_endpoints.find(aEndpoint.m_id);
+  if (found != m_endpoints.end() &&
+      found->second.Info().m_started_at_ms == aEndpoint.m_started_at_ms) {
+    found->second.RecordRenewed(aReadableSince, aNow);
+  }
+}
+
 void
 SlotScheduler::RequestSlot(const SlotRequest& aRequest, TimePoint aNow)
 {
@@ -385,6 +397,15 @@
            aRequest.m_avoided.end();
 }
 
+bool
+SlotScheduler::IsEligibleNow(const SlotEndpoint& aEndpoint,
+                             const SlotRequest& aRequest,
+                             TimePoint aNow)
+{
+  return IsEligible(aEndpoint, aRequest) &&
+         !(aRequest.m_required_version && aEndpoint.MayHaveRestarted(aNow));
+}
+
 bool
 SlotScheduler::HasEligibleEndpoint(const SlotRequest& aRequest) const
 {
@@ -399,13 +420,13 @@
   const SlotRequest& request = aWaiting.m_request;
   const bool has_unsuspected =
     std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& aEntry) {
-      return IsEligible(aEntry.second, request) && !aEntry.second.IsSuspect(aNow);
+      return IsEligibleNow(aEntry.second, request, aNow) && !aEntry.second.IsSuspect(aNow);
     });
   SlotEndpoint* best = nullptr;
   double best_cost = 0;
   bool is_best_avoided = false;
   for (auto& [id, endpoint] : m_endpoints) {
-    if (!IsEligible(endpoint, request) || !endpoint.HasFreeSlot(m_slot_share, aNow) ||
+    if (!IsEligibleNow(endpoint, request, aNow) || !endpoint.HasFreeSlot(m_slot_share, aNow) ||
         (has_unsuspected && endpoint.IsSuspect(aNow))) {
       continue;
     }
@@ -457,8 +478,8 @@
   for (const WaitingSlotRequest& waiting : m_queue.TakeUnservable(SlotCount(aNow), aNow)) {
     Refuse(waiting.m_request, SlotRefusalReason::WaitedTooLong, aNow, decisions);
   }
-  // Requests for one software version whose endpoints are busy, and those with a suspected part
-  // that another request runs with; they do not hold up the others.
+  // Requests for one software version whose endpoints are busy or in doubt, and those with a
+  // suspected part that another request runs with; they do not hold up the others.
   std::vector<WaitingSlotRequest> set_aside;
   while (const WaitingSlotRequest* front = m_queue.Front(aNow)) {
     const CrashSuspects::Admission admission =
@@ -489,7 +510,8 @@
                              aNow);
     decisions.m_grants.push_back({ granted.m_request.m_request_id,
                                    endpoint->Info().m_id,
-                                   Milliseconds(static_cast<std::int64_t>(expected_ms)) });
+                                   Milliseconds(static_cast<std::int64_t>(expected_ms)),
+                                   endpoint->MayHaveRestarted(aNow) });
   }
   for (WaitingSlotRequest& waiting : set_aside) {
     if (HasEligibleEndpoint(waiting.m_request)) {
--- a/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
@@ -54,6 +54,15 @@
   const std::optional<RequestRate>& StatedLimit() const { return m_rate.Stated(); }
   void SetRateShare(double aShare, TimePoint aNow) { m_rate.SetShare(aShare, aNow); }
 
+  /// Records that the registration of this incarnation was read again. aReadableSince: when the
+  /// store became readable last.
+  void RecordRenewed(TimePoint aReadableSince, TimePoint aNow);
+  /// Whether the endpoint may have started again under its id since its registration was read: it
+  /// could not be reached, and neither has a request that ran there before gone on, nor has the
+  /// registration been renewed since. A connection that breaks is no sign of it: most of them break
+  /// for other reasons.
+  bool MayHaveRestarted(TimePoint aNow) const;
+
   /// Frees the slots of a daemon that has stopped.
   void ReleaseDaemon(const Incarnation& aDaemon);
 
@@ -94,6 +103,8 @@
   void Insert(const SlotRequestId& aRequestId, const Held& aHeld);
   void RecordOutcome(bool aIsFailure);
   void Suspect(TimePoint aNow);
+  /// Records that a request that was granted at aGrantedAt is answered by the endpoint now.
+  void RecordAlive(TimePoint aGrantedAt, TimePoint aNow);
 
   SlotEndpointInfo m_info;
   ServiceTimeModel m_times;
@@ -103,6 +114,8 @@
   double m_failure_rate = 0;
   int m_consecutive_failures = 0;
   TimePoint m_suspect_until;
+  /// When it could not be reached last, unless the same incarnation has been seen alive since.
+  std::optional<TimePoint> m_unreachable_at;
   TimePoint m_full_until;
 };
 
--- a/Libraries/LibPlacement/include/LibPlacement/SlotRequest.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotRequest.h
@@ -89,6 +89,9 @@
   EndpointId m_endpoint;
   /// Expected time to first byte.
   Milliseconds m_expected{ 0 };
+  /// Whether the endpoint may be another incarnation than the registered one; see
+  /// SlotEndpoint::MayHaveRestarted().
+  bool m_may_have_restarted = false;
 
   auto operator<=>(const SlotGrant&) const = default;
 };
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -70,6 +70,11 @@
   /// The endpoints that state a limit.
   std::vector<StatedLimit> StatedLimits() const;
 
+  /// See SlotEndpoint::RecordRenewed().
+  void RecordRenewed(const EndpointIncarnation& aEndpoint,
+                     TimePoint aReadableSince,
+                     TimePoint aNow);
+
   /// Enqueues a request. A later Decide() grants or refuses it.
   void RequestSlot(const SlotRequest& aRequest, TimePoint aNow);
   /// Removes a request that no longer needs a slot. Returns it if it was waiting.
@@ -104,8 +109,12 @@
 private:
   /// The endpoint with a free slot that costs least, or null if none has a free slot.
   SlotEndpoint* Choose(const WaitingSlotRequest& aWaiting, TimePoint aNow);
-  /// Whether an endpoint may serve a request, apart from free slots.
+  /// Whether an endpoint may serve a request as registered, apart from free slots.
   static bool IsEligible(const SlotEndpoint& aEndpoint, const SlotRequest& aRequest);
+  /// As IsEligible(), but not while the software version that the request requires is in doubt.
+  static bool IsEligibleNow(const SlotEndpoint& aEndpoint,
+                            const SlotRequest& aRequest,
+                            TimePoint aNow);
   bool HasEligibleEndpoint(const SlotRequest& aRequest) const;
   double CostOf(const SlotEndpoint& aEndpoint, const SlotRequest& aRequest) const;
   double ExpectedWaitMs(int aPriority, TimePoint aNow) const;
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -269,5 +269,15 @@
   's/aInfo->orig_size \+ aInfo->n_added > kMaxUnparsedBytes/false/' \
   "$PROCESS" "The own interface.s client*"
 
+mutate "versions: an endpoint that could not be reached may have restarted" \
+  Libraries/LibPlacement/SlotEndpoint.cpp \
+  's/return !has_survivors/return false/' "$UNIT" "Restart: a request for one*"
+mutate "versions: a registration read too early does not end the doubt" \
+  Libraries/LibPlacement/SlotEndpoint.cpp \
+  's/ > kRegistrationLag/ > Milliseconds(0)/' "$UNIT" "Restart: a request for one*"
+mutate "versions: a daemon records the origin at an endpoint in doubt as ambiguous" \
+  Libraries/LibGateway/ActiveRequest.cpp \
+  's/is_ambiguous \? SoftwareVersion\(\) : //' "$PROCESS" "*that was down and has not registered*"
+
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
--- a/Tests/Unit/TestSlotMessages.cpp
+++ b/Tests/Unit/TestSlotMessages.cpp
@@ -40,7 +40,8 @@
            StreamVersionMessage{ 7, SoftwareVersion("v1") },
            PromptPartsMessage{ 7, { PromptPart("5c"), PromptPart("e4") } },
            UnprovenEndMessage{ service, 7 },
-           PartSuspicionsMessage{ service, { { PromptPart("5c"), 0.5, 2, Milliseconds(7) } } } };
+           PartSuspicionsMessage{ service, { { PromptPart("5c"), 0.5, 2, Milliseconds(7) } } },
+           UncertainGrantMessage{ 7 } };
 }
 
 }
--- a/Tests/Unit/TestStreamVersions.cpp
+++ b/Tests/Unit/TestStreamVersions.cpp
@@ -100,7 +100,13 @@
   CHECK_FALSE(streams.Record(kService, OriginOf("x", kNew), At(30)));
   CHECK(streams.Find(kService, "x", At(40)) == StreamVersions::Knowledge{ true, std::nullopt });
   CHECK(streams.Find(kService, "y", At(40)) == StreamVersions::Knowledge{ false, std::nullopt });
-  CHECK(streams.OriginsOf(kService, At(40)).empty());
+  // A replica must not take the stream for one that nobody knows.
+  const std::vector<AgedStreamOrigin> origins = streams.OriginsOf(kService, At(40));
+  REQUIRE(origins.size() == 1);
+  CHECK(origins.front().m_origin.m_version.IsEmpty());
+  StreamVersions replica{ StreamVersions::Limits() };
+  replica.Record(kService, origins.front(), At(45));
+  CHECK(replica.Find(kService, "x", At(45)) == StreamVersions::Knowledge{ true, std::nullopt });
   // Versions of different services are unrelated.
   streams.Record(kService, OriginOf("z", kOld), At(50));
   CHECK(streams.Find(ServiceName("other"), "z", At(50)) ==
