--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -540,8 +540,18 @@
         }
       }
     }
-    RecordFault(absl::StrCat(
-      "cut ", paths.size(), " paths between daemons, of daemon ", drawn, " or to ", other));
+    const auto describe = [&] {
+      switch (shape) {
+        case Shape::OnePath:
+          return absl::StrCat("the path from daemon ", drawn, " to daemon ", other);
+        case Shape::OneDaemon:
+          return absl::StrCat("all paths of daemon ", drawn);
+        case Shape::Halves:
+          return std::string("the paths between two halves of the daemons");
+      }
+      return std::string();
+    };
+    RecordFault("cut " + describe());
     const Ms duration(kMinFaultMs + m_cut_random() % (kMaxFaultMs - kMinFaultMs));
     for (std::size_t daemon = 0; daemon < m_options.m_daemons; ++daemon) {
       if (daemon == drawn || shape == Shape::Halves) {
--- a/Tests/Support/Cluster.cpp
+++ b/Tests/Support/Cluster.cpp
@@ -23,7 +23,7 @@
 /// starts again must find its ports free.
 constexpr int kRanges = 16;
 constexpr int kPortsPerRange = (kLastPort - kFirstPort) / kRanges;
-/// A test program reserves a range by listening on the port with its number above this one.
+/// A test program reserves the range with number N by listening on this port + N.
 constexpr int kFirstReservation = kLastPort;
 
 /// Listens on a port until the process ends. Returns false if the port is in use.
