--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -271,7 +271,7 @@
 
 mutate "versions: an endpoint that could not be reached may have restarted" \
   Libraries/LibPlacement/SlotEndpoint.cpp \
-  's/return !has_survivors/return false/' "$UNIT" "Restart: a request for one*"
+  's/return !has_survivors/return false \&\& !has_survivors/' "$UNIT" "Restart: a request for one*"
 mutate "versions: a registration read too early does not end the doubt" \
   Libraries/LibPlacement/SlotEndpoint.cpp \
   's/ > kRegistrationLag/ > Milliseconds(0)/' "$UNIT" "Restart: a request for one*"
