Decode an endpoint's request for rest, and log it

It is decoded into EndpointNotice now, with the same counter of malformed values as the other statements, and stated in send-failed and event=ended. No decision uses it yet.

TestPlatformAdapter: fractions, dates, negative values, several fields, other statuses.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -72,6 +72,16 @@
   return aNotice.m_is_leaving_malformed ? "malformed" : "no";
 }
 
+/// For how long an endpoint's notice asks for rest, for logs.
+std::string
+DescribeRest(const EndpointNotice& aNotice)
+{
+  if (aNotice.m_rest) {
+    return absl::StrCat(aNotice.m_rest->count());
+  }
+  return aNotice.m_is_rest_malformed ? "malformed" : "none";
+}
+
 /// The first parts of a prompt, for logs.
 std::string
 DescribeParts(const std::vector<PromptPart>& aParts)
@@ -357,8 +367,10 @@
       m_call = nullptr;
       --m_possible_runs;
       OnAttemptFailed(SlotOutcome::Refused,
-                      "the endpoint refused the request with status " +
-                        std::to_string(aHead.m_status));
+                      absl::StrCat("the endpoint refused the request with status ",
+                                   aHead.m_status,
+                                   ", rest asked for in ms: ",
+                                   DescribeRest(m_attempt->m_notice)));
       return;
     case ResponseMeaning::Failure:
       if (m_exchange->HasStarted()) {
@@ -720,7 +732,7 @@
   LogOf("request").info("event=ended request={} service={} route={} workspace={} priority={} "
                         "outcome={} status={} took_ms={} first_ms={} endpoint={} runs={} "
                         "arrivals={} framing={} response_bytes={} response_end={} "
-                        "stated_limit={} stated_leaving={} version={} resumes={} last_event={} "
+                        "stated_limit={} stated_leaving={} stated_rest_ms={} version={} resumes={} last_event={} "
                         "config={} prompt_parts={} "
                         "reason=\"{}\"",
                         m_request.m_head.m_request_id,
@@ -742,6 +754,7 @@
                         m_attempt ? m_attempt->m_end : "not-sent",
                         m_attempt ? DescribeLimit(m_attempt->m_notice) : "none",
                         m_attempt ? DescribeLeaving(m_attempt->m_notice) : "no",
+                        m_attempt ? DescribeRest(m_attempt->m_notice) : "none",
                         m_attempt ? m_attempt->m_endpoint.m_software_version.Value() : "none",
                         OrNone(m_request.m_head.m_resumed_stream),
                         OrNone(m_request.m_head.m_last_event_id),
--- a/Libraries/LibPlacement/include/LibPlacement/EndpointNotice.h
+++ b/Libraries/LibPlacement/include/LibPlacement/EndpointNotice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Time.h>
 #include <compare>
 #include <optional>
 
@@ -25,8 +26,16 @@
   bool m_is_leaving = false;
   /// Whether its statement that it leaves cannot be understood, so that nothing follows from it.
   bool m_is_leaving_malformed = false;
-
-  bool IsMalformed() const { return m_is_limit_malformed || m_is_leaving_malformed; }
+  /// For how long it wants no further requests from the daemon that it refuses; nothing if it does
+  /// not say so.
+  std::optional<Milliseconds> m_rest;
+  /// Whether a statement of a rest cannot be understood, so that nothing follows from it.
+  bool m_is_rest_malformed = false;
+
+  bool IsMalformed() const
+  {
+    return m_is_limit_malformed || m_is_leaving_malformed || m_is_rest_malformed;
+  }
 
   auto operator<=>(const EndpointNotice&) const = default;
 };
--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -290,3 +290,34 @@
   CHECK(both.m_is_limit_malformed);
   CHECK(notice({ { "Server-Limit", "2" }, { "Server-Leaving", "x" } }).m_limit == RequestRate{ 2 });
 }
+
+TEST_CASE("An endpoint's request for rest is decoded from its refusals alone")
+{
+  const PlatformDialect dialect;
+  const auto notice = [&](HttpHeaders aHeaders, int aStatus = 503) {
+    return dialect.DecodeNotice(AnswerOf(aStatus, std::move(aHeaders)));
+  };
+  CHECK(notice({ { "retry-after", " 2 " } }).m_rest == Milliseconds(2'000));
+  CHECK(notice({ { "Retry-After", "0.2501" } }).m_rest == Milliseconds(251));
+  CHECK(notice({ { "Retry-After", "1e9" } }).m_rest == Milliseconds(300'000));
+  CHECK(notice({ { "Retry-After", "3" }, { "Retry-After", "1" } }).m_rest == Milliseconds(3'000));
+  CHECK(notice({ { "Retry-After", "0" } }) == EndpointNotice{});
+  CHECK(notice({}) == EndpointNotice{});
+  for (const int status : { 200, 429, 500, 502, 504 }) {
+    CHECK(notice({ { "Retry-After", "2" } }, status) == EndpointNotice{});
+  }
+  for (const char* value :
+       { "", "-1", "nan", "inf", "1e400", "2, 3", "two", "Fri, 04 Dec 2026 16:00:00 GMT" }) {
+    CAPTURE(value);
+    const EndpointNotice malformed = notice({ { "Retry-After", value } });
+    CHECK_FALSE(malformed.m_rest);
+    CHECK(malformed.IsMalformed());
+    CHECK(notice({ { "Retry-After", value }, { "Retry-After", "2" } }).m_rest ==
+          Milliseconds(2'000));
+  }
+  const EndpointNotice all =
+    notice({ { "Retry-After", "2" }, { "Server-Limit", "3" }, { "Server-Leaving", "1" } });
+  CHECK(all.m_rest == Milliseconds(2'000));
+  CHECK(all.m_limit == RequestRate{ 3 });
+  CHECK(all.m_is_leaving);
+}
