--- a/Libraries/LibBroker/NoticeExchange.cpp
+++ b/Libraries/LibBroker/NoticeExchange.cpp
@@ -9,6 +9,8 @@
 
 /// The value in log lines when an endpoint states no limit.
 constexpr double kNoLimit = -1;
+// One for each endpoint of the largest deployment.
+constexpr std::size_t kMaxOwnRests = 10'000;
 
 EndpointNoticeMessage
 NoticeOf(const ServiceName& aService,
@@ -31,6 +33,14 @@
   return notice;
 }
 
+EndpointNoticeMessage
+RestNoticeOf(const ServiceName& aService, const EndpointIncarnation& aEndpoint, Milliseconds aRest)
+{
+  EndpointNoticeMessage notice = NoticeOf(aService, aEndpoint, std::nullopt);
+  notice.m_rest = aRest;
+  return notice;
+}
+
 EndpointIncarnation
 EndpointOf(const EndpointNoticeMessage& aNotice)
 {
@@ -45,13 +55,16 @@
 
 }
 
-NoticeExchange::NoticeExchange(SlotCoordinator& aCoordinator,
+NoticeExchange::NoticeExchange(Incarnation aOwn,
+                               SlotCoordinator& aCoordinator,
                                Sender aInformAll,
-                               LeavingHandler aOnLeaving)
-  : m_coordinator(aCoordinator)
+                               ClosedHandler aOnClosed)
+  : m_own(std::move(aOwn))
+  , m_coordinator(aCoordinator)
   , m_inform_all(std::move(aInformAll))
-  , m_on_leaving(std::move(aOnLeaving))
+  , m_on_closed(std::move(aOnClosed))
   , m_leaving(LeavingEndpoints::Limits())
+  , m_own_rests(kMaxOwnRests)
 {
 }
 
@@ -70,7 +83,7 @@
                        aService.Value(),
                        aSource);
   m_coordinator.UpdateEndpointsOf(aService, aNow);
-  m_on_leaving(aEndpoint);
+  m_on_closed(aEndpoint);
   return true;
 }
 
@@ -88,26 +101,37 @@
   }
 }
 
-std::optional<EndpointNoticeMessage>
-NoticeExchange::RecordResponse(const ServiceName& aService,
-                               std::uint64_t aNumber,
-                               const EndpointIncarnation& aEndpoint,
-                               const EndpointNotice& aStated,
-                               TimePoint aSentAt,
-                               TimePoint aNow)
+bool
+NoticeExchange::RecordRest(const ServiceName& aService,
+                           const EndpointIncarnation& aEndpoint,
+                           Milliseconds aRest,
+                           TimePoint aNow)
 {
-  if (aStated.m_is_leaving) {
-    // Its limit no longer matters.
-    return RecordLeaving(aService, aEndpoint, "response", aNow)
-             ? std::optional(LeavingNoticeOf(aService, aEndpoint, aNumber))
-             : std::nullopt;
+  if (!m_own_rests.Record(aService, aEndpoint, m_own, aRest, aNow)) {
+    return false;
   }
-  if (aStated.m_is_limit_malformed) {
-    return std::nullopt;
+  LogOf("broker").info("event=rest-learned endpoint={} started_at_ms={} service={} rest_ms={}",
+                       aEndpoint.m_id.Value(),
+                       aEndpoint.m_started_at_ms,
+                       aService.Value(),
+                       aRest.count());
+  m_on_closed(aEndpoint);
+  return true;
+}
+
+bool
+NoticeExchange::RecordLimit(const ServiceName& aService,
+                            const EndpointIncarnation& aEndpoint,
+                            const EndpointNotice& aStated,
+                            TimePoint aSentAt,
+                            TimePoint aNow)
+{
+  if (aStated.m_is_limit_malformed || aStated.m_may_be_old) {
+    return false;
   }
   const auto before = m_known.LimitOf(aEndpoint);
   if (!m_known.RecordResponse(aService, aEndpoint, aStated.m_limit, aSentAt, aNow)) {
-    return std::nullopt;
+    return false;
   }
   if (before != m_known.LimitOf(aEndpoint)) {
     LogOf("broker").info("event=limit-learned endpoint={} service={} limit_per_s={} before={}",
@@ -116,7 +140,32 @@
                          PerSecond(aStated.m_limit),
                          PerSecond(before));
   }
-  return NoticeOf(aService, aEndpoint, aStated.m_limit, aNumber);
+  return true;
+}
+
+std::vector<EndpointNoticeMessage>
+NoticeExchange::RecordResponse(const ServiceName& aService,
+                               std::uint64_t aNumber,
+                               const EndpointIncarnation& aEndpoint,
+                               const EndpointNotice& aStated,
+                               TimePoint aSentAt,
+                               TimePoint aNow)
+{
+  std::vector<EndpointNoticeMessage> notices;
+  if (aStated.m_is_leaving) {
+    // Neither its limit nor a rest matters any more.
+    if (RecordLeaving(aService, aEndpoint, "response", aNow)) {
+      notices.push_back(LeavingNoticeOf(aService, aEndpoint, aNumber));
+    }
+    return notices;
+  }
+  if (RecordLimit(aService, aEndpoint, aStated, aSentAt, aNow)) {
+    notices.push_back(NoticeOf(aService, aEndpoint, aStated.m_limit, aNumber));
+  }
+  if (aStated.m_rest && RecordRest(aService, aEndpoint, *aStated.m_rest, aNow)) {
+    notices.push_back(RestNoticeOf(aService, aEndpoint, *aStated.m_rest));
+  }
+  return notices;
 }
 
 std::optional<EndpointNoticeMessage>
@@ -135,6 +184,10 @@
     }
     return std::nullopt;
   }
+  if (aNotice.m_rest) {
+    m_coordinator.RecordRest(service, endpoint, aDaemon, *aNotice.m_rest, aNow);
+    return std::nullopt;
+  }
   const bool is_response = aNotice.m_number != 0;
   const bool is_changed = m_coordinator.RecordStatedLimit(
     service,
@@ -166,6 +219,10 @@
     RecordLeaving(aNotice.m_service, endpoint, "coordinator", aNow);
     return;
   }
+  if (aNotice.m_rest) {
+    // Only the daemon that was asked for a rest reports it.
+    return;
+  }
   m_known.RecordReport(aNotice.m_service, endpoint, aNotice.m_limit, aNow);
   // This daemon may grant slots of the service as well while daemons disagree on the coordinator.
   if (m_coordinator.HasCoordinated(aNotice.m_service)) {
@@ -175,7 +232,7 @@
 }
 
 std::vector<EndpointNoticeMessage>
-NoticeExchange::NoticesForCoordinator(const ServiceName& aService) const
+NoticeExchange::NoticesForCoordinator(const ServiceName& aService, TimePoint aNow) const
 {
   std::vector<EndpointNoticeMessage> notices;
   for (const StatedLimit& limit : m_known.LimitsOf(aService)) {
@@ -184,6 +241,9 @@
   for (const EndpointIncarnation& endpoint : m_leaving.OfService(aService)) {
     notices.push_back(LeavingNoticeOf(aService, endpoint));
   }
+  for (const EndpointRest& rest : m_own_rests.Of(aService, m_own, aNow)) {
+    notices.push_back(RestNoticeOf(aService, rest.m_endpoint, rest.m_left));
+  }
   return notices;
 }
 
@@ -217,6 +277,8 @@
       return EndpointIncarnation{ aInfo.m_id, aInfo.m_started_at_ms } == aEndpoint;
     });
   };
+  m_own_rests.DropExpired(aNow);
+  m_coordinator.DropEndedRests(aNow);
   if (m_leaving.DropExpired(is_registered, aNow)) {
     m_coordinator.UpdateEndpoints(aNow);
   }
--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -41,9 +41,10 @@
       [this](const ServiceName& aService) { return UsableEndpoints(aService); },
       [this](const ServiceName&, const SlotDecisions& aDecisions) { OnDecisions(aDecisions); })
   , m_notices(
+      m_incarnation,
       m_coordinator,
       [this](const EndpointNoticeMessage& aNotice) { SendToAll(aNotice); },
-      m_dependencies.m_on_leaving)
+      m_dependencies.m_on_closed)
   , m_streams(StreamVersions::Limits(), StreamDependencies())
 {
 }
@@ -226,15 +227,13 @@
     return;
   }
   const OutstandingRequest& outstanding = found->second;
-  const auto notice = m_notices.RecordResponse(
-    outstanding.m_service, aNumber, aEndpoint, aNotice, outstanding.m_granted_at, Now());
-  if (!notice) {
-    return;
-  }
-  if (IsSelf(outstanding.m_coordinator)) {
-    OnReport(nullptr, *notice);
-  } else {
-    SendToCoordinator(outstanding.m_coordinator, *notice);
+  for (const EndpointNoticeMessage& notice : m_notices.RecordResponse(
+         outstanding.m_service, aNumber, aEndpoint, aNotice, outstanding.m_granted_at, Now())) {
+    if (IsSelf(outstanding.m_coordinator)) {
+      OnReport(nullptr, notice);
+    } else {
+      SendToCoordinator(outstanding.m_coordinator, notice);
+    }
   }
 }
 
@@ -288,7 +287,7 @@
 void
 SlotBroker::ReportKnown(const ServiceName& aService, const Member& aCoordinator)
 {
-  for (const EndpointNoticeMessage& notice : m_notices.NoticesForCoordinator(aService)) {
+  for (const EndpointNoticeMessage& notice : m_notices.NoticesForCoordinator(aService, Now())) {
     if (IsSelf(aCoordinator.m_host)) {
       OnReport(nullptr, notice);
     } else {
--- a/Libraries/LibBroker/SlotCoordinator.cpp
+++ b/Libraries/LibBroker/SlotCoordinator.cpp
@@ -20,7 +20,7 @@
 SlotCoordinator::SchedulerOf(const ServiceName& aService, TimePoint aNow)
 {
   const auto [found, is_new] =
-    m_schedulers.try_emplace(aService, m_limits, m_prompt_suspects.Of(aService));
+    m_schedulers.try_emplace(aService, m_limits, m_prompt_suspects.Of(aService), m_rests);
   if (is_new) {
     found->second.SetEndpoints(m_endpoints(aService), aNow);
     found->second.SetSlotShare(m_slot_share);
@@ -159,6 +159,18 @@
   return true;
 }
 
+void
+SlotCoordinator::RecordRest(const ServiceName& aService,
+                            const EndpointIncarnation& aEndpoint,
+                            const Incarnation& aDaemon,
+                            Milliseconds aRest,
+                            TimePoint aNow)
+{
+  if (m_rests->Record(aService, aEndpoint, aDaemon, aRest, aNow)) {
+    SchedulerOf(aService, aNow).RecordRest(aEndpoint, aNow);
+  }
+}
+
 std::optional<RequestRate>
 SlotCoordinator::StatedLimitOf(const ServiceName& aService,
                                const EndpointIncarnation& aEndpoint) const
--- a/Libraries/LibBroker/SlotMessages.cpp
+++ b/Libraries/LibBroker/SlotMessages.cpp
@@ -78,6 +78,14 @@
     }
   }
 
+  /// Appends a duration that comes last and may be missing.
+  void LastDuration(const std::optional<Milliseconds>& aValue)
+  {
+    if (aValue) {
+      m_json.push_back(Json::array({ aValue->count() }));
+    }
+  }
+
   Json Take() { return std::move(m_json); }
 
 private:
@@ -203,12 +211,25 @@
 
   void LastFlag(bool& aValue)
   {
-    aValue = m_next < m_json.size();
+    aValue = m_next < m_json.size() && m_json[m_next].is_boolean();
     if (aValue && !Check(m_json[m_next++] == true)) {
       aValue = false;
     }
   }
 
+  void LastDuration(std::optional<Milliseconds>& aValue)
+  {
+    if (m_next == m_json.size() || !Check(m_json[m_next].is_array())) {
+      return;
+    }
+    Reader reader(m_json[m_next++], 0);
+    Milliseconds value{ 0 };
+    reader(value);
+    if (Check(reader.IsOk() && value >= Milliseconds(0))) {
+      aValue = value;
+    }
+  }
+
   bool IsOk() const { return m_is_ok && m_next == m_json.size(); }
 
 private:
@@ -370,6 +391,7 @@
   aVisit(aMessage.m_started_at_ms);
   aVisit(aMessage.m_limit);
   aVisit.LastFlag(aMessage.m_is_leaving);
+  aVisit.LastDuration(aMessage.m_rest);
 }
 
 void
--- a/Libraries/LibBroker/include/LibBroker/NoticeExchange.h
+++ b/Libraries/LibBroker/include/LibBroker/NoticeExchange.h
@@ -9,28 +9,31 @@
 
 /// Exchanges between daemons what endpoints state about themselves: a daemon reports the statements
 /// in the responses that it receives to the coordinator, and the coordinator informs all daemons of
-/// changes, so that each of them can succeed it. Owns neither a socket nor a clock. Not
+/// changes, so that each of them can succeed it. A rest concerns only the daemon that was asked for
+/// it, which reports it to each new coordinator. Owns neither a socket nor a clock. Not
 /// thread-safe.
 class NoticeExchange
 {
 public:
   using Sender = std::function<void(const EndpointNoticeMessage& aNotice)>;
-  using LeavingHandler = std::function<void(const EndpointIncarnation& aEndpoint)>;
+  using ClosedHandler = std::function<void(const EndpointIncarnation& aEndpoint)>;
 
-  /// aInformAll: sends a notice to all daemons that have a link to this one. aOnLeaving: called
-  /// when this daemon learns that an endpoint leaves. Precondition: the coordinator outlives the
-  /// exchange.
-  NoticeExchange(SlotCoordinator& aCoordinator, Sender aInformAll, LeavingHandler aOnLeaving);
+  /// aOwn: this daemon. aInformAll: sends a notice to all daemons that have a link to this one.
+  /// aOnClosed: called when this daemon learns that an endpoint wants no further requests of it: it
+  /// leaves or rests. Precondition: the coordinator outlives the exchange.
+  NoticeExchange(Incarnation aOwn,
+                 SlotCoordinator& aCoordinator,
+                 Sender aInformAll,
+                 ClosedHandler aOnClosed);
 
-  /// Records the statement in a response to a request of this daemon. aSentAt: a time not later
-  /// than that at which the request was sent. Returns the notice for the coordinator, if it needs
-  /// one.
-  std::optional<EndpointNoticeMessage> RecordResponse(const ServiceName& aService,
-                                                      std::uint64_t aNumber,
-                                                      const EndpointIncarnation& aEndpoint,
-                                                      const EndpointNotice& aStated,
-                                                      TimePoint aSentAt,
-                                                      TimePoint aNow);
+  /// Records the statements in a response to a request of this daemon. aSentAt: a time not later
+  /// than that at which the request was sent. Returns the notices that the coordinator needs.
+  std::vector<EndpointNoticeMessage> RecordResponse(const ServiceName& aService,
+                                                    std::uint64_t aNumber,
+                                                    const EndpointIncarnation& aEndpoint,
+                                                    const EndpointNotice& aStated,
+                                                    TimePoint aSentAt,
+                                                    TimePoint aNow);
   /// Handles a notice of a daemon, or of this one, as coordinator. Returns the notice with which to
   /// correct what the sender knows, if that differs.
   std::optional<EndpointNoticeMessage> OnReport(const Incarnation& aDaemon,
@@ -40,7 +43,8 @@
   void OnInformed(const EndpointNoticeMessage& aNotice, TimePoint aNow);
 
   /// What a new coordinator of a service needs to know.
-  std::vector<EndpointNoticeMessage> NoticesForCoordinator(const ServiceName& aService) const;
+  std::vector<EndpointNoticeMessage> NoticesForCoordinator(const ServiceName& aService,
+                                                           TimePoint aNow) const;
   /// What a daemon that opens a link needs to know.
   std::vector<EndpointNoticeMessage> NoticesForDaemon() const;
   /// The rate limit that an endpoint states, as far as this daemon knows.
@@ -53,6 +57,11 @@
   {
     return m_leaving.Contains(aEndpoint);
   }
+  /// Whether an endpoint has asked this daemon for a rest that has not ended.
+  bool IsResting(const EndpointIncarnation& aEndpoint, TimePoint aNow) const
+  {
+    return m_own_rests.EndOf(aEndpoint, m_own, aNow).has_value();
+  }
   /// Handles the registration of an incarnation; see LeavingEndpoints::RecordRegistered(). Call
   /// before the coordinator reads the endpoints again.
   void OnRegistered(const ServiceName& aService,
@@ -69,12 +78,27 @@
                      const EndpointIncarnation& aEndpoint,
                      const char* aSource,
                      TimePoint aNow);
+  /// Records that an endpoint wants no requests of this daemon for a while. Returns whether a known
+  /// rest does not last as long.
+  bool RecordRest(const ServiceName& aService,
+                  const EndpointIncarnation& aEndpoint,
+                  Milliseconds aRest,
+                  TimePoint aNow);
+  /// Records the rate limit that a response stated. Returns whether the coordinator needs to know.
+  bool RecordLimit(const ServiceName& aService,
+                   const EndpointIncarnation& aEndpoint,
+                   const EndpointNotice& aStated,
+                   TimePoint aSentAt,
+                   TimePoint aNow);
 
+  Incarnation m_own;
   SlotCoordinator& m_coordinator;
   Sender m_inform_all;
-  LeavingHandler m_on_leaving;
+  ClosedHandler m_on_closed;
   KnownLimits m_known;
   LeavingEndpoints m_leaving;
+  /// What endpoints have asked this daemon for. It binds at once, whoever coordinates.
+  EndpointRests m_own_rests;
 };
 
 }
--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -52,8 +52,9 @@
     SlotCoordinator::EndpointSource m_endpoints;
     /// See StreamTracker::Dependencies.
     std::function<std::optional<SoftwareVersion>(const ServiceName& aService)> m_only_version;
-    /// Called when this daemon learns that an endpoint leaves.
-    NoticeExchange::LeavingHandler m_on_leaving;
+    /// Called when this daemon learns that an endpoint wants no further requests of it: it leaves
+    /// or rests.
+    NoticeExchange::ClosedHandler m_on_closed;
   };
 
   SlotBroker(Limits aLimits, Dependencies aDependencies);
@@ -86,6 +87,12 @@
   {
     return m_notices.IsLeaving(aEndpoint);
   }
+  /// Whether an endpoint has asked this daemon for a rest that has not ended: it must get no
+  /// requests from this daemon, whoever granted their slots.
+  bool IsResting(const EndpointIncarnation& aEndpoint) const
+  {
+    return m_notices.IsResting(aEndpoint, Now());
+  }
   /// Reports that the end of a request does not prove that its response is complete. To be called
   /// before the slot is freed.
   void MarkEndUnproven(std::uint64_t aNumber);
--- a/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
@@ -62,6 +62,14 @@
                          const std::optional<RequestRate>& aStated,
                          const std::optional<SlotRequestId>& aRequestId,
                          TimePoint aNow);
+  /// Records that an endpoint wants no requests of a daemon for a while; see EndpointRests.
+  void RecordRest(const ServiceName& aService,
+                  const EndpointIncarnation& aEndpoint,
+                  const Incarnation& aDaemon,
+                  Milliseconds aRest,
+                  TimePoint aNow);
+  /// Drops the rests that have ended. Call at intervals.
+  void DropEndedRests(TimePoint aNow) { m_rests->DropExpired(aNow); }
   /// The limit that an endpoint states, if this daemon coordinates the service and knows of one.
   std::optional<RequestRate> StatedLimitOf(const ServiceName& aService,
                                            const EndpointIncarnation& aEndpoint) const;
@@ -91,6 +99,8 @@
   DecisionHandler m_handler;
   double m_slot_share = 1.0;
   CrashSuspectTable m_prompt_suspects;
+  /// The rests of all daemons that request slots here, which the schedulers share.
+  std::shared_ptr<EndpointRests> m_rests = std::make_shared<EndpointRests>(kMaxRestsOfDaemons);
   std::map<ServiceName, SlotScheduler> m_schedulers;
   /// Refusals of requests over their quota since the last decision.
   std::map<ServiceName, std::vector<SlotRefusal>> m_quota_refusals;
--- a/Libraries/LibBroker/include/LibBroker/SlotMessages.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotMessages.h
@@ -126,6 +126,9 @@
   /// Whether it leaves; see EndpointNotice. Encoded only when set, since a daemon of an earlier
   /// version rejects the additional field.
   bool m_is_leaving = false;
+  /// For how long from now it wants no requests of the sender; see EndpointNotice. Encoded only
+  /// when set, as above.
+  std::optional<Milliseconds> m_rest;
 
   auto operator<=>(const EndpointNoticeMessage&) const = default;
 };
@@ -232,8 +235,8 @@
 
 /// Encodes a message as an array. Its first element is the index of the message's type in
 /// SlotMessage; the fields follow in order. A daemon of an earlier version ignores types that it
-/// does not know, so types are only added, at the end. A flag at the end of a message may be
-/// missing, which means that it is not set.
+/// does not know, so types are only added, at the end. A flag or a duration at the end of a message
+/// may be missing, which means that it is not set.
 nlohmann::json
 EncodeSlotMessage(const SlotMessage& aMessage);
 
--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -30,8 +30,6 @@
 // then.
 constexpr Milliseconds kRetryAfterUnknownVersion{ 1'000 };
 
-constexpr const char* kEndpointLeaves = "the endpoint has said that it leaves";
-
 constexpr int kNoContent = 204;
 constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerErrorStatus = 500;
@@ -270,9 +268,9 @@
     OnAttemptFailed(SlotOutcome::Unreachable, "the endpoint is no longer registered");
     return;
   }
-  if (m_dependencies.m_broker->IsLeaving(endpoint->Run())) {
+  if (const char* why = WhyClosed(endpoint->Run())) {
     m_tried_endpoints.push_back(aGrant.m_endpoint);
-    OnAttemptFailed(SlotOutcome::Cancelled, kEndpointLeaves);
+    OnAttemptFailed(SlotOutcome::Cancelled, why);
     return;
   }
   if (m_required_version && endpoint->m_software_version != *m_required_version) {
@@ -285,6 +283,17 @@
   StartAttempt(*endpoint, aGrant.m_may_have_restarted);
 }
 
+const char*
+ActiveRequest::WhyClosed(const EndpointIncarnation& aEndpoint) const
+{
+  if (m_dependencies.m_broker->IsLeaving(aEndpoint)) {
+    return "the endpoint has said that it leaves";
+  }
+  return m_dependencies.m_broker->IsResting(aEndpoint)
+           ? "the endpoint has asked this daemon for rest"
+           : nullptr;
+}
+
 void
 ActiveRequest::OnRefused(const SlotRefusal& aRefusal, const HostName& aCoordinator)
 {
@@ -407,14 +416,7 @@
 ActiveRequest::RecordNotice(ResponseMeaning aMeaning, const MessageHead& aHead)
 {
   EndpointNotice notice = m_dependencies.m_dialect->DecodeNotice(aHead);
-  if (aMeaning == ResponseMeaning::Mismatched) {
-    // A response to another request may be an old one, and a limit may have ended since.
-    if (!notice.m_is_leaving) {
-      return;
-    }
-    notice = EndpointNotice();
-    notice.m_is_leaving = true;
-  }
+  notice.m_may_be_old = aMeaning == ResponseMeaning::Mismatched;
   if (notice.IsMalformed()) {
     m_dependencies.m_metrics->OnMalformedNotice(m_request.m_service);
   }
@@ -687,13 +689,15 @@
 }
 
 void
-ActiveRequest::OnEndpointLeaving(const EndpointIncarnation& aEndpoint)
+ActiveRequest::OnEndpointClosed(const EndpointIncarnation& aEndpoint)
 {
   if (m_call == nullptr || m_attempt->m_is_written || m_attempt->m_endpoint.Run() != aEndpoint) {
     return;
   }
-  m_call = nullptr;
-  OnAttemptFailed(SlotOutcome::Cancelled, kEndpointLeaves);
+  if (const char* why = WhyClosed(aEndpoint)) {
+    m_call = nullptr;
+    OnAttemptFailed(SlotOutcome::Cancelled, why);
+  }
 }
 
 void
@@ -729,38 +733,38 @@
   m_phase = Phase::Done;
   const Duration took = Now() - m_request.m_arrived_at;
   m_dependencies.m_metrics->OnRequestEnded(m_request.m_service, aOutcome, took);
-  LogOf("request").info("event=ended request={} service={} route={} workspace={} priority={} "
-                        "outcome={} status={} took_ms={} first_ms={} endpoint={} runs={} "
-                        "arrivals={} framing={} response_bytes={} response_end={} "
-                        "stated_limit={} stated_leaving={} stated_rest_ms={} version={} resumes={} last_event={} "
-                        "config={} prompt_parts={} "
-                        "reason=\"{}\"",
-                        m_request.m_head.m_request_id,
-                        m_request.m_service.Value(),
-                        m_request.m_route->m_name,
-                        m_request.m_workspace ? m_request.m_workspace->Value() : "none",
-                        m_request.m_priority,
-                        aOutcome,
-                        aStatus,
-                        ToMilliseconds(took),
-                        m_first_byte_after ? m_first_byte_after->count() : -1,
-                        m_tried_endpoints.empty() ? "none" : m_tried_endpoints.back().Value(),
-                        m_possible_runs,
-                        m_written_attempts,
-                        m_attempt && m_attempt->m_completeness
-                          ? NameOf(m_attempt->m_response_head.m_framing)
-                          : "no-response",
-                        m_attempt ? m_attempt->m_response_bytes : 0,
-                        m_attempt ? m_attempt->m_end : "not-sent",
-                        m_attempt ? DescribeLimit(m_attempt->m_notice) : "none",
-                        m_attempt ? DescribeLeaving(m_attempt->m_notice) : "no",
-                        m_attempt ? DescribeRest(m_attempt->m_notice) : "none",
-                        m_attempt ? m_attempt->m_endpoint.m_software_version.Value() : "none",
-                        OrNone(m_request.m_head.m_resumed_stream),
-                        OrNone(m_request.m_head.m_last_event_id),
-                        m_request.m_table->Version(),
-                        DescribeParts(m_request.m_head.m_prompt_parts),
-                        aReason);
+  LogOf("request").info(
+    "event=ended request={} service={} route={} workspace={} priority={} "
+    "outcome={} status={} took_ms={} first_ms={} endpoint={} runs={} "
+    "arrivals={} framing={} response_bytes={} response_end={} "
+    "stated_limit={} stated_leaving={} stated_rest_ms={} version={} resumes={} last_event={} "
+    "config={} prompt_parts={} "
+    "reason=\"{}\"",
+    m_request.m_head.m_request_id,
+    m_request.m_service.Value(),
+    m_request.m_route->m_name,
+    m_request.m_workspace ? m_request.m_workspace->Value() : "none",
+    m_request.m_priority,
+    aOutcome,
+    aStatus,
+    ToMilliseconds(took),
+    m_first_byte_after ? m_first_byte_after->count() : -1,
+    m_tried_endpoints.empty() ? "none" : m_tried_endpoints.back().Value(),
+    m_possible_runs,
+    m_written_attempts,
+    m_attempt && m_attempt->m_completeness ? NameOf(m_attempt->m_response_head.m_framing)
+                                           : "no-response",
+    m_attempt ? m_attempt->m_response_bytes : 0,
+    m_attempt ? m_attempt->m_end : "not-sent",
+    m_attempt ? DescribeLimit(m_attempt->m_notice) : "none",
+    m_attempt ? DescribeLeaving(m_attempt->m_notice) : "no",
+    m_attempt ? DescribeRest(m_attempt->m_notice) : "none",
+    m_attempt ? m_attempt->m_endpoint.m_software_version.Value() : "none",
+    OrNone(m_request.m_head.m_resumed_stream),
+    OrNone(m_request.m_head.m_last_event_id),
+    m_request.m_table->Version(),
+    DescribeParts(m_request.m_head.m_prompt_parts),
+    aReason);
   // Destruction is deferred, since this may run inside a callback of its own call.
   m_dependencies.m_loop->Defer([this] { m_on_done(this); });
 }
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -64,9 +64,9 @@
   TimePoint Deadline() const { return m_request.m_deadline; }
   /// Called when the deadline has passed.
   void OnDeadline();
-  /// Called when an endpoint has said that it leaves. Requests another slot if the present one is
-  /// there and the request has not been written yet.
-  void OnEndpointLeaving(const EndpointIncarnation& aEndpoint);
+  /// Called when an endpoint has said that it leaves or rests. Requests another slot if the present
+  /// one is there and the request has not been written yet.
+  void OnEndpointClosed(const EndpointIncarnation& aEndpoint);
 
 private:
   enum class Phase
@@ -107,6 +107,8 @@
   SlotRequest MakeSlotRequest() const;
   void OnGranted(const SlotGrant& aGrant, const HostName& aCoordinator);
   void OnRefused(const SlotRefusal& aRefusal, const HostName& aCoordinator);
+  /// Why an endpoint must get no request, by its own statements; null if it may get one.
+  const char* WhyClosed(const EndpointIncarnation& aEndpoint) const;
   void StartAttempt(const EndpointEntry& aEndpoint, bool aMayHaveRestarted);
   void OnRequestWritten();
   void OnResponseHead(const MessageHead& aHead);
--- a/Libraries/LibGateway/include/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -86,8 +86,9 @@
   std::optional<SoftwareVersion> OnlyVersionOf(const ServiceName& aService) const;
   std::vector<SlotEndpointInfo> EndpointsOf(const ServiceName& aService) const;
   void OnRegistryChanges(const EndpointRegistry::Changes& aChanges);
-  /// Moves the requests that have not been written to an endpoint that leaves to other endpoints.
-  void OnEndpointLeaving(const EndpointIncarnation& aEndpoint);
+  /// Moves the requests that have not been written to an endpoint that wants no further ones to
+  /// other endpoints.
+  void OnEndpointClosed(const EndpointIncarnation& aEndpoint);
   void UpdateDaemonCounts();
   TimePoint Now() const { return m_loop.Now(); }
 
--- a/Libraries/LibPlacement/SlotEndpoint.cpp
+++ b/Libraries/LibPlacement/SlotEndpoint.cpp
@@ -143,6 +143,17 @@
       aNow - *m_unreachable_at > kReportDelay) {
     m_unreachable_at = std::nullopt;
   }
+  if (m_rest_asked_at && aGrantedAt > *m_rest_asked_at) {
+    m_rest_asked_at = std::nullopt;
+  }
+}
+
+bool
+SlotEndpoint::IsTryingAfterRest() const
+{
+  return m_rest_asked_at && std::any_of(m_held.begin(), m_held.end(), [this](const auto& aEntry) {
+           return aEntry.second.m_granted_at > *m_rest_asked_at;
+         });
 }
 
 void
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -48,6 +48,12 @@
 // Minimum share of the slots that work of higher priorities is expected to leave.
 constexpr double kMinShareLeft = 0.1;
 
+double
+MsBetween(TimePoint aFrom, TimePoint aTo)
+{
+  return std::chrono::duration<double, std::milli>(aTo - aFrom).count();
+}
+
 }
 
 const char*
@@ -175,6 +181,16 @@
   return limits;
 }
 
+void
+SlotScheduler::RecordRest(const EndpointIncarnation& aEndpoint, TimePoint aNow)
+{
+  const auto found = m_endpoints.find(aEndpoint.m_id);
+  if (found != m_endpoints.end() &&
+      found->second.Info().m_started_at_ms == aEndpoint.m_started_at_ms) {
+    found->second.RecordRest(aNow);
+  }
+}
+
 void
 SlotScheduler::RecordRenewed(const EndpointIncarnation& aEndpoint,
                              TimePoint aReadableSince,
@@ -362,14 +378,15 @@
                       SlotDecisions& aDecisions) const
 {
   const auto retry_after = [&] {
-    switch (aReason) {
-      case SlotRefusalReason::HarmfulPrompt:
-        return m_limits.m_max_retry_after;
-      case SlotRefusalReason::NoEndpointOfVersion:
-        return RetryAfter(aRequest, kRestartTimeMs);
-      default:
-        return RetryAfter(aRequest, ExpectedWaitMs(aRequest.m_priority, aNow));
+    if (aReason == SlotRefusalReason::HarmfulPrompt) {
+      return m_limits.m_max_retry_after;
+    }
+    if (aReason == SlotRefusalReason::NoEndpointOfVersion) {
+      return RetryAfter(aRequest, kRestartTimeMs);
     }
+    const double wait_ms = ExpectedWaitMs(aRequest.m_priority, aNow);
+    const auto rest_end = RestEndOfAll(aRequest, aNow);
+    return RetryAfter(aRequest, rest_end ? std::max(wait_ms, MsBetween(aNow, *rest_end)) : wait_ms);
   };
   aDecisions.m_refusals.push_back({ aRequest.m_request_id, aReason, retry_after() });
   aDecisions.m_refused.push_back(aRequest);
@@ -414,20 +431,75 @@
   });
 }
 
+std::optional<TimePoint>
+SlotScheduler::RestEnd(const SlotEndpoint& aEndpoint,
+                       const SlotRequest& aRequest,
+                       TimePoint aNow) const
+{
+  const SlotEndpointInfo& info = aEndpoint.Info();
+  return m_rests->EndOf({ info.m_id, info.m_started_at_ms }, aRequest.m_request_id.m_daemon, aNow);
+}
+
+std::optional<TimePoint>
+SlotScheduler::RestEndOfAll(const SlotRequest& aRequest, TimePoint aNow) const
+{
+  std::optional<TimePoint> first;
+  if (m_rests->IsEmpty()) {
+    return first;
+  }
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (!IsEligible(endpoint, aRequest)) {
+      continue;
+    }
+    const auto end = RestEnd(endpoint, aRequest, aNow);
+    if (!end) {
+      return std::nullopt;
+    }
+    first = std::min(*end, first.value_or(*end));
+  }
+  return first;
+}
+
+bool
+SlotScheduler::IsKeptByRest(const SlotRequest& aRequest, TimePoint aNow) const
+{
+  return !m_rests->IsEmpty() &&
+         std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& aEntry) {
+           const SlotEndpoint& endpoint = aEntry.second;
+           return IsEligibleNow(endpoint, aRequest, aNow) &&
+                  endpoint.HasFreeSlot(m_slot_share, aNow) && RestEnd(endpoint, aRequest, aNow);
+         });
+}
+
+bool
+SlotScheduler::RestsTooLong(const WaitingSlotRequest& aWaiting, TimePoint aNow) const
+{
+  const SlotRequest& request = aWaiting.m_request;
+  const auto end = RestEndOfAll(request, aNow);
+  if (!end) {
+    return false;
+  }
+  // A stream in its middle is lost if it is refused, so it waits for as long as its caller does.
+  return request.m_required_version
+           ? MsBetween(*end, request.m_abandoned_at) < aWaiting.m_min_first_byte_ms
+           : MsBetween(*end, request.m_objective_at) < aWaiting.m_first_byte_bound_ms;
+}
+
 SlotEndpoint*
 SlotScheduler::Choose(const WaitingSlotRequest& aWaiting, TimePoint aNow)
 {
   const SlotRequest& request = aWaiting.m_request;
   const bool has_unsuspected =
     std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& aEntry) {
-      return IsEligibleNow(aEntry.second, request, aNow) && !aEntry.second.IsSuspect(aNow);
+      return IsEligibleNow(aEntry.second, request, aNow) && !aEntry.second.IsSuspect(aNow) &&
+             !RestEnd(aEntry.second, request, aNow);
     });
   SlotEndpoint* best = nullptr;
   double best_cost = 0;
   bool is_best_avoided = false;
   for (auto& [id, endpoint] : m_endpoints) {
     if (!IsEligibleNow(endpoint, request, aNow) || !endpoint.HasFreeSlot(m_slot_share, aNow) ||
-        (has_unsuspected && endpoint.IsSuspect(aNow))) {
+        (has_unsuspected && endpoint.IsSuspect(aNow)) || RestEnd(endpoint, request, aNow)) {
       continue;
     }
     const bool is_avoided =
@@ -478,9 +550,11 @@
   for (const WaitingSlotRequest& waiting : m_queue.TakeUnservable(SlotCount(aNow), aNow)) {
     Refuse(waiting.m_request, SlotRefusalReason::WaitedTooLong, aNow, decisions);
   }
-  // Requests for one software version whose endpoints are busy or in doubt, and those with a
-  // suspected part that another request runs with; they do not hold up the others.
+  // Requests for one software version whose endpoints are busy or in doubt, those with a suspected
+  // part that another request runs with, and those of daemons that endpoints have asked for rest;
+  // they do not hold up the others.
   std::vector<WaitingSlotRequest> set_aside;
+  std::set<Incarnation> daemons_without_endpoint;
   while (const WaitingSlotRequest* front = m_queue.Front(aNow)) {
     const CrashSuspects::Admission admission =
       m_prompt_suspects->AdmissionOf(front->m_request.m_prompt_parts, aNow);
@@ -493,8 +567,18 @@
       }
       continue;
     }
-    SlotEndpoint* endpoint = Choose(*front, aNow);
-    if (endpoint == nullptr && front->m_request.m_required_version) {
+    const bool is_for_one_version = front->m_request.m_required_version.has_value();
+    const Incarnation& daemon = front->m_request.m_request_id.m_daemon;
+    SlotEndpoint* endpoint = !is_for_one_version && daemons_without_endpoint.contains(daemon)
+                               ? nullptr
+                               : Choose(*front, aNow);
+    const bool is_kept_by_rest =
+      endpoint == nullptr && !is_for_one_version &&
+      (daemons_without_endpoint.contains(daemon) || IsKeptByRest(front->m_request, aNow));
+    if (is_kept_by_rest) {
+      daemons_without_endpoint.insert(daemon);
+    }
+    if (endpoint == nullptr && (is_for_one_version || is_kept_by_rest)) {
       set_aside.push_back(*m_queue.Remove(SlotRequestId(front->m_request.m_request_id)));
       continue;
     }
@@ -514,10 +598,12 @@
                                    endpoint->MayHaveRestarted(aNow) });
   }
   for (WaitingSlotRequest& waiting : set_aside) {
-    if (HasEligibleEndpoint(waiting.m_request)) {
-      m_queue.PutBack(std::move(waiting));
-    } else {
+    if (!HasEligibleEndpoint(waiting.m_request)) {
       Refuse(waiting.m_request, SlotRefusalReason::NoEndpointOfVersion, aNow, decisions);
+    } else if (RestsTooLong(waiting, aNow)) {
+      Refuse(waiting.m_request, SlotRefusalReason::NoEndpoint, aNow, decisions);
+    } else {
+      m_queue.PutBack(std::move(waiting));
     }
   }
   // New requests that probably cannot be served in time are refused before they wait.
@@ -526,7 +612,9 @@
     if (!waiting) {
       continue;
     }
-    if (ShouldRefuse(*waiting, aNow)) {
+    if (RestsTooLong(*waiting, aNow)) {
+      Refuse(waiting->m_request, SlotRefusalReason::NoEndpoint, aNow, decisions);
+    } else if (ShouldRefuse(*waiting, aNow)) {
       Refuse(waiting->m_request, SlotRefusalReason::Overloaded, aNow, decisions);
     } else {
       m_queue.PutBack(std::move(*waiting));
--- a/Libraries/LibPlacement/include/LibPlacement/EndpointNotice.h
+++ b/Libraries/LibPlacement/include/LibPlacement/EndpointNotice.h
@@ -31,6 +31,9 @@
   std::optional<Milliseconds> m_rest;
   /// Whether a statement of a rest cannot be understood, so that nothing follows from it.
   bool m_is_rest_malformed = false;
+  /// Whether it came with the response to another request, which may be an old one: nothing follows
+  /// from its limit, since that may have ended.
+  bool m_may_be_old = false;
 
   bool IsMalformed() const
   {
--- a/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
@@ -73,8 +73,13 @@
   /// Whether a request may be sent now.
   bool HasFreeSlot(double aSlotShare, TimePoint aNow) const
   {
-    return HeldCount() < ConcurrencyLimit(aSlotShare, aNow) && m_rate.Permits(aNow);
+    return HeldCount() < ConcurrencyLimit(aSlotShare, aNow) && m_rate.Permits(aNow) &&
+           !IsTryingAfterRest();
   }
+  /// Records that the endpoint has asked a daemon for rest. From then on it gets one request at a
+  /// time until one of them begins to be answered, so that what has waited does not reach it at
+  /// once.
+  void RecordRest(TimePoint aNow) { m_rest_asked_at = aNow; }
   /// Number of slots that can be in use on average, for requests that hold one for this time: fewer
   /// than the concurrency limit while a rate limit applies.
   double UsableSlots(double aSlotShare, double aSlotTimeMs, TimePoint aNow) const;
@@ -100,6 +105,9 @@
   };
 
   bool IsOverdue(const Held& aHeld, TimePoint aNow) const;
+  /// Whether a request runs that was granted since the endpoint asked for rest, and none has been
+  /// answered since.
+  bool IsTryingAfterRest() const;
   void Insert(const SlotRequestId& aRequestId, const Held& aHeld);
   void RecordOutcome(bool aIsFailure);
   void Suspect(TimePoint aNow);
@@ -117,6 +125,8 @@
   /// When it could not be reached last, unless the same incarnation has been seen alive since.
   std::optional<TimePoint> m_unreachable_at;
   TimePoint m_full_until;
+  /// When it asked a daemon for rest last, unless a later request has begun to be answered.
+  std::optional<TimePoint> m_rest_asked_at;
 };
 
 }
--- a/Libraries/LibPlacement/include/LibPlacement/SlotRequest.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotRequest.h
@@ -104,7 +104,7 @@
   /// It waited until its caller was about to leave or, under overload, until it would miss its
   /// objective.
   WaitedTooLong,
-  /// The service has no usable endpoint.
+  /// The service has no usable endpoint, or all of them have asked the daemon for rest.
   NoEndpoint,
   /// Its workspace has exhausted its quota.
   OverQuota,
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibPlacement/CrashSuspects.h>
+#include <LibPlacement/EndpointRests.h>
 #include <LibPlacement/SlotEndpoint.h>
 #include <LibPlacement/SlotQueue.h>
 #include <map>
@@ -17,6 +18,10 @@
   Milliseconds m_max_retry_after{ 10'000 };
 };
 
+/// How many rests a coordinator keeps: a few for each of several thousand daemons. The daemons keep
+/// their own besides.
+constexpr std::size_t kMaxRestsOfDaemons = 50'000;
+
 /// A rate limit that an endpoint states.
 struct StatedLimit
 {
@@ -43,12 +48,15 @@
 class SlotScheduler
 {
 public:
-  /// aSuspects: what is known of prompts that crash the service's endpoints.
+  /// aSuspects: what is known of prompts that crash the service's endpoints. aRests: the rests that
+  /// endpoints have asked daemons for.
   explicit SlotScheduler(
     SlotSchedulerLimits aLimits,
-    std::shared_ptr<CrashSuspects> aSuspects = std::make_shared<CrashSuspects>())
+    std::shared_ptr<CrashSuspects> aSuspects = std::make_shared<CrashSuspects>(),
+    std::shared_ptr<EndpointRests> aRests = std::make_shared<EndpointRests>(kMaxRestsOfDaemons))
     : m_limits(aLimits)
     , m_prompt_suspects(std::move(aSuspects))
+    , m_rests(std::move(aRests))
   {
   }
 
@@ -69,6 +77,8 @@
                          TimePoint aNow);
   /// The endpoints that state a limit.
   std::vector<StatedLimit> StatedLimits() const;
+  /// Records that an endpoint has asked a daemon for rest, which the rests contain already.
+  void RecordRest(const EndpointIncarnation& aEndpoint, TimePoint aNow);
 
   /// See SlotEndpoint::RecordRenewed().
   void RecordRenewed(const EndpointIncarnation& aEndpoint,
@@ -116,6 +126,18 @@
                             const SlotRequest& aRequest,
                             TimePoint aNow);
   bool HasEligibleEndpoint(const SlotRequest& aRequest) const;
+  /// When an endpoint accepts requests again of the daemon that handles a request; nothing if it
+  /// does now.
+  std::optional<TimePoint> RestEnd(const SlotEndpoint& aEndpoint,
+                                   const SlotRequest& aRequest,
+                                   TimePoint aNow) const;
+  /// When the first eligible endpoint accepts requests again of the daemon that handles a request;
+  /// nothing if one does now.
+  std::optional<TimePoint> RestEndOfAll(const SlotRequest& aRequest, TimePoint aNow) const;
+  /// Whether a rest is all that keeps an endpoint from serving a request now.
+  bool IsKeptByRest(const SlotRequest& aRequest, TimePoint aNow) const;
+  /// Whether all eligible endpoints rest for longer than a request can wait.
+  bool RestsTooLong(const WaitingSlotRequest& aWaiting, TimePoint aNow) const;
   double CostOf(const SlotEndpoint& aEndpoint, const SlotRequest& aRequest) const;
   double ExpectedWaitMs(int aPriority, TimePoint aNow) const;
   /// Whether to refuse a new request at once: the queue is full, its caller would stop waiting, or
@@ -131,6 +153,7 @@
 
   SlotSchedulerLimits m_limits;
   std::shared_ptr<CrashSuspects> m_prompt_suspects;
+  std::shared_ptr<EndpointRests> m_rests;
   /// The software versions that have served.
   std::set<SoftwareVersion> m_versions;
   double m_slot_share = 1.0;
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -165,16 +165,43 @@
   "$UNIT" "Leaving: *"
 mutate "an endpoint that leaves gets no requests: a daemon hands back grants" \
   Libraries/LibGateway/ActiveRequest.cpp \
-  's/if \(m_dependencies.m_broker->IsLeaving\(endpoint->Run\(\)\)\) \{/if (false) {/' \
+  's/if \(m_dependencies.m_broker->IsLeaving\(aEndpoint\)\) \{/if (false) {/' \
   "$PROCESS" "Leaving: the daemon that heard it*"
 mutate "an endpoint that leaves gets no requests: those that connect to it are moved" \
   Libraries/LibBroker/NoticeExchange.cpp \
-  's/  m_on_leaving\(aEndpoint\);//' \
+  's/  m_on_closed\(aEndpoint\);\n  return true;\n\}\n\nvoid/  return true;\n}\n\nvoid/' \
   "$PROCESS" "Leaving: a request that is still connecting*"
 mutate "an endpoint that leaves gets no requests: a late registration is that of the statement" \
   Libraries/LibBroker/NoticeExchange.cpp \
   's/if \(m_leaving.RecordRegistered\(aService, aEndpoint, aReadableSince, aNow\)\)/if (false)/; s/TimePoint aReadableSince,\n *TimePoint aNow\)/TimePoint,\n                             TimePoint)/' \
   "$PROCESS" "Leaving: a statement of an incarnation*"
+mutate "an endpoint that rests gets no requests: the daemon that was asked hands back grants" \
+  Libraries/LibGateway/ActiveRequest.cpp \
+  's/return m_dependencies.m_broker->IsResting\(aEndpoint\)/return false/' \
+  "$PROCESS" "Rest: the daemon that heard it*"
+mutate "an endpoint that rests gets no requests: the coordinator grants the daemon none" \
+  Libraries/LibPlacement/SlotScheduler.cpp \
+  's/ \|\| RestEnd\(endpoint, request, aNow\)\)/)/' \
+  "$UNIT" "Rest: *"
+mutate "an endpoint that rests gets no requests: the next coordinator learns it" \
+  Libraries/LibBroker/NoticeExchange.cpp \
+  's/for \(const EndpointRest& rest : m_own_rests[^}]*\}//' \
+  "$UNIT" "Rest: *"
+mutate "a rest is not shortened by a later one" Libraries/LibPlacement/EndpointRests.cpp \
+  's/!is_new && found->second.m_until >= until/false/' \
+  "$UNIT" "Rest: *"
+mutate "a rest is not ended by a success" Libraries/LibBroker/NoticeExchange.cpp \
+  's/  if \(aStated.m_rest && RecordRest/  if (!aStated.m_rest) {\n    m_own_rests.DropExpired(aNow + Milliseconds(1000000));\n  }\n  if (aStated.m_rest \&\& RecordRest/' \
+  "$UNIT" "Rest: *"
+mutate "a rest is not kept for the next incarnation" Libraries/LibPlacement/EndpointRests.cpp \
+  's/Key\(aEndpoint, aDaemon\)/Key(EndpointIncarnation{ aEndpoint.m_id, 0 }, aDaemon)/g' \
+  "$UNIT" "Rest: *"
+mutate "a rest binds the daemon that was asked alone" Libraries/LibPlacement/EndpointRests.cpp \
+  's/Key\(aEndpoint, aDaemon\)/Key(aEndpoint, Incarnation())/g; s/const Incarnation& aDaemon/const Incarnation\&/g' \
+  "$UNIT" "Rest: *"
+mutate "after a rest an endpoint gets one request at a time" Libraries/LibPlacement/SlotEndpoint.cpp \
+  's/return m_rest_asked_at &&/return false \&\& m_rest_asked_at \&\&/' \
+  "$UNIT" "Rest: *"
 mutate "a prompt that crashes endpoints is refused: the daemons tell the next coordinator" \
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/if \(part.m_log_odds >= m_announce_log_odds\) \{\n      all/if (false) {\n      all/' \
--- a/Tests/Process/TestLeavingEndpoints.cpp
+++ b/Tests/Process/TestLeavingEndpoints.cpp
@@ -1,15 +1,12 @@
 #include "EarlierCoordinator.h"
+#include "FullListener.h"
 #include "GatewayCluster.h"
 #include "LeavingChecker.h"
 
 #include <absl/strings/str_cat.h>
-#include <cerrno>
 #include <csignal>
 #include <doctest.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 
 using namespace auburnhitch;
 using namespace auburnhitch::tests;
@@ -188,57 +185,6 @@
   GatewayCluster m_cluster;
 };
 
-/// Listens on a loopback port and accepts no connection by itself, so that connections beyond those
-/// in its queue are not established.
-class FullListener
-{
-public:
-  FullListener()
-    : m_listener(socket(AF_INET, SOCK_STREAM, 0))
-  {
-    sockaddr_in name{};
-    name.sin_family = AF_INET;
-    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(bind(m_listener, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) == 0);
-    REQUIRE(listen(m_listener, 0) == 0);
-    socklen_t size = sizeof(m_name);
-    REQUIRE(getsockname(m_listener, reinterpret_cast<sockaddr*>(&m_name), &size) == 0);
-  }
-
-  ~FullListener()
-  {
-    for (const int connection : m_connections) {
-      close(connection);
-    }
-    close(m_listener);
-  }
-
-  FullListener(const FullListener&) = delete;
-  FullListener& operator=(const FullListener&) = delete;
-
-  std::string Address() const { return absl::StrCat("127.0.0.1:", ntohs(m_name.sin_port)); }
-
-  /// Waits for a connection.
-  int Accept() const { return accept(m_listener, nullptr, nullptr); }
-
-  /// Fills the queue of connections that have not been accepted.
-  void Fill()
-  {
-    constexpr int kConnections = 4;
-    for (int i = 0; i < kConnections; ++i) {
-      m_connections.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-      const int result =
-        connect(m_connections.back(), reinterpret_cast<const sockaddr*>(&m_name), sizeof(m_name));
-      REQUIRE((result == 0 || errno == EINPROGRESS));
-    }
-  }
-
-private:
-  int m_listener;
-  sockaddr_in m_name{};
-  std::vector<int> m_connections;
-};
-
 /// Starts the load, lets the first endpoint leave, and runs aAction once a daemon knows.
 void
 LeaveUnderLoad(LeavingCluster& aCluster, const std::function<void()>& aAction)
--- a/Tests/Process/TestRestingEndpoints.cpp
+++ b/Tests/Process/TestRestingEndpoints.cpp
@@ -1,4 +1,5 @@
 #include "EarlierCoordinator.h"
+#include "FullListener.h"
 #include "GatewayCluster.h"
 #include "RestChecker.h"
 
@@ -279,6 +280,37 @@
   CHECK(cluster.Endpoint(0).Requests().size() == received);
 }
 
+TEST_CASE("Rest: a request that is still connecting to the endpoint is not sent there")
+{
+  GatewayCluster cluster(1, 1);
+  FullListener listener;
+  cluster.Register(0, "ready", { { "address", listener.Address() }, { "born", 2 } });
+  REQUIRE(WaitFor([&] {
+    return cluster.LogOfDaemon(0).find(absl::StrCat("address=", listener.Address())) !=
+           std::string::npos;
+  }));
+  std::thread first([&] { cluster.Call("/unsafe/x", "first"); });
+  RawConnection connection(listener.Accept());
+  REQUIRE(connection.ReadRequest());
+  listener.Fill();
+  CallerResponse response;
+  std::thread second([&] { response = cluster.Call("/unsafe/x", "second"); });
+  REQUIRE(WaitFor([&] {
+    return cluster.LogOfDaemon(0).find("event=granted request=second") != std::string::npos;
+  }));
+  connection.Write("HTTP/1.1 503 X\r\nX-Request-Id: first\r\nX-Not-Executed: 1\r\n"
+                   "Retry-After: 250\r\nContent-Length: 0\r\n\r\n");
+  first.join();
+  second.join();
+  CHECK(response.m_status == 503);
+  CHECK(WaitFor([&] {
+    return cluster.LogOfDaemon(0).find(
+             "event=send-failed request=second service=s endpoint=i-0 "
+             "end=cancelled why=\"the endpoint has asked this daemon for rest") !=
+           std::string::npos;
+  }));
+}
+
 TEST_CASE("Rest: a longer rest is not shortened by a later one nor ended by a success")
 {
   GatewayCluster cluster(1, 1);
@@ -302,6 +334,7 @@
   });
   std::vector<std::thread> callers;
   std::atomic<int> ended = 0;
+  callers.reserve(4);
   for (int i = 0; i < 4; ++i) {
     callers.emplace_back([&, i] {
       cluster.Call("/unsafe/x", absl::StrCat("held-", i));
--- a/Tests/Unit/TestNoticeExchange.cpp
+++ b/Tests/Unit/TestNoticeExchange.cpp
@@ -27,6 +27,13 @@
   return notice;
 }
 
+std::optional<EndpointNoticeMessage>
+Only(const std::vector<EndpointNoticeMessage>& aNotices)
+{
+  REQUIRE(aNotices.size() <= 1);
+  return aNotices.empty() ? std::nullopt : std::optional(aNotices.front());
+}
+
 /// The exchange of one daemon, with the notices that it sends to all others.
 struct ExchangingDaemon
 {
@@ -47,6 +54,7 @@
           m_refusals += aDecisions.m_refusals.size();
         })
     , m_exchange(
+        kDaemon,
         m_coordinator,
         [this](const EndpointNoticeMessage& aNotice) { m_informed.push_back(aNotice); },
         [this](const EndpointIncarnation& aEndpoint) { m_left.push_back(aEndpoint); })
@@ -106,8 +114,8 @@
 {
   ExchangingDaemon daemon;
   ExchangingDaemon coordinator;
-  auto report = daemon.m_exchange.RecordResponse(
-    kService, coordinator.Grant(At(0)), kEndpoint, Stating(2), At(0), At(10));
+  auto report = Only(daemon.m_exchange.RecordResponse(
+    kService, coordinator.Grant(At(0)), kEndpoint, Stating(2), At(0), At(10)));
   REQUIRE(report);
   CHECK_FALSE(coordinator.m_exchange.OnReport(kDaemon, *report, At(20)));
   REQUIRE(coordinator.m_informed.size() == 1);
@@ -116,8 +124,12 @@
   CHECK_FALSE(coordinator.m_exchange.OnReport(kDaemon, *report, At(30)));
   CHECK(coordinator.m_informed.size() == 1);
   // The response to a request that was granted after the last statement.
-  report = daemon.m_exchange.RecordResponse(
-    kService, coordinator.Grant(At(2'000)), kEndpoint, Stating(std::nullopt), At(2'000), At(2'010));
+  report = Only(daemon.m_exchange.RecordResponse(kService,
+                                                 coordinator.Grant(At(2'000)),
+                                                 kEndpoint,
+                                                 Stating(std::nullopt),
+                                                 At(2'000),
+                                                 At(2'010)));
   REQUIRE(report);
   CHECK_FALSE(coordinator.m_exchange.OnReport(kDaemon, *report, At(2'020)));
   REQUIRE(coordinator.m_informed.size() == 2);
@@ -135,7 +147,7 @@
   CHECK(coordinator.m_exchange.NoticesForDaemon() == coordinator.m_informed);
   other.m_exchange.OnInformed(coordinator.m_informed.at(0), At(10));
   CHECK(other.m_informed.empty());
-  const auto notices = other.m_exchange.NoticesForCoordinator(kService);
+  const auto notices = other.m_exchange.NoticesForCoordinator(kService, At(50));
   REQUIRE(notices.size() == 1);
   next.m_exchange.OnReport(kDaemon, notices[0], At(20));
   CHECK(next.m_coordinator.StatedLimitOf(kService, kEndpoint) == RequestRate{ 2 });
@@ -157,9 +169,9 @@
 TEST_CASE("Limits: a malformed statement changes nothing, and unusable endpoints are dropped")
 {
   ExchangingDaemon daemon;
-  CHECK_FALSE(daemon.m_exchange.RecordResponse(
-    kService, 1, kEndpoint, EndpointNotice{ std::nullopt, true }, At(0), At(10)));
-  daemon.m_exchange.RecordResponse(kService, 1, kEndpoint, Stating(2), At(0), At(10));
+  CHECK_FALSE(Only(daemon.m_exchange.RecordResponse(
+    kService, 1, kEndpoint, EndpointNotice{ std::nullopt, true }, At(0), At(10))));
+  Only(daemon.m_exchange.RecordResponse(kService, 1, kEndpoint, Stating(2), At(0), At(10)));
   CHECK(daemon.m_exchange.KnownLimitOf(kEndpoint));
   daemon.m_exchange.RetainEndpoints(
     [](const ServiceName&) { return std::vector<SlotEndpointInfo>(); }, At(20));
@@ -172,12 +184,13 @@
   ExchangingDaemon coordinator;
   coordinator.Grant(At(0));
   const auto report =
-    daemon.m_exchange.RecordResponse(kService, 7, kEndpoint, Leaving(), At(0), At(10));
+    Only(daemon.m_exchange.RecordResponse(kService, 7, kEndpoint, Leaving(), At(0), At(10)));
   REQUIRE(report);
   CHECK(daemon.m_exchange.IsLeaving(kEndpoint));
   CHECK(daemon.m_left == std::vector{ kEndpoint });
   CHECK_FALSE(
-    daemon.m_exchange.RecordResponse(kService, 8, kEndpoint, Leaving(), At(0), At(11)).has_value());
+    Only(daemon.m_exchange.RecordResponse(kService, 8, kEndpoint, Leaving(), At(0), At(11)))
+      .has_value());
   coordinator.m_exchange.OnReport(kDaemon, *report, At(20));
   REQUIRE(coordinator.m_informed.size() == 1);
   CHECK(coordinator.m_informed[0].m_is_leaving);
@@ -186,7 +199,8 @@
   CHECK(coordinator.m_grants.size() == granted);
   CHECK(coordinator.m_refusals == 1);
   // Relays of other daemons, as a new coordinator gets them.
-  for (const EndpointNoticeMessage& notice : daemon.m_exchange.NoticesForCoordinator(kService)) {
+  for (const EndpointNoticeMessage& notice :
+       daemon.m_exchange.NoticesForCoordinator(kService, At(50))) {
     coordinator.m_exchange.OnReport(kDaemon, notice, At(40));
   }
   CHECK(coordinator.m_informed.size() == 1);
@@ -196,7 +210,7 @@
 {
   ExchangingDaemon coordinator;
   const auto report =
-    coordinator.m_exchange.RecordResponse(kService, 7, kEndpoint, Leaving(), At(0), At(10));
+    Only(coordinator.m_exchange.RecordResponse(kService, 7, kEndpoint, Leaving(), At(0), At(10)));
   REQUIRE(report);
   coordinator.m_exchange.OnReport(kDaemon, *report, At(10));
   CHECK(coordinator.m_informed.size() == 1);
@@ -209,10 +223,10 @@
   ExchangingDaemon other;
   ExchangingDaemon next;
   const auto report =
-    coordinator.m_exchange.RecordResponse(kService, 7, kEndpoint, Leaving(), At(0), At(10));
+    Only(coordinator.m_exchange.RecordResponse(kService, 7, kEndpoint, Leaving(), At(0), At(10)));
   coordinator.m_exchange.OnReport(kDaemon, *report, At(10));
   other.m_exchange.OnInformed(coordinator.m_informed.at(0), At(20));
-  const auto notices = other.m_exchange.NoticesForCoordinator(kService);
+  const auto notices = other.m_exchange.NoticesForCoordinator(kService, At(50));
   REQUIRE(notices.size() == 1);
   next.m_exchange.OnReport(kDaemon, notices[0], At(30));
   CHECK(next.m_exchange.IsLeaving(kEndpoint));
@@ -222,7 +236,7 @@
 TEST_CASE("Leaving: it outlasts a registration that is removed and returns, not its incarnation")
 {
   ExchangingDaemon daemon;
-  daemon.m_exchange.RecordResponse(kService, 7, kEndpoint, Leaving(), At(0), At(10));
+  Only(daemon.m_exchange.RecordResponse(kService, 7, kEndpoint, Leaving(), At(0), At(10)));
   const auto none = [](const ServiceName&) { return std::vector<SlotEndpointInfo>(); };
   const auto registered = [&](const ServiceName&) { return daemon.Registered(); };
   daemon.m_exchange.RetainEndpoints(none, At(20));
@@ -273,8 +287,8 @@
 TEST_CASE("Leaving: a malformed limit does not hide it, and the table is bounded")
 {
   ExchangingDaemon daemon;
-  CHECK(daemon.m_exchange.RecordResponse(
-    kService, 7, kEndpoint, EndpointNotice{ std::nullopt, true, true, false }, At(0), At(10)));
+  CHECK(Only(daemon.m_exchange.RecordResponse(
+    kService, 7, kEndpoint, EndpointNotice{ std::nullopt, true, true, false }, At(0), At(10))));
   CHECK(daemon.m_exchange.IsLeaving(kEndpoint));
   LeavingEndpoints::Limits limits;
   limits.m_max_entries = 2;
@@ -305,3 +319,65 @@
     }
   }
 }
+
+TEST_CASE("Rest: a rest binds the daemon that was asked, at its coordinator and at the next one")
+{
+  const Incarnation other("other");
+  ExchangingDaemon daemon;
+  ExchangingDaemon coordinator;
+  ExchangingDaemon next;
+  EndpointNotice notice = Stating(2);
+  notice.m_rest = Milliseconds(2'000);
+  const auto reports =
+    daemon.m_exchange.RecordResponse(kService, 7, kEndpoint, notice, At(0), At(10));
+  REQUIRE(reports.size() == 2);
+  CHECK(reports[0].m_limit == RequestRate{ 2 });
+  CHECK_FALSE(reports[0].m_rest);
+  CHECK(reports[1].m_rest == Milliseconds(2'000));
+  CHECK(daemon.m_exchange.IsResting(kEndpoint, At(2'009)));
+  CHECK_FALSE(daemon.m_exchange.IsResting(kEndpoint, At(2'010)));
+  CHECK_FALSE(daemon.m_exchange.IsResting({ kEndpoint.m_id, 2 }, At(11)));
+  CHECK(daemon.m_left == std::vector{ kEndpoint });
+  coordinator.m_exchange.OnReport(kDaemon, reports[1], At(20));
+  CHECK(coordinator.m_informed.empty());
+  CHECK_FALSE(coordinator.m_exchange.IsResting(kEndpoint, At(20)));
+  coordinator.Request(At(30));
+  CHECK(coordinator.m_grants.empty());
+  CHECK(coordinator.m_refusals == 1);
+  coordinator.Request(At(2'020));
+  CHECK(coordinator.m_grants.size() == 1);
+  // Only what is left of it is reported to the next coordinator.
+  const auto relayed = daemon.m_exchange.NoticesForCoordinator(kService, At(1'510));
+  REQUIRE(relayed.size() == 2);
+  CHECK(relayed[1].m_rest == Milliseconds(500));
+  next.m_exchange.OnReport(kDaemon, relayed[1], At(1'520));
+  next.Request(At(1'530));
+  CHECK(next.m_grants.empty());
+  next.m_exchange.OnReport(other, relayed[0], At(1'530));
+  next.Request(At(2'030));
+  CHECK(next.m_grants.size() == 1);
+}
+
+TEST_CASE(
+  "Rest: neither a shorter one nor a success ends a rest, nor a response to another request")
+{
+  ExchangingDaemon daemon;
+  EndpointNotice notice;
+  notice.m_rest = Milliseconds(2'000);
+  CHECK(Only(daemon.m_exchange.RecordResponse(kService, 1, kEndpoint, notice, At(0), At(10))));
+  notice.m_rest = Milliseconds(500);
+  CHECK_FALSE(
+    Only(daemon.m_exchange.RecordResponse(kService, 2, kEndpoint, notice, At(0), At(20))));
+  daemon.m_exchange.RecordResponse(kService, 3, kEndpoint, EndpointNotice(), At(0), At(30));
+  CHECK(daemon.m_exchange.IsResting(kEndpoint, At(2'000)));
+  // One that extends it counts, also when it may be old; the limit in it does not.
+  notice = Stating(2);
+  notice.m_rest = Milliseconds(3'000);
+  notice.m_may_be_old = true;
+  const auto report =
+    Only(daemon.m_exchange.RecordResponse(kService, 4, kEndpoint, notice, At(0), At(40)));
+  REQUIRE(report);
+  CHECK(report->m_rest == Milliseconds(3'000));
+  CHECK(daemon.m_exchange.IsResting(kEndpoint, At(3'039)));
+  CHECK_FALSE(daemon.m_exchange.KnownLimitOf(kEndpoint));
+}
--- a/Tests/Unit/TestSlotMessages.cpp
+++ b/Tests/Unit/TestSlotMessages.cpp
@@ -96,6 +96,21 @@
   CHECK_FALSE(DecodeSlotMessage(wrong));
 }
 
+TEST_CASE("A notice that an endpoint rests has one more field, which may be missing")
+{
+  EndpointNoticeMessage notice{ ServiceName("s"), 0, EndpointId("e"), 1, std::nullopt };
+  const nlohmann::json working = EncodeSlotMessage(notice);
+  notice.m_rest = Milliseconds(1'500);
+  const nlohmann::json resting = EncodeSlotMessage(notice);
+  CHECK(resting.size() == working.size() + 1);
+  CHECK(DecodeSlotMessage(resting) == SlotMessage(notice));
+  for (const char* value : { "[]", "[-1]", "[\"1\"]", "[1, 2]", "1500", "false", "[1e300]" }) {
+    nlohmann::json wrong = resting;
+    wrong.back() = nlohmann::json::parse(value);
+    CHECK_FALSE(DecodeSlotMessage(wrong));
+  }
+}
+
 TEST_CASE("Decoding a damaged message does not crash the process")
 {
   std::mt19937 random(1);
