Let the soak's endpoints ask daemons for rest

One endpoint or all of them refuse requests for 0.1 to 4 s, beside kills, pauses, cuts and the other faults; RestChecker counts as the rule does, except that a cut excuses nothing.

--- a/Tests/Process/TestSoak.cpp
+++ b/Tests/Process/TestSoak.cpp
@@ -14,6 +14,8 @@
   const char* m_violation_found;
   /// See SoakOptions. Seeds from before paths were cut run without.
   bool m_cuts_paths = false;
+  /// See SoakOptions. Seeds from before endpoints asked for rest run without.
+  bool m_has_rests = false;
 };
 
 constexpr SoakCase kCases[]{
@@ -28,7 +30,8 @@
     "endpoint up to 2 s before hid the crash" },
   { 31108, "7 requests after the fifth crash, as seed 31002" },
   { 34001, nullptr, true },
-  { 34002, nullptr, true }
+  { 34002, nullptr, true },
+  { 41001, nullptr, true, true }
 };
 
 }
@@ -40,6 +43,7 @@
     options.m_seed = entry.m_seed;
     options.m_length = std::chrono::milliseconds(8'000);
     options.m_cuts_paths = entry.m_cuts_paths;
+    options.m_has_rests = entry.m_has_rests;
     const SoakResult result = RunSoak(options);
     std::string text = result.m_summary;
     for (const auto* lines : { &result.m_violations, &result.m_faults }) {
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -28,6 +28,8 @@
 constexpr int kMaxFaultMs = 2'000;
 // The platform kills a process this long after it has asked it to stop.
 constexpr Ms kStopGracePeriod{ 8'000 };
+// The longest rest that an endpoint asks for.
+constexpr int kMaxRestMs = 4'000;
 constexpr int kOk = 200;
 // Limits are drawn below this, in tenths of a request a second.
 constexpr unsigned kMaxLimitTenths = 60;
@@ -86,6 +88,7 @@
     m_version = std::move(aVersion);
     m_incarnation = aIncarnation;
     m_is_leaving = false;
+    m_rests_until = Clock::time_point();
   }
   std::string Version()
   {
@@ -97,6 +100,8 @@
   bool TakeCrash() { return m_has_crashed.exchange(false); }
   void Leave() { m_is_leaving = true; }
   bool IsLeaving() const { return m_is_leaving; }
+  /// Refuses all requests for a while and asks for rest.
+  void Rest(Ms aRest) { m_rests_until = Clock::now() + aRest; }
 
   bool Serve(RawConnection& aConnection, const RawRequest& aRequest)
   {
@@ -105,6 +110,17 @@
     const bool is_other = aRequest.Header("x-expect-instance") != own_id;
     m_checker.RecordArrival(
       id, m_index, is_other ? std::nullopt : std::optional(m_incarnation.load()));
+    const auto rest = std::chrono::ceil<Ms>(m_rests_until.load() - Clock::now());
+    if (!is_other && rest > Ms(0)) {
+      m_checker.RecordRest(id, m_index, m_incarnation, rest);
+      aConnection.Write(absl::StrCat("HTTP/1.1 503 X\r\nX-Request-Id: ",
+                                     id,
+                                     Statements(),
+                                     "\r\nX-Not-Executed: 1\r\nRetry-After: ",
+                                     static_cast<double>(rest.count()) / 1'000,
+                                     "\r\nContent-Length: 0\r\n\r\n"));
+      return true;
+    }
     const EndpointFault fault = DrawFault();
     if (is_other || fault == EndpointFault::Refuse) {
       aConnection.Write(absl::StrCat("HTTP/1.1 ",
@@ -276,6 +292,7 @@
   std::atomic<int> m_incarnation = 1;
   std::atomic<bool> m_is_leaving = false;
   std::atomic<bool> m_has_crashed = false;
+  std::atomic<Clock::time_point> m_rests_until{};
   std::mt19937 m_random;
 };
 
@@ -287,6 +304,7 @@
     : m_options(aOptions)
     , m_random(aOptions.m_seed)
     , m_cut_random(aOptions.m_seed)
+    , m_rest_random(aOptions.m_seed)
     , m_checker(aOptions.m_endpoints)
     , m_cluster(GatewayClusterOptions{ aOptions.m_daemons,
                                        aOptions.m_endpoints,
@@ -324,6 +342,9 @@
         if (m_options.m_cuts_paths && m_cut_random() % 3 == 0) {
           CutPaths();
         }
+        if (m_options.m_has_rests && m_rest_random() % 3 == 0) {
+          LetEndpointsRest();
+        }
         const Clock::time_point next = Clock::now() + Ms(m_random() % kMaxPauseMs);
         while (Clock::now() < next) {
           RunDueActions(Clock::now());
@@ -344,6 +365,7 @@
     m_checker.CheckNotExecuted();
     m_checker.CheckLimits();
     m_checker.CheckLeaving();
+    m_checker.CheckRests();
     m_checker.CheckCrashes();
     return Result();
   }
@@ -626,6 +648,21 @@
     });
   }
 
+  /// One endpoint, or all of them, refuse requests for a while and ask for rest.
+  void LetEndpointsRest()
+  {
+    const Ms rest(kMinFaultMs + static_cast<int>(m_rest_random() % (kMaxRestMs - kMinFaultMs)));
+    const std::size_t drawn = m_rest_random() % (m_options.m_endpoints + 1);
+    const bool is_all = drawn == m_options.m_endpoints;
+    RecordFault(absl::StrCat(
+      is_all ? "all endpoints ask" : absl::StrCat("endpoint ", drawn, " asks"), " for rest"));
+    for (std::size_t endpoint = 0; endpoint < m_options.m_endpoints; ++endpoint) {
+      if (is_all || endpoint == drawn) {
+        m_endpoints[endpoint]->Rest(rest);
+      }
+    }
+  }
+
   /// Starts another incarnation of an endpoint, of the same software version if aVersion is empty.
   void Start(std::size_t aEndpoint, bool aKeepsId, const std::string& aVersion, int aIncarnation)
   {
@@ -762,6 +799,8 @@
   std::mt19937 m_random;
   /// Draws the cuts, so that the other faults of a seed do not depend on them.
   std::mt19937 m_cut_random;
+  /// The same for rests.
+  std::mt19937 m_rest_random;
   SoakChecker m_checker;
   std::vector<std::unique_ptr<SoakEndpoint>> m_endpoints;
   GatewayCluster m_cluster;
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -15,6 +15,8 @@
   std::size_t m_callers = 12;
   /// Whether the paths between daemons are cut.
   bool m_cuts_paths = true;
+  /// Whether endpoints ask for rest.
+  bool m_has_rests = true;
   /// Directory to which the daemons' logs are written when there are violations. Empty: no logs are
   /// written.
   std::string m_log_directory;
@@ -39,6 +41,7 @@
 /// - no request was executed whose response says that it was not;
 /// - responses are correct, and belong to the caller's own request;
 /// - no endpoint received further requests after it had said that it leaves;
+/// - no endpoint that asked a daemon for rest received more than two requests from it meanwhile;
 /// - few requests with a part that crashes endpoints reach them after the fifth crash;
 /// - no daemon exited by itself, and each daemon that was stopped exited with status 0 in time;
 /// - each daemon serves all kinds of requests again once the faults are over.
--- a/Tests/Soak/SoakChecker.cpp
+++ b/Tests/Soak/SoakChecker.cpp
@@ -57,6 +57,7 @@
   for (std::size_t i = 0; i < aEndpoints; ++i) {
     m_limits.push_back(std::make_unique<StatedLimitChecker>());
     m_leaving.push_back(std::make_unique<LeavingChecker>());
+    m_rests.push_back(std::make_unique<RestChecker>());
   }
 }
 
@@ -86,6 +87,19 @@
   if (aIncarnation) {
     m_leaving.at(aEndpoint)->RecordArrival(
       daemon, *aIncarnation, m_sent_at.at(aRequestId), aRequestId);
+    m_rests.at(aEndpoint)->RecordArrival(daemon, *aIncarnation);
+  }
+}
+
+void
+SoakChecker::RecordRest(const std::string& aRequestId,
+                        std::size_t aEndpoint,
+                        int aIncarnation,
+                        std::chrono::milliseconds aRest)
+{
+  const std::lock_guard lock(m_mutex);
+  if (const auto found = m_sent.find(aRequestId); found != m_sent.end()) {
+    m_rests.at(aEndpoint)->RecordRest(found->second.m_daemon, aIncarnation, aRest);
   }
 }
 
@@ -102,6 +116,9 @@
   for (const auto& leaving : m_leaving) {
     leaving->RecordDisturbance(aDaemon);
   }
+  for (const auto& rests : m_rests) {
+    rests->RecordDisturbance(aDaemon);
+  }
   m_crashes.RecordDisturbance(aDaemon, aIsOver);
 }
 
@@ -122,6 +139,16 @@
   }
 }
 
+void
+SoakChecker::CheckRests()
+{
+  for (std::size_t endpoint = 0; endpoint < m_rests.size(); ++endpoint) {
+    for (const std::string& violation : m_rests[endpoint]->Violations()) {
+      RecordViolation(absl::StrCat("endpoint ", endpoint, ": ", violation));
+    }
+  }
+}
+
 void
 SoakChecker::CheckLeaving()
 {
--- a/Tests/Soak/SoakChecker.h
+++ b/Tests/Soak/SoakChecker.h
@@ -3,6 +3,7 @@
 #include "CrashChecker.h"
 #include "GatewayCluster.h"
 #include "LeavingChecker.h"
+#include "RestChecker.h"
 #include "StatedLimitChecker.h"
 
 #include <map>
@@ -74,6 +75,11 @@
   void RecordArrival(const std::string& aRequestId,
                      std::size_t aEndpoint,
                      std::optional<int> aIncarnation);
+  /// Called when an endpoint refuses a request and asks the daemon for rest.
+  void RecordRest(const std::string& aRequestId,
+                  std::size_t aEndpoint,
+                  int aIncarnation,
+                  std::chrono::milliseconds aRest);
   /// Called when an endpoint begins to execute a request. aFirstEvent is the first event that it
   /// will send: above 1 when a stream is resumed.
   void RecordExecution(const std::string& aRequestId, const SoakKind& aKind, int aFirstEvent);
@@ -91,6 +97,8 @@
   void CheckLimits();
   /// Checks that no endpoint received requests after it had said that it leaves.
   void CheckLeaving();
+  /// Checks that endpoints which asked for rest got it.
+  void CheckRests();
   /// Checks that requests which crash endpoints are refused after a few crashes.
   void CheckCrashes();
   void RecordViolation(const std::string& aWhat);
@@ -122,6 +130,7 @@
   std::map<std::string, LeavingChecker::Clock::time_point> m_sent_at;
   std::vector<std::unique_ptr<StatedLimitChecker>> m_limits;
   std::vector<std::unique_ptr<LeavingChecker>> m_leaving;
+  std::vector<std::unique_ptr<RestChecker>> m_rests;
   CrashChecker m_crashes;
   /// The versions whose events callers received, for each stream.
   std::map<std::string, std::set<std::string>> m_versions;
