--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -618,7 +618,7 @@
   const bool is_retried = may_resume && TryReserveRetry();
   LogOf("send").warn(
     "event=send-failed request={} service={} endpoint={} end={} why=\"{}\" runs={} "
-    "arrivals={} passed_on={} again={} prompt_parts={}",
+    "arrivals={} passed_on={} again={} digest={} prompt_parts={}",
     m_request.m_head.m_request_id,
     m_request.m_service.Value(),
     endpoint,
@@ -628,6 +628,7 @@
     m_written_attempts,
     has_started,
     is_retried,
+    m_request.m_digest,
     DescribeParts(m_request.m_head.m_prompt_parts));
   if (is_retried) {
     Retry(aSlotOutcome);
@@ -738,7 +739,7 @@
     "outcome={} status={} took_ms={} first_ms={} endpoint={} runs={} "
     "arrivals={} framing={} response_bytes={} response_end={} "
     "stated_limit={} stated_leaving={} stated_rest_ms={} version={} resumes={} last_event={} "
-    "config={} prompt_parts={} "
+    "config={} digest={} prompt_parts={} "
     "reason=\"{}\"",
     m_request.m_head.m_request_id,
     m_request.m_service.Value(),
@@ -763,6 +764,7 @@
     OrNone(m_request.m_head.m_resumed_stream),
     OrNone(m_request.m_head.m_last_event_id),
     m_request.m_table->Version(),
+    m_request.m_digest,
     DescribeParts(m_request.m_head.m_prompt_parts),
     aReason);
   // Destruction is deferred, since this may run inside a callback of its own call.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Digest.h>
 #include <LibCore/Log.h>
+#include <LibGateway/RequestDigest.h>
 #include <algorithm>
 
 namespace auburnhitch {
@@ -470,6 +471,9 @@
   const bool resumes_stream = route.m_is_resumable && !aHead.m_resumed_stream.empty();
   request.m_service =
     RoutingTable::ServiceFor(route, resumes_stream ? aHead.m_resumed_stream : aHead.m_request_id);
+  request.m_digest = RequestDigest(aExchange->Head(),
+                                   request.m_workspace ? request.m_workspace->Value() : aHead.m_key,
+                                   aExchange->Body());
   request.m_arrived_at = now;
   request.m_deadline = now + std::min(route.m_timeout, aHead.m_max_wait.value_or(kDefaultMaxWait));
   request.m_head = std::move(aHead);
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -33,6 +33,8 @@
   const Route* m_route = nullptr;
   ServiceName m_service;
   std::optional<WorkspaceName> m_workspace;
+  /// See RequestDigest().
+  std::string m_digest;
   /// Combines the priority of the workspace with that of the route; 0 is served first.
   int m_priority = 0;
   /// Tokens charged to the workspace's quota.
--- a/Tests/Unit/TestGatewayParts.cpp
+++ b/Tests/Unit/TestGatewayParts.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/EventSplitter.h>
 #include <LibGateway/ForwardedHeaders.h>
 #include <LibGateway/GatewaySettings.h>
+#include <LibGateway/RequestDigest.h>
 
 #include <absl/strings/str_cat.h>
 #include <doctest.h>
@@ -126,3 +127,28 @@
     CHECK_MESSAGE(text.find(path) != std::string::npos, path);
   }
 }
+
+TEST_CASE("A request that comes again has the same digest, and another request another one")
+{
+  MessageHead head;
+  head.m_method = "POST";
+  head.m_target = "/a/b?c=1";
+  head.m_headers = { { "X-Request-Id", "1" }, { "Content-Length", "4" } };
+  const std::string digest = RequestDigest(head, "caller", "body");
+  CHECK(digest.size() == 40);
+  MessageHead again = head;
+  again.m_headers = { { "X-Request-Id", "2" },
+                      { "X-Deadline-Ms", "9" },
+                      { "Last-Event-Id", "3" },
+                      { "Transfer-Encoding", "chunked" } };
+  CHECK(RequestDigest(again, "caller", "body") == digest);
+  CHECK(RequestDigest(head, "other", "body") != digest);
+  CHECK(RequestDigest(head, "caller", "other") != digest);
+  CHECK(RequestDigest(head, "caller", "") != digest);
+  CHECK(RequestDigest(head, "callerbody", "") != RequestDigest(head, "caller", "body"));
+  again.m_method = "PUT";
+  CHECK(RequestDigest(again, "caller", "body") != digest);
+  again = head;
+  again.m_target = "/a/b?c=2";
+  CHECK(RequestDigest(again, "caller", "body") != digest);
+}
