--- a/Tests/Support/CrashChecker.cpp
+++ b/Tests/Support/CrashChecker.cpp
@@ -9,25 +9,25 @@
 
 using Ms = std::chrono::milliseconds;
 
-constexpr std::size_t kCrashesUntilBound = 5;
 constexpr std::ptrdiff_t kMaxArrivals = 3;
-// Time from the fifth crash until the bound applies, and after a disturbance until a daemon counts.
+// Time from the last of those crashes until the bound applies, and after a disturbance until a
+// daemon counts.
 constexpr Ms kContactTime{ 3'000 };
 
 }
 
 void
-CrashChecker::RecordArrival(const std::string& aPart, std::size_t aDaemon, Clock::time_point aAt)
+CrashChecker::RecordArrival(const std::string& aHarm, std::size_t aDaemon, Clock::time_point aAt)
 {
   const std::lock_guard lock(m_mutex);
-  m_arrivals[aPart].push_back({ aDaemon, aAt });
+  m_arrivals[aHarm].push_back({ aDaemon, aAt });
 }
 
 void
-CrashChecker::RecordCrash(const std::string& aPart, Clock::time_point aAt)
+CrashChecker::RecordCrash(const std::string& aHarm, Clock::time_point aAt)
 {
   const std::lock_guard lock(m_mutex);
-  m_crashes[aPart].push_back(aAt);
+  m_crashes[aHarm].push_back(aAt);
 }
 
 void
@@ -65,19 +65,19 @@
 {
   const std::lock_guard lock(m_mutex);
   std::vector<std::string> violations;
-  for (const auto& [part, crashes] : m_crashes) {
-    const auto arrivals = m_arrivals.find(part);
-    if (crashes.size() < kCrashesUntilBound || arrivals == m_arrivals.end()) {
+  for (const auto& [harm, crashes] : m_crashes) {
+    const auto arrivals = m_arrivals.find(harm);
+    if (crashes.size() < m_crashes_until_bound || arrivals == m_arrivals.end()) {
       continue;
     }
-    const Clock::time_point bound_from = crashes[kCrashesUntilBound - 1] + kContactTime;
+    const Clock::time_point bound_from = crashes[m_crashes_until_bound - 1] + kContactTime;
     const auto late =
       std::count_if(arrivals->second.begin(), arrivals->second.end(), [&](const Arrival& aArrival) {
         return aArrival.m_at > bound_from && !IsExempt(aArrival);
       });
     if (late > kMaxArrivals) {
-      violations.push_back(absl::StrCat("requests with the part ",
-                                        part,
+      violations.push_back(absl::StrCat("requests with ",
+                                        harm,
                                         " reached endpoints ",
                                         late,
                                         " times more; ",
@@ -89,10 +89,10 @@
 }
 
 std::size_t
-CrashChecker::CrashesOf(const std::string& aPart) const
+CrashChecker::CrashesOf(const std::string& aHarm) const
 {
   const std::lock_guard lock(m_mutex);
-  const auto found = m_crashes.find(aPart);
+  const auto found = m_crashes.find(aHarm);
   return found == m_crashes.end() ? 0 : found->second.size();
 }
 
--- a/Tests/Support/CrashChecker.h
+++ b/Tests/Support/CrashChecker.h
@@ -8,30 +8,36 @@
 
 namespace auburnhitch::tests {
 
-/// Checks what daemons do about parts of prompts that crash endpoints: how many requests with such
-/// a part reach endpoints after the fifth crash, and whether requests without one are still served.
-/// Thread-safe.
+/// Checks what daemons do about parts of prompts, or whole requests, that crash endpoints: how many
+/// such requests reach endpoints after so many crashes, and whether other requests are still
+/// served. Thread-safe.
 class CrashChecker
 {
 public:
   using Clock = std::chrono::steady_clock;
 
-  /// A request with a part that crashes endpoints reached an endpoint. aDaemon: the one that sent
-  /// it.
-  void RecordArrival(const std::string& aPart,
+  /// aCrashesUntilBound: crashes under one part or request after which the bound applies.
+  explicit CrashChecker(std::size_t aCrashesUntilBound = 5)
+    : m_crashes_until_bound(aCrashesUntilBound)
+  {
+  }
+
+  /// A request that crashes endpoints reached an endpoint. aHarm: the part or request. aDaemon: the
+  /// one that sent it.
+  void RecordArrival(const std::string& aHarm,
                      std::size_t aDaemon,
                      Clock::time_point aAt = Clock::now());
-  /// An endpoint crashed under a request with this part.
-  void RecordCrash(const std::string& aPart, Clock::time_point aAt = Clock::now());
-  /// A caller sent a request without such a part, and its response began or not.
+  /// An endpoint crashed under such a request.
+  void RecordCrash(const std::string& aHarm, Clock::time_point aAt = Clock::now());
+  /// A caller sent a harmless request, and its response began or not.
   void RecordHarmless(bool aHasBegun, Clock::time_point aSentAt);
   /// A daemon is stopped, killed or paused from now on, or serves again.
   void RecordDisturbance(std::size_t aDaemon, bool aIsOver, Clock::time_point aAt = Clock::now());
 
-  /// Parts with which more requests reached endpoints after the fifth crash than allowed.
+  /// Parts and requests that reached endpoints more often than allowed.
   std::vector<std::string> Violations() const;
-  /// Number of crashes under requests with a part.
-  std::size_t CrashesOf(const std::string& aPart) const;
+  /// Number of crashes under a part or request.
+  std::size_t CrashesOf(const std::string& aHarm) const;
   /// The share of the harmless requests sent between two times whose responses began.
   double ShareBegun(Clock::time_point aFrom, Clock::time_point aUntil) const;
 
@@ -50,6 +56,7 @@
 
   bool IsExempt(const Arrival& aArrival) const;
 
+  std::size_t m_crashes_until_bound;
   mutable std::mutex m_mutex;
   std::map<std::string, std::vector<Arrival>> m_arrivals;
   std::map<std::string, std::vector<Clock::time_point>> m_crashes;
