--- a/Libraries/LibBroker/CrashSuspectTable.cpp
+++ b/Libraries/LibBroker/CrashSuspectTable.cpp
@@ -11,8 +11,8 @@
 
 void
 AppendMessages(const ServiceName& aService,
-               const std::vector<PartSuspicion>& aSuspicions,
-               std::vector<PartSuspicionsMessage>& aMessages)
+               const std::vector<TraitSuspicion>& aSuspicions,
+               std::vector<TraitSuspicionsMessage>& aMessages)
 {
   for (std::size_t i = 0; i < aSuspicions.size(); ++i) {
     if (i % kMaxSuspicionsInMessage == 0) {
@@ -36,21 +36,21 @@
 
 bool
 CrashSuspectTable::IsHarmful(const ServiceName& aService,
-                             const std::vector<PromptPart>& aParts,
+                             const std::vector<CrashTrait>& aTraits,
                              TimePoint aNow) const
 {
   const auto found = m_suspects.find(aService);
   return found != m_suspects.end() &&
-         found->second->AdmissionOf(aParts, aNow) == CrashSuspects::Admission::Refuse;
+         found->second->AdmissionOf(aTraits, aNow) == CrashSuspects::Admission::Refuse;
 }
 
 void
-CrashSuspectTable::OnMessage(const PartSuspicionsMessage& aMessage,
+CrashSuspectTable::OnMessage(const TraitSuspicionsMessage& aMessage,
                              bool aIsFromCoordinator,
                              TimePoint aNow)
 {
   CrashSuspects& suspects = *Of(aMessage.m_service);
-  for (const PartSuspicion& suspicion : aMessage.m_suspicions) {
+  for (const TraitSuspicion& suspicion : aMessage.m_suspicions) {
     if (aIsFromCoordinator) {
       suspects.Apply(suspicion, aNow);
     } else {
@@ -59,18 +59,18 @@
   }
 }
 
-std::vector<PartSuspicionsMessage>
+std::vector<TraitSuspicionsMessage>
 CrashSuspectTable::TakeChanges(TimePoint aNow)
 {
-  std::vector<PartSuspicionsMessage> messages;
+  std::vector<TraitSuspicionsMessage> messages;
   for (const auto& [service, suspects] : m_suspects) {
-    const std::vector<PartSuspicion> changes = suspects->TakeChanges(aNow);
-    for (const PartSuspicion& change : changes) {
+    const std::vector<TraitSuspicion> changes = suspects->TakeChanges(aNow);
+    for (const TraitSuspicion& change : changes) {
       LogOf("home").info(
         "event=prompt-part-suspicion service={} part={} probability={:.4f} crashes={} "
         "refused_for_ms={} base_rate={:.4f}",
         service.Value(),
-        change.m_part.Value(),
+        change.m_trait.Value(),
         change.m_probability,
         change.m_crashes,
         change.m_refused_for.count(),
@@ -81,20 +81,20 @@
   return messages;
 }
 
-std::vector<PartSuspicionsMessage>
+std::vector<TraitSuspicionsMessage>
 CrashSuspectTable::MessagesForCoordinator(const ServiceName& aService, TimePoint aNow) const
 {
-  std::vector<PartSuspicionsMessage> messages;
+  std::vector<TraitSuspicionsMessage> messages;
   if (const auto found = m_suspects.find(aService); found != m_suspects.end()) {
     AppendMessages(aService, found->second->All(aNow), messages);
   }
   return messages;
 }
 
-std::vector<PartSuspicionsMessage>
+std::vector<TraitSuspicionsMessage>
 CrashSuspectTable::MessagesForDaemon(TimePoint aNow) const
 {
-  std::vector<PartSuspicionsMessage> messages;
+  std::vector<TraitSuspicionsMessage> messages;
   for (const auto& [service, suspects] : m_suspects) {
     AppendMessages(service, suspects->All(aNow), messages);
   }
--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -98,8 +98,7 @@
   outstanding.m_service = aService;
   outstanding.m_request = std::move(aRequest);
   outstanding.m_handlers = std::move(aHandlers);
-  if (m_coordinator.PromptSuspects().IsHarmful(
-        aService, outstanding.m_request.m_prompt_parts, Now())) {
+  if (m_coordinator.Suspects().IsHarmful(aService, outstanding.m_request.m_crash_traits, Now())) {
     RefuseHarmful(number, outstanding);
   } else {
     RequestFromCoordinator(number, outstanding, coordinator);
@@ -115,20 +114,20 @@
   aOutstanding.m_is_acknowledged = true;
   m_dependencies.m_loop->Defer([this, aNumber] {
     Deliver(SlotRefusal{ SlotRequestId{ m_incarnation, aNumber },
-                         SlotRefusalReason::HarmfulPrompt,
+                         SlotRefusalReason::Harmful,
                          m_limits.m_scheduler.m_max_retry_after },
             m_own_host);
   });
 }
 
 void
-SlotBroker::SendPromptParts(std::uint64_t aNumber,
+SlotBroker::SendCrashTraits(std::uint64_t aNumber,
                             const SlotRequest& aRequest,
                             const Member& aCoordinator)
 {
-  if (!aRequest.m_prompt_parts.empty()) {
+  if (!aRequest.m_crash_traits.empty()) {
     LinkTo(aCoordinator)
-      .Send(EncodeSlotMessage(PromptPartsMessage{ aNumber, aRequest.m_prompt_parts }));
+      .Send(EncodeSlotMessage(CrashTraitsMessage{ aNumber, aRequest.m_crash_traits }));
   }
 }
 
@@ -160,7 +159,7 @@
     return;
   }
   const SlotRequest& request = aOutstanding.m_request;
-  SendPromptParts(aNumber, request, aCoordinator);
+  SendCrashTraits(aNumber, request, aCoordinator);
   if (request.m_required_version) {
     LinkTo(aCoordinator)
       .Send(EncodeSlotMessage(RequiredVersionMessage{ aNumber, *request.m_required_version }));
@@ -267,7 +266,7 @@
   }
   const OutstandingRequest& outstanding = found->second;
   if (IsSelf(outstanding.m_coordinator)) {
-    m_coordinator.PromptSuspects()
+    m_coordinator.Suspects()
       .Of(outstanding.m_service)
       ->MarkEndUnproven(outstanding.m_request.m_request_id);
   } else {
@@ -276,12 +275,12 @@
   }
 }
 
-std::vector<PromptPart>
-SlotBroker::InboundLink::TakePromptParts(std::uint64_t aNumber)
+std::vector<CrashTrait>
+SlotBroker::InboundLink::TakeCrashTraits(std::uint64_t aNumber)
 {
-  auto parts = std::exchange(m_prompt_parts, std::nullopt);
-  return parts && parts->m_number == aNumber ? std::move(parts->m_parts)
-                                             : std::vector<PromptPart>();
+  auto parts = std::exchange(m_crash_traits, std::nullopt);
+  return parts && parts->m_number == aNumber ? std::move(parts->m_traits)
+                                             : std::vector<CrashTrait>();
 }
 
 void
@@ -297,8 +296,8 @@
   if (IsSelf(aCoordinator.m_host)) {
     return;
   }
-  for (const PartSuspicionsMessage& message :
-       m_coordinator.PromptSuspects().MessagesForCoordinator(aService, Now())) {
+  for (const TraitSuspicionsMessage& message :
+       m_coordinator.Suspects().MessagesForCoordinator(aService, Now())) {
     LinkTo(aCoordinator).Send(EncodeSlotMessage(message));
   }
 }
@@ -390,12 +389,12 @@
                 },
                 [&](const EndpointNoticeMessage& aNotice) { m_notices.OnInformed(aNotice, Now()); },
                 [&](const StreamVersionMessage& aVersion) { m_streams.OnVersion(aVersion); },
-                [&](const PartSuspicionsMessage& aSuspicions) {
+                [&](const TraitSuspicionsMessage& aSuspicions) {
                   const auto coordinator = m_coordinators.find(aSuspicions.m_service);
-                  m_coordinator.PromptSuspects().OnMessage(aSuspicions,
-                                                           coordinator != m_coordinators.end() &&
-                                                             coordinator->second == aCoordinator,
-                                                           Now());
+                  m_coordinator.Suspects().OnMessage(aSuspicions,
+                                                     coordinator != m_coordinators.end() &&
+                                                       coordinator->second == aCoordinator,
+                                                     Now());
                 },
                 [&](const auto&) {
                   LogOf("broker").warn("event=message-unexpected home={}", aCoordinator.Value());
@@ -494,10 +493,10 @@
         .RecordHeld(outstanding.m_request.m_request_id,
                     outstanding.m_endpoint,
                     outstanding.m_request.m_work,
-                    outstanding.m_request.m_prompt_parts,
+                    outstanding.m_request.m_crash_traits,
                     now);
     } else {
-      SendPromptParts(number, outstanding.m_request, aCoordinator);
+      SendCrashTraits(number, outstanding.m_request, aCoordinator);
       LinkTo(aCoordinator)
         .Send(EncodeSlotMessage(
           HeldMessage{ aService, number, outstanding.m_endpoint, outstanding.m_request.m_work }));
@@ -539,17 +538,17 @@
         for (const EndpointNoticeMessage& notice : m_notices.NoticesForDaemon()) {
           aLink.m_link->Send(EncodeSlotMessage(notice));
         }
-        for (const PartSuspicionsMessage& message :
-             m_coordinator.PromptSuspects().MessagesForDaemon(now)) {
+        for (const TraitSuspicionsMessage& message :
+             m_coordinator.Suspects().MessagesForDaemon(now)) {
           aLink.m_link->Send(EncodeSlotMessage(message));
         }
       },
-      [&](const PromptPartsMessage& aParts) { aLink.m_prompt_parts = aParts; },
+      [&](const CrashTraitsMessage& aTraits) { aLink.m_crash_traits = aTraits; },
       [&](const UnprovenEndMessage& aEnd) {
-        m_coordinator.PromptSuspects().Of(aEnd.m_service)->MarkEndUnproven(id_of(aEnd.m_number));
+        m_coordinator.Suspects().Of(aEnd.m_service)->MarkEndUnproven(id_of(aEnd.m_number));
       },
-      [&](const PartSuspicionsMessage& aSuspicions) {
-        m_coordinator.PromptSuspects().OnMessage(aSuspicions, false, now);
+      [&](const TraitSuspicionsMessage& aSuspicions) {
+        m_coordinator.Suspects().OnMessage(aSuspicions, false, now);
       },
       [&](const EndpointNoticeMessage& aNotice) { OnReport(&aLink, aNotice); },
       [&](const RequiredVersionMessage& aRequired) { aLink.m_required_version = aRequired; },
@@ -567,7 +566,7 @@
           .RecordHeld(id_of(aHeld.m_number),
                       aHeld.m_endpoint,
                       aHeld.m_work,
-                      aLink.TakePromptParts(aHeld.m_number),
+                      aLink.TakeCrashTraits(aHeld.m_number),
                       now);
       },
       [&](const FirstByteMessage& aFirstByte) {
@@ -606,7 +605,7 @@
   request.m_avoided = aSlotRequest.m_avoided;
   request.m_workspace = aSlotRequest.m_workspace;
   request.m_quota_tokens = static_cast<std::int64_t>(aSlotRequest.m_quota_tokens);
-  request.m_prompt_parts = aLink.TakePromptParts(aSlotRequest.m_number);
+  request.m_crash_traits = aLink.TakeCrashTraits(aSlotRequest.m_number);
   if (const auto required = std::exchange(aLink.m_required_version, std::nullopt);
       required && required->m_number == aSlotRequest.m_number) {
     request.m_required_version = required->m_version;
@@ -756,7 +755,7 @@
   UpdateCoordinators();
   m_streams.Tick();
   m_coordinator.DecideAll(now);
-  for (const PartSuspicionsMessage& changes : m_coordinator.PromptSuspects().TakeChanges(now)) {
+  for (const TraitSuspicionsMessage& changes : m_coordinator.Suspects().TakeChanges(now)) {
     SendToAll(changes);
   }
   m_coordinator.LogSuspicionChanges(now);
--- a/Libraries/LibBroker/SlotCoordinator.cpp
+++ b/Libraries/LibBroker/SlotCoordinator.cpp
@@ -20,7 +20,7 @@
 SlotCoordinator::SchedulerOf(const ServiceName& aService, TimePoint aNow)
 {
   const auto [found, is_new] =
-    m_schedulers.try_emplace(aService, m_limits, m_prompt_suspects.Of(aService), m_rests);
+    m_schedulers.try_emplace(aService, m_limits, m_crash_suspects.Of(aService), m_rests);
   if (is_new) {
     found->second.SetEndpoints(m_endpoints(aService), aNow);
     found->second.SetSlotShare(m_slot_share);
--- a/Libraries/LibBroker/SlotMessages.cpp
+++ b/Libraries/LibBroker/SlotMessages.cpp
@@ -49,11 +49,11 @@
     }
     m_json.push_back(std::move(origins));
   }
-  void operator()(const std::vector<PartSuspicion>& aValues)
+  void operator()(const std::vector<TraitSuspicion>& aValues)
   {
     Json suspicions = Json::array();
-    for (const PartSuspicion& suspicion : aValues) {
-      suspicions.push_back(Json::array({ suspicion.m_part.Value(),
+    for (const TraitSuspicion& suspicion : aValues) {
+      suspicions.push_back(Json::array({ suspicion.m_trait.Value(),
                                          suspicion.m_probability,
                                          suspicion.m_crashes,
                                          suspicion.m_refused_for.count() }));
@@ -182,12 +182,12 @@
   }
   void operator()(SlotRefusalReason& aValue)
   {
-    ReadEnum(aValue, static_cast<int>(SlotRefusalReason::HarmfulPrompt));
+    ReadEnum(aValue, static_cast<int>(SlotRefusalReason::Harmful));
   }
-  void operator()(std::vector<PartSuspicion>& aValues)
+  void operator()(std::vector<TraitSuspicion>& aValues)
   {
-    ReadTuples(aValues, [](Reader& aReader, PartSuspicion& aSuspicion) {
-      aReader(aSuspicion.m_part);
+    ReadTuples(aValues, [](Reader& aReader, TraitSuspicion& aSuspicion) {
+      aReader(aSuspicion.m_trait);
       aReader(aSuspicion.m_probability);
       aReader(aSuspicion.m_crashes);
       aReader(aSuspicion.m_refused_for);
@@ -424,10 +424,10 @@
 }
 
 void
-Visit(auto& aVisit, Is<PromptPartsMessage> auto& aMessage)
+Visit(auto& aVisit, Is<CrashTraitsMessage> auto& aMessage)
 {
   aVisit(aMessage.m_number);
-  aVisit(aMessage.m_parts);
+  aVisit(aMessage.m_traits);
 }
 
 void
@@ -438,7 +438,7 @@
 }
 
 void
-Visit(auto& aVisit, Is<PartSuspicionsMessage> auto& aMessage)
+Visit(auto& aVisit, Is<TraitSuspicionsMessage> auto& aMessage)
 {
   aVisit(aMessage.m_service);
   aVisit(aMessage.m_suspicions);
--- a/Libraries/LibBroker/include/LibBroker/CrashSuspectTable.h
+++ b/Libraries/LibBroker/include/LibBroker/CrashSuspectTable.h
@@ -7,7 +7,7 @@
 
 namespace auburnhitch {
 
-/// What this daemon knows of prompts that crash endpoints, for each service, whether or not it
+/// What this daemon knows of requests that crash endpoints, for each service, whether or not it
 /// coordinates the service: each daemon can succeed the coordinator. Owns neither a socket nor a
 /// clock. Not thread-safe.
 class CrashSuspectTable
@@ -15,21 +15,21 @@
 public:
   /// The suspects of a service, which the table and its scheduler share.
   const std::shared_ptr<CrashSuspects>& Of(const ServiceName& aService);
-  /// Whether requests with these parts in their prompt are refused.
+  /// Whether requests with these traits are refused.
   bool IsHarmful(const ServiceName& aService,
-                 const std::vector<PromptPart>& aParts,
+                 const std::vector<CrashTrait>& aTraits,
                  TimePoint aNow) const;
 
   /// Applies what another daemon knows. The coordinator's word replaces what is known here; any
   /// other daemon may know less.
-  void OnMessage(const PartSuspicionsMessage& aMessage, bool aIsFromCoordinator, TimePoint aNow);
+  void OnMessage(const TraitSuspicionsMessage& aMessage, bool aIsFromCoordinator, TimePoint aNow);
   /// Returns what the other daemons need to know of changes since the last call, and logs it.
-  std::vector<PartSuspicionsMessage> TakeChanges(TimePoint aNow);
+  std::vector<TraitSuspicionsMessage> TakeChanges(TimePoint aNow);
   /// What a new coordinator of a service needs to know.
-  std::vector<PartSuspicionsMessage> MessagesForCoordinator(const ServiceName& aService,
-                                                            TimePoint aNow) const;
+  std::vector<TraitSuspicionsMessage> MessagesForCoordinator(const ServiceName& aService,
+                                                             TimePoint aNow) const;
   /// What a daemon that opens a link needs to know.
-  std::vector<PartSuspicionsMessage> MessagesForDaemon(TimePoint aNow) const;
+  std::vector<TraitSuspicionsMessage> MessagesForDaemon(TimePoint aNow) const;
 
 private:
   std::map<ServiceName, std::shared_ptr<CrashSuspects>> m_suspects;
--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -158,9 +158,9 @@
     /// Restricts the next slot request if that has its number.
     std::optional<RequiredVersionMessage> m_required_version;
     /// Belongs to the next slot request or held slot if that has its number.
-    std::optional<PromptPartsMessage> m_prompt_parts;
+    std::optional<CrashTraitsMessage> m_crash_traits;
 
-    std::vector<PromptPart> TakePromptParts(std::uint64_t aNumber);
+    std::vector<CrashTrait> TakeCrashTraits(std::uint64_t aNumber);
   };
 
   bool IsSelf(const HostName& aHost) const;
@@ -187,12 +187,12 @@
   /// Handles a notice as coordinator. aLink is null for this daemon's own notices.
   void OnReport(InboundLink* aLink, const EndpointNoticeMessage& aNotice);
   void SendToAll(const SlotMessage& aMessage);
-  /// Refuses a request because this daemon knows that its prompt crashes endpoints.
+  /// Refuses a request because this daemon knows that it crashes endpoints.
   void RefuseHarmful(std::uint64_t aNumber, OutstandingRequest& aOutstanding);
-  void SendPromptParts(std::uint64_t aNumber,
+  void SendCrashTraits(std::uint64_t aNumber,
                        const SlotRequest& aRequest,
                        const Member& aCoordinator);
-  /// Reports to a new coordinator what this daemon knows of endpoints' statements and of prompts
+  /// Reports to a new coordinator what this daemon knows of endpoints' statements and of requests
   /// that crash endpoints.
   void ReportKnown(const ServiceName& aService, const Member& aCoordinator);
   InboundLink* FindInboundLink(const Incarnation& aDaemon);
--- a/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
@@ -29,9 +29,9 @@
 
   /// Returns the scheduler of a service, creating it on first use. Call Decide() after changing it.
   SlotScheduler& SchedulerOf(const ServiceName& aService, TimePoint aNow);
-  /// What this daemon knows of prompts that crash endpoints.
-  CrashSuspectTable& PromptSuspects() { return m_prompt_suspects; }
-  const CrashSuspectTable& PromptSuspects() const { return m_prompt_suspects; }
+  /// What this daemon knows of requests that crash endpoints.
+  CrashSuspectTable& Suspects() { return m_crash_suspects; }
+  const CrashSuspectTable& Suspects() const { return m_crash_suspects; }
   /// Charges a request to its workspace's quota and queues it. Decide() reports whether it is
   /// granted or refused, also when the quota refuses it.
   void RequestSlot(const ServiceName& aService, const SlotRequest& aRequest, TimePoint aNow);
@@ -98,7 +98,7 @@
   EndpointSource m_endpoints;
   DecisionHandler m_handler;
   double m_slot_share = 1.0;
-  CrashSuspectTable m_prompt_suspects;
+  CrashSuspectTable m_crash_suspects;
   /// The rests of all daemons that request slots here, which the schedulers share.
   std::shared_ptr<EndpointRests> m_rests = std::make_shared<EndpointRests>(kMaxRestsOfDaemons);
   std::map<ServiceName, SlotScheduler> m_schedulers;
--- a/Libraries/LibBroker/include/LibBroker/SlotMessages.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotMessages.h
@@ -176,12 +176,12 @@
 
 /// The parts of the prompt of the slot request or held slot with this number, which follows on the
 /// same link.
-struct PromptPartsMessage
+struct CrashTraitsMessage
 {
   std::uint64_t m_number = 0;
-  std::vector<PromptPart> m_parts;
+  std::vector<CrashTrait> m_traits;
 
-  auto operator<=>(const PromptPartsMessage&) const = default;
+  auto operator<=>(const CrashTraitsMessage&) const = default;
 };
 
 /// Says that the end of a request, which a ReleaseMessage reports next, does not prove that its
@@ -196,12 +196,12 @@
 
 /// What the sender knows of prompts that crash a service's endpoints: from a coordinator to all
 /// daemons, and from a daemon to a new coordinator.
-struct PartSuspicionsMessage
+struct TraitSuspicionsMessage
 {
   ServiceName m_service;
-  std::vector<PartSuspicion> m_suspicions;
+  std::vector<TraitSuspicion> m_suspicions;
 
-  auto operator<=>(const PartSuspicionsMessage&) const = default;
+  auto operator<=>(const TraitSuspicionsMessage&) const = default;
 };
 
 /// The endpoint of the grant that follows may be another incarnation than the registered one. Sent
@@ -228,9 +228,9 @@
                                  StreamOriginsMessage,
                                  StreamLookupMessage,
                                  StreamVersionMessage,
-                                 PromptPartsMessage,
+                                 CrashTraitsMessage,
                                  UnprovenEndMessage,
-                                 PartSuspicionsMessage,
+                                 TraitSuspicionsMessage,
                                  UncertainGrantMessage>;
 
 /// Encodes a message as an array. Its first element is the index of the message's type in
--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -206,7 +206,9 @@
   request.m_data_center = m_dependencies.m_data_center;
   request.m_avoided = m_tried_endpoints;
   request.m_required_version = m_required_version;
-  request.m_prompt_parts = m_request.m_head.m_prompt_parts;
+  for (const PromptPart& part : m_request.m_head.m_prompt_parts) {
+    request.m_crash_traits.push_back(TraitOfPart(part));
+  }
   const bool is_charged_already = m_slot_request_count > 1;
   if (m_request.m_workspace && !is_charged_already) {
     request.m_workspace = *m_request.m_workspace;
--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -19,7 +19,7 @@
 // What happened before a crash, at a daemon that has not noticed it yet, may be reported this much
 // after it.
 constexpr Milliseconds kReportDelay{ 100 };
-// Evidence of one complete response, in log odds: an endpoint survives a part that crashes
+// Evidence of one complete response, in log odds: an endpoint survives a trait that crashes
 // endpoints once in a thousand times.
 constexpr double kCompletionEvidence = -7;
 constexpr double kMinLogOdds = -12;
@@ -27,14 +27,14 @@
 // Initial base rate, and the number of requests that it counts for.
 constexpr double kInitialBaseRate = 0.01;
 constexpr double kInitialWeight = 100;
-// Bounds the evidence of one crash, so that a single one does not make a part suspected under which
-// responses are usually complete.
+// Bounds the evidence of one crash, so that a single one does not make a trait suspected under
+// which responses are usually complete.
 constexpr double kMinBaseRate = 3e-3;
 // Half of what is known about the base rate is forgotten after this time.
 constexpr double kBaseRateHalfLifeMs = 60'000;
 constexpr int kMaxDoublings = 6;
-// Another part explains a crash in place of this one only if its log odds are higher by this much:
-// parts that always occur together cannot be told apart.
+// Another trait explains a crash in place of this one only if its log odds are higher by this much:
+// traits that always occur together cannot be told apart.
 constexpr double kAlternativeMargin = 1;
 
 double
@@ -62,13 +62,13 @@
 {
 }
 
-CrashSuspects::Part&
-CrashSuspects::PartOf(const PromptPart& aPart, TimePoint aNow)
+CrashSuspects::Trait&
+CrashSuspects::TraitOf(const CrashTrait& aTrait, TimePoint aNow)
 {
-  if (m_parts.size() >= m_limits.m_max_parts && !m_parts.contains(aPart)) {
+  if (m_traits.size() >= m_limits.m_max_traits && !m_traits.contains(aTrait)) {
     DropOldest();
   }
-  const auto [found, is_new] = m_parts.try_emplace(aPart);
+  const auto [found, is_new] = m_traits.try_emplace(aTrait);
   if (is_new) {
     found->second.m_log_odds = m_prior_log_odds;
   }
@@ -79,19 +79,19 @@
 void
 CrashSuspects::DropOldest()
 {
-  // A quarter at a time, so that the cost of a new part stays small on average. Refused parts are
-  // dropped last, and parts of running requests are kept.
-  std::vector<std::tuple<bool, TimePoint, PromptPart>> unused;
-  for (const auto& [id, part] : m_parts) {
-    if (part.m_running == 0) {
-      unused.emplace_back(part.m_refused_until.has_value(), part.m_used_at, id);
+  // A quarter at a time, so that the cost of a new trait stays small on average. Refused traits are
+  // dropped last, and traits of running requests are kept.
+  std::vector<std::tuple<bool, TimePoint, CrashTrait>> unused;
+  for (const auto& [id, trait] : m_traits) {
+    if (trait.m_running == 0) {
+      unused.emplace_back(trait.m_refused_until.has_value(), trait.m_used_at, id);
     }
   }
   const auto count = static_cast<std::ptrdiff_t>(
-    std::min(unused.size(), std::max<std::size_t>(1, m_limits.m_max_parts / 4)));
+    std::min(unused.size(), std::max<std::size_t>(1, m_limits.m_max_traits / 4)));
   std::partial_sort(unused.begin(), unused.begin() + count, unused.end());
   for (auto entry = unused.begin(); entry != unused.begin() + count; ++entry) {
-    m_parts.erase(std::get<PromptPart>(*entry));
+    m_traits.erase(std::get<CrashTrait>(*entry));
   }
 }
 
@@ -113,56 +113,56 @@
 }
 
 void
-CrashSuspects::MarkChanged(const PromptPart& aId, Part& aPart)
+CrashSuspects::MarkChanged(const CrashTrait& aId, Trait& aTrait)
 {
-  if (!std::exchange(aPart.m_is_changed, true)) {
+  if (!std::exchange(aTrait.m_is_changed, true)) {
     m_changed.push_back(aId);
   }
 }
 
 void
-CrashSuspects::SetLogOdds(const PromptPart& aId, Part& aPart, double aLogOdds, TimePoint aNow)
+CrashSuspects::SetLogOdds(const CrashTrait& aId, Trait& aTrait, double aLogOdds, TimePoint aNow)
 {
-  const double before = aPart.m_log_odds;
-  aPart.m_log_odds = std::clamp(aLogOdds, kMinLogOdds, kMaxLogOdds);
-  if (std::max(before, aPart.m_log_odds) >= m_announce_log_odds) {
-    MarkChanged(aId, aPart);
-  }
-  if (aPart.m_log_odds < m_refuse_log_odds) {
-    aPart.m_refused_until = std::nullopt;
-    aPart.m_failed_trials = 0;
+  const double before = aTrait.m_log_odds;
+  aTrait.m_log_odds = std::clamp(aLogOdds, kMinLogOdds, kMaxLogOdds);
+  if (std::max(before, aTrait.m_log_odds) >= m_announce_log_odds) {
+    MarkChanged(aId, aTrait);
+  }
+  if (aTrait.m_log_odds < m_refuse_log_odds) {
+    aTrait.m_refused_until = std::nullopt;
+    aTrait.m_failed_trials = 0;
     return;
   }
-  if (aPart.m_log_odds < before) {
+  if (aTrait.m_log_odds < before) {
     return;
   }
-  if (aPart.m_refused_until) {
-    aPart.m_failed_trials = std::min(aPart.m_failed_trials + 1, kMaxDoublings);
+  if (aTrait.m_refused_until) {
+    aTrait.m_failed_trials = std::min(aTrait.m_failed_trials + 1, kMaxDoublings);
   }
-  aPart.m_refused_until = aNow + m_limits.m_first_refusal * (1 << aPart.m_failed_trials);
+  aTrait.m_refused_until = aNow + m_limits.m_first_refusal * (1 << aTrait.m_failed_trials);
 }
 
 void
 CrashSuspects::Begin(const SlotRequestId& aRequestId,
                      const EndpointId& aEndpoint,
-                     const std::vector<PromptPart>& aParts,
+                     const std::vector<CrashTrait>& aTraits,
                      TimePoint aNow)
 {
   if (const auto found = m_requests.find(aRequestId); found != m_requests.end()) {
     RecordNotRunning(found->second);
   }
-  m_requests[aRequestId] = RunningRequest{ aEndpoint, aParts, aNow, std::nullopt, false };
-  for (const PromptPart& id : aParts) {
-    ++PartOf(id, aNow).m_running;
+  m_requests[aRequestId] = RunningRequest{ aEndpoint, aTraits, aNow, std::nullopt, false };
+  for (const CrashTrait& id : aTraits) {
+    ++TraitOf(id, aNow).m_running;
   }
 }
 
 void
 CrashSuspects::RecordNotRunning(const RunningRequest& aRequest)
 {
-  for (const PromptPart& id : aRequest.m_parts) {
-    if (const auto part = m_parts.find(id); part != m_parts.end()) {
-      part->second.m_running = std::max(0, part->second.m_running - 1);
+  for (const CrashTrait& id : aRequest.m_traits) {
+    if (const auto trait = m_traits.find(id); trait != m_traits.end()) {
+      trait->second.m_running = std::max(0, trait->second.m_running - 1);
     }
   }
 }
@@ -252,10 +252,10 @@
 void
 CrashSuspects::RecordCompleted(const RunningRequest& aRequest, TimePoint aNow)
 {
-  for (const PromptPart& id : aRequest.m_parts) {
-    Part& part = PartOf(id, aNow);
-    part.m_crashes = 0;
-    SetLogOdds(id, part, part.m_log_odds + kCompletionEvidence, aNow);
+  for (const CrashTrait& id : aRequest.m_traits) {
+    Trait& trait = TraitOf(id, aNow);
+    trait.m_crashes = 0;
+    SetLogOdds(id, trait, trait.m_log_odds + kCompletionEvidence, aNow);
   }
 }
 
@@ -290,21 +290,21 @@
   return found == m_crashes.end() ? nullptr : &*found;
 }
 
-std::map<PromptPart, CrashSuspects::Candidate>
+std::map<CrashTrait, CrashSuspects::Candidate>
 CrashSuspects::CandidatesAt(const EndpointId& aEndpoint, TimePoint aNow)
 {
-  std::map<PromptPart, Candidate> candidates;
+  std::map<CrashTrait, Candidate> candidates;
   const auto add = [&](const RunningRequest& aRequest, TimePoint aEndedAt) {
     if (aRequest.m_endpoint != aEndpoint ||
         (aRequest.m_started_at && aEndedAt - *aRequest.m_started_at > kMaxTimeToCrash)) {
       return;
     }
-    for (const PromptPart& id : aRequest.m_parts) {
-      const Part& part = PartOf(id, aNow);
+    for (const CrashTrait& id : aRequest.m_traits) {
+      const Trait& trait = TraitOf(id, aNow);
       Candidate& candidate = candidates[id];
-      candidate.m_log_odds = part.m_log_odds;
-      candidate.m_is_independent = candidate.m_is_independent || !part.m_last_evidence_at ||
-                                   aRequest.m_granted_at >= *part.m_last_evidence_at;
+      candidate.m_log_odds = trait.m_log_odds;
+      candidate.m_is_independent = candidate.m_is_independent || !trait.m_last_evidence_at ||
+                                   aRequest.m_granted_at >= *trait.m_last_evidence_at;
     }
   };
   for (const auto& [id, request] : m_requests) {
@@ -333,12 +333,12 @@
       crash.m_requests.push_back(id);
     }
   }
-  const std::map<PromptPart, Candidate> candidates = CandidatesAt(aRequest.m_endpoint, aNow);
+  const std::map<CrashTrait, Candidate> candidates = CandidatesAt(aRequest.m_endpoint, aNow);
   std::erase_if(m_unproven_ends, [&](const UnprovenEnd& aEnd) {
     return aEnd.m_request.m_endpoint == aRequest.m_endpoint;
   });
   const double base_rate = BaseRate();
-  // The probability that no part with log odds above a bound crashed the endpoint, nor anything
+  // The probability that no trait with log odds above a bound crashed the endpoint, nor anything
   // else.
   const auto no_cause_above = [&](double aBound) {
     double no_cause = 1 - base_rate;
@@ -351,13 +351,13 @@
     if (!candidate.m_is_independent) {
       continue;
     }
-    Part& part = PartOf(id, aNow);
+    Trait& trait = TraitOf(id, aNow);
     const double evidence =
       -std::log(1 - no_cause_above(candidate.m_log_odds + kAlternativeMargin));
-    ++part.m_crashes;
-    part.m_last_evidence_at = aNow;
-    SetLogOdds(id, part, candidate.m_log_odds + evidence, aNow);
-    crash.m_evidence.emplace_back(id, part.m_log_odds - candidate.m_log_odds);
+    ++trait.m_crashes;
+    trait.m_last_evidence_at = aNow;
+    SetLogOdds(id, trait, candidate.m_log_odds + evidence, aNow);
+    crash.m_evidence.emplace_back(id, trait.m_log_odds - candidate.m_log_odds);
   }
   crash.m_unexplained = no_cause_above(kMinLogOdds) / (1 - base_rate);
   m_unexplained += crash.m_unexplained;
@@ -376,9 +376,9 @@
     return;
   }
   for (const auto& [id, evidence] : found->m_evidence) {
-    if (const auto part = m_parts.find(id); part != m_parts.end()) {
-      part->second.m_crashes = std::max(0, part->second.m_crashes - 1);
-      SetLogOdds(id, part->second, part->second.m_log_odds - evidence, aNow);
+    if (const auto trait = m_traits.find(id); trait != m_traits.end()) {
+      trait->second.m_crashes = std::max(0, trait->second.m_crashes - 1);
+      SetLogOdds(id, trait->second, trait->second.m_log_odds - evidence, aNow);
     }
   }
   m_unexplained = std::max(0.0, m_unexplained - found->m_unexplained);
@@ -386,20 +386,20 @@
 }
 
 CrashSuspects::Admission
-CrashSuspects::AdmissionOf(const std::vector<PromptPart>& aParts, TimePoint aNow) const
+CrashSuspects::AdmissionOf(const std::vector<CrashTrait>& aTraits, TimePoint aNow) const
 {
   Admission admission = Admission::Admit;
-  for (const PromptPart& id : aParts) {
-    const auto found = m_parts.find(id);
-    if (found == m_parts.end()) {
+  for (const CrashTrait& id : aTraits) {
+    const auto found = m_traits.find(id);
+    if (found == m_traits.end()) {
       continue;
     }
-    const Part& part = found->second;
-    if (part.m_refused_until && (aNow < *part.m_refused_until || part.m_running > 0 ||
-                                 part.m_crashes >= m_limits.m_max_crashes)) {
+    const Trait& trait = found->second;
+    if (trait.m_refused_until && (aNow < *trait.m_refused_until || trait.m_running > 0 ||
+                                  trait.m_crashes >= m_limits.m_max_crashes)) {
       return Admission::Refuse;
     }
-    if (part.m_running > 0 && part.m_log_odds >= m_suspect_log_odds) {
+    if (trait.m_running > 0 && trait.m_log_odds >= m_suspect_log_odds) {
       admission = Admission::Wait;
     }
   }
@@ -409,66 +409,66 @@
 void
 CrashSuspects::OnNewVersion(TimePoint aNow)
 {
-  for (auto& [id, part] : m_parts) {
-    if (part.m_refused_until) {
-      part.m_refused_until = aNow;
-      part.m_crashes = std::min(part.m_crashes, m_limits.m_max_crashes - 1);
-      MarkChanged(id, part);
+  for (auto& [id, trait] : m_traits) {
+    if (trait.m_refused_until) {
+      trait.m_refused_until = aNow;
+      trait.m_crashes = std::min(trait.m_crashes, m_limits.m_max_crashes - 1);
+      MarkChanged(id, trait);
     }
   }
 }
 
-PartSuspicion
-CrashSuspects::SuspicionOf(const PromptPart& aId, const Part& aPart, TimePoint aNow)
+TraitSuspicion
+CrashSuspects::SuspicionOf(const CrashTrait& aId, const Trait& aTrait, TimePoint aNow)
 {
-  const Milliseconds refused_for = aPart.m_refused_until && *aPart.m_refused_until > aNow
-                                     ? Milliseconds(ToMilliseconds(*aPart.m_refused_until - aNow))
+  const Milliseconds refused_for = aTrait.m_refused_until && *aTrait.m_refused_until > aNow
+                                     ? Milliseconds(ToMilliseconds(*aTrait.m_refused_until - aNow))
                                      : Milliseconds(0);
-  return { aId, ProbabilityOf(aPart.m_log_odds), aPart.m_crashes, refused_for };
+  return { aId, ProbabilityOf(aTrait.m_log_odds), aTrait.m_crashes, refused_for };
 }
 
 void
-CrashSuspects::Apply(const PartSuspicion& aSuspicion, TimePoint aNow)
+CrashSuspects::Apply(const TraitSuspicion& aSuspicion, TimePoint aNow)
 {
-  Part& part = PartOf(aSuspicion.m_part, aNow);
-  part.m_log_odds = std::clamp(LogOddsOf(aSuspicion.m_probability), kMinLogOdds, kMaxLogOdds);
-  part.m_crashes = aSuspicion.m_crashes;
-  part.m_refused_until = part.m_log_odds >= m_refuse_log_odds
-                           ? std::optional(aNow + aSuspicion.m_refused_for)
-                           : std::nullopt;
+  Trait& trait = TraitOf(aSuspicion.m_trait, aNow);
+  trait.m_log_odds = std::clamp(LogOddsOf(aSuspicion.m_probability), kMinLogOdds, kMaxLogOdds);
+  trait.m_crashes = aSuspicion.m_crashes;
+  trait.m_refused_until = trait.m_log_odds >= m_refuse_log_odds
+                            ? std::optional(aNow + aSuspicion.m_refused_for)
+                            : std::nullopt;
 }
 
 void
-CrashSuspects::Merge(const PartSuspicion& aSuspicion, TimePoint aNow)
+CrashSuspects::Merge(const TraitSuspicion& aSuspicion, TimePoint aNow)
 {
-  const auto found = m_parts.find(aSuspicion.m_part);
-  const double known = found == m_parts.end() ? m_prior_log_odds : found->second.m_log_odds;
+  const auto found = m_traits.find(aSuspicion.m_trait);
+  const double known = found == m_traits.end() ? m_prior_log_odds : found->second.m_log_odds;
   if (std::min(LogOddsOf(aSuspicion.m_probability), kMaxLogOdds) > known) {
     Apply(aSuspicion, aNow);
-    MarkChanged(aSuspicion.m_part, m_parts.at(aSuspicion.m_part));
+    MarkChanged(aSuspicion.m_trait, m_traits.at(aSuspicion.m_trait));
   }
 }
 
-std::vector<PartSuspicion>
+std::vector<TraitSuspicion>
 CrashSuspects::TakeChanges(TimePoint aNow)
 {
-  std::vector<PartSuspicion> changes;
-  for (const PromptPart& id : std::exchange(m_changed, {})) {
-    if (const auto part = m_parts.find(id); part != m_parts.end()) {
-      part->second.m_is_changed = false;
-      changes.push_back(SuspicionOf(id, part->second, aNow));
+  std::vector<TraitSuspicion> changes;
+  for (const CrashTrait& id : std::exchange(m_changed, {})) {
+    if (const auto trait = m_traits.find(id); trait != m_traits.end()) {
+      trait->second.m_is_changed = false;
+      changes.push_back(SuspicionOf(id, trait->second, aNow));
     }
   }
   return changes;
 }
 
-std::vector<PartSuspicion>
+std::vector<TraitSuspicion>
 CrashSuspects::All(TimePoint aNow) const
 {
-  std::vector<PartSuspicion> all;
-  for (const auto& [id, part] : m_parts) {
-    if (part.m_log_odds >= m_announce_log_odds) {
-      all.push_back(SuspicionOf(id, part, aNow));
+  std::vector<TraitSuspicion> all;
+  for (const auto& [id, trait] : m_traits) {
+    if (trait.m_log_odds >= m_announce_log_odds) {
+      all.push_back(SuspicionOf(id, trait, aNow));
     }
   }
   return all;
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -90,7 +90,7 @@
       return "over-quota";
     case SlotRefusalReason::NoEndpointOfVersion:
       return "no-endpoint-of-version";
-    case SlotRefusalReason::HarmfulPrompt:
+    case SlotRefusalReason::Harmful:
       return "harmful-prompt";
   }
   return "unknown";
@@ -105,7 +105,7 @@
     is_new = m_versions.insert(info.m_software_version).second || is_new;
   }
   if (is_new && !is_first) {
-    m_prompt_suspects->OnNewVersion(aNow);
+    m_crash_suspects->OnNewVersion(aNow);
   }
 }
 
@@ -210,9 +210,9 @@
     m_ineligible.emplace_back(aRequest, SlotRefusalReason::NoEndpointOfVersion);
     return;
   }
-  if (m_prompt_suspects->AdmissionOf(aRequest.m_prompt_parts, aNow) ==
+  if (m_crash_suspects->AdmissionOf(aRequest.m_crash_traits, aNow) ==
       CrashSuspects::Admission::Refuse) {
-    m_ineligible.emplace_back(aRequest, SlotRefusalReason::HarmfulPrompt);
+    m_ineligible.emplace_back(aRequest, SlotRefusalReason::Harmful);
     return;
   }
   WaitingSlotRequest waiting{ aRequest, 0, 0, 0 };
@@ -244,13 +244,13 @@
 SlotScheduler::RecordHeld(const SlotRequestId& aRequestId,
                           const EndpointId& aEndpoint,
                           const RequestWork& aWork,
-                          const std::vector<PromptPart>& aPromptParts,
+                          const std::vector<CrashTrait>& aCrashTraits,
                           TimePoint aNow)
 {
   const auto found = m_endpoints.find(aEndpoint);
   if (found != m_endpoints.end()) {
     found->second.Adopt(aRequestId, aWork, aNow);
-    m_prompt_suspects->Begin(aRequestId, aEndpoint, aPromptParts, aNow);
+    m_crash_suspects->Begin(aRequestId, aEndpoint, aCrashTraits, aNow);
   }
 }
 
@@ -259,7 +259,7 @@
                              const EndpointId& aEndpoint,
                              TimePoint aNow)
 {
-  m_prompt_suspects->RecordStarted(aRequestId, aNow);
+  m_crash_suspects->RecordStarted(aRequestId, aNow);
   const auto found = m_endpoints.find(aEndpoint);
   if (found == m_endpoints.end()) {
     return;
@@ -278,7 +278,7 @@
 {
   const auto found = m_endpoints.find(aEndpoint);
   const bool is_usable = found != m_endpoints.end();
-  m_prompt_suspects->RecordEnded(aRequestId, aOutcome, !is_usable, aNow);
+  m_crash_suspects->RecordEnded(aRequestId, aOutcome, !is_usable, aNow);
   if (is_usable) {
     found->second.RecordEnded(aRequestId, aOutcome, aNow);
   }
@@ -287,7 +287,7 @@
 void
 SlotScheduler::ReleaseSlot(const SlotRequestId& aRequestId, TimePoint aNow)
 {
-  m_prompt_suspects->RecordEnded(aRequestId, SlotOutcome::Cancelled, true, aNow);
+  m_crash_suspects->RecordEnded(aRequestId, SlotOutcome::Cancelled, true, aNow);
   for (auto& [id, endpoint] : m_endpoints) {
     if (endpoint.RecordEnded(aRequestId, SlotOutcome::Cancelled, aNow)) {
       return;
@@ -298,7 +298,7 @@
 std::vector<SlotRequest>
 SlotScheduler::ForgetDaemon(const Incarnation& aDaemon)
 {
-  m_prompt_suspects->ForgetDaemon(aDaemon);
+  m_crash_suspects->ForgetDaemon(aDaemon);
   for (auto& [id, endpoint] : m_endpoints) {
     endpoint.ReleaseDaemon(aDaemon);
   }
@@ -378,7 +378,7 @@
                       SlotDecisions& aDecisions) const
 {
   const auto retry_after = [&] {
-    if (aReason == SlotRefusalReason::HarmfulPrompt) {
+    if (aReason == SlotRefusalReason::Harmful) {
       return m_limits.m_max_retry_after;
     }
     if (aReason == SlotRefusalReason::NoEndpointOfVersion) {
@@ -557,11 +557,11 @@
   std::set<Incarnation> daemons_without_endpoint;
   while (const WaitingSlotRequest* front = m_queue.Front(aNow)) {
     const CrashSuspects::Admission admission =
-      m_prompt_suspects->AdmissionOf(front->m_request.m_prompt_parts, aNow);
+      m_crash_suspects->AdmissionOf(front->m_request.m_crash_traits, aNow);
     if (admission != CrashSuspects::Admission::Admit) {
       WaitingSlotRequest waiting = *m_queue.Remove(SlotRequestId(front->m_request.m_request_id));
       if (admission == CrashSuspects::Admission::Refuse) {
-        Refuse(waiting.m_request, SlotRefusalReason::HarmfulPrompt, aNow, decisions);
+        Refuse(waiting.m_request, SlotRefusalReason::Harmful, aNow, decisions);
       } else {
         set_aside.push_back(std::move(waiting));
       }
@@ -588,10 +588,10 @@
     const WaitingSlotRequest granted = m_queue.PopFront(aNow);
     const double expected_ms = endpoint->ExpectedFirstByteMs(granted.m_request.m_work);
     endpoint->Hold(granted.m_request.m_request_id, granted.m_request.m_work, aNow);
-    m_prompt_suspects->Begin(granted.m_request.m_request_id,
-                             endpoint->Info().m_id,
-                             granted.m_request.m_prompt_parts,
-                             aNow);
+    m_crash_suspects->Begin(granted.m_request.m_request_id,
+                            endpoint->Info().m_id,
+                            granted.m_request.m_crash_traits,
+                            aNow);
     decisions.m_grants.push_back({ granted.m_request.m_request_id,
                                    endpoint->Info().m_id,
                                    Milliseconds(static_cast<std::int64_t>(expected_ms)),
--- a/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibPlacement/PromptPart.h>
+#include <LibPlacement/CrashTrait.h>
 #include <LibPlacement/SlotRequest.h>
 #include <absl/container/flat_hash_map.h>
 #include <deque>
@@ -9,10 +9,10 @@
 
 namespace auburnhitch {
 
-/// What daemons tell each other about a part of a prompt that is suspected to crash endpoints.
-struct PartSuspicion
+/// What daemons tell each other about a trait of requests that is suspected to crash endpoints.
+struct TraitSuspicion
 {
-  PromptPart m_part;
+  CrashTrait m_trait;
   /// Probability that it crashes each endpoint that runs it.
   double m_probability = 0;
   /// Crashes in a row that were evidence against it.
@@ -20,43 +20,43 @@
   /// Requests with it are refused for this long; 0 if they are not.
   Milliseconds m_refused_for{ 0 };
 
-  auto operator<=>(const PartSuspicion&) const = default;
+  auto operator<=>(const TraitSuspicion&) const = default;
 };
 
-/// Decides which parts of prompts crash the endpoints that run them. Each crash of an endpoint is
-/// evidence against the parts of the requests that had not begun to respond there; each complete
-/// response is evidence for its parts. The evidence is weighed as a likelihood ratio against the
-/// rate of crashes that no part explains, so a part is refused after few crashes while endpoints
+/// Decides which traits of requests crash the endpoints that run them. Each crash of an endpoint is
+/// evidence against the traits of the requests that had not begun to respond there; each complete
+/// response is evidence for its traits. The evidence is weighed as a likelihood ratio against the
+/// rate of crashes that no trait explains, so a trait is refused after few crashes while endpoints
 /// are otherwise stable, and after more while they crash for other reasons. Requests with a
-/// suspected part run one at a time. Owns no clock. Not thread-safe.
+/// suspected trait run one at a time. Owns no clock. Not thread-safe.
 class CrashSuspects
 {
 public:
   struct Limits
   {
-    /// Share of parts that crash endpoints, before there is evidence.
+    /// Share of traits that crash endpoints, before there is evidence.
     double m_prior = 1e-3;
-    /// Probability from which requests with a part are refused: one refused part in fifty may be
+    /// Probability from which requests with a trait are refused: one refused trait in fifty may be
     /// harmless.
     double m_refuse_from = 0.98;
-    /// Probability from which requests with a part run one at a time.
+    /// Probability from which requests with a trait run one at a time.
     double m_suspect_from = 0.01;
     /// Probability from which other daemons are told. Connections that break for other reasons,
-    /// which may be many, leave their parts below it.
+    /// which may be many, leave their traits below it.
     double m_announce_from = 0.05;
-    /// How long a part is refused before one request is admitted as a trial; doubles with each
+    /// How long a trait is refused before one request is admitted as a trial; doubles with each
     /// trial that crashes an endpoint.
     Milliseconds m_first_refusal{ 60'000 };
     /// After this many crashes there are no more trials until another software version serves.
     int m_max_crashes = 8;
-    std::size_t m_max_parts = 4'096;
+    std::size_t m_max_traits = 4'096;
   };
 
   enum class Admission
   {
     /// May be granted a slot now.
     Admit,
-    /// Has to wait until another request with the same part has ended.
+    /// Has to wait until another request with the same trait has ended.
     Wait,
     /// Crashes endpoints.
     Refuse,
@@ -71,10 +71,10 @@
   /// Records that a request was granted a slot.
   void Begin(const SlotRequestId& aRequestId,
              const EndpointId& aEndpoint,
-             const std::vector<PromptPart>& aParts,
+             const std::vector<CrashTrait>& aTraits,
              TimePoint aNow);
   /// Records that the end of a request, which is reported next, does not prove that its response is
-  /// complete: it is no evidence for its parts, and they are candidates if the endpoint turns out
+  /// complete: it is no evidence for its traits, and they are candidates if the endpoint turns out
   /// to have crashed.
   void MarkEndUnproven(const SlotRequestId& aRequestId);
   /// Records the first byte of a response.
@@ -88,32 +88,32 @@
   /// Forgets the requests of a daemon that has stopped.
   void ForgetDaemon(const Incarnation& aDaemon);
 
-  /// Whether a request with these parts may be granted a slot.
-  Admission AdmissionOf(const std::vector<PromptPart>& aParts, TimePoint aNow) const;
-  /// Permits another trial of each refused part: endpoints of another software version serve.
+  /// Whether a request with these traits may be granted a slot.
+  Admission AdmissionOf(const std::vector<CrashTrait>& aTraits, TimePoint aNow) const;
+  /// Permits another trial of each refused trait: endpoints of another software version serve.
   void OnNewVersion(TimePoint aNow);
 
   /// Applies what the coordinator knows.
-  void Apply(const PartSuspicion& aSuspicion, TimePoint aNow);
+  void Apply(const TraitSuspicion& aSuspicion, TimePoint aNow);
   /// Applies what another daemon knows, unless more is known here.
-  void Merge(const PartSuspicion& aSuspicion, TimePoint aNow);
+  void Merge(const TraitSuspicion& aSuspicion, TimePoint aNow);
   /// What other daemons need to know of changes since the last call.
-  std::vector<PartSuspicion> TakeChanges(TimePoint aNow);
+  std::vector<TraitSuspicion> TakeChanges(TimePoint aNow);
   /// All that other daemons need to know.
-  std::vector<PartSuspicion> All(TimePoint aNow) const;
+  std::vector<TraitSuspicion> All(TimePoint aNow) const;
 
   /// Estimated probability that an endpoint crashes during a request for another reason than its
-  /// prompt.
+  /// traits.
   double BaseRate() const;
 
 private:
-  struct Part
+  struct Trait
   {
     double m_log_odds = 0;
     int m_crashes = 0;
     int m_running = 0;
     TimePoint m_used_at;
-    /// Set while requests with the part are refused.
+    /// Set while requests with the trait are refused.
     std::optional<TimePoint> m_refused_until;
     /// When a crash was evidence against it last.
     std::optional<TimePoint> m_last_evidence_at;
@@ -124,7 +124,7 @@
   struct RunningRequest
   {
     EndpointId m_endpoint;
-    std::vector<PromptPart> m_parts;
+    std::vector<CrashTrait> m_traits;
     TimePoint m_granted_at;
     std::optional<TimePoint> m_started_at;
     bool m_is_end_unproven = false;
@@ -137,7 +137,7 @@
     TimePoint m_at;
   };
 
-  /// A part that may have crashed an endpoint.
+  /// A trait that may have crashed an endpoint.
   struct Candidate
   {
     double m_log_odds = 0;
@@ -152,20 +152,20 @@
     TimePoint m_at;
     /// The requests that ran there and whose end has not been reported yet.
     std::vector<SlotRequestId> m_requests;
-    /// What was added to the log odds of each part.
-    std::vector<std::pair<PromptPart, double>> m_evidence;
-    /// What was added to the crashes that no part explains.
+    /// What was added to the log odds of each trait.
+    std::vector<std::pair<CrashTrait, double>> m_evidence;
+    /// What was added to the crashes that no trait explains.
     double m_unexplained = 0;
   };
 
-  Part& PartOf(const PromptPart& aPart, TimePoint aNow);
+  Trait& TraitOf(const CrashTrait& aTrait, TimePoint aNow);
   void DropOldest();
   void DropExpired(TimePoint aNow);
   bool HasUnprovenEndAt(const EndpointId& aEndpoint) const;
   void Decay(TimePoint aNow);
-  void SetLogOdds(const PromptPart& aId, Part& aPart, double aLogOdds, TimePoint aNow);
-  void MarkChanged(const PromptPart& aId, Part& aPart);
-  std::map<PromptPart, Candidate> CandidatesAt(const EndpointId& aEndpoint, TimePoint aNow);
+  void SetLogOdds(const CrashTrait& aId, Trait& aTrait, double aLogOdds, TimePoint aNow);
+  void MarkChanged(const CrashTrait& aId, Trait& aTrait);
+  std::map<CrashTrait, Candidate> CandidatesAt(const EndpointId& aEndpoint, TimePoint aNow);
   /// The known crash in which a request broke off, if there is one: it ran there then, or was
   /// granted before all daemons had noticed.
   Crash* CrashOf(const SlotRequestId& aRequestId, const RunningRequest& aRequest);
@@ -175,19 +175,19 @@
   /// broke.
   void WithdrawEvidence(const SlotRequestId& aRequestId, TimePoint aNow);
   void RecordNotRunning(const RunningRequest& aRequest);
-  static PartSuspicion SuspicionOf(const PromptPart& aId, const Part& aPart, TimePoint aNow);
+  static TraitSuspicion SuspicionOf(const CrashTrait& aId, const Trait& aTrait, TimePoint aNow);
 
   Limits m_limits;
   double m_prior_log_odds;
   double m_refuse_log_odds;
   double m_suspect_log_odds;
   double m_announce_log_odds;
-  absl::flat_hash_map<PromptPart, Part> m_parts;
+  absl::flat_hash_map<CrashTrait, Trait> m_traits;
   absl::flat_hash_map<SlotRequestId, RunningRequest> m_requests;
   std::deque<Crash> m_crashes;
   /// In the order of time.
   std::deque<UnprovenEnd> m_unproven_ends;
-  std::vector<PromptPart> m_changed;
+  std::vector<CrashTrait> m_changed;
   /// Exponentially decaying counts.
   double m_ended = 0;
   double m_unexplained = 0;
--- a/Libraries/LibPlacement/include/LibPlacement/SlotRequest.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotRequest.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
-#include <LibPlacement/PromptPart.h>
+#include <LibPlacement/CrashTrait.h>
 #include <LibRegistry/EndpointRegistry.h>
 #include <cstdint>
 #include <optional>
@@ -57,8 +57,8 @@
   WorkspaceName m_workspace;
   /// Tokens to charge to the quota; 0 once they have been charged.
   std::int64_t m_quota_tokens = 0;
-  /// The parts of its prompt that other requests may share.
-  std::vector<PromptPart> m_prompt_parts;
+  /// What may crash the endpoints that run it.
+  std::vector<CrashTrait> m_crash_traits;
 
   auto operator<=>(const SlotRequest&) const = default;
 };
@@ -111,7 +111,7 @@
   /// No endpoint of the software version that it requires is usable.
   NoEndpointOfVersion,
   /// A part of its prompt crashes endpoints.
-  HarmfulPrompt,
+  Harmful,
 };
 
 const char*
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -48,14 +48,14 @@
 class SlotScheduler
 {
 public:
-  /// aSuspects: what is known of prompts that crash the service's endpoints. aRests: the rests that
-  /// endpoints have asked daemons for.
+  /// aSuspects: what is known of requests that crash the service's endpoints. aRests: the rests
+  /// that endpoints have asked daemons for.
   explicit SlotScheduler(
     SlotSchedulerLimits aLimits,
     std::shared_ptr<CrashSuspects> aSuspects = std::make_shared<CrashSuspects>(),
     std::shared_ptr<EndpointRests> aRests = std::make_shared<EndpointRests>(kMaxRestsOfDaemons))
     : m_limits(aLimits)
-    , m_prompt_suspects(std::move(aSuspects))
+    , m_crash_suspects(std::move(aSuspects))
     , m_rests(std::move(aRests))
   {
   }
@@ -93,7 +93,7 @@
   void RecordHeld(const SlotRequestId& aRequestId,
                   const EndpointId& aEndpoint,
                   const RequestWork& aWork,
-                  const std::vector<PromptPart>& aPromptParts,
+                  const std::vector<CrashTrait>& aCrashTraits,
                   TimePoint aNow);
   void RecordStarted(const SlotRequestId& aRequestId, const EndpointId& aEndpoint, TimePoint aNow);
   void RecordEnded(const SlotRequestId& aRequestId,
@@ -152,7 +152,7 @@
   void RecordVersions(const std::vector<SlotEndpointInfo>& aEndpoints, TimePoint aNow);
 
   SlotSchedulerLimits m_limits;
-  std::shared_ptr<CrashSuspects> m_prompt_suspects;
+  std::shared_ptr<CrashSuspects> m_crash_suspects;
   std::shared_ptr<EndpointRests> m_rests;
   /// The software versions that have served.
   std::set<SoftwareVersion> m_versions;
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -204,11 +204,11 @@
   "$UNIT" "Rest: *"
 mutate "a prompt that crashes endpoints is refused: the daemons tell the next coordinator" \
   Libraries/LibPlacement/CrashSuspects.cpp \
-  's/if \(part.m_log_odds >= m_announce_log_odds\) \{\n      all/if (false) {\n      all/' \
+  's/if \(trait.m_log_odds >= m_announce_log_odds\) \{\n      all/if (false) {\n      all/' \
   "$UNIT" "Crashes: what one daemon knows*"
 mutate "a prompt that crashes endpoints is refused: the slot request carries its parts" \
   Libraries/LibBroker/SlotBroker.cpp \
-  's/  request.m_prompt_parts = aLink.TakePromptParts\(aSlotRequest.m_number\);//' \
+  's/  request.m_crash_traits = aLink.TakeCrashTraits\(aSlotRequest.m_number\);//' \
   "$PROCESS" "Crashing prompts: requests with*"
 mutate "a prompt that crashes endpoints is refused: what a harmless one shares is not" \
   Libraries/LibPlacement/CrashSuspects.cpp \
--- a/Tests/Unit/TestCrashLoad.cpp
+++ b/Tests/Unit/TestCrashLoad.cpp
@@ -113,7 +113,7 @@
   {
     int m_harmful_part = -1;
     double m_arrived = 0;
-    std::vector<PromptPart> m_parts;
+    std::vector<CrashTrait> m_traits;
     bool m_has_begun = false;
   };
 
@@ -151,14 +151,14 @@
     // Some sessions are asked for often, most rarely.
     const double drawn = std::uniform_real_distribution<double>(0, 1)(m_random);
     const int session = static_cast<int>(kSessions * drawn * drawn);
-    request.m_parts = { PromptPart("c0"), PromptPart("5e" + std::to_string(session)) };
+    request.m_traits = { CrashTrait("c0"), CrashTrait("5e" + std::to_string(session)) };
     if (aHarmfulPart >= 0) {
-      request.m_parts.insert(request.m_parts.begin() + 1,
-                             PromptPart("bad" + std::to_string(aHarmfulPart)));
+      request.m_traits.insert(request.m_traits.begin() + 1,
+                              CrashTrait("bad" + std::to_string(aHarmfulPart)));
     }
     const bool is_harmless = aHarmfulPart < 0;
     m_result.m_harmless += is_harmless ? 1 : 0;
-    if (m_policy == Policy::Count && CountRefuses(request.m_parts)) {
+    if (m_policy == Policy::Count && CountRefuses(request.m_traits)) {
       m_result.m_false_alarms += is_harmless ? 1 : 0;
       return;
     }
@@ -170,17 +170,17 @@
     slot.m_abandoned_at = At(m_events.Now() + 3'200);
     slot.m_data_center = DataCenterName("dc");
     if (m_policy == Policy::Likelihood) {
-      slot.m_prompt_parts = request.m_parts;
+      slot.m_crash_traits = request.m_traits;
     }
     m_scheduler.RequestSlot(slot, At(m_events.Now()));
     m_events.Schedule(m_events.Now() + 3'200, [] {});
   }
 
-  bool CountRefuses(const std::vector<PromptPart>& aParts) const
+  bool CountRefuses(const std::vector<CrashTrait>& aTraits) const
   {
     constexpr int kMaxCrashesInARow = 3;
-    return std::any_of(aParts.begin(), aParts.end(), [&](const PromptPart& aPart) {
-      const auto found = m_crashes_in_a_row.find(aPart);
+    return std::any_of(aTraits.begin(), aTraits.end(), [&](const CrashTrait& aTrait) {
+      const auto found = m_crashes_in_a_row.find(aTrait);
       return found != m_crashes_in_a_row.end() && found->second >= kMaxCrashesInARow;
     });
   }
@@ -189,7 +189,7 @@
   {
     for (const SlotRefusal& refusal : aDecisions.m_refusals) {
       const Request& request = m_requests.at(refusal.m_request_id.m_number);
-      const bool is_alarm = refusal.m_reason == SlotRefusalReason::HarmfulPrompt;
+      const bool is_alarm = refusal.m_reason == SlotRefusalReason::Harmful;
       m_result.m_false_alarms += is_alarm && request.m_harmful_part < 0 ? 1 : 0;
     }
     for (const SlotGrant& grant : aDecisions.m_grants) {
@@ -254,7 +254,7 @@
     running.erase(found);
     const Request& request = m_requests.at(aNumber);
     m_result.m_in_time += request.m_has_begun ? 1 : 0;
-    for (const PromptPart& part : request.m_parts) {
+    for (const CrashTrait& part : request.m_traits) {
       m_crashes_in_a_row.erase(part);
     }
     m_scheduler.RecordEnded(
@@ -267,14 +267,14 @@
       return;
     }
     ++m_result.m_crashes;
-    std::set<PromptPart> running;
+    std::set<CrashTrait> running;
     for (const SlotGrant& grant : std::exchange(m_running[aEndpoint], {})) {
       const Request& request = m_requests.at(grant.m_request_id.m_number);
-      running.insert(request.m_parts.begin(), request.m_parts.end());
+      running.insert(request.m_traits.begin(), request.m_traits.end());
       m_scheduler.RecordEnded(
         grant.m_request_id, grant.m_endpoint, SlotOutcome::Broken, At(m_events.Now()));
     }
-    for (const PromptPart& part : running) {
+    for (const CrashTrait& part : running) {
       ++m_crashes_in_a_row[part];
     }
     m_events.Schedule(m_events.Now() + kDownMs, [this, aEndpoint] {
@@ -296,7 +296,7 @@
   std::set<std::size_t> m_down;
   std::map<std::size_t, std::vector<SlotGrant>> m_running;
   std::map<std::uint64_t, Request> m_requests;
-  std::map<PromptPart, int> m_crashes_in_a_row;
+  std::map<CrashTrait, int> m_crashes_in_a_row;
   EventQueue m_events;
   Result m_result;
 };
--- a/Tests/Unit/TestCrashSuspectTable.cpp
+++ b/Tests/Unit/TestCrashSuspectTable.cpp
@@ -9,12 +9,12 @@
 
 constexpr TimePoint kNow{};
 const ServiceName kService("s");
-const PromptPart kPart("5c");
+const CrashTrait kPart("5c");
 
-PartSuspicionsMessage
-MessageOf(const PromptPart& aPart, double aProbability)
+TraitSuspicionsMessage
+MessageOf(const CrashTrait& aTrait, double aProbability)
 {
-  return { kService, { { aPart, aProbability, 3, Milliseconds(60'000) } } };
+  return { kService, { { aTrait, aProbability, 3, Milliseconds(60'000) } } };
 }
 
 }
@@ -39,7 +39,7 @@
   CHECK(table.TakeChanges(kNow).empty());
   CHECK(table.MessagesForCoordinator(kService, kNow).size() == 1);
   CHECK(table.MessagesForCoordinator(ServiceName("t"), kNow).empty());
-  table.OnMessage(MessageOf(PromptPart("5d"), 0.99), false, kNow);
+  table.OnMessage(MessageOf(CrashTrait("5d"), 0.99), false, kNow);
   CHECK(table.TakeChanges(kNow).size() == 1);
   CHECK(table.TakeChanges(kNow).empty());
   REQUIRE(table.MessagesForDaemon(kNow).size() == 1);
@@ -49,14 +49,14 @@
 TEST_CASE("Crashes: a full table is divided into messages that fit on a link")
 {
   CrashSuspectTable table;
-  const std::size_t size = CrashSuspects::Limits().m_max_parts;
+  const std::size_t size = CrashSuspects::Limits().m_max_traits;
   for (std::size_t i = 0; i < size; ++i) {
     std::string id = std::to_string(i);
     id.resize(64, 'f');
-    table.OnMessage(MessageOf(PromptPart(id), 0.987654321), true, kNow);
+    table.OnMessage(MessageOf(CrashTrait(id), 0.987654321), true, kNow);
   }
   std::size_t received = 0;
-  for (const PartSuspicionsMessage& message : table.MessagesForDaemon(kNow)) {
+  for (const TraitSuspicionsMessage& message : table.MessagesForDaemon(kNow)) {
     const auto bytes = nlohmann::json::to_msgpack(EncodeSlotMessage(message));
     CHECK(bytes.size() <= PeerLink::kMaxMessageBytes / 2);
     received += message.m_suspicions.size();
--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -9,8 +9,8 @@
 
 using Admission = CrashSuspects::Admission;
 
-const PromptPart kCommon("c0");
-const PromptPart kHarmful("bad0");
+const CrashTrait kCommon("c0");
+const CrashTrait kHarmful("bad0");
 
 TimePoint
 At(int aMilliseconds)
@@ -24,10 +24,10 @@
   return { Incarnation(aDaemon), aNumber };
 }
 
-PromptPart
+CrashTrait
 Session(int aNumber)
 {
-  return PromptPart("5e" + std::to_string(aNumber));
+  return CrashTrait("5e" + std::to_string(aNumber));
 }
 
 /// Requests that begin and end one after the other.
@@ -39,7 +39,7 @@
   {
   }
 
-  /// Whole responses to requests with the common part and that of a session.
+  /// Whole responses to requests with the common trait and that of a session.
   void RunHarmless(int aCount)
   {
     for (int i = 0; i < aCount; ++i) {
@@ -47,22 +47,22 @@
     }
   }
 
-  void Run(const std::vector<PromptPart>& aParts, SlotOutcome aOutcome)
+  void Run(const std::vector<CrashTrait>& aTraits, SlotOutcome aOutcome)
   {
     const SlotRequestId id = IdOf(++m_number);
-    m_suspects.Begin(id, EndpointId("e" + std::to_string(m_number)), aParts, m_now);
+    m_suspects.Begin(id, EndpointId("e" + std::to_string(m_number)), aTraits, m_now);
     m_now += Milliseconds(100);
     m_suspects.RecordEnded(id, aOutcome, false, m_now);
   }
 
-  /// An endpoint crashes under a request with these parts and under others beside it.
-  void Crash(const std::vector<std::vector<PromptPart>>& aRequests)
+  /// An endpoint crashes under a request with these traits and under others beside it.
+  void Crash(const std::vector<std::vector<CrashTrait>>& aRequests)
   {
     const EndpointId endpoint("e" + std::to_string(++m_number));
     std::vector<SlotRequestId> ids;
-    for (const auto& parts : aRequests) {
+    for (const auto& traits : aRequests) {
       ids.push_back(IdOf(++m_number));
-      m_suspects.Begin(ids.back(), endpoint, parts, m_now);
+      m_suspects.Begin(ids.back(), endpoint, traits, m_now);
     }
     m_now += Milliseconds(100);
     for (const SlotRequestId& id : ids) {
@@ -70,12 +70,12 @@
     }
   }
 
-  Admission AdmissionOf(const PromptPart& aPart) const
+  Admission AdmissionOf(const CrashTrait& aTrait) const
   {
-    return m_suspects.AdmissionOf({ aPart }, m_now);
+    return m_suspects.AdmissionOf({ aTrait }, m_now);
   }
-  /// The number of crashes until a part is refused, at most aMax.
-  int CrashesUntilRefused(const std::vector<std::vector<PromptPart>>& aRequests, int aMax = 20)
+  /// The number of crashes until a trait is refused, at most aMax.
+  int CrashesUntilRefused(const std::vector<std::vector<CrashTrait>>& aRequests, int aMax = 20)
   {
     int crashes = 0;
     while (crashes < aMax && AdmissionOf(kHarmful) != Admission::Refuse) {
@@ -92,7 +92,7 @@
 
 }
 
-TEST_CASE("Crashes: a part is refused after two or three, and those beside it are not")
+TEST_CASE("Crashes: a trait is refused after two or three, and those beside it are not")
 {
   for (const int harmless : { 0, 30, 1'000 }) {
     CAPTURE(harmless);
@@ -110,11 +110,11 @@
   }
 }
 
-TEST_CASE("Crashes: the part is found wherever it stands in the prompt, and two at once")
+TEST_CASE("Crashes: the trait is found wherever it stands in the prompt, and two at once")
 {
   Trace trace;
   trace.RunHarmless(300);
-  const PromptPart other("bad1");
+  const CrashTrait other("bad1");
   for (int i = 0; i < 4; ++i) {
     trace.Crash({ { kHarmful, kCommon, Session(i) } });
     trace.Crash({ { kCommon, Session(i), other } });
@@ -128,7 +128,7 @@
   }
 }
 
-TEST_CASE("Crashes: the more of them no part explains, the more it takes to refuse one")
+TEST_CASE("Crashes: the more of them no trait explains, the more it takes to refuse one")
 {
   Trace calm;
   calm.RunHarmless(1'000);
@@ -136,13 +136,13 @@
   Trace stormy;
   for (int i = 0; i < 200; ++i) {
     stormy.RunHarmless(2);
-    stormy.Crash({ { kCommon, PromptPart("f" + std::to_string(i)) } });
+    stormy.Crash({ { kCommon, CrashTrait("f" + std::to_string(i)) } });
   }
   CHECK(stormy.m_suspects.BaseRate() > 10 * calm.m_suspects.BaseRate());
   CHECK(stormy.CrashesUntilRefused({ { kCommon, kHarmful } }) > in_calm);
 }
 
-TEST_CASE("Crashes: no part is refused under which responses are whole in between")
+TEST_CASE("Crashes: no trait is refused under which responses are whole in between")
 {
   Trace trace;
   for (int i = 0; i < 500; ++i) {
@@ -229,7 +229,7 @@
   suspects.RecordEnded(IdOf(1), SlotOutcome::Broken, false, At(1'000));
   const auto suspected = suspects.All(At(1'000));
   REQUIRE(suspected.size() == 1);
-  CHECK(suspected[0].m_part == kHarmful);
+  CHECK(suspected[0].m_trait == kHarmful);
   CrashSuspects others;
   for (const SlotOutcome outcome : { SlotOutcome::Failed,
                                      SlotOutcome::Refused,
@@ -242,7 +242,7 @@
   CHECK(others.All(At(100)).empty());
 }
 
-TEST_CASE("Crashes: requests with a suspected part run one at a time")
+TEST_CASE("Crashes: requests with a suspected trait run one at a time")
 {
   Trace trace;
   trace.RunHarmless(300);
@@ -255,7 +255,7 @@
   CHECK(trace.AdmissionOf(kHarmful) == Admission::Admit);
 }
 
-TEST_CASE("Crashes: a whole response clears a part, one that ended with its connection does not")
+TEST_CASE("Crashes: a whole response clears a trait, one that ended with its connection does not")
 {
   Trace trace;
   trace.RunHarmless(300);
@@ -289,7 +289,7 @@
     trace.m_suspects.RecordEnded(IdOf(2, "x"), next, false, trace.m_now);
     const auto suspected = trace.m_suspects.All(trace.m_now);
     REQUIRE(suspected.size() == 1);
-    CHECK(suspected[0].m_part == kHarmful);
+    CHECK(suspected[0].m_trait == kHarmful);
   }
   Trace trace;
   trace.RunHarmless(300);
@@ -302,7 +302,7 @@
   CHECK(trace.m_suspects.All(trace.m_now).empty());
 }
 
-TEST_CASE("Crashes: a refused part gets trials further and further apart, and at last none")
+TEST_CASE("Crashes: a refused trait gets trials further and further apart, and at last none")
 {
   Trace trace;
   trace.RunHarmless(300);
@@ -329,20 +329,20 @@
   CHECK(trace.AdmissionOf(kHarmful) == Admission::Admit);
 }
 
-TEST_CASE("Crashes: what one daemon knows of a part, the others and the next coordinator apply")
+TEST_CASE("Crashes: what one daemon knows of a trait, the others and the next coordinator apply")
 {
   Trace trace;
   trace.RunHarmless(300);
   trace.CrashesUntilRefused({ { kCommon, kHarmful } });
   CrashSuspects other;
-  for (const PartSuspicion& suspicion : trace.m_suspects.TakeChanges(trace.m_now)) {
+  for (const TraitSuspicion& suspicion : trace.m_suspects.TakeChanges(trace.m_now)) {
     other.Apply(suspicion, At(0));
   }
   CHECK(trace.m_suspects.TakeChanges(trace.m_now).empty());
   CHECK(other.AdmissionOf({ kHarmful }, At(0)) == Admission::Refuse);
   CHECK(other.AdmissionOf({ kCommon }, At(0)) == Admission::Admit);
   CrashSuspects next;
-  for (const PartSuspicion& suspicion : other.All(At(0))) {
+  for (const TraitSuspicion& suspicion : other.All(At(0))) {
     next.Merge(suspicion, At(10));
   }
   CHECK(next.AdmissionOf({ kHarmful }, At(10)) == Admission::Refuse);
@@ -354,22 +354,22 @@
   CHECK(other.AdmissionOf({ kHarmful }, At(20)) == Admission::Admit);
 }
 
-TEST_CASE("Crashes: the table is bounded, and a refused part outlasts forged ones")
+TEST_CASE("Crashes: the table is bounded, and a refused trait outlasts forged ones")
 {
   CrashSuspects::Limits limits;
-  limits.m_max_parts = 100;
+  limits.m_max_traits = 100;
   Trace trace(limits);
   trace.RunHarmless(300);
   trace.CrashesUntilRefused({ { kHarmful } });
   for (int i = 0; i < 1'000; ++i) {
-    trace.Run({ PromptPart("f" + std::to_string(i)) }, SlotOutcome::Complete);
+    trace.Run({ CrashTrait("f" + std::to_string(i)) }, SlotOutcome::Complete);
   }
   const auto suspected = trace.m_suspects.All(trace.m_now);
   REQUIRE(suspected.size() == 1);
-  CHECK(suspected[0].m_part == kHarmful);
+  CHECK(suspected[0].m_trait == kHarmful);
 }
 
-TEST_CASE("Crashes: a part that is suspected already explains a crash for those beside it")
+TEST_CASE("Crashes: a trait that is suspected already explains a crash for those beside it")
 {
   Trace trace;
   trace.RunHarmless(300);
@@ -377,14 +377,14 @@
   trace.Crash({ { kCommon, kHarmful }, { kCommon, Session(9) } });
   const auto suspected = trace.m_suspects.All(trace.m_now);
   REQUIRE(suspected.size() == 1);
-  CHECK(suspected[0].m_part == kHarmful);
+  CHECK(suspected[0].m_trait == kHarmful);
 }
 
-TEST_CASE("Crashes: parts that always occur together are refused together")
+TEST_CASE("Crashes: traits that always occur together are refused together")
 {
   Trace trace;
   trace.RunHarmless(300);
-  const PromptPart companion("c1");
+  const CrashTrait companion("c1");
   CHECK(trace.CrashesUntilRefused({ { kCommon, companion, kHarmful } }) <= 3);
   CHECK(trace.AdmissionOf(companion) == Admission::Refuse);
   CHECK(trace.AdmissionOf(kCommon) == Admission::Admit);
@@ -399,13 +399,13 @@
   }
   scheduler.SetEndpoints(infos, At(0));
   std::uint64_t number = 0;
-  const auto request = [&](const PromptPart& aPart, TimePoint aNow) {
+  const auto request = [&](const CrashTrait& aTrait, TimePoint aNow) {
     SlotRequest request;
     request.m_request_id = IdOf(++number);
     request.m_arrived_at = aNow;
     request.m_objective_at = aNow + Milliseconds(800);
     request.m_abandoned_at = aNow + Milliseconds(8'000);
-    request.m_prompt_parts = { kCommon, aPart };
+    request.m_crash_traits = { kCommon, aTrait };
     scheduler.RequestSlot(request, aNow);
   };
   for (int i = 0; i < 300; ++i) {
@@ -425,7 +425,7 @@
     if (!decisions.m_refusals.empty()) {
       break;
     }
-    // After the first crash the second request with the part waits for the end of the first.
+    // After the first crash the second request with the trait waits for the end of the first.
     CHECK(decisions.m_grants.size() == (crashes == 0 ? 3 : 2));
     // The others end before the endpoint crashes.
     for (auto grant = decisions.m_grants.rbegin(); grant != decisions.m_grants.rend(); ++grant) {
@@ -439,6 +439,6 @@
   }
   CHECK(crashes <= 3);
   REQUIRE(decisions.m_refusals.size() == 2);
-  CHECK(decisions.m_refusals[0].m_reason == SlotRefusalReason::HarmfulPrompt);
+  CHECK(decisions.m_refusals[0].m_reason == SlotRefusalReason::Harmful);
   CHECK(decisions.m_grants.size() == 1);
 }
--- a/Tests/Unit/TestSlotMessages.cpp
+++ b/Tests/Unit/TestSlotMessages.cpp
@@ -38,9 +38,9 @@
              service, { { { "stream-1", endpoint, SoftwareVersion("v1") }, Milliseconds(5) } } },
            StreamLookupMessage{ 7, service, "stream-1" },
            StreamVersionMessage{ 7, SoftwareVersion("v1") },
-           PromptPartsMessage{ 7, { PromptPart("5c"), PromptPart("e4") } },
+           CrashTraitsMessage{ 7, { CrashTrait("5c"), CrashTrait("e4") } },
            UnprovenEndMessage{ service, 7 },
-           PartSuspicionsMessage{ service, { { PromptPart("5c"), 0.5, 2, Milliseconds(7) } } },
+           TraitSuspicionsMessage{ service, { { CrashTrait("5c"), 0.5, 2, Milliseconds(7) } } },
            UncertainGrantMessage{ 7 } };
 }
 
