Refuse a request that crashes endpoints each time it comes, at all daemons

The whole request, named by a digest, is one more trait of what ran at an endpoint: same evidence, table, messages and next coordinator. Two crashes refuse it while endpoints are otherwise stable, three independent ones in any case; there are two trials at most. After a crash the requests that ran there run one at a time over all daemons, alone where another endpoint is open, so that those that did no harm are cleared.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -209,6 +209,7 @@
   for (const PromptPart& part : m_request.m_head.m_prompt_parts) {
     request.m_crash_traits.push_back(TraitOfPart(part));
   }
+  request.m_crash_traits.push_back(TraitOfRequest(m_request.m_digest));
   const bool is_charged_already = m_slot_request_count > 1;
   if (m_request.m_workspace && !is_charged_already) {
     request.m_workspace = *m_request.m_workspace;
--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -56,6 +56,7 @@
 CrashSuspects::CrashSuspects(Limits aLimits)
   : m_limits(aLimits)
   , m_prior_log_odds(LogOddsOf(aLimits.m_prior))
+  , m_request_prior_log_odds(LogOddsOf(aLimits.m_request_prior))
   , m_refuse_log_odds(LogOddsOf(aLimits.m_refuse_from))
   , m_suspect_log_odds(LogOddsOf(aLimits.m_suspect_from))
   , m_announce_log_odds(LogOddsOf(aLimits.m_announce_from))
@@ -65,26 +66,33 @@
 CrashSuspects::Trait&
 CrashSuspects::TraitOf(const CrashTrait& aTrait, TimePoint aNow)
 {
-  if (m_traits.size() >= m_limits.m_max_traits && !m_traits.contains(aTrait)) {
-    DropOldest();
+  const bool is_whole = IsWholeRequest(aTrait);
+  const std::size_t known = is_whole ? m_whole_requests : m_traits.size() - m_whole_requests;
+  if (known >= m_limits.m_max_traits && !m_traits.contains(aTrait)) {
+    DropOldest(is_whole);
   }
   const auto [found, is_new] = m_traits.try_emplace(aTrait);
   if (is_new) {
-    found->second.m_log_odds = m_prior_log_odds;
+    found->second.m_log_odds = is_whole ? m_request_prior_log_odds : m_prior_log_odds;
+    m_whole_requests += is_whole ? 1 : 0;
   }
   found->second.m_used_at = aNow;
   return found->second;
 }
 
 void
-CrashSuspects::DropOldest()
+CrashSuspects::DropOldest(bool aAreWholeRequests)
 {
   // A quarter at a time, so that the cost of a new trait stays small on average. Refused traits are
-  // dropped last, and traits of running requests are kept.
-  std::vector<std::tuple<bool, TimePoint, CrashTrait>> unused;
+  // dropped last, before them requests under which an endpoint has crashed, and traits of running
+  // requests are kept.
+  std::vector<std::tuple<bool, bool, TimePoint, CrashTrait>> unused;
   for (const auto& [id, trait] : m_traits) {
-    if (trait.m_running == 0) {
-      unused.emplace_back(trait.m_refused_until.has_value(), trait.m_used_at, id);
+    if (trait.m_running == 0 && IsWholeRequest(id) == aAreWholeRequests) {
+      unused.emplace_back(trait.m_refused_until.has_value(),
+                          aAreWholeRequests && trait.m_crashes > 0,
+                          trait.m_used_at,
+                          id);
     }
   }
   const auto count = static_cast<std::ptrdiff_t>(
@@ -93,6 +101,7 @@
   for (auto entry = unused.begin(); entry != unused.begin() + count; ++entry) {
     m_traits.erase(std::get<CrashTrait>(*entry));
   }
+  m_whole_requests -= aAreWholeRequests ? static_cast<std::size_t>(count) : 0;
 }
 
 void
@@ -125,6 +134,7 @@
 {
   const double before = aTrait.m_log_odds;
   aTrait.m_log_odds = std::clamp(aLogOdds, kMinLogOdds, kMaxLogOdds);
+  UpdateRunningSuspects(aId, aTrait);
   if (std::max(before, aTrait.m_log_odds) >= m_announce_log_odds) {
     MarkChanged(aId, aTrait);
   }
@@ -153,7 +163,9 @@
   }
   m_requests[aRequestId] = RunningRequest{ aEndpoint, aTraits, aNow, std::nullopt, false };
   for (const CrashTrait& id : aTraits) {
-    ++TraitOf(id, aNow).m_running;
+    Trait& trait = TraitOf(id, aNow);
+    ++trait.m_running;
+    UpdateRunningSuspects(id, trait);
   }
 }
 
@@ -163,6 +175,7 @@
   for (const CrashTrait& id : aRequest.m_traits) {
     if (const auto trait = m_traits.find(id); trait != m_traits.end()) {
       trait->second.m_running = std::max(0, trait->second.m_running - 1);
+      UpdateRunningSuspects(id, trait->second);
     }
   }
 }
@@ -255,6 +268,7 @@
   for (const CrashTrait& id : aRequest.m_traits) {
     Trait& trait = TraitOf(id, aNow);
     trait.m_crashes = 0;
+    trait.m_own_crashes = 0;
     SetLogOdds(id, trait, trait.m_log_odds + kCompletionEvidence, aNow);
   }
 }
@@ -278,14 +292,22 @@
   });
 }
 
+bool
+CrashSuspects::IsOf(const Crash& aCrash,
+                    const SlotRequestId& aRequestId,
+                    const RunningRequest& aRequest)
+{
+  return aCrash.m_endpoint == aRequest.m_endpoint &&
+         (aRequest.m_granted_at - aCrash.m_at <= kReportDelay ||
+          std::find(aCrash.m_requests.begin(), aCrash.m_requests.end(), aRequestId) !=
+            aCrash.m_requests.end());
+}
+
 CrashSuspects::Crash*
 CrashSuspects::CrashOf(const SlotRequestId& aRequestId, const RunningRequest& aRequest)
 {
   const auto found = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash& aCrash) {
-    return aCrash.m_endpoint == aRequest.m_endpoint &&
-           (aRequest.m_granted_at - aCrash.m_at <= kReportDelay ||
-            std::find(aCrash.m_requests.begin(), aCrash.m_requests.end(), aRequestId) !=
-              aCrash.m_requests.end());
+    return IsOf(aCrash, aRequestId, aRequest);
   });
   return found == m_crashes.end() ? nullptr : &*found;
 }
@@ -348,15 +370,20 @@
     return no_cause;
   };
   for (const auto& [id, candidate] : candidates) {
+    Trait& trait = TraitOf(id, aNow);
+    const bool is_whole = IsWholeRequest(id);
+    trait.m_crashes += candidate.m_is_independent || is_whole ? 1 : 0;
     if (!candidate.m_is_independent) {
       continue;
     }
-    Trait& trait = TraitOf(id, aNow);
-    const double evidence =
-      -std::log(1 - no_cause_above(candidate.m_log_odds + kAlternativeMargin));
-    ++trait.m_crashes;
+    const double no_other_cause = no_cause_above(candidate.m_log_odds + kAlternativeMargin);
+    double log_odds = candidate.m_log_odds - std::log(1 - no_other_cause);
+    if (is_whole && no_other_cause >= 1 - base_rate &&
+        ++trait.m_own_crashes >= m_limits.m_request_crashes_until_refusal) {
+      log_odds = std::max(log_odds, m_refuse_log_odds);
+    }
     trait.m_last_evidence_at = aNow;
-    SetLogOdds(id, trait, candidate.m_log_odds + evidence, aNow);
+    SetLogOdds(id, trait, log_odds, aNow);
     crash.m_evidence.emplace_back(id, trait.m_log_odds - candidate.m_log_odds);
   }
   crash.m_unexplained = no_cause_above(kMinLogOdds) / (1 - base_rate);
@@ -378,6 +405,7 @@
   for (const auto& [id, evidence] : found->m_evidence) {
     if (const auto trait = m_traits.find(id); trait != m_traits.end()) {
       trait->second.m_crashes = std::max(0, trait->second.m_crashes - 1);
+      trait->second.m_own_crashes = std::max(0, trait->second.m_own_crashes - 1);
       SetLogOdds(id, trait->second, trait->second.m_log_odds - evidence, aNow);
     }
   }
@@ -385,6 +413,69 @@
   m_crashes.erase(found);
 }
 
+bool
+CrashSuspects::IsSuspected(const CrashTrait& aId) const
+{
+  const auto found = m_traits.find(aId);
+  return found != m_traits.end() && found->second.m_log_odds >= m_suspect_log_odds;
+}
+
+void
+CrashSuspects::UpdateRunningSuspects(const CrashTrait& aId, const Trait& aTrait)
+{
+  if (!IsWholeRequest(aId)) {
+    return;
+  }
+  if (aTrait.m_running > 0 && aTrait.m_log_odds >= m_suspect_log_odds) {
+    m_running_suspects.insert(aId);
+  } else {
+    m_running_suspects.erase(aId);
+  }
+}
+
+bool
+CrashSuspects::IsAtRisk(const SlotRequestId& aRequestId,
+                        const RunningRequest& aRequest,
+                        TimePoint aNow) const
+{
+  return (!aRequest.m_started_at || aNow - *aRequest.m_started_at <= kMaxTimeToCrash) &&
+         std::none_of(m_crashes.begin(), m_crashes.end(), [&](const Crash& aCrash) {
+           return IsOf(aCrash, aRequestId, aRequest);
+         });
+}
+
+bool
+CrashSuspects::HasSuspectedRequest(const std::vector<CrashTrait>& aTraits) const
+{
+  return std::any_of(aTraits.begin(), aTraits.end(), [this](const CrashTrait& aTrait) {
+    return IsWholeRequest(aTrait) && IsSuspected(aTrait);
+  });
+}
+
+std::set<EndpointId>
+CrashSuspects::EndpointsOfSuspects(TimePoint aNow) const
+{
+  std::set<EndpointId> endpoints;
+  if (m_running_suspects.empty()) {
+    return endpoints;
+  }
+  for (const auto& [id, request] : m_requests) {
+    if (HasSuspectedRequest(request.m_traits) && IsAtRisk(id, request, aNow)) {
+      endpoints.insert(request.m_endpoint);
+    }
+  }
+  return endpoints;
+}
+
+std::size_t
+CrashSuspects::CountAtRisk(const EndpointId& aEndpoint, TimePoint aNow) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_requests.begin(), m_requests.end(), [&](const auto& aEntry) {
+      return aEntry.second.m_endpoint == aEndpoint && IsAtRisk(aEntry.first, aEntry.second, aNow);
+    }));
+}
+
 CrashSuspects::Admission
 CrashSuspects::AdmissionOf(const std::vector<CrashTrait>& aTraits, TimePoint aNow) const
 {
@@ -395,11 +486,16 @@
       continue;
     }
     const Trait& trait = found->second;
-    if (trait.m_refused_until && (aNow < *trait.m_refused_until || trait.m_running > 0 ||
-                                  trait.m_crashes >= m_limits.m_max_crashes)) {
-      return Admission::Refuse;
+    const bool is_whole = IsWholeRequest(id);
+    if (trait.m_refused_until) {
+      const int max_crashes = is_whole ? m_limits.m_max_request_crashes : m_limits.m_max_crashes;
+      if (aNow < *trait.m_refused_until || trait.m_running > 0 || trait.m_crashes >= max_crashes) {
+        return Admission::Refuse;
+      }
+      admission = std::max(admission, Admission::Trial);
     }
-    if (trait.m_running > 0 && trait.m_log_odds >= m_suspect_log_odds) {
+    if (trait.m_log_odds >= m_suspect_log_odds &&
+        (is_whole ? !EndpointsOfSuspects(aNow).empty() : trait.m_running > 0)) {
       admission = Admission::Wait;
     }
   }
@@ -412,7 +508,9 @@
   for (auto& [id, trait] : m_traits) {
     if (trait.m_refused_until) {
       trait.m_refused_until = aNow;
-      trait.m_crashes = std::min(trait.m_crashes, m_limits.m_max_crashes - 1);
+      if (!IsWholeRequest(id)) {
+        trait.m_crashes = std::min(trait.m_crashes, m_limits.m_max_crashes - 1);
+      }
       MarkChanged(id, trait);
     }
   }
@@ -432,6 +530,7 @@
 {
   Trait& trait = TraitOf(aSuspicion.m_trait, aNow);
   trait.m_log_odds = std::clamp(LogOddsOf(aSuspicion.m_probability), kMinLogOdds, kMaxLogOdds);
+  UpdateRunningSuspects(aSuspicion.m_trait, trait);
   trait.m_crashes = aSuspicion.m_crashes;
   trait.m_refused_until = trait.m_log_odds >= m_refuse_log_odds
                             ? std::optional(aNow + aSuspicion.m_refused_for)
@@ -442,7 +541,9 @@
 CrashSuspects::Merge(const TraitSuspicion& aSuspicion, TimePoint aNow)
 {
   const auto found = m_traits.find(aSuspicion.m_trait);
-  const double known = found == m_traits.end() ? m_prior_log_odds : found->second.m_log_odds;
+  const double prior =
+    IsWholeRequest(aSuspicion.m_trait) ? m_request_prior_log_odds : m_prior_log_odds;
+  const double known = found == m_traits.end() ? prior : found->second.m_log_odds;
   if (std::min(LogOddsOf(aSuspicion.m_probability), kMaxLogOdds) > known) {
     Apply(aSuspicion, aNow);
     MarkChanged(aSuspicion.m_trait, m_traits.at(aSuspicion.m_trait));
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <tuple>
 #include <utility>
 
 namespace auburnhitch {
@@ -203,6 +204,21 @@
   }
 }
 
+CrashSuspects::Admission
+SlotScheduler::AdmissionOf(const SlotRequest& aRequest, TimePoint aNow) const
+{
+  const CrashSuspects::Admission admission =
+    m_crash_suspects->AdmissionOf(aRequest.m_crash_traits, aNow);
+  if (admission != CrashSuspects::Admission::Trial) {
+    return admission;
+  }
+  const auto serving =
+    std::count_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto& aEntry) {
+      return !aEntry.second.IsSuspect(aNow);
+    });
+  return serving > 1 ? CrashSuspects::Admission::Admit : CrashSuspects::Admission::Refuse;
+}
+
 void
 SlotScheduler::RequestSlot(const SlotRequest& aRequest, TimePoint aNow)
 {
@@ -210,8 +226,7 @@
     m_ineligible.emplace_back(aRequest, SlotRefusalReason::NoEndpointOfVersion);
     return;
   }
-  if (m_crash_suspects->AdmissionOf(aRequest.m_crash_traits, aNow) ==
-      CrashSuspects::Admission::Refuse) {
+  if (AdmissionOf(aRequest, aNow) == CrashSuspects::Admission::Refuse) {
     m_ineligible.emplace_back(aRequest, SlotRefusalReason::Harmful);
     return;
   }
@@ -489,26 +504,34 @@
 SlotScheduler::Choose(const WaitingSlotRequest& aWaiting, TimePoint aNow)
 {
   const SlotRequest& request = aWaiting.m_request;
-  const bool has_unsuspected =
-    std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& aEntry) {
-      return IsEligibleNow(aEntry.second, request, aNow) && !aEntry.second.IsSuspect(aNow) &&
-             !RestEnd(aEntry.second, request, aNow);
-    });
+  const bool is_suspected = m_crash_suspects->HasSuspectedRequest(request.m_crash_traits);
+  const std::set<EndpointId> isolated = m_crash_suspects->EndpointsOfSuspects(aNow);
+  const auto may_serve = [&](const SlotEndpoint& aEndpoint) {
+    return IsEligibleNow(aEndpoint, request, aNow) && !RestEnd(aEndpoint, request, aNow);
+  };
+  bool has_unsuspected = false;
+  bool has_open = false;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (may_serve(endpoint) && !endpoint.IsSuspect(aNow)) {
+      has_unsuspected = true;
+      has_open = has_open || !isolated.contains(id);
+    }
+  }
   SlotEndpoint* best = nullptr;
-  double best_cost = 0;
-  bool is_best_avoided = false;
+  std::tuple<std::size_t, bool, double> best_cost;
   for (auto& [id, endpoint] : m_endpoints) {
-    if (!IsEligibleNow(endpoint, request, aNow) || !endpoint.HasFreeSlot(m_slot_share, aNow) ||
-        (has_unsuspected && endpoint.IsSuspect(aNow)) || RestEnd(endpoint, request, aNow)) {
+    if (!endpoint.HasFreeSlot(m_slot_share, aNow) || !may_serve(endpoint) ||
+        (has_unsuspected && endpoint.IsSuspect(aNow)) || (has_open && isolated.contains(id))) {
       continue;
     }
     const bool is_avoided =
       std::find(request.m_avoided.begin(), request.m_avoided.end(), id) != request.m_avoided.end();
-    const double cost = CostOf(endpoint, request);
-    if (best == nullptr || std::pair(is_avoided, cost) < std::pair(is_best_avoided, best_cost)) {
+    // A suspected request had better run where few others break off with it.
+    const std::size_t at_risk = is_suspected ? m_crash_suspects->CountAtRisk(id, aNow) : 0;
+    const std::tuple cost(at_risk, is_avoided, CostOf(endpoint, request));
+    if (best == nullptr || cost < best_cost) {
       best = &endpoint;
       best_cost = cost;
-      is_best_avoided = is_avoided;
     }
   }
   return best;
@@ -556,9 +579,9 @@
   std::vector<WaitingSlotRequest> set_aside;
   std::set<Incarnation> daemons_without_endpoint;
   while (const WaitingSlotRequest* front = m_queue.Front(aNow)) {
-    const CrashSuspects::Admission admission =
-      m_crash_suspects->AdmissionOf(front->m_request.m_crash_traits, aNow);
-    if (admission != CrashSuspects::Admission::Admit) {
+    const CrashSuspects::Admission admission = AdmissionOf(front->m_request, aNow);
+    if (admission == CrashSuspects::Admission::Wait ||
+        admission == CrashSuspects::Admission::Refuse) {
       WaitingSlotRequest waiting = *m_queue.Remove(SlotRequestId(front->m_request.m_request_id));
       if (admission == CrashSuspects::Admission::Refuse) {
         Refuse(waiting.m_request, SlotRefusalReason::Harmful, aNow, decisions);
--- a/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -5,6 +5,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <deque>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace auburnhitch {
@@ -28,7 +29,9 @@
 /// response is evidence for its traits. The evidence is weighed as a likelihood ratio against the
 /// rate of crashes that no trait explains, so a trait is refused after few crashes while endpoints
 /// are otherwise stable, and after more while they crash for other reasons. Requests with a
-/// suspected trait run one at a time. Owns no clock. Not thread-safe.
+/// suspected trait run one at a time. A request that comes again may not have crashed many
+/// endpoints before it is refused, so whole requests have limits of their own, and all suspected
+/// ones together run one at a time. Owns no clock. Not thread-safe.
 class CrashSuspects
 {
 public:
@@ -49,14 +52,29 @@
     Milliseconds m_first_refusal{ 60'000 };
     /// After this many crashes there are no more trials until another software version serves.
     int m_max_crashes = 8;
+    /// Bounds the parts and, apart from them, the whole requests, of which there may be as many as
+    /// requests.
     std::size_t m_max_traits = 4'096;
+
+    /// As m_prior, for whole requests. Two crashes in which nothing else is suspected then make
+    /// them refused while endpoints are otherwise stable.
+    double m_request_prior = 5e-3;
+    /// After this many independent crashes that nothing else explains better, a request is refused
+    /// whatever the base rate.
+    int m_request_crashes_until_refusal = 3;
+    /// After this many crashes in a row a refused request is not tried again: of the six endpoints
+    /// that it may reach, one is left for a grant on its way.
+    int m_max_request_crashes = 5;
   };
 
   enum class Admission
   {
     /// May be granted a slot now.
     Admit,
-    /// Has to wait until another request with the same trait has ended.
+    /// May be granted a slot, to learn whether it still crashes endpoints.
+    Trial,
+    /// Has to wait until another suspected request has ended, or no longer puts its endpoint at
+    /// risk.
     Wait,
     /// Crashes endpoints.
     Refuse,
@@ -90,6 +108,13 @@
 
   /// Whether a request with these traits may be granted a slot.
   Admission AdmissionOf(const std::vector<CrashTrait>& aTraits, TimePoint aNow) const;
+  /// Whether one of these traits is a suspected whole request.
+  bool HasSuspectedRequest(const std::vector<CrashTrait>& aTraits) const;
+  /// The endpoints at which a suspected whole request runs that may still crash them. Others had
+  /// better not run beside it: they would break off with it, and be suspected themselves.
+  std::set<EndpointId> EndpointsOfSuspects(TimePoint aNow) const;
+  /// How many requests run at an endpoint that may still crash it.
+  std::size_t CountAtRisk(const EndpointId& aEndpoint, TimePoint aNow) const;
   /// Permits another trial of each refused trait: endpoints of another software version serve.
   void OnNewVersion(TimePoint aNow);
 
@@ -110,7 +135,11 @@
   struct Trait
   {
     double m_log_odds = 0;
+    /// Crashes in a row that were evidence against it; for a whole request also those that were
+    /// not independent.
     int m_crashes = 0;
+    /// Of a whole request: those that are independent and that nothing else explains better.
+    int m_own_crashes = 0;
     int m_running = 0;
     TimePoint m_used_at;
     /// Set while requests with the trait are refused.
@@ -159,7 +188,14 @@
   };
 
   Trait& TraitOf(const CrashTrait& aTrait, TimePoint aNow);
-  void DropOldest();
+  /// Drops the oldest parts, or the oldest whole requests.
+  void DropOldest(bool aAreWholeRequests);
+  bool IsSuspected(const CrashTrait& aId) const;
+  /// Whether a request that runs may still crash its endpoint.
+  bool IsAtRisk(const SlotRequestId& aRequestId,
+                const RunningRequest& aRequest,
+                TimePoint aNow) const;
+  void UpdateRunningSuspects(const CrashTrait& aId, const Trait& aTrait);
   void DropExpired(TimePoint aNow);
   bool HasUnprovenEndAt(const EndpointId& aEndpoint) const;
   void Decay(TimePoint aNow);
@@ -169,6 +205,10 @@
   /// The known crash in which a request broke off, if there is one: it ran there then, or was
   /// granted before all daemons had noticed.
   Crash* CrashOf(const SlotRequestId& aRequestId, const RunningRequest& aRequest);
+  /// Whether a request broke off, or will, in this crash.
+  static bool IsOf(const Crash& aCrash,
+                   const SlotRequestId& aRequestId,
+                   const RunningRequest& aRequest);
   void RecordCompleted(const RunningRequest& aRequest, TimePoint aNow);
   void RecordCrash(const SlotRequestId& aRequestId, const RunningRequest& aRequest, TimePoint aNow);
   /// Withdraws the evidence of a crash if a request that ran there goes on: only a connection
@@ -179,10 +219,15 @@
 
   Limits m_limits;
   double m_prior_log_odds;
+  double m_request_prior_log_odds;
   double m_refuse_log_odds;
   double m_suspect_log_odds;
   double m_announce_log_odds;
   absl::flat_hash_map<CrashTrait, Trait> m_traits;
+  /// How many of them are whole requests.
+  std::size_t m_whole_requests = 0;
+  /// The suspected whole requests that run.
+  std::set<CrashTrait> m_running_suspects;
   absl::flat_hash_map<SlotRequestId, RunningRequest> m_requests;
   std::deque<Crash> m_crashes;
   /// In the order of time.
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -148,6 +148,9 @@
               SlotRefusalReason aReason,
               TimePoint aNow,
               SlotDecisions& aDecisions) const;
+  /// Whether a request may be granted a slot, by what is known of its traits. A trial may not take
+  /// the last endpoint.
+  CrashSuspects::Admission AdmissionOf(const SlotRequest& aRequest, TimePoint aNow) const;
   /// Informs the suspects when endpoints of another software version serve.
   void RecordVersions(const std::vector<SlotEndpointInfo>& aEndpoints, TimePoint aNow);
 
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -202,6 +202,46 @@
 mutate "after a rest an endpoint gets one request at a time" Libraries/LibPlacement/SlotEndpoint.cpp \
   's/return m_rest_asked_at &&/return false \&\& m_rest_asked_at \&\&/' \
   "$UNIT" "Rest: *"
+mutate "a request that crashes endpoints is refused: its id is not part of the digest" \
+  Libraries/LibGateway/RequestDigest.cpp \
+  's/return Sha256Hex\(absl::StrCat\(aHead.m_method,/return Sha256Hex(absl::StrCat(FindHeader(aHead.m_headers, "X-Request-Id"), aHead.m_method,/' \
+  "$UNIT" "A request that comes again*"
+mutate "a request that crashes endpoints is refused: framing is not part of the digest" \
+  Libraries/LibGateway/RequestDigest.cpp \
+  's/return Sha256Hex\(absl::StrCat\(aHead.m_method,/return Sha256Hex(absl::StrCat(FindHeader(aHead.m_headers, "Content-Length"), aHead.m_method,/' \
+  "$UNIT" "A request that comes again*"
+mutate "a request that crashes endpoints is refused: the body is part of the digest" \
+  Libraries/LibGateway/RequestDigest.cpp \
+  's/" ",\n *aBody\)/" ", aBody.substr(0, 0))/' \
+  "$UNIT" "A request that comes again*"
+mutate "a request that crashes endpoints is refused: the caller is part of the digest" \
+  Libraries/LibGateway/RequestDigest.cpp \
+  's/aCaller,\n/absl::string_view(),\n/' \
+  "$UNIT" "A request that comes again*"
+mutate "a request that crashes endpoints is refused: after the third crash in any case" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/log_odds = std::max\(log_odds, m_refuse_log_odds\);/log_odds = std::max(log_odds, kMinLogOdds);/' \
+  "$UNIT" "Repeated crashes: a request is refused after two*"
+mutate "a request that crashes endpoints is refused: suspected ones run one at a time" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/\(is_whole \? !EndpointsOfSuspects\(aNow\).empty\(\) : trait.m_running > 0\)/trait.m_running > 0/' \
+  "$UNIT" "Repeated crashes: *"
+mutate "a request that crashes endpoints is refused: a new version permits no further trial" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/if \(!IsWholeRequest\(id\)\) \{\n( *trait.m_crashes = std::min)/if (true) {\n\1/; s/m_limits.m_max_crashes - 1\)/2)/' \
+  "$UNIT" "Repeated crashes: at most two trials*"
+mutate "a request that crashes endpoints is refused: a popular one is not" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/trait.m_log_odds \+ kCompletionEvidence/trait.m_log_odds/; s/constexpr double kCompletionEvidence = -7;//' \
+  "$UNIT" "Repeated crashes: a popular request*"
+mutate "a request that crashes endpoints is refused: a trial does not take the last endpoint" \
+  Libraries/LibPlacement/SlotScheduler.cpp \
+  's/return serving > 1 \?/return serving > 0 ?/' \
+  "$UNIT" "Repeated crashes: a trial*"
+mutate "a request that crashes endpoints is refused: its slot request carries the digest" \
+  Libraries/LibGateway/ActiveRequest.cpp \
+  's/  request.m_crash_traits.push_back\(TraitOfRequest\(m_request.m_digest\)\);//' \
+  "$PROCESS" "Repeated crashes: a request that crashes endpoints*"
 mutate "a prompt that crashes endpoints is refused: the daemons tell the next coordinator" \
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/if \(trait.m_log_odds >= m_announce_log_odds\) \{\n      all/if (false) {\n      all/' \
--- a/Tests/Unit/TestCrashLoad.cpp
+++ b/Tests/Unit/TestCrashLoad.cpp
@@ -171,6 +171,7 @@
     slot.m_data_center = DataCenterName("dc");
     if (m_policy == Policy::Likelihood) {
       slot.m_crash_traits = request.m_traits;
+      slot.m_crash_traits.push_back(TraitOfRequest(std::to_string(number)));
     }
     m_scheduler.RequestSlot(slot, At(m_events.Now()));
     m_events.Schedule(m_events.Now() + 3'200, [] {});
