--- a/Tests/Process/TestSoak.cpp
+++ b/Tests/Process/TestSoak.cpp
@@ -16,6 +16,8 @@
   bool m_cuts_paths = false;
   /// See SoakOptions. Seeds from before endpoints asked for rest run without.
   bool m_has_rests = false;
+  /// The same for requests that crash endpoints.
+  bool m_repeats_crashes = false;
 };
 
 constexpr SoakCase kCases[]{
@@ -31,7 +33,9 @@
   { 31108, "7 requests after the fifth crash, as seed 31002" },
   { 34001, nullptr, true },
   { 34002, nullptr, true },
-  { 41001, nullptr, true, true }
+  { 41001, nullptr, true, true },
+  { 42001, nullptr, true, true, true },
+  { 42002, nullptr, true, true, true }
 };
 
 }
@@ -44,6 +48,7 @@
     options.m_length = std::chrono::milliseconds(8'000);
     options.m_cuts_paths = entry.m_cuts_paths;
     options.m_has_rests = entry.m_has_rests;
+    options.m_repeats_crashes = entry.m_repeats_crashes;
     const SoakResult result = RunSoak(options);
     std::string text = result.m_summary;
     for (const auto* lines : { &result.m_violations, &result.m_faults }) {
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -141,8 +141,14 @@
     m_checker.RecordExecution(id, kind, events.m_first);
     constexpr int kMaxWorkMs = 20;
     std::this_thread::sleep_for(Ms(1 + DrawNumber() % kMaxWorkMs));
-    if (aRequest.Header("x-prefix-hash").find(kHarmfulPart) != std::string::npos) {
-      m_checker.RecordCrash();
+    const bool has_harmful_part =
+      aRequest.Header("x-prefix-hash").find(kHarmfulPart) != std::string::npos;
+    if (has_harmful_part || aRequest.m_body == kHarmfulBody) {
+      if (has_harmful_part) {
+        m_checker.RecordCrash();
+      } else {
+        m_checker.RecordRepeatedCrash();
+      }
       m_has_crashed = true;
       aConnection.WaitForClose();
       return false;
@@ -335,7 +341,8 @@
                                        m_options.m_daemons,
                                        m_checker,
                                        m_options.m_seed * 1'000 + static_cast<unsigned>(i),
-                                       m_options.m_seed % 2 == 0));
+                                       m_options.m_seed % 2 == 0,
+                                       m_options.m_repeats_crashes && m_options.m_seed % 3 != 0));
       }
       while (Clock::now() - m_start < m_options.m_length) {
         Inject();
@@ -712,7 +719,7 @@
       if (!m_endpoints[endpoint]->TakeCrash()) {
         continue;
       }
-      RecordFault(absl::StrCat("endpoint ", endpoint, " crashes under a prompt"));
+      RecordFault(absl::StrCat("endpoint ", endpoint, " crashes under a request"));
       m_cluster.CommandEndpointProxy(
         endpoint, { { "fault", "refuse" }, { "cut_open", true }, { "reset", true } });
       const int incarnation = ++m_last_incarnation;
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -17,6 +17,8 @@
   bool m_cuts_paths = true;
   /// Whether endpoints ask for rest.
   bool m_has_rests = true;
+  /// Whether a request that crashes endpoints comes again and again, with two seeds of three.
+  bool m_repeats_crashes = true;
   /// Directory to which the daemons' logs are written when there are violations. Empty: no logs are
   /// written.
   std::string m_log_directory;
@@ -42,7 +44,8 @@
 /// - responses are correct, and belong to the caller's own request;
 /// - no endpoint received further requests after it had said that it leaves;
 /// - no endpoint that asked a daemon for rest received more than two requests from it meanwhile;
-/// - few requests with a part that crashes endpoints reach them after the fifth crash;
+/// - few requests with a part that crashes endpoints reach them after the fifth crash, and few
+///   repeats of one that crashes them after the third;
 /// - no daemon exited by itself, and each daemon that was stopped exited with status 0 in time;
 /// - each daemon serves all kinds of requests again once the faults are over.
 /// The seed determines which faults are injected and when; the timing of the processes differs from
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -21,7 +21,8 @@
 constexpr int kMaxResumes = 3;
 constexpr std::chrono::milliseconds kResumePause{ 30 };
 constexpr int kOk = 200;
-// One request in this many has a part in its prompt that crashes endpoints.
+// One request in this many has a part in its prompt that crashes endpoints, and one is the request
+// that crashes them.
 constexpr unsigned kHarmfulOneIn = 120;
 constexpr unsigned kSessions = 8;
 
@@ -42,12 +43,14 @@
                        std::size_t aDaemons,
                        SoakChecker& aChecker,
                        unsigned aSeed,
-                       bool aIsHarmful)
+                       bool aIsHarmful,
+                       bool aRepeatsCrash)
   : m_cluster(aCluster)
   , m_daemons(aDaemons)
   , m_checker(aChecker)
   , m_seed(aSeed)
   , m_is_harmful(aIsHarmful)
+  , m_repeats_crash(aRepeatsCrash)
   , m_random(aSeed)
   , m_thread([this] { Run(); })
 {
@@ -82,8 +85,12 @@
     }
     SoakRequest request{ id, &kind, daemon, id };
     request.m_is_harmful = m_is_harmful && m_random() % kHarmfulOneIn == 0;
+    request.m_is_repeated_crash = m_repeats_crash && m_random() % kHarmfulOneIn == 0;
+    if (request.m_is_repeated_crash) {
+      request.m_kind = &kSoakKinds[0];
+    }
     const CallerResponse response = Send(request);
-    if (kind.m_is_stream && kind.m_is_idempotent) {
+    if (request.m_kind->m_is_stream && request.m_kind->m_is_idempotent) {
       Resume(request, response);
     }
     std::this_thread::sleep_for(kPause);
@@ -120,7 +127,8 @@
                           "\r\nAuthorization: Bearer key-1\r\nX-Deadline-Ms: 3000\r\n",
                           resume_fields,
                           PromptOf(aRequest),
-                          "Content-Length: 4\r\n\r\nbody"));
+                          "Content-Length: 4\r\n\r\n",
+                          aRequest.m_is_repeated_crash ? kHarmfulBody : "body"));
   m_checker.RecordResponse(aRequest, response);
   if (!response.m_is_complete || response.Header("connection") == "close") {
     CloseConnection();
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -13,12 +13,14 @@
 class SoakCaller
 {
 public:
-  /// aIsHarmful: whether some of its prompts have a part that crashes endpoints.
+  /// aIsHarmful: whether some of its prompts have a part that crashes endpoints. aRepeatsCrash:
+  /// whether it sometimes sends the request that crashes them.
   SoakCaller(const GatewayCluster& aCluster,
              std::size_t aDaemons,
              SoakChecker& aChecker,
              unsigned aSeed,
-             bool aIsHarmful);
+             bool aIsHarmful,
+             bool aRepeatsCrash);
   /// Waits for the request in progress.
   ~SoakCaller();
   SoakCaller(const SoakCaller&) = delete;
@@ -40,6 +42,7 @@
   SoakChecker& m_checker;
   unsigned m_seed;
   bool m_is_harmful;
+  bool m_repeats_crash;
   std::mt19937 m_random;
   int m_socket = -1;
   std::size_t m_connected_to = 0;
--- a/Tests/Soak/SoakChecker.cpp
+++ b/Tests/Soak/SoakChecker.cpp
@@ -83,6 +83,9 @@
   if (found->second.m_is_harmful && aIncarnation) {
     m_crashes.RecordArrival(kHarmfulPart, daemon);
   }
+  if (found->second.m_is_repeated_crash && aIncarnation) {
+    m_repeated_crashes.RecordArrival(kHarmfulBody, daemon);
+  }
   m_limits.at(aEndpoint)->RecordArrival(daemon);
   if (aIncarnation) {
     m_leaving.at(aEndpoint)->RecordArrival(
@@ -120,6 +123,7 @@
     rests->RecordDisturbance(aDaemon);
   }
   m_crashes.RecordDisturbance(aDaemon, aIsOver);
+  m_repeated_crashes.RecordDisturbance(aDaemon, aIsOver);
 }
 
 void
@@ -134,8 +138,10 @@
 void
 SoakChecker::CheckCrashes()
 {
-  for (const std::string& violation : m_crashes.Violations()) {
-    RecordViolation(violation);
+  for (const CrashChecker* checker : { &m_crashes, &m_repeated_crashes }) {
+    for (const std::string& violation : checker->Violations()) {
+      RecordViolation(violation);
+    }
   }
 }
 
--- a/Tests/Soak/SoakChecker.h
+++ b/Tests/Soak/SoakChecker.h
@@ -40,12 +40,16 @@
   int m_first_event = 1;
   /// Whether its prompt has the part that crashes endpoints.
   bool m_is_harmful = false;
+  /// Whether it is the request that crashes endpoints each time it comes.
+  bool m_is_repeated_crash = false;
 
   bool ResumesStream() const { return m_stream != m_id; }
 };
 
 /// The part of a prompt that crashes endpoints.
 inline constexpr const char* kHarmfulPart = "bad0";
+/// The body of the request that crashes endpoints. All other requests have the same harmless one.
+inline constexpr const char* kHarmfulBody = "boom";
 
 /// Number of events in a complete stream.
 inline constexpr int kEventsPerStream = 6;
@@ -85,6 +89,8 @@
   void RecordExecution(const std::string& aRequestId, const SoakKind& aKind, int aFirstEvent);
   /// Called when an endpoint crashes under a prompt.
   void RecordCrash() { m_crashes.RecordCrash(kHarmfulPart); }
+  /// Called when an endpoint crashes under the request that comes again.
+  void RecordRepeatedCrash() { m_repeated_crashes.RecordCrash(kHarmfulBody); }
   /// Called when a caller has received a response, complete or not, or has none to expect.
   void RecordResponse(const SoakRequest& aRequest, const CallerResponse& aResponse);
   /// A daemon is stopped, killed or paused, or serves again.
@@ -132,6 +138,7 @@
   std::vector<std::unique_ptr<LeavingChecker>> m_leaving;
   std::vector<std::unique_ptr<RestChecker>> m_rests;
   CrashChecker m_crashes;
+  CrashChecker m_repeated_crashes{ 3 };
   /// The versions whose events callers received, for each stream.
   std::map<std::string, std::set<std::string>> m_versions;
   std::map<int, int> m_responses;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -26,6 +26,9 @@
   app.add_flag("--rests,!--no-rests",
                options.m_has_rests,
                "Let endpoints ask daemons for rest (default: yes)");
+  app.add_flag("--repeated-crashes,!--no-repeated-crashes",
+               options.m_repeats_crashes,
+               "Send a request that crashes endpoints again and again (default: yes)");
   app.add_flag("--faults", shows_faults, "Print the faults of each seed");
   CLI11_PARSE(app, aArgumentCount, aArguments);
   options.m_length = std::chrono::seconds(seconds);
