Keep to the rest that endpoints of the own interface ask for

The daemon that is asked gives the endpoint no work until then (each daemon has slots of its own there, so nobody else needs to know). A later shorter rest, or the back-off after a failed connection, does not shorten it. Requests whose deadline passes before any endpoint may be used again are rejected at once, also those that wait already, with a Retry-After from that moment; before, they waited for their deadline. The parser of the field is shared with the platform's dialect now.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -470,6 +470,7 @@
   end.m_end = endpoint_protocol::IsRefusedBeforeStart(aOutcome.m_status, aOutcome.m_headers)
                 ? AttemptEnd::RefusedBeforeStart
                 : AttemptEnd::Done;
+  end.m_rest = endpoint_protocol::RestAfterRefusal(aOutcome.m_status, aOutcome.m_headers);
   FinishAttempt(aCall, end);
 }
 
@@ -520,6 +521,19 @@
     .RecordEnded(aCall->m_start->m_choice.m_endpoint.m_host, aCall->m_request.m_key, aTook);
 }
 
+void
+Dispatcher::RecordRest(const CallPtr& aCall, Milliseconds aRest)
+{
+  const HostName& host = aCall->m_start->m_choice.m_endpoint.m_host;
+  LogOf("dispatch")
+    .info("event=rest-learned endpoint={} service={} identity={} rest_ms={}",
+          host.Value(),
+          aCall->m_request.m_service.Value(),
+          aCall->m_request.m_key.ToString(),
+          aRest.count());
+  SchedulerOf(aCall->m_request.m_service).RecordRest(host, m_dependencies.m_loop.Now() + aRest);
+}
+
 void
 Dispatcher::FinishAttempt(const CallPtr& aCall, const RelayEnd& aEnd)
 {
@@ -533,6 +547,9 @@
     took = m_dependencies.m_loop.Now() - aCall->m_started;
   }
   ReleaseEndpoint(aCall, took);
+  if (aEnd.m_rest > Milliseconds(0)) {
+    RecordRest(aCall, aEnd.m_rest);
+  }
   const ServiceName service = aCall->m_request.m_service;
   switch (aEnd.m_end) {
     case AttemptEnd::Done:
--- a/Libraries/LibDispatch/EndpointProtocol.cpp
+++ b/Libraries/LibDispatch/EndpointProtocol.cpp
@@ -1,11 +1,18 @@
 #include <LibDispatch/EndpointProtocol.h>
-#include <absl/strings/string_view.h>
 
+#include <LibCore/RetryAfter.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/string_view.h>
 #include <algorithm>
 
 namespace auburnhitch::endpoint_protocol {
 
+namespace {
+
+constexpr int kServiceUnavailable = 503;
+
+}
+
 HttpRequest
 WithRequestId(const HttpRequest& aRequest, const RequestKey& aKey)
 {
@@ -59,11 +66,18 @@
 IsRefusedBeforeStart(int aStatus, const HttpHeaders& aHeaders)
 {
   constexpr int kTooManyRequests = 429;
-  constexpr int kServiceUnavailable = 503;
   return (aStatus == kTooManyRequests || aStatus == kServiceUnavailable) &&
          FindHeader(aHeaders, headers::kOutcome) == NameOf(Outcome::NotRun);
 }
 
+Milliseconds
+RestAfterRefusal(int aStatus, const HttpHeaders& aHeaders)
+{
+  return aStatus == kServiceUnavailable && IsRefusedBeforeStart(aStatus, aHeaders)
+           ? ParseRetryAfter(FindHeader(aHeaders, "Retry-After")).value_or(Milliseconds(0))
+           : Milliseconds(0);
+}
+
 CachedResponse
 ToResponse(const HttpOutcome& aOutcome)
 {
--- a/Libraries/LibDispatch/StreamRelay.cpp
+++ b/Libraries/LibDispatch/StreamRelay.cpp
@@ -213,6 +213,7 @@
   end.m_response_headers = aOutcome.m_headers;
   const bool is_refusal =
     endpoint_protocol::IsRefusedBeforeStart(aOutcome.m_status, aOutcome.m_headers);
+  end.m_rest = endpoint_protocol::RestAfterRefusal(aOutcome.m_status, aOutcome.m_headers);
   end.m_end = is_refusal ? AttemptEnd::RefusedBeforeStart : AttemptEnd::Done;
   end.m_code = ErrorCodeFromName(FindHeader(aOutcome.m_headers, headers::kErrorCode));
   Finish(end);
--- a/Libraries/LibDispatch/include/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/include/LibDispatch/Dispatcher.h
@@ -123,6 +123,8 @@
   void StartStream(const CallPtr& aCall);
   void OnBufferedCallEnd(const CallPtr& aCall, const HttpOutcome& aOutcome);
   void FetchResponse(const CallPtr& aCall, ErrorCode aCode);
+  /// Sends the endpoint of a call no further requests for a while, as it has asked.
+  void RecordRest(const CallPtr& aCall, Milliseconds aRest);
   void FinishAttempt(const CallPtr& aCall, const RelayEnd& aEnd);
   void ReturnUnsent(const CallPtr& aCall);
   void FinishSuccessfully(const CallPtr& aCall, const CachedResponsePtr& aResponse);
--- a/Libraries/LibDispatch/include/LibDispatch/EndpointProtocol.h
+++ b/Libraries/LibDispatch/include/LibDispatch/EndpointProtocol.h
@@ -50,6 +50,11 @@
 bool
 IsRefusedBeforeStart(int aStatus, const HttpHeaders& aHeaders);
 
+/// For how long the endpoint wants no further requests of this daemon, as it states in such a
+/// response with status 503; zero if it does not say so.
+Milliseconds
+RestAfterRefusal(int aStatus, const HttpHeaders& aHeaders);
+
 /// The response as it is forwarded to callers.
 CachedResponse
 ToResponse(const HttpOutcome& aOutcome);
--- a/Libraries/LibDispatch/include/LibDispatch/StreamRelay.h
+++ b/Libraries/LibDispatch/include/LibDispatch/StreamRelay.h
@@ -22,6 +22,8 @@
   CachedResponsePtr m_response;
   /// All header fields of that response.
   HttpHeaders m_response_headers;
+  /// For how long the endpoint wants no further requests.
+  Milliseconds m_rest{ 0 };
   /// Time from the start of the relay to the first event, if there was one.
   std::optional<Duration> m_time_to_first_event;
 };
--- a/Libraries/LibScheduling/ServiceScheduler.cpp
+++ b/Libraries/LibScheduling/ServiceScheduler.cpp
@@ -25,6 +25,35 @@
   return !is_avoided && aContext.m_may_use(aEndpoint);
 }
 
+TimePoint
+ServiceScheduler::EarliestUse(const SchedulerContext& aContext, TimePoint aNow) const
+{
+  const auto has_usable = [&](TimePoint aAt) {
+    return m_endpoints.HasUsableEndpoint(
+      [&](const Endpoint& aEndpoint) { return MayUse(aEndpoint, aContext, aAt); });
+  };
+  if (m_avoided_until.empty() || has_usable(aNow)) {
+    return aNow;
+  }
+  TimePoint earliest = TimePoint::max();
+  for (const auto& [host, until] : m_avoided_until) {
+    if (until > aNow && until < earliest && has_usable(until)) {
+      earliest = until;
+    }
+  }
+  return earliest == TimePoint::max() ? aNow : earliest;
+}
+
+RejectedRequest
+ServiceScheduler::RejectUntil(TimePoint aEarliestUse, WaitingRequest aRequest, TimePoint aNow) const
+{
+  return { std::move(aRequest),
+           RejectionReason::NoEndpoint,
+           std::clamp(std::chrono::ceil<Milliseconds>(aEarliestUse - aNow),
+                      m_limits.m_min_retry_after,
+                      m_limits.m_max_retry_after) };
+}
+
 Milliseconds
 ServiceScheduler::RetryAfter(std::size_t aTier,
                              const SchedulerContext& aContext,
@@ -61,6 +90,11 @@
       RejectedRequest{ aRequest, RejectionReason::NoEndpoint, m_limits.m_min_retry_after });
     return rejected;
   }
+  const TimePoint earliest_use = EarliestUse(aContext, aNow);
+  if (earliest_use >= aRequest.m_deadline) {
+    rejected.push_back(RejectUntil(earliest_use, aRequest, aNow));
+    return rejected;
+  }
   const WorkUnits ahead = m_queue.WorkThrough(aRequest.m_tier) + aRequest.m_work;
   const bool can_wait =
     !m_endpoints.HasUsableEndpoint(may_use) ||
@@ -115,10 +149,19 @@
 {
   const HostName& host = aStarted.m_choice.m_endpoint.m_host;
   m_endpoints.RecordEnded(host, aStarted.m_request.m_key, std::nullopt);
-  m_avoided_until[host] = aNow + kUnreachableBackOff;
+  RecordRest(host, aNow + kUnreachableBackOff);
   m_queue.PushBack(aStarted.m_request);
 }
 
+void
+ServiceScheduler::RecordRest(const HostName& aHost, TimePoint aUntil)
+{
+  const auto [found, is_new] = m_avoided_until.try_emplace(aHost, aUntil);
+  if (!is_new) {
+    found->second = std::max(found->second, aUntil);
+  }
+}
+
 void
 ServiceScheduler::RecordEnded(const HostName& aHost,
                               const RequestKey& aKey,
@@ -150,6 +193,12 @@
         std::move(request), RejectionReason::NoEndpoint, m_limits.m_min_retry_after });
     }
   }
+  if (m_queue.Size() > 0) {
+    const TimePoint earliest_use = EarliestUse(aContext, aNow);
+    for (WaitingRequest& request : m_queue.TakeOverdue(earliest_use)) {
+      rejected.push_back(RejectUntil(earliest_use, std::move(request), aNow));
+    }
+  }
   return rejected;
 }
 
--- a/Libraries/LibScheduling/include/LibScheduling/ServiceScheduler.h
+++ b/Libraries/LibScheduling/include/LibScheduling/ServiceScheduler.h
@@ -88,6 +88,9 @@
   /// Requeues a request that was certainly not sent, and starts a back-off for its endpoint.
   void ReturnUnsent(const StartDecision& aStarted, TimePoint aNow);
   void RecordEnded(const HostName& aHost, const RequestKey& aKey, std::optional<Duration> aTook);
+  /// Gives an endpoint no work until a time, as it has asked for. A shorter rest or back-off does
+  /// not shorten one that lasts longer.
+  void RecordRest(const HostName& aHost, TimePoint aUntil);
 
   /// Removes the requests that have missed or cannot meet their deadline, and sheds lower work when
   /// a deadline has passed. Removes all requests when no endpoint is left.
@@ -102,6 +105,13 @@
 
 private:
   bool MayUse(const Endpoint& aEndpoint, const SchedulerContext& aContext, TimePoint aNow) const;
+  /// When an endpoint may first be used, if some are in back-off or rest; now if one may be used
+  /// now.
+  TimePoint EarliestUse(const SchedulerContext& aContext, TimePoint aNow) const;
+  /// A rejection of a request that cannot be served before an endpoint may be used again.
+  RejectedRequest RejectUntil(TimePoint aEarliestUse,
+                              WaitingRequest aRequest,
+                              TimePoint aNow) const;
   Milliseconds RetryAfter(std::size_t aTier,
                           const SchedulerContext& aContext,
                           TimePoint aNow) const;
--- a/Tests/Process/TestBadInput.cpp
+++ b/Tests/Process/TestBadInput.cpp
@@ -264,3 +264,20 @@
   CHECK(cluster.Caller().Call(cluster.CallerAddress(0), request)->Outcome() == "not-run");
   CHECK(cluster.ExecutionsOf("desk", "mill." + identity) == 0);
 }
+
+TEST_CASE("Rest: an endpoint of the own interface that asks for rest gets no more requests")
+{
+  Cluster cluster(OneDaemon());
+  cluster.Control("desk", Json{ { "refuse", true }, { "retry_after", "250" } });
+  CHECK(cluster.Caller().Call(cluster.CallerAddress(0), DeskRequest("mill-key"))->Outcome() ==
+        "not-run");
+  cluster.Control("desk", Json{ { "refuse", false } });
+  const std::string identity = cluster.PermitOf(0) + "-later";
+  HttpRequest request = DeskRequest("mill-key");
+  request.m_headers.emplace_back(headers::kIdentity, identity);
+  const auto call = cluster.Caller().Call(cluster.CallerAddress(0), request);
+  CHECK(call->Outcome() == "not-run");
+  CHECK(call->Header(headers::kErrorCode) == "no_endpoint");
+  CHECK_FALSE(call->Header("Retry-After").empty());
+  CHECK(cluster.ExecutionsOf("desk", "mill." + identity) == 0);
+}
--- a/Tests/StandIns/PlainStandIn.cpp
+++ b/Tests/StandIns/PlainStandIn.cpp
@@ -27,6 +27,7 @@
     const Json body = ControlBody(*aExchange);
     m_delay = Milliseconds(body.value("delay_ms", m_delay.count()));
     m_refuses = body.value("refuse", m_refuses);
+    m_retry_after = body.value("retry_after", m_retry_after);
     m_returns_wrong_request_id = body.value("echo_wrong", m_returns_wrong_request_id);
     m_holds_responses = body.value("hold", m_holds_responses);
     if (!m_holds_responses) {
@@ -39,7 +40,11 @@
   }
   const std::string id = aExchange->Header("X-Request-Id");
   if (m_refuses) {
-    aExchange->Reply(503, { { "X-Request-Id", id }, { "X-Request-Outcome", "not-run" } }, "{}");
+    HttpHeaders headers{ { "X-Request-Id", id }, { "X-Request-Outcome", "not-run" } };
+    if (!m_retry_after.empty()) {
+      headers.emplace_back("Retry-After", m_retry_after);
+    }
+    aExchange->Reply(503, headers, "{}");
     return;
   }
   ++m_executions[id];
--- a/Tests/StandIns/PlainStandIn.h
+++ b/Tests/StandIns/PlainStandIn.h
@@ -25,6 +25,8 @@
   Milliseconds m_delay;
   /// Whether requests get status 503 and are not run.
   bool m_refuses = false;
+  /// The Retry-After field of a refusal; none if empty.
+  std::string m_retry_after;
   /// Whether responses are held until a command releases them.
   bool m_holds_responses = false;
   std::vector<std::pair<HttpExchangePtr, std::string>> m_held;
--- a/Tests/Unit/TestServiceScheduler.cpp
+++ b/Tests/Unit/TestServiceScheduler.cpp
@@ -208,3 +208,38 @@
   }
   CHECK(to_slow < 10);
 }
+
+TEST_CASE("Rest: an endpoint gets no work until its latest rest ends")
+{
+  ServiceScheduler scheduler = SchedulerWith(2);
+  const HostName host("e-1");
+  scheduler.RecordRest(host, kStart + Milliseconds(2'000));
+  scheduler.RecordRest(host, kStart + Milliseconds(100));
+  // A request that can wait for the end waits, another one is rejected until then.
+  CHECK(scheduler.Admit(RequestOf("a", 0, 1, 5'000), AllUsable(), kStart).empty());
+  CHECK_FALSE(scheduler.Next(AllUsable(), kStart + Milliseconds(1'999)));
+  const auto rejected = scheduler.Admit(RequestOf("c", 0, 1, 1'900), AllUsable(), kStart);
+  REQUIRE(rejected.size() == 1);
+  CHECK(rejected[0].m_reason == RejectionReason::NoEndpoint);
+  CHECK(rejected[0].m_retry_after == Milliseconds(2'000));
+  const TimePoint end = kStart + Milliseconds(2'000);
+  const auto started = scheduler.Next(AllUsable(), end);
+  REQUIRE(started);
+  // Nor does the back-off of an unreachable endpoint shorten a rest.
+  scheduler.RecordRest(host, end + Milliseconds(2'000));
+  scheduler.ReturnUnsent(*started, end);
+  CHECK_FALSE(scheduler.Next(AllUsable(), end + Milliseconds(1'999)));
+  CHECK(scheduler.Next(AllUsable(), end + Milliseconds(2'000)));
+}
+
+TEST_CASE("Rest: requests that wait are rejected at once if they cannot wait for its end")
+{
+  ServiceScheduler scheduler = SchedulerWith(1);
+  CHECK(scheduler.Admit(RequestOf("a", 0, 1, 1'000), AllUsable(), kStart).empty());
+  CHECK(scheduler.Admit(RequestOf("b", 0, 1, 5'000), AllUsable(), kStart).empty());
+  scheduler.RecordRest(HostName("e-1"), kStart + Milliseconds(2'000));
+  const auto rejected = scheduler.TakeOverdue(AllUsable(), kStart);
+  REQUIRE(rejected.size() == 1);
+  CHECK(rejected[0].m_reason == RejectionReason::NoEndpoint);
+  CHECK(scheduler.WaitingCount() == 1);
+}
