Hold nothing against requests when many endpoints break off at once

Three endpoints or more that break off within the report delay, under requests of which none was at two of them, are one event: the evidence against whole requests is withdrawn. Parts are weighed as before.

TestCrashSuspects: of nine endpoints that break off at once, only the request that ran at two of them stays suspected.

--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -33,6 +33,8 @@
 // Half of what is known about the base rate is forgotten after this time.
 constexpr double kBaseRateHalfLifeMs = 60'000;
 constexpr int kMaxDoublings = 6;
+// Fewer endpoints may crash within the report delay under as many harmful requests.
+constexpr std::size_t kManyCrashes = 3;
 // Another trait explains a crash in place of this one only if its log odds are higher by this much:
 // traits that always occur together cannot be told apart.
 constexpr double kAlternativeMargin = 1;
@@ -372,6 +374,9 @@
   for (const auto& [id, candidate] : candidates) {
     Trait& trait = TraitOf(id, aNow);
     const bool is_whole = IsWholeRequest(id);
+    if (is_whole) {
+      crash.m_whole_requests.insert(id);
+    }
     trait.m_crashes += candidate.m_is_independent || is_whole ? 1 : 0;
     if (!candidate.m_is_independent) {
       continue;
@@ -389,6 +394,48 @@
   crash.m_unexplained = no_cause_above(kMinLogOdds) / (1 - base_rate);
   m_unexplained += crash.m_unexplained;
   m_crashes.push_back(std::move(crash));
+  WithdrawIfMany(aNow);
+}
+
+void
+CrashSuspects::WithdrawIfMany(TimePoint aNow)
+{
+  std::vector<Crash*> recent;
+  std::map<CrashTrait, int> crashes_of;
+  for (Crash& crash : m_crashes) {
+    if (aNow - crash.m_at <= kReportDelay) {
+      recent.push_back(&crash);
+      for (const CrashTrait& id : crash.m_whole_requests) {
+        ++crashes_of[id];
+      }
+    }
+  }
+  if (recent.size() < kManyCrashes) {
+    return;
+  }
+  for (Crash* crash : recent) {
+    std::erase_if(crash->m_evidence, [&](const auto& aEntry) {
+      const auto& [id, evidence] = aEntry;
+      const bool is_withdrawn = IsWholeRequest(id) && crashes_of[id] == 1;
+      if (is_withdrawn) {
+        TakeBack(id, evidence, aNow);
+      }
+      return is_withdrawn;
+    });
+  }
+}
+
+void
+CrashSuspects::TakeBack(const CrashTrait& aId, double aEvidence, TimePoint aNow)
+{
+  const auto found = m_traits.find(aId);
+  if (found == m_traits.end()) {
+    return;
+  }
+  Trait& trait = found->second;
+  trait.m_crashes = std::max(0, trait.m_crashes - 1);
+  trait.m_own_crashes = std::max(0, trait.m_own_crashes - 1);
+  SetLogOdds(aId, trait, trait.m_log_odds - aEvidence, aNow);
 }
 
 void
@@ -403,11 +450,7 @@
     return;
   }
   for (const auto& [id, evidence] : found->m_evidence) {
-    if (const auto trait = m_traits.find(id); trait != m_traits.end()) {
-      trait->second.m_crashes = std::max(0, trait->second.m_crashes - 1);
-      trait->second.m_own_crashes = std::max(0, trait->second.m_own_crashes - 1);
-      SetLogOdds(id, trait->second, trait->second.m_log_odds - evidence, aNow);
-    }
+    TakeBack(id, evidence, aNow);
   }
   m_unexplained = std::max(0.0, m_unexplained - found->m_unexplained);
   m_crashes.erase(found);
--- a/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -183,6 +183,8 @@
     std::vector<SlotRequestId> m_requests;
     /// What was added to the log odds of each trait.
     std::vector<std::pair<CrashTrait, double>> m_evidence;
+    /// The whole requests that were candidates.
+    std::set<CrashTrait> m_whole_requests;
     /// What was added to the crashes that no trait explains.
     double m_unexplained = 0;
   };
@@ -214,6 +216,10 @@
   /// Withdraws the evidence of a crash if a request that ran there goes on: only a connection
   /// broke.
   void WithdrawEvidence(const SlotRequestId& aRequestId, TimePoint aNow);
+  /// Withdraws the evidence against whole requests if many endpoints crash at the same time under
+  /// different ones: something else has happened to all of them, or to all connections.
+  void WithdrawIfMany(TimePoint aNow);
+  void TakeBack(const CrashTrait& aId, double aEvidence, TimePoint aNow);
   void RecordNotRunning(const RunningRequest& aRequest);
   static TraitSuspicion SuspicionOf(const CrashTrait& aId, const Trait& aTrait, TimePoint aNow);
 
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -230,6 +230,10 @@
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/if \(!IsWholeRequest\(id\)\) \{\n( *trait.m_crashes = std::min)/if (true) {\n\1/; s/m_limits.m_max_crashes - 1\)/2)/' \
   "$UNIT" "Repeated crashes: at most two trials*"
+mutate "a request that crashes endpoints is refused: not those under which many endpoints break at once" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/if \(recent.size\(\) < kManyCrashes\)/if (recent.size() < 100 * kManyCrashes)/' \
+  "$UNIT" "Repeated crashes: many endpoints*"
 mutate "a request that crashes endpoints is refused: a popular one is not" \
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/trait.m_log_odds \+ kCompletionEvidence/trait.m_log_odds/; s/constexpr double kCompletionEvidence = -7;//' \
--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -609,3 +609,27 @@
   }
   CHECK(trace.AdmissionOf(kHarmful) == Admission::Refuse);
 }
+
+TEST_CASE("Repeated crashes: many endpoints that crash at once make no request suspected")
+{
+  Trace trace;
+  trace.RunHarmless(300);
+  constexpr int kEndpoints = 9;
+  const auto request_at = [](int aEndpoint) { return TraitOfRequest(std::to_string(aEndpoint)); };
+  const auto id_at = [](int aEndpoint) { return IdOf(1, std::to_string(aEndpoint).c_str()); };
+  for (int endpoint = 0; endpoint < kEndpoints; ++endpoint) {
+    // One request runs at two of them.
+    const std::vector<CrashTrait> traits{ endpoint < 2 ? kRequest : request_at(endpoint) };
+    trace.m_suspects.Begin(
+      id_at(endpoint), EndpointId(std::to_string(endpoint)), traits, trace.m_now);
+  }
+  trace.m_now += Milliseconds(50);
+  for (int endpoint = 0; endpoint < kEndpoints; ++endpoint) {
+    trace.m_now += Milliseconds(1);
+    trace.m_suspects.RecordEnded(id_at(endpoint), SlotOutcome::Broken, false, trace.m_now);
+  }
+  CHECK(trace.m_suspects.HasSuspectedRequest({ kRequest }));
+  for (int endpoint = 2; endpoint < kEndpoints; ++endpoint) {
+    CHECK_FALSE(trace.m_suspects.HasSuspectedRequest({ request_at(endpoint) }));
+  }
+}
--- a/Tests/Unit/TestRepeatedCrashLoad.cpp
+++ b/Tests/Unit/TestRepeatedCrashLoad.cpp
@@ -44,6 +44,8 @@
   /// Crashes for other reasons, over all endpoints, and how many endpoints crash at once.
   double m_crashes_per_second = 0;
   std::size_t m_crashes_at_once = 1;
+  /// How long an endpoint that has crashed is down; 0 if only its connections are reset.
+  double m_down_ms = kDownMs;
 };
 
 struct Result
@@ -318,7 +320,11 @@
         ComeBack(number, 0);
       }
     }
-    m_events.Schedule(m_events.Now() + kDownMs, [this, aEndpoint] {
+    if (m_load.m_down_ms == 0) {
+      m_down.erase(aEndpoint);
+      return;
+    }
+    m_events.Schedule(m_events.Now() + m_load.m_down_ms, [this, aEndpoint] {
       m_down.erase(aEndpoint);
       m_ids[aEndpoint] = NewId();
       Register();
@@ -375,6 +381,8 @@
           aLoad.m_crashes_per_second,
           ", at once ",
           aLoad.m_crashes_at_once,
+          ", down for ms ",
+          aLoad.m_down_ms,
           ": crashes under harmful ",
           sum.m_harmful_crashes,
           ", most late arrivals ",
@@ -418,7 +426,9 @@
                            Load{ 9, 0, 0.5 },
                            Load{ 9, 0, 1.0 },
                            Load{ 9, 0, 0.5, 3 },
-                           Load{ 9, 0, 0.9, 9 } }) {
+                           Load{ 9, 0, 0.9, 9 },
+                           Load{ 3, 0, 1.5, 3, 0 },
+                           Load{ 9, 0, 4.5, 9, 0 } }) {
     const Result before = Simulate(false, load);
     const Result now = Simulate(true, load);
     CHECK(now.m_popular_refused == 0);
