--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -102,6 +102,8 @@
   bool IsLeaving() const { return m_is_leaving; }
   /// Refuses all requests for a while and asks for rest.
   void Rest(Ms aRest) { m_rests_until = Clock::now() + aRest; }
+  /// A fault on the way to and from the endpoint begins or ends.
+  void RecordLinkFault(bool aIsOver) { m_link_faults += aIsOver ? -1 : 1; }
 
   bool Serve(RawConnection& aConnection, const RawRequest& aRequest)
   {
@@ -112,7 +114,10 @@
       id, m_index, is_other ? std::nullopt : std::optional(m_incarnation.load()));
     const auto rest = std::chrono::ceil<Ms>(m_rests_until.load() - Clock::now());
     if (!is_other && rest > Ms(0)) {
-      m_checker.RecordRest(id, m_index, m_incarnation, rest);
+      // A response that may be lost on its way binds no daemon.
+      if (m_link_faults == 0) {
+        m_checker.RecordRest(id, m_index, m_incarnation, rest);
+      }
       aConnection.Write(absl::StrCat("HTTP/1.1 503 X\r\nX-Request-Id: ",
                                      id,
                                      Statements(),
@@ -299,6 +304,7 @@
   std::atomic<bool> m_is_leaving = false;
   std::atomic<bool> m_has_crashed = false;
   std::atomic<Clock::time_point> m_rests_until{};
+  std::atomic<int> m_link_faults = 0;
   std::mt19937 m_random;
 };
 
@@ -530,9 +536,12 @@
     const std::size_t endpoint = m_random() % m_options.m_endpoints;
     const nlohmann::json fault = ProxyFault();
     RecordFault(absl::StrCat("endpoint ", endpoint, ": ", fault.dump()));
+    m_endpoints[endpoint]->RecordLinkFault(false);
     m_cluster.CommandEndpointProxy(endpoint, fault);
-    ScheduleAfter(DrawFaultDuration(),
-                  [this, endpoint] { m_cluster.CommandEndpointProxy(endpoint, NoFault()); });
+    ScheduleAfter(DrawFaultDuration(), [this, endpoint] {
+      m_cluster.CommandEndpointProxy(endpoint, NoFault());
+      m_endpoints[endpoint]->RecordLinkFault(true);
+    });
   }
 
   /// Cuts paths between daemons: one path in one direction, all paths of one daemon, or those
