Refuse no request after three crashes that whole responses vouch for

That limit is for requests that the odds are slow to convict since endpoints crash often, not for those that have been served: a request that crashes what runs it has no whole response. It applies only to requests whose odds are not below the prior.

TestCrashSuspects: the new case fails without the condition (refused at the third crash).

--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -383,7 +383,10 @@
     }
     const double no_other_cause = no_cause_above(candidate.m_log_odds + kAlternativeMargin);
     double log_odds = candidate.m_log_odds - std::log(1 - no_other_cause);
-    if (is_whole && no_other_cause >= 1 - base_rate &&
+    // Whole responses vouch for a request, however often endpoints crash.
+    const bool is_vouched_for =
+      candidate.m_log_odds < m_request_prior_log_odds - kAlternativeMargin;
+    if (is_whole && !is_vouched_for && no_other_cause >= 1 - base_rate &&
         ++trait.m_own_crashes >= m_limits.m_request_crashes_until_refusal) {
       log_odds = std::max(log_odds, m_refuse_log_odds);
     }
--- a/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -59,8 +59,8 @@
     /// As m_prior, for whole requests. Two crashes in which nothing else is suspected then make
     /// them refused while endpoints are otherwise stable.
     double m_request_prior = 5e-3;
-    /// After this many independent crashes that nothing else explains better, a request is refused
-    /// whatever the base rate.
+    /// After this many independent crashes that nothing else explains better, a request without
+    /// whole responses is refused whatever the base rate.
     int m_request_crashes_until_refusal = 3;
     /// After this many crashes in a row a refused request is not tried again: of the six endpoints
     /// that it may reach, one is left for a grant on its way.
--- a/Tests/Process/TestSoak.cpp
+++ b/Tests/Process/TestSoak.cpp
@@ -35,7 +35,13 @@
   { 34002, nullptr, true },
   { 41001, nullptr, true, true },
   { 42001, nullptr, true, true, true },
-  { 42002, nullptr, true, true, true }
+  { 42002, nullptr, true, true, true },
+  { 43006,
+    "two daemons serve no unsafe requests after the faults: a popular request was refused after "
+    "three crashes in a row, though it had been served before",
+    true,
+    true,
+    true }
 };
 
 }
--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -633,3 +633,19 @@
     CHECK_FALSE(trace.m_suspects.HasSuspectedRequest({ request_at(endpoint) }));
   }
 }
+
+TEST_CASE("Repeated crashes: a request with whole responses is not refused after any three crashes")
+{
+  Trace trace;
+  for (int i = 0; i < 60; ++i) {
+    trace.Crash({});
+    trace.Crash({ { TraitOfRequest(std::to_string(i)) } });
+    trace.Run({ kRequest }, SlotOutcome::Complete);
+    trace.RunHarmless(8);
+  }
+  CHECK(trace.m_suspects.BaseRate() > 0.02);
+  for (int crash = 0; crash < 3; ++crash) {
+    trace.Crash({ { kRequest } });
+    CHECK(trace.AdmissionOf(kRequest) != Admission::Refuse);
+  }
+}
