Remember at each daemon which requests had whole responses

The daemon that had just become coordinator was told that the request was suspected (0.34 after one crash) and knew nothing of the whole responses to it, which only the coordinator before it had seen; two more crashes in 0.1 s made it 0.996.

Each daemon records the whole responses to its own requests in its own table, and a suspicion from elsewhere that is short of a refusal does not replace that. What is refused elsewhere is still refused, and no message is new.

--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -264,7 +264,8 @@
   if (found == m_outstanding.end()) {
     return;
   }
-  const OutstandingRequest& outstanding = found->second;
+  OutstandingRequest& outstanding = found->second;
+  outstanding.m_is_end_unproven = true;
   if (IsSelf(outstanding.m_coordinator)) {
     m_coordinator.Suspects()
       .Of(outstanding.m_service)
@@ -317,6 +318,11 @@
     ScheduleDecision(outstanding.m_service);
     return;
   }
+  if (aOutcome == SlotOutcome::Complete && !outstanding.m_is_end_unproven) {
+    m_coordinator.Suspects()
+      .Of(outstanding.m_service)
+      ->RecordWholeResponse(outstanding.m_request.m_crash_traits, Now());
+  }
   SendToCoordinator(
     outstanding.m_coordinator,
     ReleaseMessage{ outstanding.m_service, aNumber, outstanding.m_endpoint, aOutcome });
--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -140,6 +140,8 @@
     TimePoint m_requested_at;
     bool m_is_acknowledged = false;
     bool m_is_granted = false;
+    /// See MarkEndUnproven().
+    bool m_is_end_unproven = false;
     TimePoint m_granted_at;
     EndpointId m_endpoint;
     /// What the coordinator says of the endpoint before it grants a slot there.
--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -252,6 +252,27 @@
   RecordNotRunning(request);
 }
 
+void
+CrashSuspects::RecordWholeResponse(const std::vector<CrashTrait>& aTraits, TimePoint aNow)
+{
+  for (const CrashTrait& id : aTraits) {
+    if (!IsWholeRequest(id)) {
+      continue;
+    }
+    Trait& trait = TraitOf(id, aNow);
+    // What the coordinator says of a suspected request counts.
+    if (trait.m_log_odds <= m_request_prior_log_odds) {
+      SetLogOdds(id, trait, trait.m_log_odds + kCompletionEvidence, aNow);
+    }
+  }
+}
+
+bool
+CrashSuspects::IsVouchedFor(const CrashTrait& aId, double aLogOdds) const
+{
+  return IsWholeRequest(aId) && aLogOdds < m_request_prior_log_odds - kAlternativeMargin;
+}
+
 void
 CrashSuspects::ForgetDaemon(const Incarnation& aDaemon)
 {
@@ -384,9 +405,7 @@
     const double no_other_cause = no_cause_above(candidate.m_log_odds + kAlternativeMargin);
     double log_odds = candidate.m_log_odds - std::log(1 - no_other_cause);
     // Whole responses vouch for a request, however often endpoints crash.
-    const bool is_vouched_for =
-      candidate.m_log_odds < m_request_prior_log_odds - kAlternativeMargin;
-    if (is_whole && !is_vouched_for && no_other_cause >= 1 - base_rate &&
+    if (is_whole && !IsVouchedFor(id, candidate.m_log_odds) && no_other_cause >= 1 - base_rate &&
         ++trait.m_own_crashes >= m_limits.m_request_crashes_until_refusal) {
       log_odds = std::max(log_odds, m_refuse_log_odds);
     }
@@ -575,6 +594,11 @@
 CrashSuspects::Apply(const TraitSuspicion& aSuspicion, TimePoint aNow)
 {
   Trait& trait = TraitOf(aSuspicion.m_trait, aNow);
+  // Who suspects it may not know of the whole responses that are known here.
+  if (IsVouchedFor(aSuspicion.m_trait, trait.m_log_odds) &&
+      LogOddsOf(aSuspicion.m_probability) < m_refuse_log_odds) {
+    return;
+  }
   trait.m_log_odds = std::clamp(LogOddsOf(aSuspicion.m_probability), kMinLogOdds, kMaxLogOdds);
   UpdateRunningSuspects(aSuspicion.m_trait, trait);
   trait.m_crashes = aSuspicion.m_crashes;
--- a/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -103,6 +103,9 @@
                    SlotOutcome aOutcome,
                    bool aIsExpected,
                    TimePoint aNow);
+  /// Records a whole response to a request of this daemon whose slot another daemon granted: if
+  /// this one coordinates the service later, it knows which requests are harmless.
+  void RecordWholeResponse(const std::vector<CrashTrait>& aTraits, TimePoint aNow);
   /// Forgets the requests of a daemon that has stopped.
   void ForgetDaemon(const Incarnation& aDaemon);
 
@@ -193,6 +196,8 @@
   /// Drops the oldest parts, or the oldest whole requests.
   void DropOldest(bool aAreWholeRequests);
   bool IsSuspected(const CrashTrait& aId) const;
+  /// Whether whole responses have shown that a whole request does not crash endpoints.
+  bool IsVouchedFor(const CrashTrait& aId, double aLogOdds) const;
   /// Whether a request that runs may still crash its endpoint.
   bool IsAtRisk(const SlotRequestId& aRequestId,
                 const RunningRequest& aRequest,
--- a/Tests/Process/TestSoak.cpp
+++ b/Tests/Process/TestSoak.cpp
@@ -41,6 +41,12 @@
     "three crashes in a row, though it had been served before",
     true,
     true,
+    true },
+  { 44008,
+    "two daemons serve no stream requests after the faults: a new coordinator did not know that a "
+    "popular request had been served, and refused it",
+    true,
+    true,
     true }
 };
 
--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -649,3 +649,22 @@
     CHECK(trace.AdmissionOf(kRequest) != Admission::Refuse);
   }
 }
+
+TEST_CASE("Repeated crashes: a new coordinator knows of the whole responses to its own requests")
+{
+  Trace follower;
+  for (int i = 0; i < 3; ++i) {
+    follower.m_suspects.RecordWholeResponse({ kRequest }, follower.m_now);
+  }
+  // The coordinator before, or another daemon, suspected it.
+  const TraitSuspicion suspicion{ kRequest, 0.34, 1, Milliseconds(0) };
+  follower.m_suspects.Apply(suspicion, follower.m_now);
+  follower.m_suspects.Merge(suspicion, follower.m_now);
+  follower.Crash({ { kRequest } });
+  follower.Crash({ { kRequest } });
+  CHECK(follower.AdmissionOf(kRequest) != Admission::Refuse);
+  // What is refused elsewhere is refused here, and a whole response does not end that.
+  follower.m_suspects.Apply({ kRequest, 0.99, 3, Milliseconds(5'000) }, follower.m_now);
+  follower.m_suspects.RecordWholeResponse({ kRequest }, follower.m_now);
+  CHECK(follower.AdmissionOf(kRequest) == Admission::Refuse);
+}
