Keep a rest for the next incarnation if that may have asked for it

A rest that was stated within the 4 s that a registration may take, or while the store could not be read, now holds for the incarnation that is registered then, at the daemon and at its coordinator, as LeavingEndpoints presumes. The price: an endpoint that starts again that soon after it has asked gets nothing until the rest ends.

TestEndpointRests has the case. The process test that the next incarnation gets requests at once registered it within a millisecond of the rest, where it can't be told whose rest it is; it waits 4.5 s first now, as the test of leaving endpoints does.

--- a/Libraries/LibBroker/NoticeExchange.cpp
+++ b/Libraries/LibBroker/NoticeExchange.cpp
@@ -93,6 +93,8 @@
                              TimePoint aReadableSince,
                              TimePoint aNow)
 {
+  m_own_rests.RecordRegistered(aEndpoint, aReadableSince, aNow);
+  m_coordinator.RecordRegistered(aEndpoint, aReadableSince, aNow);
   if (m_leaving.RecordRegistered(aService, aEndpoint, aReadableSince, aNow)) {
     LogOf("broker").info("event=leaving-presumed endpoint={} started_at_ms={} service={}",
                          aEndpoint.m_id.Value(),
--- a/Libraries/LibBroker/include/LibBroker/NoticeExchange.h
+++ b/Libraries/LibBroker/include/LibBroker/NoticeExchange.h
@@ -62,8 +62,8 @@
   {
     return m_own_rests.EndOf(aEndpoint, m_own, aNow).has_value();
   }
-  /// Handles the registration of an incarnation; see LeavingEndpoints::RecordRegistered(). Call
-  /// before the coordinator reads the endpoints again.
+  /// Handles the registration of an incarnation; see RecordRegistered() of LeavingEndpoints and
+  /// EndpointRests. Call before the coordinator reads the endpoints again.
   void OnRegistered(const ServiceName& aService,
                     const EndpointIncarnation& aEndpoint,
                     TimePoint aReadableSince,
--- a/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
@@ -68,6 +68,13 @@
                   const Incarnation& aDaemon,
                   Milliseconds aRest,
                   TimePoint aNow);
+  /// See EndpointRests::RecordRegistered().
+  void RecordRegistered(const EndpointIncarnation& aEndpoint,
+                        TimePoint aReadableSince,
+                        TimePoint aNow)
+  {
+    m_rests->RecordRegistered(aEndpoint, aReadableSince, aNow);
+  }
   /// Drops the rests that have ended. Call at intervals.
   void DropEndedRests(TimePoint aNow) { m_rests->DropExpired(aNow); }
   /// The limit that an endpoint states, if this daemon coordinates the service and knows of one.
--- a/Libraries/LibPlacement/EndpointRests.cpp
+++ b/Libraries/LibPlacement/EndpointRests.cpp
@@ -4,6 +4,14 @@
 
 namespace auburnhitch {
 
+namespace {
+
+// Time within which the registration of an endpoint that has started is read here, if the store can
+// be reached; as for endpoints that leave.
+constexpr Milliseconds kRegistrationLag{ 4'000 };
+
+}
+
 bool
 EndpointRests::Record(const ServiceName& aService,
                       const EndpointIncarnation& aEndpoint,
@@ -14,9 +22,10 @@
   const TimePoint until = aNow + aRest;
   const auto [found, is_new] = m_entries.try_emplace(Key(aEndpoint, aDaemon));
   if (!is_new && found->second.m_until >= until) {
+    found->second.m_stated_at = aNow;
     return false;
   }
-  found->second = Entry{ aService, until };
+  found->second = Entry{ aService, until, aNow };
   if (m_entries.size() > m_max_entries) {
     DropExpired(aNow);
   }
@@ -35,6 +44,31 @@
     }));
 }
 
+void
+EndpointRests::RecordRegistered(const EndpointIncarnation& aEndpoint,
+                                TimePoint aReadableSince,
+                                TimePoint aNow)
+{
+  std::vector<std::pair<Incarnation, Entry>> presumed;
+  for (const auto& [key, entry] : m_entries) {
+    const bool is_registered_late =
+      aReadableSince > entry.m_stated_at || aNow - entry.m_stated_at <= kRegistrationLag;
+    if (key.first.m_id == aEndpoint.m_id && key.first.m_started_at_ms < aEndpoint.m_started_at_ms &&
+        is_registered_late) {
+      presumed.emplace_back(key.second, entry);
+    }
+  }
+  for (const auto& [daemon, entry] : presumed) {
+    if (entry.m_until > aNow) {
+      Record(entry.m_service,
+             aEndpoint,
+             daemon,
+             std::chrono::ceil<Milliseconds>(entry.m_until - aNow),
+             aNow);
+    }
+  }
+}
+
 std::optional<TimePoint>
 EndpointRests::EndOf(const EndpointIncarnation& aEndpoint,
                      const Incarnation& aDaemon,
--- a/Libraries/LibPlacement/include/LibPlacement/EndpointRests.h
+++ b/Libraries/LibPlacement/include/LibPlacement/EndpointRests.h
@@ -18,8 +18,8 @@
 };
 
 /// The rests that endpoints have asked daemons for: until its end, the daemon sends the endpoint no
-/// requests. A rest binds one daemon, and ends early only with the incarnation of the endpoint.
-/// Owns no clock. Not thread-safe.
+/// requests. A rest binds one daemon, and ends early only with the incarnation of the endpoint,
+/// unless the next one may have asked for it. Owns no clock. Not thread-safe.
 class EndpointRests
 {
 public:
@@ -43,6 +43,12 @@
   std::vector<EndpointRest> Of(const ServiceName& aService,
                                const Incarnation& aDaemon,
                                TimePoint aNow) const;
+  /// Handles the registration of an incarnation. A rest that the one before has asked for lately
+  /// may have been asked for by this one, before its registration was read: it then holds for both.
+  /// aReadableSince: since when the store could be reached.
+  void RecordRegistered(const EndpointIncarnation& aEndpoint,
+                        TimePoint aReadableSince,
+                        TimePoint aNow);
   bool IsEmpty() const { return m_entries.empty(); }
   std::size_t Size() const { return m_entries.size(); }
   /// Call at intervals.
@@ -55,6 +61,7 @@
   {
     ServiceName m_service;
     TimePoint m_until;
+    TimePoint m_stated_at;
   };
 
   void DropFirstToEnd();
--- a/Tests/Process/TestRestingEndpoints.cpp
+++ b/Tests/Process/TestRestingEndpoints.cpp
@@ -249,6 +249,8 @@
   CHECK(cluster.Call("/unsafe/x", "second").m_status == 503);
   CHECK(cluster.Endpoint(0).Requests().size() == received);
   cluster.Endpoint(0).SetBehaviour(RespondWithSuccess);
+  // A registration that follows sooner may be that of the incarnation that asked.
+  std::this_thread::sleep_for(Ms(4'500));
   cluster.Register(0, "ready", { { "born", 2 } });
   CHECK(WaitFor([&] { return cluster.Call("/unsafe/x", "third").m_status == 200; }));
 }
--- a/Tests/Unit/TestEndpointRests.cpp
+++ b/Tests/Unit/TestEndpointRests.cpp
@@ -164,3 +164,24 @@
   CHECK(resting.m_scheduler.Decide(At(120)).m_grants.empty());
   CHECK(resting.m_scheduler.Decide(At(510)).m_grants.size() == 1);
 }
+
+TEST_CASE("Rest: a rest that the next incarnation may have asked for holds for both")
+{
+  const EndpointIncarnation next{ kFirst.m_id, 2 };
+  EndpointRests rests(10);
+  rests.Record(kService, kFirst, kOne, Milliseconds(6'000), At(0));
+  // Registered while the store can be reached, too late for the rest to be its own.
+  rests.RecordRegistered(next, At(-1), At(4'001));
+  CHECK_FALSE(rests.EndOf(next, kOne, At(4'001)));
+  // The store could not be reached meanwhile.
+  rests.RecordRegistered(next, At(1), At(4'001));
+  CHECK(rests.EndOf(next, kOne, At(4'001)) == At(6'000));
+  CHECK_FALSE(rests.EndOf(next, kOther, At(4'001)));
+  CHECK_FALSE(rests.EndOf({ kSecond.m_id, 2 }, kOne, At(4'001)));
+  // Registered within the time that this takes.
+  rests.Record(kService, kSecond, kOther, Milliseconds(2'000), At(5'000));
+  rests.RecordRegistered({ kSecond.m_id, 2 }, At(-1), At(6'500));
+  CHECK(rests.EndOf({ kSecond.m_id, 2 }, kOther, At(6'999)) == At(7'000));
+  rests.RecordRegistered({ kSecond.m_id, 3 }, At(-1), At(7'500));
+  CHECK_FALSE(rests.EndOf({ kSecond.m_id, 3 }, kOther, At(7'500)));
+}
