Hold a crash against a whole request only if its response had not begun

Callers whose streams broke off in their middle were refused as if the stream crashed endpoints: four cases of TestStreamVersions failed in the run of all tests, where each stream breaks off after its first event, with the same target, caller and body. Three breaks in a row without a whole response refused it.

A connection that ends in the middle of a response is no sign that the request crashes what begins to run it; the users' request ended endpoints before any byte. Whole requests are candidates only until the first byte now. Parts of prompts are weighed as before. The 15 cases of streams pass again, and the unit tests of crashes.

--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -345,6 +345,10 @@
       return;
     }
     for (const CrashTrait& id : aRequest.m_traits) {
+      // Streams that break off in their middle, for whatever reason, come again as they are.
+      if (IsWholeRequest(id) && aRequest.m_started_at) {
+        continue;
+      }
       const Trait& trait = TraitOf(id, aNow);
       Candidate& candidate = candidates[id];
       candidate.m_log_odds = trait.m_log_odds;
