Weigh a crash that a connection which broke just before would hide

A request that was granted after the crash that is known, and breaks off, is weighed now as a crash of its own, for whole requests alone: many requests have the same parts of prompts, and a dead endpoint would count against them once more. Three endpoints that break off at once are counted by endpoint, since one of them may be recorded twice.

TestCrashSuspects has the case; on the code before, the request stayed admitted. 'Complete response' is the term for what the code called a whole one.

--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -321,7 +321,7 @@
   if (aOutcome == SlotOutcome::Complete && !outstanding.m_is_end_unproven) {
     m_coordinator.Suspects()
       .Of(outstanding.m_service)
-      ->RecordWholeResponse(outstanding.m_request.m_crash_traits, Now());
+      ->RecordCompleteResponse(outstanding.m_request.m_crash_traits, Now());
   }
   SendToCoordinator(
     outstanding.m_coordinator,
--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -33,7 +33,7 @@
 // Half of what is known about the base rate is forgotten after this time.
 constexpr double kBaseRateHalfLifeMs = 60'000;
 constexpr int kMaxDoublings = 6;
-// Fewer endpoints may crash within the report delay under as many harmful requests.
+// Two endpoints may crash within the report delay under two harmful requests.
 constexpr std::size_t kManyCrashes = 3;
 // Another trait explains a crash in place of this one only if its log odds are higher by this much:
 // traits that always occur together cannot be told apart.
@@ -253,7 +253,7 @@
 }
 
 void
-CrashSuspects::RecordWholeResponse(const std::vector<CrashTrait>& aTraits, TimePoint aNow)
+CrashSuspects::RecordCompleteResponse(const std::vector<CrashTrait>& aTraits, TimePoint aNow)
 {
   for (const CrashTrait& id : aTraits) {
     if (!IsWholeRequest(id)) {
@@ -268,7 +268,7 @@
 }
 
 bool
-CrashSuspects::IsVouchedFor(const CrashTrait& aId, double aLogOdds) const
+CrashSuspects::IsProvenHarmless(const CrashTrait& aId, double aLogOdds) const
 {
   return IsWholeRequest(aId) && aLogOdds < m_request_prior_log_odds - kAlternativeMargin;
 }
@@ -326,13 +326,13 @@
             aCrash.m_requests.end());
 }
 
-CrashSuspects::Crash*
-CrashSuspects::CrashOf(const SlotRequestId& aRequestId, const RunningRequest& aRequest)
+const CrashSuspects::Crash*
+CrashSuspects::CrashOf(const SlotRequestId& aRequestId, const RunningRequest& aRequest) const
 {
-  const auto found = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const Crash& aCrash) {
+  const auto found = std::find_if(m_crashes.rbegin(), m_crashes.rend(), [&](const Crash& aCrash) {
     return IsOf(aCrash, aRequestId, aRequest);
   });
-  return found == m_crashes.end() ? nullptr : &*found;
+  return found == m_crashes.rend() ? nullptr : &*found;
 }
 
 std::map<CrashTrait, CrashSuspects::Candidate>
@@ -345,7 +345,7 @@
       return;
     }
     for (const CrashTrait& id : aRequest.m_traits) {
-      // Streams that break off in their middle, for whatever reason, come again as they are.
+      // A stream that breaks off is sent again with the same content, whatever the reason.
       if (IsWholeRequest(id) && aRequest.m_started_at) {
         continue;
       }
@@ -370,9 +370,14 @@
                            const RunningRequest& aRequest,
                            TimePoint aNow)
 {
-  if (Crash* known = CrashOf(aRequestId, aRequest)) {
-    std::erase(known->m_requests, aRequestId);
-    return;
+  std::map<CrashTrait, Candidate> candidates = CandidatesAt(aRequest.m_endpoint, aNow);
+  if (const Crash* known = CrashOf(aRequestId, aRequest)) {
+    if (aRequest.m_granted_at <= known->m_at) {
+      return;
+    }
+    // The endpoint may have crashed only now, if just a connection broke before. Parts are not
+    // weighed again: many requests have the same ones.
+    std::erase_if(candidates, [](const auto& aEntry) { return !IsWholeRequest(aEntry.first); });
   }
   Crash crash;
   crash.m_endpoint = aRequest.m_endpoint;
@@ -382,7 +387,6 @@
       crash.m_requests.push_back(id);
     }
   }
-  const std::map<CrashTrait, Candidate> candidates = CandidatesAt(aRequest.m_endpoint, aNow);
   std::erase_if(m_unproven_ends, [&](const UnprovenEnd& aEnd) {
     return aEnd.m_request.m_endpoint == aRequest.m_endpoint;
   });
@@ -397,25 +401,8 @@
     return no_cause;
   };
   for (const auto& [id, candidate] : candidates) {
-    Trait& trait = TraitOf(id, aNow);
-    const bool is_whole = IsWholeRequest(id);
-    if (is_whole) {
-      crash.m_whole_requests.insert(id);
-    }
-    trait.m_crashes += candidate.m_is_independent || is_whole ? 1 : 0;
-    if (!candidate.m_is_independent) {
-      continue;
-    }
-    const double no_other_cause = no_cause_above(candidate.m_log_odds + kAlternativeMargin);
-    double log_odds = candidate.m_log_odds - std::log(1 - no_other_cause);
-    // Whole responses vouch for a request, however often endpoints crash.
-    if (is_whole && !IsVouchedFor(id, candidate.m_log_odds) && no_other_cause >= 1 - base_rate &&
-        ++trait.m_own_crashes >= m_limits.m_request_crashes_until_refusal) {
-      log_odds = std::max(log_odds, m_refuse_log_odds);
-    }
-    trait.m_last_evidence_at = aNow;
-    SetLogOdds(id, trait, log_odds, aNow);
-    crash.m_evidence.emplace_back(id, trait.m_log_odds - candidate.m_log_odds);
+    AddEvidence(
+      crash, id, candidate, no_cause_above(candidate.m_log_odds + kAlternativeMargin), aNow);
   }
   crash.m_unexplained = no_cause_above(kMinLogOdds) / (1 - base_rate);
   m_unexplained += crash.m_unexplained;
@@ -423,26 +410,55 @@
   WithdrawIfMany(aNow);
 }
 
+void
+CrashSuspects::AddEvidence(Crash& aCrash,
+                           const CrashTrait& aId,
+                           const Candidate& aCandidate,
+                           double aNoOtherCause,
+                           TimePoint aNow)
+{
+  Trait& trait = TraitOf(aId, aNow);
+  const bool is_whole = IsWholeRequest(aId);
+  if (is_whole) {
+    aCrash.m_whole_requests.insert(aId);
+  }
+  trait.m_crashes += aCandidate.m_is_independent || is_whole ? 1 : 0;
+  if (!aCandidate.m_is_independent) {
+    return;
+  }
+  double log_odds = aCandidate.m_log_odds - std::log(1 - aNoOtherCause);
+  const bool is_best_explanation = aNoOtherCause >= 1 - BaseRate();
+  if (is_whole && !IsProvenHarmless(aId, aCandidate.m_log_odds) && is_best_explanation &&
+      ++trait.m_own_crashes >= m_limits.m_request_crashes_until_refusal) {
+    log_odds = std::max(log_odds, m_refuse_log_odds);
+  }
+  trait.m_last_evidence_at = aNow;
+  SetLogOdds(aId, trait, log_odds, aNow);
+  aCrash.m_evidence.emplace_back(aId, trait.m_log_odds - aCandidate.m_log_odds);
+}
+
 void
 CrashSuspects::WithdrawIfMany(TimePoint aNow)
 {
   std::vector<Crash*> recent;
-  std::map<CrashTrait, int> crashes_of;
+  std::set<EndpointId> endpoints;
+  std::map<CrashTrait, std::set<EndpointId>> endpoints_of;
   for (Crash& crash : m_crashes) {
     if (aNow - crash.m_at <= kReportDelay) {
       recent.push_back(&crash);
+      endpoints.insert(crash.m_endpoint);
       for (const CrashTrait& id : crash.m_whole_requests) {
-        ++crashes_of[id];
+        endpoints_of[id].insert(crash.m_endpoint);
       }
     }
   }
-  if (recent.size() < kManyCrashes) {
+  if (endpoints.size() < kManyCrashes) {
     return;
   }
   for (Crash* crash : recent) {
     std::erase_if(crash->m_evidence, [&](const auto& aEntry) {
       const auto& [id, evidence] = aEntry;
-      const bool is_withdrawn = IsWholeRequest(id) && crashes_of[id] == 1;
+      const bool is_withdrawn = IsWholeRequest(id) && endpoints_of[id].size() == 1;
       if (is_withdrawn) {
         TakeBack(id, evidence, aNow);
       }
@@ -598,8 +614,8 @@
 CrashSuspects::Apply(const TraitSuspicion& aSuspicion, TimePoint aNow)
 {
   Trait& trait = TraitOf(aSuspicion.m_trait, aNow);
-  // Who suspects it may not know of the whole responses that are known here.
-  if (IsVouchedFor(aSuspicion.m_trait, trait.m_log_odds) &&
+  // The sender may not know of the complete responses that are known here.
+  if (IsProvenHarmless(aSuspicion.m_trait, trait.m_log_odds) &&
       LogOddsOf(aSuspicion.m_probability) < m_refuse_log_odds) {
     return;
   }
--- a/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -60,7 +60,7 @@
     /// them refused while endpoints are otherwise stable.
     double m_request_prior = 5e-3;
     /// After this many independent crashes that nothing else explains better, a request without
-    /// whole responses is refused whatever the base rate.
+    /// complete responses is refused whatever the base rate.
     int m_request_crashes_until_refusal = 3;
     /// After this many crashes in a row a refused request is not tried again: of the six endpoints
     /// that it may reach, one is left for a grant on its way.
@@ -103,9 +103,9 @@
                    SlotOutcome aOutcome,
                    bool aIsExpected,
                    TimePoint aNow);
-  /// Records a whole response to a request of this daemon whose slot another daemon granted: if
+  /// Records a complete response to a request of this daemon whose slot another daemon granted: if
   /// this one coordinates the service later, it knows which requests are harmless.
-  void RecordWholeResponse(const std::vector<CrashTrait>& aTraits, TimePoint aNow);
+  void RecordCompleteResponse(const std::vector<CrashTrait>& aTraits, TimePoint aNow);
   /// Forgets the requests of a daemon that has stopped.
   void ForgetDaemon(const Incarnation& aDaemon);
 
@@ -113,8 +113,8 @@
   Admission AdmissionOf(const std::vector<CrashTrait>& aTraits, TimePoint aNow) const;
   /// Whether one of these traits is a suspected whole request.
   bool HasSuspectedRequest(const std::vector<CrashTrait>& aTraits) const;
-  /// The endpoints at which a suspected whole request runs that may still crash them. Others had
-  /// better not run beside it: they would break off with it, and be suspected themselves.
+  /// The endpoints at which a suspected whole request runs that may still crash them. A request
+  /// that ran beside it would break off with it and become suspected.
   std::set<EndpointId> EndpointsOfSuspects(TimePoint aNow) const;
   /// How many requests run at an endpoint that may still crash it.
   std::size_t CountAtRisk(const EndpointId& aEndpoint, TimePoint aNow) const;
@@ -196,8 +196,8 @@
   /// Drops the oldest parts, or the oldest whole requests.
   void DropOldest(bool aAreWholeRequests);
   bool IsSuspected(const CrashTrait& aId) const;
-  /// Whether whole responses have shown that a whole request does not crash endpoints.
-  bool IsVouchedFor(const CrashTrait& aId, double aLogOdds) const;
+  /// Whether complete responses have shown that a whole request does not crash endpoints.
+  bool IsProvenHarmless(const CrashTrait& aId, double aLogOdds) const;
   /// Whether a request that runs may still crash its endpoint.
   bool IsAtRisk(const SlotRequestId& aRequestId,
                 const RunningRequest& aRequest,
@@ -209,15 +209,22 @@
   void SetLogOdds(const CrashTrait& aId, Trait& aTrait, double aLogOdds, TimePoint aNow);
   void MarkChanged(const CrashTrait& aId, Trait& aTrait);
   std::map<CrashTrait, Candidate> CandidatesAt(const EndpointId& aEndpoint, TimePoint aNow);
-  /// The known crash in which a request broke off, if there is one: it ran there then, or was
+  /// The last known crash in which a request broke off, if there is one: it ran there then, or was
   /// granted before all daemons had noticed.
-  Crash* CrashOf(const SlotRequestId& aRequestId, const RunningRequest& aRequest);
+  const Crash* CrashOf(const SlotRequestId& aRequestId, const RunningRequest& aRequest) const;
   /// Whether a request broke off, or will, in this crash.
   static bool IsOf(const Crash& aCrash,
                    const SlotRequestId& aRequestId,
                    const RunningRequest& aRequest);
   void RecordCompleted(const RunningRequest& aRequest, TimePoint aNow);
   void RecordCrash(const SlotRequestId& aRequestId, const RunningRequest& aRequest, TimePoint aNow);
+  /// Weighs a crash against one trait. aNoOtherCause: the probability that neither a more probable
+  /// trait nor anything else is the cause.
+  void AddEvidence(Crash& aCrash,
+                   const CrashTrait& aId,
+                   const Candidate& aCandidate,
+                   double aNoOtherCause,
+                   TimePoint aNow);
   /// Withdraws the evidence of a crash if a request that ran there goes on: only a connection
   /// broke.
   void WithdrawEvidence(const SlotRequestId& aRequestId, TimePoint aNow);
--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -654,7 +654,7 @@
 {
   Trace follower;
   for (int i = 0; i < 3; ++i) {
-    follower.m_suspects.RecordWholeResponse({ kRequest }, follower.m_now);
+    follower.m_suspects.RecordCompleteResponse({ kRequest }, follower.m_now);
   }
   // The coordinator before, or another daemon, suspected it.
   const TraitSuspicion suspicion{ kRequest, 0.34, 1, Milliseconds(0) };
@@ -665,6 +665,27 @@
   CHECK(follower.AdmissionOf(kRequest) != Admission::Refuse);
   // What is refused elsewhere is refused here, and a whole response does not end that.
   follower.m_suspects.Apply({ kRequest, 0.99, 3, Milliseconds(5'000) }, follower.m_now);
-  follower.m_suspects.RecordWholeResponse({ kRequest }, follower.m_now);
+  follower.m_suspects.RecordCompleteResponse({ kRequest }, follower.m_now);
   CHECK(follower.AdmissionOf(kRequest) == Admission::Refuse);
 }
+
+TEST_CASE("Repeated crashes: a connection that broke just before does not hide the crash")
+{
+  Trace trace;
+  trace.RunHarmless(300);
+  for (int crash = 0; crash < 2; ++crash) {
+    const EndpointId endpoint("f" + std::to_string(crash));
+    const std::uint64_t number = 10 * static_cast<std::uint64_t>(crash);
+    trace.m_suspects.Begin(IdOf(number, "x"), endpoint, { kOtherRequest }, trace.m_now);
+    trace.m_now += Milliseconds(20);
+    trace.m_suspects.RecordEnded(IdOf(number, "x"), SlotOutcome::Broken, false, trace.m_now);
+    trace.m_now += Milliseconds(20);
+    trace.m_suspects.Begin(IdOf(number + 1, "x"), endpoint, { kRequest }, trace.m_now);
+    trace.m_now += Milliseconds(20);
+    trace.m_suspects.RecordEnded(IdOf(number + 1, "x"), SlotOutcome::Broken, false, trace.m_now);
+    trace.m_now += Milliseconds(3'000);
+    trace.Run({ kOtherRequest }, SlotOutcome::Complete);
+  }
+  CHECK(trace.AdmissionOf(kRequest) == Admission::Refuse);
+  CHECK(trace.AdmissionOf(kOtherRequest) == Admission::Admit);
+}
