Split the decisions of a slot scheduler, and the log text of active requests

Decide() had grown to grant, set aside, put back and refuse in one function; each is one of its own now. The functions that describe notices and prompts in log lines move from ActiveRequest to LogText. An endpoint that leaves or rests is unavailable, not closed, which is said of connections.

--- a/Libraries/LibBroker/NoticeExchange.cpp
+++ b/Libraries/LibBroker/NoticeExchange.cpp
@@ -58,11 +58,11 @@
 NoticeExchange::NoticeExchange(Incarnation aOwn,
                                SlotCoordinator& aCoordinator,
                                Sender aInformAll,
-                               ClosedHandler aOnClosed)
+                               UnavailableHandler aOnUnavailable)
   : m_own(std::move(aOwn))
   , m_coordinator(aCoordinator)
   , m_inform_all(std::move(aInformAll))
-  , m_on_closed(std::move(aOnClosed))
+  , m_on_unavailable(std::move(aOnUnavailable))
   , m_leaving(LeavingEndpoints::Limits())
   , m_own_rests(kMaxOwnRests)
 {
@@ -83,7 +83,7 @@
                        aService.Value(),
                        aSource);
   m_coordinator.UpdateEndpointsOf(aService, aNow);
-  m_on_closed(aEndpoint);
+  m_on_unavailable(aEndpoint);
   return true;
 }
 
@@ -117,7 +117,7 @@
                        aEndpoint.m_started_at_ms,
                        aService.Value(),
                        aRest.count());
-  m_on_closed(aEndpoint);
+  m_on_unavailable(aEndpoint);
   return true;
 }
 
--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -44,7 +44,7 @@
       m_incarnation,
       m_coordinator,
       [this](const EndpointNoticeMessage& aNotice) { SendToAll(aNotice); },
-      m_dependencies.m_on_closed)
+      m_dependencies.m_on_unavailable)
   , m_streams(StreamVersions::Limits(), StreamDependencies())
 {
 }
--- a/Libraries/LibBroker/include/LibBroker/NoticeExchange.h
+++ b/Libraries/LibBroker/include/LibBroker/NoticeExchange.h
@@ -16,15 +16,15 @@
 {
 public:
   using Sender = std::function<void(const EndpointNoticeMessage& aNotice)>;
-  using ClosedHandler = std::function<void(const EndpointIncarnation& aEndpoint)>;
+  using UnavailableHandler = std::function<void(const EndpointIncarnation& aEndpoint)>;
 
   /// aOwn: this daemon. aInformAll: sends a notice to all daemons that have a link to this one.
-  /// aOnClosed: called when this daemon learns that an endpoint wants no further requests of it: it
-  /// leaves or rests. Precondition: the coordinator outlives the exchange.
+  /// aOnUnavailable: called when this daemon learns that an endpoint wants no further requests of
+  /// it: it leaves or rests. Precondition: the coordinator outlives the exchange.
   NoticeExchange(Incarnation aOwn,
                  SlotCoordinator& aCoordinator,
                  Sender aInformAll,
-                 ClosedHandler aOnClosed);
+                 UnavailableHandler aOnUnavailable);
 
   /// Records the statements in a response to a request of this daemon. aSentAt: a time not later
   /// than that at which the request was sent. Returns the notices that the coordinator needs.
@@ -94,7 +94,7 @@
   Incarnation m_own;
   SlotCoordinator& m_coordinator;
   Sender m_inform_all;
-  ClosedHandler m_on_closed;
+  UnavailableHandler m_on_unavailable;
   KnownLimits m_known;
   LeavingEndpoints m_leaving;
   /// What endpoints have asked this daemon for. It binds at once, whoever coordinates.
--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -54,7 +54,7 @@
     std::function<std::optional<SoftwareVersion>(const ServiceName& aService)> m_only_version;
     /// Called when this daemon learns that an endpoint wants no further requests of it: it leaves
     /// or rests.
-    NoticeExchange::ClosedHandler m_on_closed;
+    NoticeExchange::UnavailableHandler m_on_unavailable;
   };
 
   SlotBroker(Limits aLimits, Dependencies aDependencies);
--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/ActiveRequest.h>
 
+#include "LogText.h"
+
 #include <LibCore/Log.h>
 #include <LibGateway/ForwardedHeaders.h>
 #include <absl/strings/str_cat.h>
@@ -50,48 +52,6 @@
                     aRoute.m_target_gap * kTargetGapMultiple });
 }
 
-/// The limit in an endpoint's notice, for logs.
-std::string
-DescribeLimit(const EndpointNotice& aNotice)
-{
-  if (aNotice.m_is_limit_malformed) {
-    return "malformed";
-  }
-  return aNotice.m_limit ? absl::StrCat(aNotice.m_limit->m_per_second) : "none";
-}
-
-/// Whether an endpoint's notice says that it leaves, for logs.
-const char*
-DescribeLeaving(const EndpointNotice& aNotice)
-{
-  if (aNotice.m_is_leaving) {
-    return "yes";
-  }
-  return aNotice.m_is_leaving_malformed ? "malformed" : "no";
-}
-
-/// For how long an endpoint's notice asks for rest, for logs.
-std::string
-DescribeRest(const EndpointNotice& aNotice)
-{
-  if (aNotice.m_rest) {
-    return absl::StrCat(aNotice.m_rest->count());
-  }
-  return aNotice.m_is_rest_malformed ? "malformed" : "none";
-}
-
-/// The first parts of a prompt, for logs.
-std::string
-DescribeParts(const std::vector<PromptPart>& aParts)
-{
-  constexpr std::size_t kMaxLogged = 8;
-  std::string text;
-  for (std::size_t i = 0; i < std::min(aParts.size(), kMaxLogged); ++i) {
-    absl::StrAppend(&text, i == 0 ? "" : "/", aParts[i].Value());
-  }
-  return text.empty() ? "none" : text;
-}
-
 const char*
 OrNone(const std::string& aText)
 {
@@ -271,7 +231,7 @@
     OnAttemptFailed(SlotOutcome::Unreachable, "the endpoint is no longer registered");
     return;
   }
-  if (const char* why = WhyClosed(endpoint->Run())) {
+  if (const char* why = WhyUnavailable(endpoint->Run())) {
     m_tried_endpoints.push_back(aGrant.m_endpoint);
     OnAttemptFailed(SlotOutcome::Cancelled, why);
     return;
@@ -287,7 +247,7 @@
 }
 
 const char*
-ActiveRequest::WhyClosed(const EndpointIncarnation& aEndpoint) const
+ActiveRequest::WhyUnavailable(const EndpointIncarnation& aEndpoint) const
 {
   if (m_dependencies.m_broker->IsLeaving(aEndpoint)) {
     return "the endpoint has said that it leaves";
@@ -693,12 +653,12 @@
 }
 
 void
-ActiveRequest::OnEndpointClosed(const EndpointIncarnation& aEndpoint)
+ActiveRequest::OnEndpointUnavailable(const EndpointIncarnation& aEndpoint)
 {
   if (m_call == nullptr || m_attempt->m_is_written || m_attempt->m_endpoint.Run() != aEndpoint) {
     return;
   }
-  if (const char* why = WhyClosed(aEndpoint)) {
+  if (const char* why = WhyUnavailable(aEndpoint)) {
     m_call = nullptr;
     OnAttemptFailed(SlotOutcome::Cancelled, why);
   }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -98,7 +98,7 @@
                [this] { return Self(); },
                [this](const ServiceName& aService) { return EndpointsOf(aService); },
                [this](const ServiceName& aService) { return OnlyVersionOf(aService); },
-               [this](const EndpointIncarnation& aEndpoint) { OnEndpointClosed(aEndpoint); } })
+               [this](const EndpointIncarnation& aEndpoint) { OnEndpointUnavailable(aEndpoint); } })
   , m_dependencies{ &aLoop,          &m_client, &m_broker,  &m_registry,
                     &m_retry_budget, &aDialect, &m_metrics, aSettings.m_data_center }
 {
@@ -205,12 +205,12 @@
 }
 
 void
-Gateway::OnEndpointClosed(const EndpointIncarnation& aEndpoint)
+Gateway::OnEndpointUnavailable(const EndpointIncarnation& aEndpoint)
 {
   // Deferred, since this may run inside a callback of one of the requests.
   m_loop.Defer([this, aEndpoint] {
     for (const auto& [raw, active_request] : m_active_requests) {
-      raw->OnEndpointClosed(aEndpoint);
+      raw->OnEndpointUnavailable(aEndpoint);
     }
   });
 }
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -68,7 +68,7 @@
   void OnDeadline();
   /// Called when an endpoint has said that it leaves or rests. Requests another slot if the present
   /// one is there and the request has not been written yet.
-  void OnEndpointClosed(const EndpointIncarnation& aEndpoint);
+  void OnEndpointUnavailable(const EndpointIncarnation& aEndpoint);
 
 private:
   enum class Phase
@@ -110,7 +110,7 @@
   void OnGranted(const SlotGrant& aGrant, const HostName& aCoordinator);
   void OnRefused(const SlotRefusal& aRefusal, const HostName& aCoordinator);
   /// Why an endpoint must get no request, by its own statements; null if it may get one.
-  const char* WhyClosed(const EndpointIncarnation& aEndpoint) const;
+  const char* WhyUnavailable(const EndpointIncarnation& aEndpoint) const;
   void StartAttempt(const EndpointEntry& aEndpoint, bool aMayHaveRestarted);
   void OnRequestWritten();
   void OnResponseHead(const MessageHead& aHead);
--- a/Libraries/LibGateway/include/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -88,7 +88,7 @@
   void OnRegistryChanges(const EndpointRegistry::Changes& aChanges);
   /// Moves the requests that have not been written to an endpoint that wants no further ones to
   /// other endpoints.
-  void OnEndpointClosed(const EndpointIncarnation& aEndpoint);
+  void OnEndpointUnavailable(const EndpointIncarnation& aEndpoint);
   void UpdateDaemonCounts();
   TimePoint Now() const { return m_loop.Now(); }
 
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -573,77 +573,92 @@
   for (const WaitingSlotRequest& waiting : m_queue.TakeUnservable(SlotCount(aNow), aNow)) {
     Refuse(waiting.m_request, SlotRefusalReason::WaitedTooLong, aNow, decisions);
   }
-  // Requests for one software version whose endpoints are busy or in doubt, those with a suspected
-  // part that another request runs with, and those of daemons that endpoints have asked for rest;
-  // they do not hold up the others.
+  PutBack(GrantSlots(aNow, decisions), aNow, decisions);
+  DecideNew(aNow, decisions);
+  return decisions;
+}
+
+std::vector<WaitingSlotRequest>
+SlotScheduler::GrantSlots(TimePoint aNow, SlotDecisions& aDecisions)
+{
   std::vector<WaitingSlotRequest> set_aside;
-  std::set<Incarnation> daemons_without_endpoint;
+  std::set<Incarnation> daemons_kept_by_rest;
   while (const WaitingSlotRequest* front = m_queue.Front(aNow)) {
-    const CrashSuspects::Admission admission = AdmissionOf(front->m_request, aNow);
-    if (admission == CrashSuspects::Admission::Wait ||
-        admission == CrashSuspects::Admission::Refuse) {
-      WaitingSlotRequest waiting = *m_queue.Remove(SlotRequestId(front->m_request.m_request_id));
-      if (admission == CrashSuspects::Admission::Refuse) {
-        Refuse(waiting.m_request, SlotRefusalReason::Harmful, aNow, decisions);
-      } else {
-        set_aside.push_back(std::move(waiting));
-      }
+    const SlotRequest& request = front->m_request;
+    const auto take = [&] { return *m_queue.Remove(SlotRequestId(request.m_request_id)); };
+    const CrashSuspects::Admission admission = AdmissionOf(request, aNow);
+    if (admission == CrashSuspects::Admission::Refuse) {
+      Refuse(take().m_request, SlotRefusalReason::Harmful, aNow, aDecisions);
       continue;
     }
-    const bool is_for_one_version = front->m_request.m_required_version.has_value();
-    const Incarnation& daemon = front->m_request.m_request_id.m_daemon;
-    SlotEndpoint* endpoint = !is_for_one_version && daemons_without_endpoint.contains(daemon)
-                               ? nullptr
-                               : Choose(*front, aNow);
+    const bool is_for_one_version = request.m_required_version.has_value();
     const bool is_kept_by_rest =
-      endpoint == nullptr && !is_for_one_version &&
-      (daemons_without_endpoint.contains(daemon) || IsKeptByRest(front->m_request, aNow));
-    if (is_kept_by_rest) {
-      daemons_without_endpoint.insert(daemon);
+      !is_for_one_version && daemons_kept_by_rest.contains(request.m_request_id.m_daemon);
+    if (admission == CrashSuspects::Admission::Wait || is_kept_by_rest) {
+      set_aside.push_back(take());
+      continue;
     }
-    if (endpoint == nullptr && (is_for_one_version || is_kept_by_rest)) {
-      set_aside.push_back(*m_queue.Remove(SlotRequestId(front->m_request.m_request_id)));
+    if (SlotEndpoint* endpoint = Choose(*front, aNow)) {
+      GrantFront(*endpoint, aNow, aDecisions);
       continue;
     }
-    if (endpoint == nullptr) {
+    if (!is_for_one_version && !IsKeptByRest(request, aNow)) {
       break;
     }
-    const WaitingSlotRequest granted = m_queue.PopFront(aNow);
-    const double expected_ms = endpoint->ExpectedFirstByteMs(granted.m_request.m_work);
-    endpoint->Hold(granted.m_request.m_request_id, granted.m_request.m_work, aNow);
-    m_crash_suspects->Begin(granted.m_request.m_request_id,
-                            endpoint->Info().m_id,
-                            granted.m_request.m_crash_traits,
-                            aNow);
-    decisions.m_grants.push_back({ granted.m_request.m_request_id,
-                                   endpoint->Info().m_id,
-                                   Milliseconds(static_cast<std::int64_t>(expected_ms)),
-                                   endpoint->MayHaveRestarted(aNow) });
-  }
-  for (WaitingSlotRequest& waiting : set_aside) {
+    if (!is_for_one_version) {
+      daemons_kept_by_rest.insert(request.m_request_id.m_daemon);
+    }
+    set_aside.push_back(take());
+  }
+  return set_aside;
+}
+
+void
+SlotScheduler::GrantFront(SlotEndpoint& aEndpoint, TimePoint aNow, SlotDecisions& aDecisions)
+{
+  const SlotRequest granted = m_queue.PopFront(aNow).m_request;
+  const double expected_ms = aEndpoint.ExpectedFirstByteMs(granted.m_work);
+  aEndpoint.Hold(granted.m_request_id, granted.m_work, aNow);
+  m_crash_suspects->Begin(
+    granted.m_request_id, aEndpoint.Info().m_id, granted.m_crash_traits, aNow);
+  aDecisions.m_grants.push_back({ granted.m_request_id,
+                                  aEndpoint.Info().m_id,
+                                  Milliseconds(static_cast<std::int64_t>(expected_ms)),
+                                  aEndpoint.MayHaveRestarted(aNow) });
+}
+
+void
+SlotScheduler::PutBack(std::vector<WaitingSlotRequest> aSetAside,
+                       TimePoint aNow,
+                       SlotDecisions& aDecisions)
+{
+  for (WaitingSlotRequest& waiting : aSetAside) {
     if (!HasEligibleEndpoint(waiting.m_request)) {
-      Refuse(waiting.m_request, SlotRefusalReason::NoEndpointOfVersion, aNow, decisions);
+      Refuse(waiting.m_request, SlotRefusalReason::NoEndpointOfVersion, aNow, aDecisions);
     } else if (RestsTooLong(waiting, aNow)) {
-      Refuse(waiting.m_request, SlotRefusalReason::NoEndpoint, aNow, decisions);
+      Refuse(waiting.m_request, SlotRefusalReason::NoEndpoint, aNow, aDecisions);
     } else {
       m_queue.PutBack(std::move(waiting));
     }
   }
-  // New requests that probably cannot be served in time are refused before they wait.
+}
+
+void
+SlotScheduler::DecideNew(TimePoint aNow, SlotDecisions& aDecisions)
+{
   for (const SlotRequestId& id : std::exchange(m_undecided, {})) {
     auto waiting = m_queue.Remove(id);
     if (!waiting) {
       continue;
     }
     if (RestsTooLong(*waiting, aNow)) {
-      Refuse(waiting->m_request, SlotRefusalReason::NoEndpoint, aNow, decisions);
+      Refuse(waiting->m_request, SlotRefusalReason::NoEndpoint, aNow, aDecisions);
     } else if (ShouldRefuse(*waiting, aNow)) {
-      Refuse(waiting->m_request, SlotRefusalReason::Overloaded, aNow, decisions);
+      Refuse(waiting->m_request, SlotRefusalReason::Overloaded, aNow, aDecisions);
     } else {
       m_queue.PutBack(std::move(*waiting));
     }
   }
-  return decisions;
 }
 
 }
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -148,6 +148,19 @@
               SlotRefusalReason aReason,
               TimePoint aNow,
               SlotDecisions& aDecisions) const;
+  /// Grants the slots that are free to the requests in the order of the queue. Returns those that
+  /// have to wait though slots are free, and do not hold up the others: for one software version
+  /// whose endpoints are busy or in doubt, with a suspected trait, or of a daemon that endpoints
+  /// have asked for rest.
+  std::vector<WaitingSlotRequest> GrantSlots(TimePoint aNow, SlotDecisions& aDecisions);
+  /// Grants a slot to the request that is first in the queue.
+  void GrantFront(SlotEndpoint& aEndpoint, TimePoint aNow, SlotDecisions& aDecisions);
+  /// Returns requests to the queue, or refuses those that would wait in vain.
+  void PutBack(std::vector<WaitingSlotRequest> aSetAside,
+               TimePoint aNow,
+               SlotDecisions& aDecisions);
+  /// Refuses the new requests that probably cannot be served in time, before they wait.
+  void DecideNew(TimePoint aNow, SlotDecisions& aDecisions);
   /// Whether a request may be granted a slot, by what is known of its traits. A trial may not take
   /// the last endpoint.
   CrashSuspects::Admission AdmissionOf(const SlotRequest& aRequest, TimePoint aNow) const;
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -169,7 +169,7 @@
   "$PROCESS" "Leaving: the daemon that heard it*"
 mutate "an endpoint that leaves gets no requests: those that connect to it are moved" \
   Libraries/LibBroker/NoticeExchange.cpp \
-  's/  m_on_closed\(aEndpoint\);\n  return true;\n\}\n\nvoid/  return true;\n}\n\nvoid/' \
+  's/  m_on_unavailable\(aEndpoint\);\n  return true;\n\}\n\nvoid/  return true;\n}\n\nvoid/' \
   "$PROCESS" "Leaving: a request that is still connecting*"
 mutate "an endpoint that leaves gets no requests: a late registration is that of the statement" \
   Libraries/LibBroker/NoticeExchange.cpp \
