--- a/Meta/run-tests.sh
+++ b/Meta/run-tests.sh
@@ -65,5 +65,11 @@
   passed=$((passed + total - part_failed))
   failed=$((failed + part_failed))
 done
+# Repeats the failed checks at the end, where a log that was cut still shows them.
+awk '/^TEST CASE:/ { name = $0 }
+  /: (FATAL )?ERROR: / && name { print "failed:" substr(name, 11); name = "" }
+  /: (FATAL )?ERROR: / { is_in_check = 1 }
+  /^$/ { is_in_check = 0 }
+  is_in_check { print "  " $0 }' "$OUTPUT"/*
 printf '%d passed, %d failed\n' "$passed" "$failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
--- a/Tests/Unit/TestRepeatedCrashLoad.cpp
+++ b/Tests/Unit/TestRepeatedCrashLoad.cpp
@@ -360,7 +360,7 @@
     sum.m_popular_refused += result.m_popular_refused;
     sum.m_refused_after_ms += result.m_refused_after_ms;
   }
-  const char* policy = aWeighsRequests ? "weighed" : "not weighed";
+  const std::string policy = aWeighsRequests ? "weighed" : "not weighed";
   MESSAGE(policy,
           ", endpoints ",
           aLoad.m_endpoints,
