Make the mutations of rests and repeated crashes apply to the code as it is

Seven expressions no longer matched; five rules without one get theirs: a rest that the next incarnation may have asked for, and only then; responses that had begun; a connection that broke before a crash; complete responses that each daemon remembers.

--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -77,7 +77,7 @@
   "$PROCESS" "A stream without a length that breaks off*"
 mutate "complete response: an orderly close before the first event is a loss" \
   Libraries/LibGateway/BodyCompleteness.cpp \
-  's/if \(!m_events.HasEvent\(\)\)/if (false)/' \
+  's/aEnd == RelayCallEnd::Closed \&\& !m_events.HasEvent\(\)/false/' \
   "$PROCESS" "A stream without a length that closes before*"
 mutate "complete response: framing does not complete an event" \
   Libraries/LibGateway/BodyCompleteness.cpp \
@@ -101,7 +101,7 @@
   "$UNIT" "A request that cannot meet*"
 mutate "an endpoint's limit holds over all daemons: they report it to the coordinator" \
   Libraries/LibBroker/SlotBroker.cpp \
-  's/ \} else \{\n    SendToCoordinator\(outstanding.m_coordinator, \*notice\);/ } else {/' \
+  's/      SendToCoordinator\(outstanding.m_coordinator, notice\);//' \
   "$PROCESS" "Daemons whose coordinator has no callers*"
 mutate "an endpoint's limit holds over all daemons: the coordinator informs them of changes" \
   Libraries/LibBroker/NoticeExchange.cpp \
@@ -145,7 +145,7 @@
   's/return rate \? std::min\(slots, [^;]*;/return rate ? slots : slots;/' \
   "$UNIT" "With all endpoints limited*"
 mutate "an endpoint's limit is ignored if malformed" platform/PlatformDialect.cpp \
-  's/return EndpointNotice\{ std::nullopt, true \};/continue;/' \
+  's/if \(notice.m_is_limit_malformed\)/if (false)/' \
   "$UNIT" "The limit that an endpoint states*"
 mutate "an endpoint that leaves gets no requests: the coordinator withdraws its slots" \
   Libraries/LibBroker/SlotBroker.cpp \
@@ -181,7 +181,7 @@
   "$PROCESS" "Rest: the daemon that heard it*"
 mutate "an endpoint that rests gets no requests: the coordinator grants the daemon none" \
   Libraries/LibPlacement/SlotScheduler.cpp \
-  's/ \|\| RestEnd\(endpoint, request, aNow\)\)/)/' \
+  's/ && !RestEnd\(aEndpoint, request, aNow\);/;/' \
   "$UNIT" "Rest: *"
 mutate "an endpoint that rests gets no requests: the next coordinator learns it" \
   Libraries/LibBroker/NoticeExchange.cpp \
@@ -196,6 +196,14 @@
 mutate "a rest is not kept for the next incarnation" Libraries/LibPlacement/EndpointRests.cpp \
   's/Key\(aEndpoint, aDaemon\)/Key(EndpointIncarnation{ aEndpoint.m_id, 0 }, aDaemon)/g' \
   "$UNIT" "Rest: *"
+mutate "a rest holds for the next incarnation if that may have asked for it" \
+  Libraries/LibPlacement/EndpointRests.cpp \
+  's/is_registered_late\) \{/false \&\& is_registered_late) {/' \
+  "$UNIT" "Rest: *"
+mutate "a rest holds for the next incarnation only if that may have asked for it" \
+  Libraries/LibPlacement/EndpointRests.cpp \
+  's/is_registered_late\) \{/(is_registered_late || true)) {/' \
+  "$UNIT" "Rest: *"
 mutate "a rest binds the daemon that was asked alone" Libraries/LibPlacement/EndpointRests.cpp \
   's/Key\(aEndpoint, aDaemon\)/Key(aEndpoint, Incarnation())/g; s/const Incarnation& aDaemon/const Incarnation\&/g' \
   "$UNIT" "Rest: *"
@@ -232,7 +240,7 @@
   "$UNIT" "Repeated crashes: at most two trials*"
 mutate "a request that crashes endpoints is refused: not those under which many endpoints break at once" \
   Libraries/LibPlacement/CrashSuspects.cpp \
-  's/if \(recent.size\(\) < kManyCrashes\)/if (recent.size() < 100 * kManyCrashes)/' \
+  's/endpoints.size\(\) < kManyCrashes/endpoints.size() < 100 * kManyCrashes/' \
   "$UNIT" "Repeated crashes: many endpoints*"
 mutate "a request that crashes endpoints is refused: a popular one is not" \
   Libraries/LibPlacement/CrashSuspects.cpp \
@@ -246,6 +254,18 @@
   Libraries/LibGateway/ActiveRequest.cpp \
   's/  request.m_crash_traits.push_back\(TraitOfRequest\(m_request.m_digest\)\);//' \
   "$PROCESS" "Repeated crashes: a request that crashes endpoints*"
+mutate "a request that crashes endpoints is refused: not one whose response had begun" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/if \(IsWholeRequest\(id\) \&\& aRequest.m_started_at\)/if (false)/' \
+  "$PROCESS" "*stream*version*"
+mutate "a request that crashes endpoints is refused: a connection that broke before hides no crash" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/if \(aRequest.m_granted_at <= known->m_at\)/if (true)/' \
+  "$UNIT" "Repeated crashes: a connection that broke*"
+mutate "a request that crashes endpoints is refused: each daemon knows its own complete responses" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/(RecordCompleteResponse[^{]*)\{/\1{\n  return;/' \
+  "$UNIT" "Repeated crashes: a new coordinator knows*"
 mutate "a prompt that crashes endpoints is refused: the daemons tell the next coordinator" \
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/if \(trait.m_log_odds >= m_announce_log_odds\) \{\n      all/if (false) {\n      all/' \
@@ -264,7 +284,7 @@
   "$UNIT" "Crashes: *"
 mutate "a prompt that crashes endpoints is refused: many crashes at once have one cause" \
   Libraries/LibPlacement/CrashSuspects.cpp \
-  's/if \(!candidate.m_is_independent\)/if (false)/' \
+  's/if \(!aCandidate.m_is_independent\)/if (false)/' \
   "$UNIT" "Crash load: no harmless request*"
 mutate "a prompt that crashes endpoints is refused: one crash counts once" \
   Libraries/LibPlacement/CrashSuspects.cpp \
@@ -315,7 +335,7 @@
   "$PROCESS" "A stream that its caller resumes continues in*"
 mutate "a stream for one version does not hold up other requests" \
   Libraries/LibPlacement/SlotScheduler.cpp \
-  's/if \(endpoint == nullptr \&\& front->m_request.m_required_version\) \{/if (false) {/' \
+  's/if \(!is_for_one_version \&\& !IsKeptByRest\(request, aNow\)\)/if (!IsKeptByRest(request, aNow))/' \
   "$UNIT" "A request for one software version*"
 mutate "a response that never ends is bounded: its head in time" Libraries/LibRelay/RelayClient.cpp \
   's/if \(!m_parser.HasHead\(\)\) \{\n        StartHeadTimer\(\);/if (false) {\n        StartHeadTimer();/' \
