--- a/Libraries/LibBroker/include/LibBroker/LeavingEndpoints.h
+++ b/Libraries/LibBroker/include/LibBroker/LeavingEndpoints.h
@@ -22,9 +22,7 @@
     Milliseconds m_retention{ 60'000 };
     /// A release of all endpoints of the largest deployment fits.
     std::size_t m_max_entries = 10'000;
-    /// Time within which the registration of an endpoint that has started is read here, if the
-    /// store can be reached; also the time after which an unreachable store is noticed.
-    Milliseconds m_registration_lag{ 4'000 };
+    Milliseconds m_registration_lag = kMaxRegistrationLag;
     /// How long an incarnation is excluded that may have made a statement before its registration
     /// was read. An endpoint that leaves has ended by then.
     Milliseconds m_presumed_for{ 30'000 };
--- a/Libraries/LibPlacement/EndpointRests.cpp
+++ b/Libraries/LibPlacement/EndpointRests.cpp
@@ -4,14 +4,6 @@
 
 namespace auburnhitch {
 
-namespace {
-
-// Time within which the registration of an endpoint that has started is read here, if the store can
-// be reached; as for endpoints that leave.
-constexpr Milliseconds kRegistrationLag{ 4'000 };
-
-}
-
 bool
 EndpointRests::Record(const ServiceName& aService,
                       const EndpointIncarnation& aEndpoint,
@@ -52,7 +44,7 @@
   std::vector<std::pair<Incarnation, Entry>> presumed;
   for (const auto& [key, entry] : m_entries) {
     const bool is_registered_late =
-      aReadableSince > entry.m_stated_at || aNow - entry.m_stated_at <= kRegistrationLag;
+      aReadableSince > entry.m_stated_at || aNow - entry.m_stated_at <= kMaxRegistrationLag;
     if (key.first.m_id == aEndpoint.m_id && key.first.m_started_at_ms < aEndpoint.m_started_at_ms &&
         is_registered_late) {
       presumed.emplace_back(key.second, entry);
--- a/Libraries/LibRegistry/include/LibRegistry/EndpointRegistry.h
+++ b/Libraries/LibRegistry/include/LibRegistry/EndpointRegistry.h
@@ -11,6 +11,10 @@
 
 namespace auburnhitch {
 
+/// Time within which the registration of an endpoint that has started is read here, if the store
+/// can be reached; also the time after which an unreachable store is noticed.
+constexpr Milliseconds kMaxRegistrationLag{ 4'000 };
+
 /// Identifies an endpoint's registration. An endpoint that restarts may keep its id.
 using EndpointId = StrongString<struct EndpointIdTag>;
 
