--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -688,3 +688,34 @@
   CHECK(trace.AdmissionOf(kRequest) == Admission::Refuse);
   CHECK(trace.AdmissionOf(kOtherRequest) == Admission::Admit);
 }
+
+TEST_CASE("Repeated crashes: an endpoint that breaks one connection after another has not crashed")
+{
+  Trace trace;
+  trace.RunHarmless(300);
+  const EndpointId endpoint("e");
+  for (std::uint64_t number = 1; number <= 8; ++number) {
+    trace.m_suspects.Begin(IdOf(number, "x"), endpoint, { kRequest }, trace.m_now);
+    trace.m_now += Milliseconds(20);
+    trace.m_suspects.RecordEnded(IdOf(number, "x"), SlotOutcome::Broken, false, trace.m_now);
+    trace.m_now += Milliseconds(number % 2 == 0 ? 20 : 300);
+  }
+  CHECK(trace.AdmissionOf(kRequest) != Admission::Refuse);
+}
+
+TEST_CASE("Repeated crashes: a response that begins soon after shows that the endpoint lives")
+{
+  Trace trace;
+  trace.RunHarmless(300);
+  for (std::uint64_t number = 1; number <= 12; number += 2) {
+    const EndpointId endpoint("f" + std::to_string(number));
+    trace.m_suspects.Begin(IdOf(number, "x"), endpoint, { kRequest }, trace.m_now);
+    trace.m_now += Milliseconds(20);
+    trace.m_suspects.RecordEnded(IdOf(number, "x"), SlotOutcome::Broken, false, trace.m_now);
+    trace.m_suspects.Begin(IdOf(number + 1, "x"), endpoint, { kOtherRequest }, trace.m_now);
+    trace.m_now += Milliseconds(20);
+    trace.m_suspects.RecordStarted(IdOf(number + 1, "x"), trace.m_now);
+    trace.m_suspects.RecordEnded(IdOf(number + 1, "x"), SlotOutcome::Complete, false, trace.m_now);
+  }
+  CHECK(trace.AdmissionOf(kRequest) == Admission::Admit);
+}
