Hold a broken connection against no request while its endpoint serves others

Ruled out: evidence lost between coordinators, which makes refusals later, not earlier.

An endpoint that has crashed is back after some seconds. If it takes a request that was granted within a second of a broken connection, whatever comes of that, it had not crashed, and the evidence against whole requests is withdrawn; what breaks off last counts. Parts of prompts are weighed as before.

--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -19,6 +19,8 @@
 // What happened before a crash, at a daemon that has not noticed it yet, may be reported this much
 // after it.
 constexpr Milliseconds kReportDelay{ 100 };
+// An endpoint that has crashed does not respond again before this time.
+constexpr Milliseconds kMinRestartTime{ 1'000 };
 // Evidence of one complete response, in log odds: an endpoint survives a trait that crashes
 // endpoints once in a thousand times.
 constexpr double kCompletionEvidence = -7;
@@ -198,6 +200,7 @@
   if (found != m_requests.end()) {
     found->second.m_started_at = aNow;
     WithdrawEvidence(aRequestId, aNow);
+    WithdrawIfAlive(found->second, aNow);
   }
 }
 
@@ -222,11 +225,13 @@
         break;
       }
       WithdrawEvidence(aRequestId, aNow);
+      WithdrawIfAlive(request, aNow);
       RecordCompleted(request, aNow);
       break;
     case SlotOutcome::Failed:
       // An error says that the endpoint is alive, not that it could run the prompt.
       WithdrawEvidence(aRequestId, aNow);
+      WithdrawIfAlive(request, aNow);
       break;
     case SlotOutcome::Broken:
       Decay(aNow);
@@ -370,6 +375,7 @@
                            const RunningRequest& aRequest,
                            TimePoint aNow)
 {
+  WithdrawIfAlive(aRequest, aNow);
   std::map<CrashTrait, Candidate> candidates = CandidatesAt(aRequest.m_endpoint, aNow);
   if (Crash* known = CrashOf(aRequestId, aRequest)) {
     std::erase(known->m_requests, aRequestId);
@@ -457,17 +463,38 @@
     return;
   }
   for (Crash* crash : recent) {
-    std::erase_if(crash->m_evidence, [&](const auto& aEntry) {
-      const auto& [id, evidence] = aEntry;
-      const bool is_withdrawn = IsWholeRequest(id) && endpoints_of[id].size() == 1;
-      if (is_withdrawn) {
-        TakeBack(id, evidence, aNow);
-      }
-      return is_withdrawn;
-    });
+    WithdrawFromRequests(
+      *crash, [&](const CrashTrait& aId) { return endpoints_of[aId].size() == 1; }, aNow);
   }
 }
 
+void
+CrashSuspects::WithdrawIfAlive(const RunningRequest& aRequest, TimePoint aNow)
+{
+  for (Crash& crash : m_crashes) {
+    if (crash.m_endpoint == aRequest.m_endpoint && aRequest.m_granted_at > crash.m_at &&
+        aRequest.m_granted_at - crash.m_at < kMinRestartTime) {
+      WithdrawFromRequests(
+        crash, [](const CrashTrait&) { return true; }, aNow);
+    }
+  }
+}
+
+void
+CrashSuspects::WithdrawFromRequests(Crash& aCrash,
+                                    const std::function<bool(const CrashTrait& aId)>& aIsWithdrawn,
+                                    TimePoint aNow)
+{
+  std::erase_if(aCrash.m_evidence, [&](const auto& aEntry) {
+    const auto& [id, evidence] = aEntry;
+    const bool is_withdrawn = IsWholeRequest(id) && aIsWithdrawn(id);
+    if (is_withdrawn) {
+      TakeBack(id, evidence, aNow);
+    }
+    return is_withdrawn;
+  });
+}
+
 void
 CrashSuspects::TakeBack(const CrashTrait& aId, double aEvidence, TimePoint aNow)
 {
--- a/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -4,6 +4,7 @@
 #include <LibPlacement/SlotRequest.h>
 #include <absl/container/flat_hash_map.h>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -231,6 +232,12 @@
   /// Withdraws the evidence against whole requests if many endpoints crash at the same time under
   /// different ones: something else has happened to all of them, or to all connections.
   void WithdrawIfMany(TimePoint aNow);
+  /// Withdraws the evidence of crashes against whole requests if the endpoint has run a request
+  /// that was granted soon after: only connections broke.
+  void WithdrawIfAlive(const RunningRequest& aRequest, TimePoint aNow);
+  void WithdrawFromRequests(Crash& aCrash,
+                            const std::function<bool(const CrashTrait& aId)>& aIsWithdrawn,
+                            TimePoint aNow);
   void TakeBack(const CrashTrait& aId, double aEvidence, TimePoint aNow);
   void RecordNotRunning(const RunningRequest& aRequest);
   static TraitSuspicion SuspicionOf(const CrashTrait& aId, const Trait& aTrait, TimePoint aNow);
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -262,6 +262,14 @@
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/if \(aRequest.m_granted_at <= known->m_at\)/if (true)/' \
   "$UNIT" "Repeated crashes: a connection that broke*"
+mutate "a request that crashes endpoints is refused: not one that breaks off where others run" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/  WithdrawIfAlive\(aRequest, aNow\);//' \
+  "$UNIT" "Repeated crashes: an endpoint that breaks*"
+mutate "a request that crashes endpoints is refused: not one after which its endpoint responds" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/    WithdrawIfAlive\(found->second, aNow\);//; s/      WithdrawIfAlive\(request, aNow\);//g' \
+  "$UNIT" "Repeated crashes: a response that begins*"
 mutate "a request that crashes endpoints is refused: each daemon knows its own complete responses" \
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/(RecordCompleteResponse[^{]*)\{/\1{\n  return;/' \
--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -712,6 +712,7 @@
     trace.m_suspects.Begin(IdOf(number, "x"), endpoint, { kRequest }, trace.m_now);
     trace.m_now += Milliseconds(20);
     trace.m_suspects.RecordEnded(IdOf(number, "x"), SlotOutcome::Broken, false, trace.m_now);
+    trace.m_now += Milliseconds(20);
     trace.m_suspects.Begin(IdOf(number + 1, "x"), endpoint, { kOtherRequest }, trace.m_now);
     trace.m_now += Milliseconds(20);
     trace.m_suspects.RecordStarted(IdOf(number + 1, "x"), trace.m_now);
