--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -77,7 +77,7 @@
   "$PROCESS" "A stream without a length that breaks off*"
 mutate "complete response: an orderly close before the first event is a loss" \
   Libraries/LibGateway/BodyCompleteness.cpp \
-  's/aEnd == RelayCallEnd::Closed \&\& !m_events.HasEvent\(\)/false/' \
+  's/!m_events.HasEvent\(\)/m_events.IsInsideEvent()/' \
   "$PROCESS" "A stream without a length that closes before*"
 mutate "complete response: framing does not complete an event" \
   Libraries/LibGateway/BodyCompleteness.cpp \
@@ -185,7 +185,7 @@
   "$UNIT" "Rest: *"
 mutate "an endpoint that rests gets no requests: the next coordinator learns it" \
   Libraries/LibBroker/NoticeExchange.cpp \
-  's/for \(const EndpointRest& rest : m_own_rests[^}]*\}//' \
+  's/(m_own_rests.Of\(aService, m_own, aNow)/\1 + Milliseconds(1000000)/' \
   "$UNIT" "Rest: *"
 mutate "a rest is not shortened by a later one" Libraries/LibPlacement/EndpointRests.cpp \
   's/!is_new && found->second.m_until >= until/false/' \
@@ -205,7 +205,7 @@
   's/is_registered_late\) \{/(is_registered_late || true)) {/' \
   "$UNIT" "Rest: *"
 mutate "a rest binds the daemon that was asked alone" Libraries/LibPlacement/EndpointRests.cpp \
-  's/Key\(aEndpoint, aDaemon\)/Key(aEndpoint, Incarnation())/g; s/const Incarnation& aDaemon/const Incarnation\&/g' \
+  's/Key\(aEndpoint, aDaemon\)/Key(aEndpoint, Incarnation())/g; s/const Incarnation& aDaemon,/const Incarnation\&,/g; s/const Incarnation& aDaemon, TimePoint aNow\) const\n\{\n  std::vector/const Incarnation\&, TimePoint aNow) const\n{\n  std::vector/; s/ \&\& key.second == aDaemon//' \
   "$UNIT" "Rest: *"
 mutate "after a rest an endpoint gets one request at a time" Libraries/LibPlacement/SlotEndpoint.cpp \
   's/return m_rest_asked_at &&/return false \&\& m_rest_asked_at \&\&/' \
@@ -244,7 +244,7 @@
   "$UNIT" "Repeated crashes: many endpoints*"
 mutate "a request that crashes endpoints is refused: a popular one is not" \
   Libraries/LibPlacement/CrashSuspects.cpp \
-  's/trait.m_log_odds \+ kCompletionEvidence/trait.m_log_odds/; s/constexpr double kCompletionEvidence = -7;//' \
+  's/trait.m_log_odds \+ kCompletionEvidence/trait.m_log_odds/g; s/constexpr double kCompletionEvidence = -7;//' \
   "$UNIT" "Repeated crashes: a popular request*"
 mutate "a request that crashes endpoints is refused: a trial does not take the last endpoint" \
   Libraries/LibPlacement/SlotScheduler.cpp \
--- a/Tests/Unit/TestGatewayParts.cpp
+++ b/Tests/Unit/TestGatewayParts.cpp
@@ -143,6 +143,7 @@
                       { "Transfer-Encoding", "chunked" } };
   CHECK(RequestDigest(again, "caller", "body") == digest);
   CHECK(RequestDigest(head, "other", "body") != digest);
+  CHECK(RequestDigest(head, "calleR", "body") != digest);
   CHECK(RequestDigest(head, "caller", "other") != digest);
   CHECK(RequestDigest(head, "caller", "") != digest);
   CHECK(RequestDigest(head, "callerbody", "") != RequestDigest(head, "caller", "body"));
