--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -279,9 +279,9 @@
 std::vector<CrashTrait>
 SlotBroker::InboundLink::TakeCrashTraits(std::uint64_t aNumber)
 {
-  auto parts = std::exchange(m_crash_traits, std::nullopt);
-  return parts && parts->m_number == aNumber ? std::move(parts->m_traits)
-                                             : std::vector<CrashTrait>();
+  auto traits = std::exchange(m_crash_traits, std::nullopt);
+  return traits && traits->m_number == aNumber ? std::move(traits->m_traits)
+                                               : std::vector<CrashTrait>();
 }
 
 void
--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -70,6 +70,16 @@
     }
   }
 
+  /// A request is granted an endpoint, and breaks off 20 ms later; 20 ms pass.
+  void Break(const char* aEndpoint, const CrashTrait& aTrait)
+  {
+    const SlotRequestId id = IdOf(++m_number);
+    m_suspects.Begin(id, EndpointId(aEndpoint), { aTrait }, m_now);
+    m_now += Milliseconds(20);
+    m_suspects.RecordEnded(id, SlotOutcome::Broken, false, m_now);
+    m_now += Milliseconds(20);
+  }
+
   Admission AdmissionOf(const CrashTrait& aTrait) const
   {
     return m_suspects.AdmissionOf({ aTrait }, m_now);
@@ -672,16 +682,9 @@
 {
   Trace trace;
   trace.RunHarmless(300);
-  for (int crash = 0; crash < 2; ++crash) {
-    const EndpointId endpoint("f" + std::to_string(crash));
-    const std::uint64_t number = 10 * static_cast<std::uint64_t>(crash);
-    trace.m_suspects.Begin(IdOf(number, "x"), endpoint, { kOtherRequest }, trace.m_now);
-    trace.m_now += Milliseconds(20);
-    trace.m_suspects.RecordEnded(IdOf(number, "x"), SlotOutcome::Broken, false, trace.m_now);
-    trace.m_now += Milliseconds(20);
-    trace.m_suspects.Begin(IdOf(number + 1, "x"), endpoint, { kRequest }, trace.m_now);
-    trace.m_now += Milliseconds(20);
-    trace.m_suspects.RecordEnded(IdOf(number + 1, "x"), SlotOutcome::Broken, false, trace.m_now);
+  for (const char* endpoint : { "f0", "f1" }) {
+    trace.Break(endpoint, kOtherRequest);
+    trace.Break(endpoint, kRequest);
     trace.m_now += Milliseconds(3'000);
     trace.Run({ kOtherRequest }, SlotOutcome::Complete);
   }
@@ -693,12 +696,10 @@
 {
   Trace trace;
   trace.RunHarmless(300);
-  const EndpointId endpoint("e");
-  for (std::uint64_t number = 1; number <= 8; ++number) {
-    trace.m_suspects.Begin(IdOf(number, "x"), endpoint, { kRequest }, trace.m_now);
-    trace.m_now += Milliseconds(20);
-    trace.m_suspects.RecordEnded(IdOf(number, "x"), SlotOutcome::Broken, false, trace.m_now);
-    trace.m_now += Milliseconds(number % 2 == 0 ? 20 : 300);
+  for (int number = 0; number < 4; ++number) {
+    trace.Break("f", kRequest);
+    trace.Break("f", kRequest);
+    trace.m_now += Milliseconds(300);
   }
   CHECK(trace.AdmissionOf(kRequest) != Admission::Refuse);
 }
@@ -707,16 +708,13 @@
 {
   Trace trace;
   trace.RunHarmless(300);
-  for (std::uint64_t number = 1; number <= 12; number += 2) {
-    const EndpointId endpoint("f" + std::to_string(number));
-    trace.m_suspects.Begin(IdOf(number, "x"), endpoint, { kRequest }, trace.m_now);
-    trace.m_now += Milliseconds(20);
-    trace.m_suspects.RecordEnded(IdOf(number, "x"), SlotOutcome::Broken, false, trace.m_now);
-    trace.m_now += Milliseconds(20);
-    trace.m_suspects.Begin(IdOf(number + 1, "x"), endpoint, { kOtherRequest }, trace.m_now);
+  for (const char* endpoint : { "f0", "f1", "f2", "f3", "f4", "f5" }) {
+    trace.Break(endpoint, kRequest);
+    const SlotRequestId id = IdOf(++trace.m_number);
+    trace.m_suspects.Begin(id, EndpointId(endpoint), { kOtherRequest }, trace.m_now);
     trace.m_now += Milliseconds(20);
-    trace.m_suspects.RecordStarted(IdOf(number + 1, "x"), trace.m_now);
-    trace.m_suspects.RecordEnded(IdOf(number + 1, "x"), SlotOutcome::Complete, false, trace.m_now);
+    trace.m_suspects.RecordStarted(id, trace.m_now);
+    trace.m_suspects.RecordEnded(id, SlotOutcome::Complete, false, trace.m_now);
   }
   CHECK(trace.AdmissionOf(kRequest) == Admission::Admit);
 }
