Let callers of a test repeat a resume that is refused for a moment

Traced: all refusals say 'the software version of the stream is unknown'. The caller resumes within milliseconds at the coordinator, which reads that request before the message of the daemon that began the stream. It must not guess and refuses the request as not run, with Retry-After, which is allowed and has its own case.

--- a/Tests/Process/TestStreamVersions.cpp
+++ b/Tests/Process/TestStreamVersions.cpp
@@ -77,6 +77,19 @@
                           aDaemon);
   }
 
+  /// The same, again and again while it is refused: a daemon may not have learned yet which version
+  /// sent the first event, and must not guess.
+  CallerResponse ResumeUntilAdmitted(const std::string& aStream, std::size_t aDaemon)
+  {
+    CallerResponse response;
+    int attempts = 0;
+    WaitFor([&] {
+      response = Resume(aStream, absl::StrCat("again-", aStream, "-", ++attempts), aDaemon);
+      return response.m_status != 503;
+    });
+    return response;
+  }
+
 private:
   bool Serve(std::size_t aEndpoint, RawConnection& aConnection, const RawRequest& aRequest)
   {
@@ -150,7 +163,7 @@
     CHECK_FALSE(cluster.Daemons().Call("/resumable/x", id, "", number % 3).m_is_complete);
     cluster.SetBreaksAll(false);
     // At the daemon that began it, and at another one.
-    const CallerResponse response = cluster.Resume(id, absl::StrCat("again-", number), number % 2);
+    const CallerResponse response = cluster.ResumeUntilAdmitted(id, number % 2);
     CHECK(HasOneVersion(cluster.VersionsOf(id)));
     completed += response.m_is_complete && response.m_body == kLastEvent ? 1 : 0;
   }
