--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -718,3 +718,17 @@
   }
   CHECK(trace.AdmissionOf(kRequest) == Admission::Admit);
 }
+
+TEST_CASE("Repeated crashes: a kept connection that breaks just after does not hide the crash")
+{
+  Trace trace;
+  trace.RunHarmless(300);
+  for (const char* endpoint : { "f0", "f1" }) {
+    trace.Break(endpoint, kRequest);
+    trace.Break(endpoint, kOtherRequest);
+    trace.m_now += Milliseconds(3'000);
+    trace.Run({ kOtherRequest }, SlotOutcome::Complete);
+  }
+  CHECK(trace.AdmissionOf(kRequest) == Admission::Refuse);
+  CHECK(trace.AdmissionOf(kOtherRequest) == Admission::Admit);
+}
