Keep the evidence of a crash if a kept connection breaks just after it

A request that crashes endpoints could go on reaching them: when the next request broke off at the endpoint that had crashed, the evidence was withdrawn as if the endpoint lived. A daemon that has not read the end of its kept connection yet sends the next request there within some milliseconds, most likely where all endpoints of a service have just failed.

Such a break within the report delay (100 ms) now leaves the evidence as it is, and counts against no request that was weighed for the crash already; later ones, and responses at any time, still show that the endpoint lives. A request that was not weighed is weighed, as before. Breaks that add nothing are no longer counted as crashes that nothing explains.

--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -200,7 +200,7 @@
   if (found != m_requests.end()) {
     found->second.m_started_at = aNow;
     WithdrawEvidence(aRequestId, aNow);
-    WithdrawIfAlive(found->second, aNow);
+    WithdrawIfAlive(found->second, Milliseconds(0), aNow);
   }
 }
 
@@ -225,13 +225,13 @@
         break;
       }
       WithdrawEvidence(aRequestId, aNow);
-      WithdrawIfAlive(request, aNow);
+      WithdrawIfAlive(request, Milliseconds(0), aNow);
       RecordCompleted(request, aNow);
       break;
     case SlotOutcome::Failed:
       // An error says that the endpoint is alive, not that it could run the prompt.
       WithdrawEvidence(aRequestId, aNow);
-      WithdrawIfAlive(request, aNow);
+      WithdrawIfAlive(request, Milliseconds(0), aNow);
       break;
     case SlotOutcome::Broken:
       Decay(aNow);
@@ -375,7 +375,9 @@
                            const RunningRequest& aRequest,
                            TimePoint aNow)
 {
-  WithdrawIfAlive(aRequest, aNow);
+  // A request that was granted just after a crash may have been sent on a kept connection whose end
+  // its daemon had not read.
+  WithdrawIfAlive(aRequest, kReportDelay, aNow);
   std::map<CrashTrait, Candidate> candidates = CandidatesAt(aRequest.m_endpoint, aNow);
   if (Crash* known = CrashOf(aRequestId, aRequest)) {
     std::erase(known->m_requests, aRequestId);
@@ -384,7 +386,12 @@
     }
     // The endpoint may have crashed only now, if just a connection broke before. Parts are not
     // weighed again: many requests have the same ones.
-    std::erase_if(candidates, [](const auto& aEntry) { return !IsWholeRequest(aEntry.first); });
+    std::erase_if(candidates, [&](const auto& aEntry) {
+      return !IsWholeRequest(aEntry.first) || known->m_whole_requests.contains(aEntry.first);
+    });
+    if (candidates.empty()) {
+      return;
+    }
   }
   Crash crash;
   crash.m_endpoint = aRequest.m_endpoint;
@@ -469,11 +476,12 @@
 }
 
 void
-CrashSuspects::WithdrawIfAlive(const RunningRequest& aRequest, TimePoint aNow)
+CrashSuspects::WithdrawIfAlive(const RunningRequest& aRequest, Milliseconds aAfter, TimePoint aNow)
 {
   for (Crash& crash : m_crashes) {
-    if (crash.m_endpoint == aRequest.m_endpoint && aRequest.m_granted_at > crash.m_at &&
-        aRequest.m_granted_at - crash.m_at < kMinRestartTime) {
+    const auto granted_after = aRequest.m_granted_at - crash.m_at;
+    if (crash.m_endpoint == aRequest.m_endpoint && granted_after > aAfter &&
+        granted_after < kMinRestartTime) {
       WithdrawFromRequests(
         crash, [](const CrashTrait&) { return true; }, aNow);
     }
--- a/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -233,8 +233,8 @@
   /// different ones: something else has happened to all of them, or to all connections.
   void WithdrawIfMany(TimePoint aNow);
   /// Withdraws the evidence of crashes against whole requests if the endpoint has run a request
-  /// that was granted soon after: only connections broke.
-  void WithdrawIfAlive(const RunningRequest& aRequest, TimePoint aNow);
+  /// that was granted soon after, but more than aAfter: only connections broke.
+  void WithdrawIfAlive(const RunningRequest& aRequest, Milliseconds aAfter, TimePoint aNow);
   void WithdrawFromRequests(Crash& aCrash,
                             const std::function<bool(const CrashTrait& aId)>& aIsWithdrawn,
                             TimePoint aNow);
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -264,12 +264,20 @@
   "$UNIT" "Repeated crashes: a connection that broke*"
 mutate "a request that crashes endpoints is refused: not one that breaks off where others run" \
   Libraries/LibPlacement/CrashSuspects.cpp \
-  's/  WithdrawIfAlive\(aRequest, aNow\);//' \
+  's/  WithdrawIfAlive\(aRequest, kReportDelay, aNow\);//' \
   "$UNIT" "Repeated crashes: an endpoint that breaks*"
 mutate "a request that crashes endpoints is refused: not one after which its endpoint responds" \
   Libraries/LibPlacement/CrashSuspects.cpp \
-  's/    WithdrawIfAlive\(found->second, aNow\);//; s/      WithdrawIfAlive\(request, aNow\);//g' \
+  's/    WithdrawIfAlive\(found->second, Milliseconds\(0\), aNow\);//; s/      WithdrawIfAlive\(request, Milliseconds\(0\), aNow\);//g' \
   "$UNIT" "Repeated crashes: a response that begins*"
+mutate "a request that crashes endpoints is refused: a kept connection that breaks after hides none" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/aRequest, kReportDelay, aNow/aRequest, Milliseconds(0), aNow/' \
+  "$UNIT" "Repeated crashes: a kept connection*"
+mutate "a request that crashes endpoints is refused: one that breaks twice at once counts once" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/ \|\| known->m_whole_requests.contains\(aEntry.first\)//' \
+  "$UNIT" "Repeated crashes: an endpoint that breaks*"
 mutate "a request that crashes endpoints is refused: each daemon knows its own complete responses" \
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/(RecordCompleteResponse[^{]*)\{/\1{\n  return;/' \
