Count a request that breaks off at one endpoint once among others that do

In 0.1 s one endpoint broke 12 connections of requests of several kinds in turn; only the latest known crash was asked whether it had weighed the request already, so each turn counted again (crashes=5, probability 0.98). All crashes to which the break may belong are asked now. The new unit test failed before and passes.

--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -340,6 +340,16 @@
   return found == m_crashes.rend() ? nullptr : &*found;
 }
 
+bool
+CrashSuspects::IsWeighed(const CrashTrait& aId,
+                         const SlotRequestId& aRequestId,
+                         const RunningRequest& aRequest) const
+{
+  return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const Crash& aCrash) {
+    return IsOf(aCrash, aRequestId, aRequest) && aCrash.m_whole_requests.contains(aId);
+  });
+}
+
 std::map<CrashTrait, CrashSuspects::Candidate>
 CrashSuspects::CandidatesAt(const EndpointId& aEndpoint, TimePoint aNow)
 {
@@ -387,7 +397,7 @@
     // The endpoint may have crashed only now, if just a connection broke before. Parts are not
     // weighed again: many requests have the same ones.
     std::erase_if(candidates, [&](const auto& aEntry) {
-      return !IsWholeRequest(aEntry.first) || known->m_whole_requests.contains(aEntry.first);
+      return !IsWholeRequest(aEntry.first) || IsWeighed(aEntry.first, aRequestId, aRequest);
     });
     if (candidates.empty()) {
       return;
--- a/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -213,6 +213,10 @@
   /// The last known crash in which a request broke off, if there is one: it ran there then, or was
   /// granted before all daemons had noticed.
   Crash* CrashOf(const SlotRequestId& aRequestId, const RunningRequest& aRequest);
+  /// Whether a whole request was a candidate for a crash that the end of a request may belong to.
+  bool IsWeighed(const CrashTrait& aId,
+                 const SlotRequestId& aRequestId,
+                 const RunningRequest& aRequest) const;
   /// Whether a request broke off, or will, in this crash.
   static bool IsOf(const Crash& aCrash,
                    const SlotRequestId& aRequestId,
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -276,7 +276,7 @@
   "$UNIT" "Repeated crashes: a kept connection*"
 mutate "a request that crashes endpoints is refused: one that breaks twice at once counts once" \
   Libraries/LibPlacement/CrashSuspects.cpp \
-  's/ \|\| known->m_whole_requests.contains\(aEntry.first\)//' \
+  's/ \|\| IsWeighed\(aEntry.first, aRequestId, aRequest\)//' \
   "$UNIT" "Repeated crashes: an endpoint that breaks*"
 mutate "a request that crashes endpoints is refused: each daemon knows its own complete responses" \
   Libraries/LibPlacement/CrashSuspects.cpp \
--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -704,6 +704,17 @@
   CHECK(trace.AdmissionOf(kRequest) != Admission::Refuse);
 }
 
+TEST_CASE("Repeated crashes: requests that break off in turn at one endpoint count once each")
+{
+  Trace trace;
+  trace.RunHarmless(300);
+  for (int number = 0; number < 6; ++number) {
+    trace.Break("f", number % 2 == 0 ? kRequest : kOtherRequest);
+  }
+  CHECK(trace.AdmissionOf(kRequest) != Admission::Refuse);
+  CHECK(trace.AdmissionOf(kOtherRequest) != Admission::Refuse);
+}
+
 TEST_CASE("Repeated crashes: a response that begins soon after shows that the endpoint lives")
 {
   Trace trace;
