--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -277,7 +277,7 @@
 mutate "a request that crashes endpoints is refused: one that breaks twice at once counts once" \
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/ \|\| IsWeighed\(aEntry.first, aRequestId, aRequest\)//' \
-  "$UNIT" "Repeated crashes: an endpoint that breaks*"
+  "$UNIT" "Repeated crashes: requests that break off in turn*"
 mutate "a request that crashes endpoints is refused: each daemon knows its own complete responses" \
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/(RecordCompleteResponse[^{]*)\{/\1{\n  return;/' \
