Use one term for complete responses, and require a resume where its stream began to go on at once

The test of resumed streams repeats a refused resume only at a daemon other than the one that began the stream, which knows its version.

--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -265,7 +265,7 @@
       continue;
     }
     Trait& trait = TraitOf(id, aNow);
-    // What the coordinator says of a suspected request counts.
+    // Only its coordinator clears a suspected request.
     if (trait.m_log_odds <= m_request_prior_log_odds) {
       SetLogOdds(id, trait, trait.m_log_odds + kCompletionEvidence, aNow);
     }
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -494,7 +494,7 @@
   if (!end) {
     return false;
   }
-  // A stream in its middle is lost if it is refused, so it waits for as long as its caller does.
+  // A stream that has begun is lost if it is refused, so it waits for as long as its caller does.
   return request.m_required_version
            ? MsBetween(*end, request.m_abandoned_at) < aWaiting.m_min_first_byte_ms
            : MsBetween(*end, request.m_objective_at) < aWaiting.m_first_byte_bound_ms;
@@ -526,7 +526,7 @@
     }
     const bool is_avoided =
       std::find(request.m_avoided.begin(), request.m_avoided.end(), id) != request.m_avoided.end();
-    // A suspected request had better run where few others break off with it.
+    // If a suspected request crashes its endpoint, those that run there break off with it.
     const std::size_t at_risk = is_suspected ? m_crash_suspects->CountAtRisk(id, aNow) : 0;
     const std::tuple cost(at_risk, is_avoided, CostOf(endpoint, request));
     if (best == nullptr || cost < best_cost) {
--- a/Tests/Process/TestStreamVersions.cpp
+++ b/Tests/Process/TestStreamVersions.cpp
@@ -77,8 +77,8 @@
                           aDaemon);
   }
 
-  /// The same, again and again while it is refused: a daemon may not have learned yet which version
-  /// sent the first event, and must not guess.
+  /// The same, repeated while it is refused: another daemon than the one that began the stream may
+  /// not have learned yet which version sent its first event.
   CallerResponse ResumeUntilAdmitted(const std::string& aStream, std::size_t aDaemon)
   {
     CallerResponse response;
@@ -163,7 +163,10 @@
     CHECK_FALSE(cluster.Daemons().Call("/resumable/x", id, "", number % 3).m_is_complete);
     cluster.SetBreaksAll(false);
     // At the daemon that began it, and at another one.
-    const CallerResponse response = cluster.ResumeUntilAdmitted(id, number % 2);
+    const std::size_t daemon = number % 2;
+    const CallerResponse response = daemon == number % 3
+                                      ? cluster.Resume(id, absl::StrCat("again-", number), daemon)
+                                      : cluster.ResumeUntilAdmitted(id, daemon);
     CHECK(HasOneVersion(cluster.VersionsOf(id)));
     completed += response.m_is_complete && response.m_body == kLastEvent ? 1 : 0;
   }
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -49,7 +49,7 @@
   Truncate,
   AddBytes,
   WrongRequestId,
-  /// A whole response that states neither a length nor chunks.
+  /// A complete response that states neither a length nor chunks.
   NoFraming,
   /// A stream without a length whose connection closes in order inside an event.
   CloseInsideEvent,
--- a/Tests/Support/RestChecker.cpp
+++ b/Tests/Support/RestChecker.cpp
@@ -39,7 +39,7 @@
 {
   const std::lock_guard lock(m_mutex);
   for (Rest& rest : m_rests) {
-    // What was broken before the disturbance stays broken.
+    // Arrivals before the disturbance are still violations.
     if (rest.m_daemon == aDaemon && rest.m_arrivals <= kMaxArrivals) {
       rest.m_is_excused = true;
     }
--- a/Tests/Unit/TestCrashLoad.cpp
+++ b/Tests/Unit/TestCrashLoad.cpp
@@ -34,7 +34,7 @@
 enum class Policy
 {
   None,
-  /// Three crashes in a row without a whole response between them.
+  /// Three crashes in a row without a complete response between them.
   Count,
   /// CrashSuspects.
   Likelihood,
--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -39,7 +39,7 @@
   {
   }
 
-  /// Whole responses to requests with the common trait and that of a session.
+  /// Complete responses to requests with the common trait and that of a session.
   void RunHarmless(int aCount)
   {
     for (int i = 0; i < aCount; ++i) {
@@ -152,7 +152,7 @@
   CHECK(stormy.CrashesUntilRefused({ { kCommon, kHarmful } }) > in_calm);
 }
 
-TEST_CASE("Crashes: no trait is refused under which responses are whole in between")
+TEST_CASE("Crashes: no trait is refused under which responses are complete in between")
 {
   Trace trace;
   for (int i = 0; i < 500; ++i) {
@@ -265,7 +265,7 @@
   CHECK(trace.AdmissionOf(kHarmful) == Admission::Admit);
 }
 
-TEST_CASE("Crashes: a whole response clears a trait, one that ended with its connection does not")
+TEST_CASE("Crashes: a complete response clears a trait, one ended by its connection does not")
 {
   Trace trace;
   trace.RunHarmless(300);
--- a/Tests/Unit/TestEndpointRests.cpp
+++ b/Tests/Unit/TestEndpointRests.cpp
@@ -129,7 +129,7 @@
   CHECK(resting.m_scheduler.Decide(At(2'000)).m_grants.at(0).m_endpoint == kSecond.m_id);
 }
 
-TEST_CASE("Rest: a stream in its middle waits for as long as its caller does")
+TEST_CASE("Rest: a stream that has begun waits for as long as its caller does")
 {
   RestingScheduler resting;
   resting.Rest(kFirst, kOne, 3'000, At(0));
--- a/Tests/Unit/TestRepeatedCrashLoad.cpp
+++ b/Tests/Unit/TestRepeatedCrashLoad.cpp
@@ -342,7 +342,7 @@
 };
 
 constexpr int kSeeds = 5;
-// A request that runs at two crashes in a row may be refused, though it had no part in them.
+// A harmless request that runs at two crashes in a row may be refused.
 constexpr double kMaxFalseAlarmShare = 1e-3;
 
 Result
