--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -230,6 +230,21 @@
   CHECK(crashes <= 5);
 }
 
+TEST_CASE("Crashes: one just after another connection broke counts against what ran only then")
+{
+  Trace trace;
+  trace.RunHarmless(300);
+  int crashes = 0;
+  for (; crashes < 6 && trace.AdmissionOf(kHarmful) != Admission::Refuse; ++crashes) {
+    trace.Break("f", kCommon);
+    trace.Break("f", kHarmful);
+    trace.m_now += Milliseconds(3'000);
+    trace.Run({ kCommon, Session(1) }, SlotOutcome::Complete);
+  }
+  CHECK(crashes <= 3);
+  CHECK(trace.AdmissionOf(kCommon) == Admission::Admit);
+}
+
 TEST_CASE("Crashes: a response that had begun long before, and an expected end, are no evidence")
 {
   CrashSuspects suspects;
