Weigh what ran only when an endpoint crashed, parts of prompts as whole requests

What was a candidate for the break before is not weighed again now, whatever it is, and what was not is weighed; the exception for parts goes.

The unit test failed before (six crashes, not refused; now at most three).

--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -346,7 +346,7 @@
                          const RunningRequest& aRequest) const
 {
   return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const Crash& aCrash) {
-    return IsOf(aCrash, aRequestId, aRequest) && aCrash.m_whole_requests.contains(aId);
+    return IsOf(aCrash, aRequestId, aRequest) && aCrash.m_candidates.contains(aId);
   });
 }
 
@@ -394,10 +394,9 @@
     if (aRequest.m_granted_at <= known->m_at) {
       return;
     }
-    // The endpoint may have crashed only now, if just a connection broke before. Parts are not
-    // weighed again: many requests have the same ones.
+    // The endpoint may have crashed only now, if just a connection broke before.
     std::erase_if(candidates, [&](const auto& aEntry) {
-      return !IsWholeRequest(aEntry.first) || IsWeighed(aEntry.first, aRequestId, aRequest);
+      return IsWeighed(aEntry.first, aRequestId, aRequest);
     });
     if (candidates.empty()) {
       return;
@@ -443,9 +442,7 @@
 {
   Trait& trait = TraitOf(aId, aNow);
   const bool is_whole = IsWholeRequest(aId);
-  if (is_whole) {
-    aCrash.m_whole_requests.insert(aId);
-  }
+  aCrash.m_candidates.insert(aId);
   trait.m_crashes += aCandidate.m_is_independent || is_whole ? 1 : 0;
   if (!aCandidate.m_is_independent) {
     return;
@@ -471,7 +468,7 @@
     if (aNow - crash.m_at <= kReportDelay) {
       recent.push_back(&crash);
       endpoints.insert(crash.m_endpoint);
-      for (const CrashTrait& id : crash.m_whole_requests) {
+      for (const CrashTrait& id : crash.m_candidates) {
         endpoints_of[id].insert(crash.m_endpoint);
       }
     }
--- a/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -187,8 +187,8 @@
     std::vector<SlotRequestId> m_requests;
     /// What was added to the log odds of each trait.
     std::vector<std::pair<CrashTrait, double>> m_evidence;
-    /// The whole requests that were candidates.
-    std::set<CrashTrait> m_whole_requests;
+    /// What was weighed.
+    std::set<CrashTrait> m_candidates;
     /// What was added to the crashes that no trait explains.
     double m_unexplained = 0;
   };
@@ -213,7 +213,7 @@
   /// The last known crash in which a request broke off, if there is one: it ran there then, or was
   /// granted before all daemons had noticed.
   Crash* CrashOf(const SlotRequestId& aRequestId, const RunningRequest& aRequest);
-  /// Whether a whole request was a candidate for a crash that the end of a request may belong to.
+  /// Whether a trait was a candidate for a crash that the end of a request may belong to.
   bool IsWeighed(const CrashTrait& aId,
                  const SlotRequestId& aRequestId,
                  const RunningRequest& aRequest) const;
