--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -276,12 +276,16 @@
   "$UNIT" "Repeated crashes: a kept connection*"
 mutate "a request that crashes endpoints is refused: one that breaks twice at once counts once" \
   Libraries/LibPlacement/CrashSuspects.cpp \
-  's/ \|\| IsWeighed\(aEntry.first, aRequestId, aRequest\)//' \
+  's/return IsWeighed\(aEntry.first, aRequestId, aRequest\);/return false;/' \
   "$UNIT" "Repeated crashes: requests that break off in turn*"
 mutate "a request that crashes endpoints is refused: each daemon knows its own complete responses" \
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/(RecordCompleteResponse[^{]*)\{/\1{\n  return;/' \
   "$UNIT" "Repeated crashes: a new coordinator knows*"
+mutate "a prompt that crashes endpoints is refused: a connection that broke before hides no crash" \
+  Libraries/LibPlacement/CrashSuspects.cpp \
+  's/return IsWeighed\(aEntry.first,/return !IsWholeRequest(aEntry.first) || IsWeighed(aEntry.first,/' \
+  "$UNIT" "Crashes: one just after*"
 mutate "a prompt that crashes endpoints is refused: the daemons tell the next coordinator" \
   Libraries/LibPlacement/CrashSuspects.cpp \
   's/if \(trait.m_log_odds >= m_announce_log_odds\) \{\n      all/if (false) {\n      all/' \
