--- a/Tests/Process/TestRestingEndpoints.cpp
+++ b/Tests/Process/TestRestingEndpoints.cpp
@@ -6,7 +6,9 @@
 #include <array>
 #include <csignal>
 #include <doctest.h>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace auburnhitch;
 using namespace auburnhitch::tests;
@@ -307,3 +309,58 @@
   CHECK(cluster.Call("/unsafe/x", "late").m_status == 503);
   CHECK(requests == received);
 }
+
+namespace {
+
+/// Lets an endpoint ask for rest only once the daemon no longer waits for its response.
+void
+RefuseWhenAbandoned(GatewayCluster& aCluster)
+{
+  aCluster.Endpoint(0).SetBehaviour([](RawConnection& aConnection, const RawRequest& aRequest) {
+    aConnection.WaitForClose();
+    aConnection.Write(kRests.ResponseTo(aRequest.Header("x-request-id")));
+    return false;
+  });
+}
+
+void
+CheckRestIsKept(GatewayCluster& aCluster)
+{
+  CHECK(WaitFor([&] {
+    return aCluster.LogOfDaemon(0).find("event=rest-learned endpoint=i-0") != std::string::npos;
+  }));
+  const std::size_t received = aCluster.Endpoint(0).Requests().size();
+  CHECK(aCluster.Call("/unsafe/x", "next").m_status == 503);
+  CHECK(aCluster.Endpoint(0).Requests().size() == received);
+}
+
+}
+
+TEST_CASE("Rest: a rest asked for when the deadline of the request has passed is kept")
+{
+  GatewayCluster cluster(1, 1);
+  cluster.Configure([](nlohmann::json& aConfiguration) {
+    for (nlohmann::json& route : aConfiguration["routes"]) {
+      route["timeout_ms"] = 300;
+    }
+  });
+  REQUIRE(WaitFor(
+    [&] { return cluster.LogOfDaemon(0).find("in-force version=2") != std::string::npos; }));
+  RefuseWhenAbandoned(cluster);
+  CHECK(cluster.Call("/unsafe/x", "late").m_status == 504);
+  CheckRestIsKept(cluster);
+}
+
+TEST_CASE("Rest: a rest asked for when the caller of the request has left is kept")
+{
+  GatewayCluster cluster(1, 1);
+  RefuseWhenAbandoned(cluster);
+  const int caller = ConnectTo(cluster.CallerAddress(0));
+  const std::string request = "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: gone\r\n"
+                              "Authorization: Bearer key-1\r\nContent-Length: 4\r\n\r\nbody";
+  CHECK(send(caller, request.data(), request.size(), MSG_NOSIGNAL) ==
+        static_cast<ssize_t>(request.size()));
+  cluster.Endpoint(0).WaitForRun("gone");
+  close(caller);
+  CheckRestIsKept(cluster);
+}
