Hear what an endpoint states in a response that nobody waits for any more

Callers saw nothing; endpoints did: one that had refused a request with Retry-After, or had said that it leaves, got further requests from the daemon if the refusal came when the request's deadline had passed or its caller had left.

Cause: OnDeadline and OnCallerDisconnected freed the connection, and with it each response on its way. An endpoint refuses a request whose deadline passed in its queue one transit later than the daemon gives it up, so such a refusal was lost every time, when queues are full and rests are asked for.

Evidence: both cases of 'Rest: a rest asked for when*' failed before (the next request reached the endpoint), and 'Leaving: a statement in a response that nobody waits for' failed with 4 of 9 daemons that never learned it; all three pass now, as do the ten cases of rests before them.

Why it works: RelayCall::Cancel() closes the sending direction at once, which tells the endpoint to stop as before, and reads on for 250 ms for the head of a response. Closing later instead would only move the window. Its limit is ignored, since it may be older than the one that is known.

--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -236,6 +236,27 @@
   }
 }
 
+void
+SlotBroker::RecordLateNotice(const ServiceName& aService,
+                             const EndpointIncarnation& aEndpoint,
+                             EndpointNotice aNotice)
+{
+  aNotice.m_may_be_old = true;
+  const Member coordinator = CoordinatorFor(aService);
+  const TimePoint now = Now();
+  // A number of no slot request; 0 would mark the statement as one that other daemons have passed
+  // on.
+  const std::uint64_t number = ++m_last_number;
+  for (const EndpointNoticeMessage& notice :
+       m_notices.RecordResponse(aService, number, aEndpoint, aNotice, now, now)) {
+    if (IsSelf(coordinator.m_host)) {
+      OnReport(nullptr, notice);
+    } else {
+      LinkTo(coordinator).Send(EncodeSlotMessage(notice));
+    }
+  }
+}
+
 void
 SlotBroker::OnReport(InboundLink* aLink, const EndpointNoticeMessage& aNotice)
 {
--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -76,6 +76,11 @@
   void RecordNotice(std::uint64_t aNumber,
                     const EndpointIncarnation& aEndpoint,
                     const EndpointNotice& aNotice);
+  /// Reports what an endpoint stated in a response that arrived after its slot was freed. Its rate
+  /// limit is ignored, since it may be older than the one that is known.
+  void RecordLateNotice(const ServiceName& aService,
+                        const EndpointIncarnation& aEndpoint,
+                        EndpointNotice aNotice);
   /// The rate limit that an endpoint states, as far as this daemon knows.
   std::optional<RequestRate> KnownLimitOf(const EndpointIncarnation& aEndpoint) const
   {
--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -626,11 +626,38 @@
     m_dependencies.m_broker->Withdraw(*std::exchange(m_slot_request_id, std::nullopt));
   }
   // Closing the connection signals the endpoint to stop.
-  m_call = nullptr;
+  CancelCall();
   ReleaseSlot(SlotOutcome::Cancelled);
   Finish("caller-gone", 0, "the caller closed its connection");
 }
 
+void
+ActiveRequest::CancelCall()
+{
+  if (m_call == nullptr) {
+    return;
+  }
+  m_call->Cancel([dependencies = m_dependencies,
+                  request_id = m_request.m_head.m_request_id,
+                  service = m_request.m_service,
+                  endpoint = m_attempt->m_endpoint.Run()](const MessageHead& aHead) {
+    const EndpointNotice notice = dependencies.m_dialect->DecodeNotice(aHead);
+    LogOf("send").info("event=late-response request={} service={} endpoint={} status={} "
+                       "stated_leaving={} stated_rest_ms={}",
+                       request_id,
+                       service.Value(),
+                       endpoint.m_id.Value(),
+                       aHead.m_status,
+                       DescribeLeaving(notice),
+                       DescribeRest(notice));
+    if (notice.IsMalformed()) {
+      dependencies.m_metrics->OnMalformedNotice(service);
+    }
+    dependencies.m_broker->RecordLateNotice(service, endpoint, notice);
+  });
+  m_call = nullptr;
+}
+
 void
 ActiveRequest::OnDeadline()
 {
@@ -641,7 +668,7 @@
     m_dependencies.m_broker->Withdraw(*std::exchange(m_slot_request_id, std::nullopt));
   }
   const bool is_connecting = m_attempt && !m_attempt->m_is_written;
-  m_call = nullptr;
+  CancelCall();
   ReleaseSlot(is_connecting ? SlotOutcome::Unreachable : SlotOutcome::Cancelled);
   if (m_exchange->HasStarted()) {
     AbortResponse("the deadline has passed");
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -137,6 +137,9 @@
   void StartResponse(BodyFraming aFraming);
   void ReleaseSlot(SlotOutcome aSlotOutcome);
   void OnCallerDisconnected();
+  /// Ends the call to the endpoint early, but still records what the endpoint states about itself
+  /// in a response that is on its way.
+  void CancelCall();
   /// Responds that the request has not run and never will.
   void RespondNotRun(int aStatus, const char* aReason, Milliseconds aRetryAfter);
   /// Responds that the request may or may not have run.
--- a/Libraries/LibRelay/RelayClient.cpp
+++ b/Libraries/LibRelay/RelayClient.cpp
@@ -1,6 +1,7 @@
 #include <LibRelay/RelayClient.h>
 
 #include <LibHttp/HttpServer.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -10,6 +11,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace auburnhitch {
 
@@ -23,6 +25,11 @@
 constexpr int kMaxUnacknowledgedMs = 6'000;
 // A peer sends a few informational (1xx) responses at most.
 constexpr int kMaxInformationalResponses = 8;
+// Time for a response that crosses the cancellation of its call; a peer that does not notice the
+// half-closed connection stops after this time.
+constexpr Milliseconds kLateHeadTimeout{ 250 };
+// Bounds the descriptors in use by cancelled calls.
+constexpr std::size_t kMaxCancelledCalls = 512;
 constexpr int kKeepAliveIdleSeconds = 2;
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 3;
@@ -213,6 +220,8 @@
   Milliseconds m_idle_lifetime;
   std::size_t m_max_idle_per_peer;
   absl::flat_hash_map<std::string, std::vector<std::unique_ptr<Idle>>> m_idle;
+  /// Calls that nobody waits for, which still read the heads of their responses.
+  absl::flat_hash_set<std::shared_ptr<RelayCall::State>> m_cancelled;
   RelayClientCounts m_counts;
   Timer m_sweep;
 };
@@ -402,6 +411,10 @@
         m_handlers.m_on_head(m_parser.Head());
       }
     }
+    if (m_is_cancelled && m_is_head_reported) {
+      Finish(RelayCallEnd::Broken, "cancelled");
+      return;
+    }
     m_body_bytes += m_parser.PendingBodyBytes();
     if (!m_is_over && m_body_bytes > m_limits.m_max_body_bytes) {
       Finish(RelayCallEnd::Malformed,
@@ -476,6 +489,28 @@
     FreeConnection();
   }
 
+  void Cancel(HeadHandler aOnLateHead)
+  {
+    const bool may_be_answered = !m_is_over && m_is_written && !m_is_head_reported &&
+                                 evbuffer_get_length(bufferevent_get_output(m_events)) == 0;
+    if (!may_be_answered || m_pool->m_cancelled.size() >= kMaxCancelledCalls) {
+      Abandon();
+      return;
+    }
+    m_is_cancelled = true;
+    StopTimers();
+    m_handlers = {};
+    m_handlers.m_on_head = std::move(aOnLateHead);
+    m_handlers.m_on_end = [this](const RelayResult&) {
+      m_pool->m_cancelled.erase(shared_from_this());
+    };
+    m_pool->m_cancelled.insert(shared_from_this());
+    shutdown(bufferevent_getfd(m_events), SHUT_WR);
+    m_total_timer = std::make_unique<Timer>(Loop(), kLateHeadTimeout, Timer::Repeat::Once, [this] {
+      FinishFromTimer(RelayCallEnd::Broken, "cancelled");
+    });
+  }
+
   void Uncount()
   {
     if (std::exchange(m_is_counted, false)) {
@@ -513,6 +548,7 @@
   int m_informational_responses = 0;
   std::size_t m_body_bytes = 0;
   bool m_is_over = false;
+  bool m_is_cancelled = false;
   bool m_is_counted = false;
 };
 
@@ -523,7 +559,15 @@
 
 RelayCall::~RelayCall()
 {
-  m_state->Abandon();
+  if (!m_state->m_is_cancelled) {
+    m_state->Abandon();
+  }
+}
+
+void
+RelayCall::Cancel(HeadHandler aOnLateHead)
+{
+  m_state->Cancel(std::move(aOnLateHead));
 }
 
 void
@@ -547,7 +591,13 @@
 {
 }
 
-RelayClient::~RelayClient() = default;
+RelayClient::~RelayClient()
+{
+  // Cancelled calls and the pool refer to each other.
+  for (const auto& call : std::exchange(m_pool->m_cancelled, {})) {
+    call->Abandon();
+  }
+}
 
 std::unique_ptr<RelayCall>
 RelayClient::Send(const SocketAddress& aAddress,
--- a/Libraries/LibRelay/include/LibRelay/RelayClient.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayClient.h
@@ -90,6 +90,13 @@
   void PauseReading();
   void ResumeReading();
 
+  using HeadHandler = std::function<void(const MessageHead& aHead)>;
+  /// Abandons the call, but still reads the head of a response that is on its way. The sending
+  /// direction of the connection is closed at once, so that the peer stops, and the connection as
+  /// a whole a moment later. aOnLateHead runs at most once, from the event loop, while the client
+  /// exists. If the request has not left or its response has begun, the call is just abandoned.
+  void Cancel(HeadHandler aOnLateHead);
+
 private:
   friend class RelayClient;
   struct State;
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -390,5 +390,12 @@
   Libraries/LibGateway/ActiveRequest.cpp \
   's/is_ambiguous \? SoftwareVersion\(\) : //' "$PROCESS" "*that was down and has not registered*"
 
+mutate "rests: a response that nobody waits for is still read" Libraries/LibRelay/RelayClient.cpp \
+  's/const bool may_be_answered = /const bool may_be_answered = false \&\& /' \
+  "$PROCESS" "Rest: a rest asked for when*"
+mutate "leaving: a late statement is told to the other daemons" Libraries/LibBroker/SlotBroker.cpp \
+  's/const std::uint64_t number = \+\+m_last_number;/const std::uint64_t number = 0;/' \
+  "$PROCESS" "Leaving: a statement in a response that nobody*"
+
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
--- a/Tests/Process/TestRestingEndpoints.cpp
+++ b/Tests/Process/TestRestingEndpoints.cpp
@@ -312,15 +312,29 @@
 
 namespace {
 
-/// Lets an endpoint ask for rest only once the daemon no longer waits for its response.
+/// Lets an endpoint refuse a request only once the daemon no longer waits for its response.
 void
-RefuseWhenAbandoned(GatewayCluster& aCluster)
+RefuseWhenAbandoned(GatewayCluster& aCluster, const EndpointStatement& aStatement)
 {
-  aCluster.Endpoint(0).SetBehaviour([](RawConnection& aConnection, const RawRequest& aRequest) {
-    aConnection.WaitForClose();
-    aConnection.Write(kRests.ResponseTo(aRequest.Header("x-request-id")));
-    return false;
-  });
+  aCluster.Endpoint(0).SetBehaviour(
+    [aStatement](RawConnection& aConnection, const RawRequest& aRequest) {
+      aConnection.WaitForClose();
+      aConnection.Write(aStatement.ResponseTo(aRequest.Header("x-request-id")));
+      return false;
+    });
+}
+
+/// Sends a request and closes the connection once the endpoint has it.
+void
+CallAndLeave(GatewayCluster& aCluster, std::size_t aDaemon)
+{
+  const int caller = ConnectTo(aCluster.CallerAddress(aDaemon));
+  const std::string request = "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: gone\r\n"
+                              "Authorization: Bearer key-1\r\nContent-Length: 4\r\n\r\nbody";
+  CHECK(send(caller, request.data(), request.size(), MSG_NOSIGNAL) ==
+        static_cast<ssize_t>(request.size()));
+  aCluster.Endpoint(0).WaitForRun("gone");
+  close(caller);
 }
 
 void
@@ -346,7 +360,7 @@
   });
   REQUIRE(WaitFor(
     [&] { return cluster.LogOfDaemon(0).find("in-force version=2") != std::string::npos; }));
-  RefuseWhenAbandoned(cluster);
+  RefuseWhenAbandoned(cluster, kRests);
   CHECK(cluster.Call("/unsafe/x", "late").m_status == 504);
   CheckRestIsKept(cluster);
 }
@@ -354,13 +368,27 @@
 TEST_CASE("Rest: a rest asked for when the caller of the request has left is kept")
 {
   GatewayCluster cluster(1, 1);
-  RefuseWhenAbandoned(cluster);
-  const int caller = ConnectTo(cluster.CallerAddress(0));
-  const std::string request = "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: gone\r\n"
-                              "Authorization: Bearer key-1\r\nContent-Length: 4\r\n\r\nbody";
-  CHECK(send(caller, request.data(), request.size(), MSG_NOSIGNAL) ==
-        static_cast<ssize_t>(request.size()));
-  cluster.Endpoint(0).WaitForRun("gone");
-  close(caller);
+  RefuseWhenAbandoned(cluster, kRests);
+  CallAndLeave(cluster, 0);
   CheckRestIsKept(cluster);
 }
+
+TEST_CASE("Leaving: a statement in a response that nobody waits for reaches all daemons")
+{
+  const EndpointStatement leaves{ "503 X", "X-Not-Executed: 1\r\nServer-Leaving: 1\r\n", "", "" };
+  // One of them is the coordinator.
+  for (std::size_t asked = 0; asked < kDaemons; ++asked) {
+    GatewayCluster cluster(kDaemons, 1);
+    for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+      CHECK(cluster.Call("/unsafe/x", absl::StrCat("before-", daemon), "", daemon).m_status == 200);
+    }
+    RefuseWhenAbandoned(cluster, leaves);
+    CallAndLeave(cluster, asked);
+    for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+      CHECK(WaitFor([&] {
+        return cluster.LogOfDaemon(daemon).find("event=leaving-learned endpoint=i-0") !=
+               std::string::npos;
+      }));
+    }
+  }
+}
