Add tests of streams that are taken up again after all daemons were killed, one of them failing

Six cases hold on the code as it is: no stream of two versions while two serve, after one has just left, with daemons that come back one by one, with registrations that are read late or that lack one version.

The seventh fails: an endpoint that started again under its id with another version while no daemon lived, before its registration was written, serves streams under its old version.

--- a/Tests/Process/TestStreamVersions.cpp
+++ b/Tests/Process/TestStreamVersions.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <csignal>
 #include <doctest.h>
+#include <set>
 #include <thread>
 
 using namespace auburnhitch;
@@ -355,3 +356,182 @@
     }));
   }
 }
+
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+constexpr std::size_t kDaemons = 3;
+// Longer than callers wait for a stream that they resume.
+constexpr Ms kRejoinTime{ 8'000 };
+
+/// Begins streams that break off after their first event, some at each daemon, and returns their
+/// ids.
+std::vector<std::string>
+BeginStreams(VersionedCluster& aCluster, const std::string& aPrefix, int aCount)
+{
+  aCluster.SetBreaksAll(true);
+  std::vector<std::string> ids;
+  for (int number = 0; number < aCount; ++number) {
+    ids.push_back(absl::StrCat(aPrefix, "-", number));
+    const auto daemon = static_cast<std::size_t>(number) % kDaemons;
+    CHECK_FALSE(aCluster.Daemons().Call("/resumable/x", ids.back(), "", daemon).m_is_complete);
+  }
+  aCluster.SetBreaksAll(false);
+  return ids;
+}
+
+void
+KillDaemons(VersionedCluster& aCluster, const std::vector<std::size_t>& aDaemons)
+{
+  for (const std::size_t daemon : aDaemons) {
+    aCluster.Daemons().Daemon(daemon).Signal(SIGKILL);
+  }
+  for (const std::size_t daemon : aDaemons) {
+    REQUIRE(WaitFor([&] { return aCluster.Daemons().Daemon(daemon).ExitStatus().has_value(); }));
+  }
+}
+
+void
+StartDaemons(VersionedCluster& aCluster, const std::vector<std::size_t>& aDaemons)
+{
+  for (const std::size_t daemon : aDaemons) {
+    aCluster.Daemons().StartDaemon(daemon);
+  }
+}
+
+const std::vector<std::size_t> kAllDaemons{ 0, 1, 2 };
+
+/// Lets callers resume streams again and again, at all daemons in turn, until each went on or
+/// kRejoinTime has passed. Requires that no stream has events of two versions. Returns how many
+/// went on.
+int
+RejoinStreams(VersionedCluster& aCluster, const std::vector<std::string>& aStreams)
+{
+  std::set<std::string> left(aStreams.begin(), aStreams.end());
+  const auto until = std::chrono::steady_clock::now() + kRejoinTime;
+  int attempt = 0;
+  while (!left.empty() && std::chrono::steady_clock::now() < until) {
+    ++attempt;
+    std::erase_if(left, [&](const std::string& aStream) {
+      const auto daemon = static_cast<std::size_t>(attempt) % kDaemons;
+      const CallerResponse response =
+        aCluster.Resume(aStream, absl::StrCat("re-", aStream, "-", attempt), daemon);
+      return response.m_status == 200 && response.m_is_complete;
+    });
+    std::this_thread::sleep_for(Ms(100));
+  }
+  for (const std::string& stream : aStreams) {
+    CHECK(HasOneVersion(aCluster.VersionsOf(stream)));
+  }
+  return static_cast<int>(aStreams.size() - left.size());
+}
+
+}
+
+TEST_CASE("Rejoined: streams of several versions are not mixed after all daemons were killed")
+{
+  VersionedCluster cluster(kDaemons, { "v1", "v1", "v2", "v2" });
+  const auto streams = BeginStreams(cluster, "stream", 12);
+  KillDaemons(cluster, kAllDaemons);
+  StartDaemons(cluster, kAllDaemons);
+  MESSAGE("went on: ", RejoinStreams(cluster, streams), " of 12");
+}
+
+TEST_CASE("Rejoined: streams of a version that left while no daemon lived do not go on at another")
+{
+  VersionedCluster cluster(kDaemons, { "v1", "v1", "v2", "v2" });
+  const auto streams = BeginStreams(cluster, "stream", 12);
+  KillDaemons(cluster, kAllDaemons);
+  cluster.Daemons().Deregister(0);
+  cluster.Daemons().Deregister(1);
+  StartDaemons(cluster, kAllDaemons);
+  MESSAGE("went on: ", RejoinStreams(cluster, streams), " of 12");
+}
+
+TEST_CASE("Rejoined: streams are not mixed when daemons are killed and come back one by one")
+{
+  VersionedCluster cluster(kDaemons, { "v1", "v1", "v2", "v2" });
+  std::vector<std::string> streams;
+  for (std::size_t round = 0; round < kDaemons; ++round) {
+    const auto begun = BeginStreams(cluster, absl::StrCat("stream-", round), 6);
+    streams.insert(streams.end(), begun.begin(), begun.end());
+    KillDaemons(cluster, { round });
+    StartDaemons(cluster, { round });
+    cluster.Daemons().WaitUntilReady(round);
+  }
+  MESSAGE("went on: ", RejoinStreams(cluster, streams), " of 18");
+}
+
+TEST_CASE("Rejoined: streams are not mixed while restarted daemons can't read the registrations")
+{
+  VersionedCluster cluster(kDaemons, { "v1", "v1", "v2", "v2" });
+  const auto streams = BeginStreams(cluster, "stream", 12);
+  KillDaemons(cluster, kAllDaemons);
+  cluster.Daemons().Store().SetSilent("keyed.servers", true);
+  StartDaemons(cluster, kAllDaemons);
+  std::thread late([&] {
+    std::this_thread::sleep_for(Ms(3'000));
+    cluster.Daemons().Store().SetSilent("keyed.servers", false);
+  });
+  MESSAGE("went on: ", RejoinStreams(cluster, streams), " of 12");
+  late.join();
+}
+
+TEST_CASE("Rejoined: streams are not mixed when the store comes back without one of the versions")
+{
+  VersionedCluster cluster(kDaemons, { "v1", "v1", "v2", "v2" });
+  const auto streams = BeginStreams(cluster, "stream", 12);
+  KillDaemons(cluster, kAllDaemons);
+  cluster.Daemons().Deregister(2);
+  cluster.Daemons().Deregister(3);
+  cluster.Daemons().Store().Compact("keyed.servers");
+  StartDaemons(cluster, kAllDaemons);
+  std::thread late([&] {
+    std::this_thread::sleep_for(Ms(2'000));
+    cluster.Daemons().Register(2);
+    cluster.Daemons().Register(3);
+  });
+  MESSAGE("went on: ", RejoinStreams(cluster, streams), " of 12");
+  late.join();
+}
+
+TEST_CASE("Rejoined: streams of the only version are not mixed after all daemons were killed")
+{
+  VersionedCluster cluster(kDaemons, { "v1", "v1" });
+  const auto streams = BeginStreams(cluster, "stream", 12);
+  KillDaemons(cluster, kAllDaemons);
+  StartDaemons(cluster, kAllDaemons);
+  MESSAGE("went on: ", RejoinStreams(cluster, streams), " of 12");
+}
+
+TEST_CASE("Rejoined: a stream does not go on at another version than that of an endpoint which "
+          "started again under its id while no daemon lived")
+{
+  VersionedCluster cluster(kDaemons, { "v1", "v1", "v1" });
+  GatewayCluster& daemons = cluster.Daemons();
+  KillDaemons(cluster, kAllDaemons);
+  // Its registration follows later.
+  cluster.Restart(1, "v2");
+  StartDaemons(cluster, kAllDaemons);
+  for (const std::size_t daemon : kAllDaemons) {
+    daemons.WaitUntilReady(daemon);
+  }
+  for (int number = 0; number < 12; ++number) {
+    const std::string id = absl::StrCat("stream-", number);
+    const auto daemon = static_cast<std::size_t>(number) % kDaemons;
+    daemons.Call("/resumable/x", id, "", daemon);
+    cluster.Resume(id, "again-" + id, daemon);
+    CHECK(HasOneVersion(cluster.VersionsOf(id)));
+  }
+  daemons.SetVersion(1, "v2");
+  daemons.Register(1, "ready", { { "born", 2 } });
+  // Streams go on again at endpoints whose registrations have been known for a while.
+  int number = 0;
+  CHECK(WaitFor([&] {
+    const std::string id = absl::StrCat("later-", ++number);
+    const CallerResponse response = daemons.Call("/resumable/x", id);
+    CHECK(HasOneVersion(cluster.VersionsOf(id)));
+    return response.m_status == 200 && response.m_is_complete;
+  }));
+}
