--- a/Tests/Support/StoreStandIn.cpp
+++ b/Tests/Support/StoreStandIn.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <chrono>
 #include <nlohmann/json.hpp>
 
@@ -93,6 +94,21 @@
   PutLocked(aTopic, aKey, aValue);
 }
 
+void
+StoreStandIn::PutRecord(const std::string& aTopic, const std::string& aContent)
+{
+  const std::lock_guard lock(m_mutex);
+  m_topics[aTopic].m_records.push_back(aContent);
+  m_changed.notify_all();
+}
+
+void
+StoreStandIn::SetOddItem(const std::string& aTopic, const std::string& aText)
+{
+  const std::lock_guard lock(m_mutex);
+  m_topics[aTopic].m_odd_item = aText;
+}
+
 void
 StoreStandIn::PutLocked(const std::string& aTopic,
                         const std::string& aKey,
@@ -198,13 +214,21 @@
 {
   const std::lock_guard lock(m_mutex);
   const Topic& topic = m_topics[aRequest.Query("topic")];
-  nlohmann::json items = nlohmann::json::array();
+  std::vector<std::string> items;
   for (const auto& [key, value] : topic.m_newest) {
-    items.push_back({ { "key", key }, { "value", absl::Base64Escape(value) }, { "offset", 0 } });
+    items.push_back(
+      nlohmann::json{ { "key", key }, { "value", absl::Base64Escape(value) }, { "offset", 0 } }
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  }
+  if (!topic.m_odd_item.empty()) {
+    items.push_back(topic.m_odd_item);
   }
-  return MakeResponse(
-    200,
-    nlohmann::json{ { "items", items }, { "more", false }, { "end_offset", topic.End() } }.dump());
+  return MakeResponse(200,
+                      absl::StrCat(R"({"items": [)",
+                                   absl::StrJoin(items, ", "),
+                                   R"(], "more": false, "end_offset": )",
+                                   topic.End(),
+                                   "}"));
 }
 
 std::string
--- a/Tests/Support/StoreStandIn.h
+++ b/Tests/Support/StoreStandIn.h
@@ -40,6 +40,10 @@
   void Put(const std::string& aTopic,
            const std::string& aKey,
            const std::optional<std::string>& aValue);
+  /// Appends a record with any content.
+  void PutRecord(const std::string& aTopic, const std::string& aContent);
+  /// Sets the text of an item that each list of the newest records contains, whatever it is.
+  void SetOddItem(const std::string& aTopic, const std::string& aText);
   /// Drops all records, so that reads of their offsets fail with status 410. The newest value of
   /// each key is kept.
   void Compact(const std::string& aTopic);
@@ -52,6 +56,7 @@
     std::uint64_t m_first = 0;
     std::vector<std::string> m_records;
     std::map<std::string, std::string> m_newest;
+    std::string m_odd_item;
 
     std::uint64_t End() const { return m_first + m_records.size(); }
   };
--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -3,6 +3,7 @@
 #include <platform/RegistrationDecoder.h>
 #include <platform/StoreClient.h>
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <doctest.h>
 #include <random>
@@ -130,6 +131,17 @@
   }
 }
 
+TEST_CASE("An address whose port has a space or a sign is not taken for one")
+{
+  for (const char* port : { " 80", "+80", "80 ", "-80", "8 0", "0", "65536", "1e3", "" }) {
+    CAPTURE(port);
+    Findings findings;
+    CHECK_FALSE(DecodeRegistration(
+      "i-1", With(kRegistration, ":80\"", absl::StrCat(":", port, "\"")), findings));
+    CHECK(findings.All().front().m_json_pointer == "/address");
+  }
+}
+
 TEST_CASE("Records of a keyed topic survive encoding; truncated ones are refused, damaged ones do "
           "not crash")
 {
