Refuse JSON and MessagePack that are nested too deeply, wherever they are read

An operator who published a document nested a million levels deep, or another writer that left one in the log, ended every daemon that read it; since the record stays in the log, again at each start.

Cause: the JSON library parses text without recursion, but copies values recursively, and DocumentFold copies the document of a publication before it checks it. Registrations and configurations are not copied, so they ended no daemon. MessagePack is read recursively: 64 KiB of nested arrays from a peer fit on the stack of this build, not of every one.

Evidence: 'Odd entries: a deeply nested document' ended the daemon by SIGSEGV before, and passes now.

Ruled out: checking the document before copying it, which would leave the other readers to chance.

--- a/Libraries/LibCluster/Heartbeat.cpp
+++ b/Libraries/LibCluster/Heartbeat.cpp
@@ -1,12 +1,12 @@
 #include <LibCluster/Heartbeat.h>
 
+#include <LibCore/JsonObjectReader.h>
 #include <LibCore/Log.h>
 #include <LibCore/Try.h>
 #include <LibHttp/HttpServer.h>
 #include <algorithm>
 #include <array>
 #include <event2/event.h>
-#include <nlohmann/json.hpp>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,8 +14,6 @@
 
 namespace {
 
-using Json = nlohmann::json;
-
 // Increased whenever the layout changes. Datagrams of any other version are rejected.
 constexpr int kHeartbeatLayoutVersion = 2;
 constexpr std::size_t kHeartbeatFields = 16;
@@ -95,10 +93,11 @@
 std::optional<Heartbeat>
 DecodeHeartbeat(absl::string_view aBytes)
 {
-  const Json json = Json::from_msgpack(aBytes.begin(), aBytes.end(), true, false);
-  if (!IsHeartbeatJson(json)) {
+  const auto parsed = ParseMessagePack(aBytes);
+  if (!parsed || !IsHeartbeatJson(*parsed)) {
     return std::nullopt;
   }
+  const Json& json = *parsed;
   Heartbeat heartbeat;
   std::size_t field = 0;
   const auto next = [&]() -> const Json& { return json[++field]; };
--- a/Libraries/LibCluster/PeerLink.cpp
+++ b/Libraries/LibCluster/PeerLink.cpp
@@ -1,5 +1,6 @@
 #include <LibCluster/PeerLink.h>
 
+#include <LibCore/JsonObjectReader.h>
 #include <LibCore/Try.h>
 #include <LibHttp/HttpServer.h>
 #include <array>
@@ -152,12 +153,12 @@
     evbuffer_drain(input, kLengthBytes);
     std::string bytes(length, '\0');
     evbuffer_remove(input, bytes.data(), bytes.size());
-    const auto message = nlohmann::json::from_msgpack(bytes, true, false);
-    if (message.is_discarded() || !message.is_array() || message.empty()) {
+    const auto message = ParseMessagePack(bytes);
+    if (!message || !message->is_array() || message->empty()) {
       Fail("the peer sent a malformed message");
       return;
     }
-    m_handlers.m_on_message(message);
+    m_handlers.m_on_message(*message);
   }
 }
 
--- a/Libraries/LibCore/JsonObjectReader.cpp
+++ b/Libraries/LibCore/JsonObjectReader.cpp
@@ -4,9 +4,109 @@
 
 namespace auburnhitch {
 
+namespace {
+
+/// Counts the levels of arrays and objects while a document is parsed, and stops the parser where
+/// there are too many. Everything else is ignored.
+class LevelCounter : public nlohmann::json_sax<Json>
+{
+public:
+  bool HasTooMany() const { return m_has_too_many; }
+
+  bool start_object(std::size_t) override { return Enter(); }
+  bool end_object() override { return Leave(); }
+  bool start_array(std::size_t) override { return Enter(); }
+  bool end_array() override { return Leave(); }
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool key(string_t&) override { return true; }
+  bool parse_error(std::size_t, const std::string&, const Json::exception&) override
+  {
+    return false;
+  }
+
+private:
+  bool Enter()
+  {
+    m_has_too_many = ++m_levels > kMaxJsonLevels;
+    return !m_has_too_many;
+  }
+
+  bool Leave()
+  {
+    --m_levels;
+    return true;
+  }
+
+  std::size_t m_levels = 0;
+  bool m_has_too_many = false;
+};
+
+/// Whether arrays and objects of MessagePack are nested too deeply. Malformed input is not.
+bool
+HasTooManyLevels(absl::string_view aBytes)
+{
+  // Each level takes a byte at least, and so many fit on the stack. Spares the second pass over the
+  // frequent messages of daemons.
+  constexpr std::size_t kMaxUncheckedBytes = 2'048;
+  if (aBytes.size() <= kMaxUncheckedBytes) {
+    return false;
+  }
+  LevelCounter counter;
+  Json::sax_parse(aBytes.begin(), aBytes.end(), &counter, Json::input_format_t::msgpack);
+  return counter.HasTooMany();
+}
+
+/// The same for JSON text, without parsing it: counts brackets outside of strings.
+bool
+HasTooManyBrackets(absl::string_view aText)
+{
+  std::size_t levels = 0;
+  bool is_in_string = false;
+  for (std::size_t at = 0; at < aText.size(); ++at) {
+    const char byte = aText[at];
+    if (is_in_string) {
+      at += byte == '\\' ? 1 : 0;
+      is_in_string = byte != '"';
+    } else if (byte == '"') {
+      is_in_string = true;
+    } else if (byte == '[' || byte == '{') {
+      if (++levels > kMaxJsonLevels) {
+        return true;
+      }
+    } else if (byte == ']' || byte == '}') {
+      levels -= levels > 0 ? 1 : 0;
+    }
+  }
+  return false;
+}
+
+}
+
+std::optional<Json>
+ParseMessagePack(absl::string_view aBytes)
+{
+  if (HasTooManyLevels(aBytes)) {
+    return std::nullopt;
+  }
+  Json json = Json::from_msgpack(aBytes.begin(), aBytes.end(), true, false);
+  return json.is_discarded() ? std::nullopt : std::optional(std::move(json));
+}
+
 std::optional<Json>
 ParseJson(absl::string_view aText, Findings& aFindings)
 {
+  if (HasTooManyBrackets(aText)) {
+    aFindings.Add("",
+                  "has arrays or objects nested more than " + std::to_string(kMaxJsonLevels) +
+                    " levels deep");
+    return std::nullopt;
+  }
   // A parse error has only a byte offset, since no JSON pointer exists for malformed text.
   try {
     return Json::parse(aText);
--- a/Libraries/LibCore/include/LibCore/JsonObjectReader.h
+++ b/Libraries/LibCore/include/LibCore/JsonObjectReader.h
@@ -14,10 +14,20 @@
 
 using Json = nlohmann::json;
 
-/// Parses JSON text without throwing; on malformed input records a finding and returns nothing.
+/// Levels of arrays and objects within each other that are accepted. Copying, comparing and writing
+/// JSON recurses once for each level.
+constexpr std::size_t kMaxJsonLevels = 128;
+
+/// Parses JSON text without throwing; on malformed input, or more than kMaxJsonLevels, records a
+/// finding and returns nothing.
 std::optional<Json>
 ParseJson(absl::string_view aText, Findings& aFindings);
 
+/// Parses MessagePack without throwing; returns nothing on malformed input, or if it is nested more
+/// than kMaxJsonLevels deep and longer than 2 KiB. Texts are not checked to be UTF-8.
+std::optional<Json>
+ParseMessagePack(absl::string_view aBytes);
+
 /// Reads the members of one JSON object, and records a finding for each that is missing, of the
 /// wrong type, out of range or unknown. After a finding, reading continues with the default value.
 /// Not thread-safe; the object and the findings must outlive the reader.
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -397,5 +397,12 @@
   's/const std::uint64_t number = \+\+m_last_number;/const std::uint64_t number = 0;/' \
   "$PROCESS" "Leaving: a statement in a response that nobody*"
 
+mutate "odd entries: JSON nested too deeply is malformed" Libraries/LibCore/JsonObjectReader.cpp \
+  's/if \(HasTooManyBrackets\(aText\)\)/if (false \&\& HasTooManyBrackets(aText))/' \
+  "$PROCESS" "Odd entries: a deeply nested document*"
+mutate "odd entries: MessagePack nested too deeply is malformed" Libraries/LibCore/JsonObjectReader.cpp \
+  's/if \(HasTooManyLevels\(aBytes\)\)/if (false \&\& HasTooManyLevels(aBytes))/' \
+  "$UNIT" "JSON and MessagePack that are nested*"
+
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -138,6 +138,7 @@
     Findings findings;
     CHECK_FALSE(DecodeRegistration(
       "i-1", With(kRegistration, ":80\"", absl::StrCat(":", port, "\"")), findings));
+    REQUIRE_FALSE(findings.IsEmpty());
     CHECK(findings.All().front().m_json_pointer == "/address");
   }
 }
--- a/Tests/Unit/TestServiceDocument.cpp
+++ b/Tests/Unit/TestServiceDocument.cpp
@@ -108,3 +108,23 @@
   }
   CHECK(count == 4);
 }
+
+TEST_CASE(
+  "JSON and MessagePack that are nested too deeply are malformed, brackets in texts don't count")
+{
+  const auto nested = [](std::size_t aLevels) {
+    return std::string(aLevels, '[') + std::string(aLevels, ']');
+  };
+  Findings findings;
+  CHECK(ParseJson(nested(kMaxJsonLevels), findings));
+  CHECK(ParseJson("{\"a\":\"" + std::string(1'000, '[') + "\\\"" + nested(500) + "\"}", findings));
+  CHECK(findings.IsEmpty());
+  CHECK_FALSE(ParseJson(nested(kMaxJsonLevels + 1), findings));
+  CHECK_FALSE(ParseJson(std::string(10'000'000, '{'), findings));
+  CHECK(findings.All().size() == 2);
+  CHECK(ParseMessagePack("\x91\x91\x01"));
+  CHECK_FALSE(ParseMessagePack(std::string(10'000'000, '\x91')));
+  CHECK_FALSE(ParseMessagePack(std::string(10'000'000, '\x91') + "\x01"));
+  std::string wide("\xdd\x00\x00\x10\x00", 5);
+  CHECK(ParseMessagePack(wide + std::string(4'096, '\x01')));
+}
