--- a/Libraries/LibCluster/Heartbeat.cpp
+++ b/Libraries/LibCluster/Heartbeat.cpp
@@ -106,6 +106,11 @@
   heartbeat.m_member.m_data_center = DataCenterName(next().get<std::string>());
   heartbeat.m_member.m_peer_address = SocketAddress(next().get<std::string>());
   heartbeat.m_member.m_caller_address = SocketAddress(next().get<std::string>());
+  // MessagePack texts may be any bytes, and these are passed on to callers.
+  if (!SplitSocketAddress(heartbeat.m_member.m_peer_address).ok() ||
+      !SplitSocketAddress(heartbeat.m_member.m_caller_address).ok()) {
+    return std::nullopt;
+  }
   heartbeat.m_member.m_is_leaving = next().get<bool>();
   heartbeat.m_member.m_is_ready = next().get<bool>();
   heartbeat.m_member.m_can_read_store = next().get<bool>();
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -404,5 +404,9 @@
   's/if \(HasTooManyLevels\(aBytes\)\)/if (false \&\& HasTooManyLevels(aBytes))/' \
   "$UNIT" "JSON and MessagePack that are nested*"
 
+mutate "odd entries: addresses in heartbeats are checked" Libraries/LibCluster/Heartbeat.cpp \
+  's/if \(!SplitSocketAddress\(heartbeat/if (false \&\& !SplitSocketAddress(heartbeat/; s/\|\|\n      !SplitSocketAddress\(heartbeat.m_member.m_caller_address\).ok\(\)/\|\| false/' \
+  "$PROCESS" "Odd entries: a heartbeat*"
+
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
--- a/Tests/Unit/TestCluster.cpp
+++ b/Tests/Unit/TestCluster.cpp
@@ -19,6 +19,7 @@
   member.m_host = HostName(name);
   member.m_incarnation = Incarnation("i-" + name);
   member.m_peer_address = SocketAddress("10.0.0." + std::to_string(aNumber) + ":7600");
+  member.m_caller_address = SocketAddress("10.0.0." + std::to_string(aNumber) + ":8221");
   member.m_is_ready = true;
   member.m_can_read_store = true;
   return member;
