--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -408,5 +408,9 @@
   's/if \(!SplitSocketAddress\(heartbeat/if (false \&\& !SplitSocketAddress(heartbeat/; s/\|\|\n      !SplitSocketAddress\(heartbeat.m_member.m_caller_address\).ok\(\)/\|\| false/' \
   "$PROCESS" "Odd entries: a heartbeat*"
 
+mutate "odd entries: a malformed record hides no others" platform/StoreClient.cpp \
+  's/if \(length > aBytes.size\(\)\)/if (length > aBytes.size() || length == 0)/' \
+  "$PROCESS" "Odd entries: a malformed record*"
+
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
