Read the store's list whatever single items in it are

A daemon that started while the list of the newest records held one item that it could not decode (a key with bytes that aren't UTF-8 or a single surrogate, no key, a value that isn't base64) was never ready: callers at that daemon got 503 until the item was gone, at all daemons after a loss of all.

Cause: DecodePage failed as a whole for one item, and the JSON parser fails as a whole for one key that isn't text.

Why it works: an item that can't be decoded stands as a malformed record, which each topic logs and skips; if the text can't be parsed, what isn't UTF-8 in it is replaced first.

--- a/Libraries/LibCore/JsonObjectReader.cpp
+++ b/Libraries/LibCore/JsonObjectReader.cpp
@@ -1,5 +1,8 @@
 #include <LibCore/JsonObjectReader.h>
 
+#include <algorithm>
+#include <array>
+#include <charconv>
 #include <utility>
 
 namespace auburnhitch {
@@ -86,6 +89,89 @@
   return false;
 }
 
+/// The length of the UTF-8 sequence at the beginning of a text, or 0 if there is none.
+std::size_t
+Utf8Length(absl::string_view aText)
+{
+  // Lengths by the first byte, and the least code point of each: shorter forms are malformed.
+  constexpr std::array<std::uint32_t, 5> kMinCodePoint{ 0, 0, 0x80, 0x800, 0x10000 };
+  constexpr std::uint32_t kMaxCodePoint = 0x10FFFF;
+  const auto first = static_cast<unsigned char>(aText.front());
+  std::size_t length = 0;
+  if (first < 0x80) {
+    return 1;
+  }
+  if (first >= 0xC0 && first < 0xF8) {
+    length = first < 0xE0 ? 2 : first < 0xF0 ? 3 : 4;
+  }
+  if (length == 0 || aText.size() < length) {
+    return 0;
+  }
+  std::uint32_t code_point = first & (0x7FU >> length);
+  for (const char byte : aText.substr(1, length - 1)) {
+    if ((static_cast<unsigned char>(byte) & 0xC0U) != 0x80U) {
+      return 0;
+    }
+    code_point = (code_point << 6U) | (static_cast<unsigned char>(byte) & 0x3FU);
+  }
+  const bool is_surrogate = code_point >= 0xD800 && code_point <= 0xDFFF;
+  return code_point < kMinCodePoint[length] || code_point > kMaxCodePoint || is_surrogate ? 0
+                                                                                          : length;
+}
+
+/// The code unit of the escape \uXXXX at the beginning of a text, or nothing if there is none.
+std::optional<unsigned>
+EscapedUnit(absl::string_view aText)
+{
+  constexpr std::size_t kEscapeBytes = 6;
+  constexpr int kHexadecimal = 16;
+  unsigned unit = 0;
+  if (aText.size() < kEscapeBytes || aText[0] != '\\' || aText[1] != 'u') {
+    return std::nullopt;
+  }
+  const char* end = aText.data() + kEscapeBytes;
+  const auto parsed = std::from_chars(aText.data() + 2, end, unit, kHexadecimal);
+  return parsed.ptr == end ? std::optional(unit) : std::nullopt;
+}
+
+bool
+IsHighSurrogate(std::optional<unsigned> aUnit)
+{
+  return aUnit && *aUnit >= 0xD800 && *aUnit <= 0xDBFF;
+}
+
+bool
+IsLowSurrogate(std::optional<unsigned> aUnit)
+{
+  return aUnit && *aUnit >= 0xDC00 && *aUnit <= 0xDFFF;
+}
+
+}
+
+std::string
+ReplaceMalformedText(absl::string_view aText)
+{
+  constexpr absl::string_view kReplacement = "\xEF\xBF\xBD";
+  constexpr std::size_t kEscapeBytes = 6;
+  std::string text;
+  while (!aText.empty()) {
+    std::size_t length = Utf8Length(aText);
+    bool is_kept = length > 0;
+    if (aText.front() == '\\') {
+      const auto unit = EscapedUnit(aText);
+      const bool is_pair =
+        IsHighSurrogate(unit) && IsLowSurrogate(EscapedUnit(aText.substr(kEscapeBytes)));
+      length = is_pair ? 2 * kEscapeBytes
+               : unit  ? kEscapeBytes
+                       : std::min<std::size_t>(2, aText.size());
+      is_kept = is_pair || !(IsHighSurrogate(unit) || IsLowSurrogate(unit));
+    }
+    const absl::string_view part = aText.substr(0, std::max<std::size_t>(1, length));
+    const absl::string_view kept = is_kept ? part : kReplacement;
+    text.append(kept.data(), kept.size());
+    aText.remove_prefix(part.size());
+  }
+  return text;
 }
 
 std::optional<Json>
--- a/Libraries/LibCore/include/LibCore/JsonObjectReader.h
+++ b/Libraries/LibCore/include/LibCore/JsonObjectReader.h
@@ -23,6 +23,11 @@
 std::optional<Json>
 ParseJson(absl::string_view aText, Findings& aFindings);
 
+/// Replaces bytes that are not UTF-8, and escapes of single surrogates, in JSON text by U+FFFD. A
+/// parser rejects the whole text for one of them.
+std::string
+ReplaceMalformedText(absl::string_view aText);
+
 /// Parses MessagePack without throwing; returns nothing on malformed input, or if it is nested more
 /// than kMaxJsonLevels deep and longer than 2 KiB. Texts are not checked to be UTF-8.
 std::optional<Json>
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -412,5 +412,12 @@
   's/if \(length > aBytes.size\(\)\)/if (length > aBytes.size() || length == 0)/' \
   "$PROCESS" "Odd entries: a malformed record*"
 
+mutate "odd entries: a list with malformed text is read" platform/StoreClient.cpp \
+  's/return ParseJson\(ReplaceMalformedText\(aBody\), ignored\)/return std::nullopt/' \
+  "$PROCESS" "Odd entries: a malformed item*"
+mutate "odd entries: a malformed item hides no others" platform/StoreClient.cpp \
+  's/page.m_records.push_back\(DecodeItem\(item\)\);/if (DecodeItem(item) == KeyedRecord::Malformed()) { return absl::InternalError("item"); }\n    page.m_records.push_back(DecodeItem(item));/' \
+  "$PROCESS" "Odd entries: a malformed item*"
+
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
--- a/Tests/Unit/TestServiceDocument.cpp
+++ b/Tests/Unit/TestServiceDocument.cpp
@@ -128,3 +128,21 @@
   std::string wide("\xdd\x00\x00\x10\x00", 5);
   CHECK(ParseMessagePack(wide + std::string(4'096, '\x01')));
 }
+
+TEST_CASE("Text that is not UTF-8 and single surrogates are replaced, everything else is kept")
+{
+  const std::string replaced = "\xEF\xBF\xBD";
+  for (const std::string kept : { "{\"a\": \"\\ud83d\\ude00 \\\\ud800 \\n\"}",
+                                  "plain",
+                                  "\xC3\xA1 \xE2\x82\xAC \xF0\x9F\x98\x80",
+                                  "\\" }) {
+    CHECK(ReplaceMalformedText(kept) == kept);
+  }
+  CHECK(ReplaceMalformedText("a\xff\xfe!") == "a" + replaced + replaced + "!");
+  CHECK(ReplaceMalformedText("\xC0\x80") == replaced + replaced);
+  CHECK(ReplaceMalformedText("\xED\xA0\x80") == replaced + replaced + replaced);
+  CHECK(ReplaceMalformedText("\xE2\x82") == replaced + replaced);
+  CHECK(ReplaceMalformedText("\\ud800x") == replaced + "x");
+  CHECK(ReplaceMalformedText("\\udc00\\ud83d\\ude00") == replaced + "\\ud83d\\ude00");
+  CHECK(ReplaceMalformedText("\\ud800\\ud83d\\ude00") == replaced + "\\ud83d\\ude00");
+}
