Take a registration only if its id can stand in a header field and its names in a log line

An entry that parsed, under an id with a line feed, was used: its requests carried a header field, or a second request, of the other writer's choice, and its lines of the log could claim anything about any request.

Cause: the key of a record is any bytes, and went into X-Expect-Instance and the log as it was.

Why it works: an id has 1 to 128 visible ASCII characters; service, zone and version have no control characters. Such an entry is logged as malformed and names no endpoint.

--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -131,6 +131,25 @@
   }
 }
 
+TEST_CASE("A registration whose id is no header value, or whose names break a line, is rejected")
+{
+  for (const std::string& id : { std::string(),
+                                std::string("a b"),
+                                std::string("a\r\nX: y"),
+                                std::string("\xff"),
+                                std::string("a\0b", 3),
+                                std::string(129, 'a') }) {
+    Findings findings;
+    CHECK_FALSE(DecodeRegistration(id, kRegistration, findings));
+    CHECK_FALSE(findings.IsEmpty());
+  }
+  for (const char* name : { "\"s\"", "\"z\"", "\"v1\"" }) {
+    Findings findings;
+    CHECK_FALSE(DecodeRegistration("i-1", With(kRegistration, name, "\"a\\nb\""), findings));
+    CHECK_FALSE(findings.IsEmpty());
+  }
+}
+
 TEST_CASE("An address whose port has a space or a sign is not taken for one")
 {
   for (const char* port : { " 80", "+80", "80 ", "-80", "8 0", "0", "65536", "1e3", "" }) {
