--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -419,5 +419,12 @@
   's/page.m_records.push_back\(DecodeItem\(item\)\);/if (DecodeItem(item) == KeyedRecord::Malformed()) { return absl::InternalError("item"); }\n    page.m_records.push_back(DecodeItem(item));/' \
   "$PROCESS" "Odd entries: a malformed item*"
 
+mutate "odd entries: an id is a header value" platform/RegistrationDecoder.cpp \
+  's/if \(!IsHeaderToken\(aId\)\)/if (false \&\& !IsHeaderToken(aId))/' \
+  "$PROCESS" "Odd entries: an id*"
+mutate "odd entries: the log is not flooded" platform/PlatformAdapter.cpp \
+  's/if \(m_malformed_logged >= kMaxMalformedLogged\)/if (false)/' \
+  "$PROCESS" "Odd entries: a thousand*"
+
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
