Take a port only if it is digits, wherever an address is read

'IP: 80' and 'IP:+80' counted as valid addresses in registrations, settings, documents and records of daemons.

Cause: SplitSocketAddress, the one parser of all of them, used SimpleAtoi, which skips spaces and accepts a sign.

Evidence: 'An address whose port has a space or a sign is not taken for one' failed before.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -1,7 +1,9 @@
 #include <LibHttp/HttpServer.h>
 
 #include <LibCore/Try.h>
+#include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <event2/buffer.h>
@@ -38,9 +40,15 @@
   const std::string& text = aAddress.Value();
   const auto colon = text.rfind(':');
   unsigned port = 0;
-  if (colon == std::string::npos || !absl::SimpleAtoi(text.substr(colon + 1), &port) || port == 0 ||
-      port > UINT16_MAX) {
-    return absl::InvalidArgumentError("'" + text + "' is not an address of the form IP:PORT");
+  // SimpleAtoi() skips spaces and accepts a sign.
+  const bool is_number = colon != std::string::npos && colon + 1 < text.size() &&
+                         std::all_of(text.begin() + static_cast<std::ptrdiff_t>(colon) + 1,
+                                     text.end(),
+                                     absl::ascii_isdigit) &&
+                         absl::SimpleAtoi(text.substr(colon + 1), &port);
+  if (!is_number || port == 0 || port > UINT16_MAX) {
+    return absl::InvalidArgumentError(
+      "'" + text + "' is not an address of the form IP:PORT with a port from 1 to 65535");
   }
   const std::string host = text.substr(0, colon);
   in_addr parsed{};
