Believe a response only if it belongs to the request: by its id, or as the first on its connection

Callers were told 'not run' of a request that an endpoint was running, or it ran at an endpoint twice, when the endpoint wrote the refusal of an earlier request once more on a kept connection without its request id.

Cause: ClassifyResponse compared the id only if the response had one, so a refusal without one counted for whatever request waited on the connection; so did its rate limit.

Why it works: on a reused connection a response that names no request may belong to any of them and proves nothing, whatever its status; on a new one it can only belong to the one request. A connection whose response names no request is not reused, so endpoints that never name one are served on connections of their own (the rule that the own interface has for endpoints that don't echo identities).

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -327,13 +327,20 @@
 {
   m_attempt->m_response_head = aHead;
   m_attempt->m_completeness.emplace(aHead, IsStream());
+  const Dialect& dialect = *m_dependencies.m_dialect;
   const ResponseMeaning meaning =
-    m_dependencies.m_dialect->ClassifyResponse(aHead, m_request.m_head.m_request_id);
+    dialect.ClassifyResponse(aHead, m_request.m_head.m_request_id, m_call->IsReused());
+  if (!dialect.NamesRequest(aHead)) {
+    // The response to the next request could not be told from one that is written again.
+    m_call->CloseAfterResponse();
+  }
   RecordNotice(meaning, aHead);
   switch (meaning) {
     case ResponseMeaning::Mismatched:
       m_call = nullptr;
-      OnAttemptFailed(SlotOutcome::Broken, "the response belongs to another request");
+      OnAttemptFailed(
+        SlotOutcome::Broken,
+        "the response belongs to another request, or names none on a reused connection");
       return;
     case ResponseMeaning::NotRun:
       m_call = nullptr;
--- a/Libraries/LibGateway/include/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/include/LibGateway/Dialect.h
@@ -56,7 +56,7 @@
   Failure,
   /// The endpoint did not run the request and never will.
   NotRun,
-  /// The response belongs to another request.
+  /// The response belongs to another request, or nothing shows that it belongs to this one.
   Mismatched,
 };
 
@@ -73,8 +73,14 @@
   /// system may set, and the instructions.
   virtual HttpHeaders EndpointHeaders(const MessageHead& aHead,
                                       const EndpointInstructions& aInstructions) const = 0;
+  /// aIsReused: whether the connection has carried other requests before. A response that names no
+  /// request belongs to the only one that a new connection has carried; on a reused one it may
+  /// belong to any of them.
   virtual ResponseMeaning ClassifyResponse(const MessageHead& aResponse,
-                                           const std::string& aRequestId) const = 0;
+                                           const std::string& aRequestId,
+                                           bool aIsReused) const = 0;
+  /// Whether a response names the request to which it belongs.
+  virtual bool NamesRequest(const MessageHead& aResponse) const = 0;
   /// What the endpoint states about itself in the head of a response.
   virtual EndpointNotice DecodeNotice(const MessageHead& aResponse) const = 0;
   /// The header fields of a response that the gateway itself generates.
--- a/Libraries/LibRelay/RelayClient.cpp
+++ b/Libraries/LibRelay/RelayClient.cpp
@@ -469,6 +469,7 @@
   {
     Uncount();
     const bool is_clean = aEnd == RelayCallEnd::Complete && m_parser.Head().m_keeps_alive &&
+                          !m_closes_after_response &&
                           evbuffer_get_length(bufferevent_get_input(m_events)) == 0 &&
                           evbuffer_get_length(bufferevent_get_output(m_events)) == 0;
     if (!is_clean) {
@@ -549,6 +550,7 @@
   std::size_t m_body_bytes = 0;
   bool m_is_over = false;
   bool m_is_cancelled = false;
+  bool m_closes_after_response = false;
   bool m_is_counted = false;
 };
 
@@ -564,6 +566,18 @@
   }
 }
 
+bool
+RelayCall::IsReused() const
+{
+  return m_state->m_is_reused;
+}
+
+void
+RelayCall::CloseAfterResponse()
+{
+  m_state->m_closes_after_response = true;
+}
+
 void
 RelayCall::Cancel(HeadHandler aOnLateHead)
 {
--- a/Libraries/LibRelay/include/LibRelay/RelayClient.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayClient.h
@@ -90,6 +90,11 @@
   void PauseReading();
   void ResumeReading();
 
+  /// Whether the connection of the call has carried others before.
+  bool IsReused() const;
+  /// Lets no other call use the connection after this one.
+  void CloseAfterResponse();
+
   using HeadHandler = std::function<void(const MessageHead& aHead)>;
   /// Abandons the call, but still reads the head of a response that is on its way. The sending
   /// direction of the connection is closed at once, so that the peer stops, and the connection as
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -426,5 +426,12 @@
   's/if \(m_malformed_logged >= kMaxMalformedLogged\)/if (false)/' \
   "$PROCESS" "Odd entries: a thousand*"
 
+mutate "not run is true: a refusal without an id on a reused connection proves nothing" \
+  platform/PlatformDialect.cpp 's/id.empty\(\) \? aIsReused : id != aRequestId/!id.empty() \&\& id != aRequestId/' \
+  "$UNIT" "Only 421 or X-Not-Executed*"
+mutate "not run is true: a connection whose response names no request is not reused" \
+  Libraries/LibGateway/ActiveRequest.cpp 's/if \(!dialect.NamesRequest\(aHead\)\)/if (false)/' \
+  "$PROCESS" "Endpoints whose responses name no request*"
+
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
--- a/Tests/Process/TestRepeatedRefusals.cpp
+++ b/Tests/Process/TestRepeatedRefusals.cpp
@@ -68,6 +68,20 @@
   }
 }
 
+TEST_CASE("Endpoints whose responses name no request are served on connections of their own")
+{
+  GatewayCluster cluster(1, 1);
+  cluster.Endpoint(0).SetBehaviour([](RawConnection& aConnection, const RawRequest&) {
+    aConnection.Write("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+    return true;
+  });
+  for (int number = 0; number < 10; ++number) {
+    const CallerResponse response = cluster.Call("/unsafe/x", absl::StrCat("r", number));
+    CHECK(response.m_status == 200);
+    CHECK(response.m_body == "ok");
+  }
+}
+
 TEST_CASE("Repeated refusals: one of the same request, sent again to its endpoint, proves nothing")
 {
   // The endpoint refuses each id once, and writes that refusal once more on any connection that is
--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -134,11 +134,11 @@
 TEST_CASE("A registration whose id is no header value, or whose names break a line, is rejected")
 {
   for (const std::string& id : { std::string(),
-                                std::string("a b"),
-                                std::string("a\r\nX: y"),
-                                std::string("\xff"),
-                                std::string("a\0b", 3),
-                                std::string(129, 'a') }) {
+                                 std::string("a b"),
+                                 std::string("a\r\nX: y"),
+                                 std::string("\xff"),
+                                 std::string("a\0b", 3),
+                                 std::string(129, 'a') }) {
     Findings findings;
     CHECK_FALSE(DecodeRegistration(id, kRegistration, findings));
     CHECK_FALSE(findings.IsEmpty());
@@ -241,8 +241,8 @@
 TEST_CASE("Only 421 or X-Not-Executed proves that an endpoint did not run a request")
 {
   const PlatformDialect dialect;
-  const auto meaning = [&](int aStatus, HttpHeaders aHeaders) {
-    return dialect.ClassifyResponse(AnswerOf(aStatus, std::move(aHeaders)), "id-1");
+  const auto meaning = [&](int aStatus, HttpHeaders aHeaders, bool aIsReused = false) {
+    return dialect.ClassifyResponse(AnswerOf(aStatus, std::move(aHeaders)), "id-1", aIsReused);
   };
   CHECK(meaning(200, { { "X-Request-Id", "id-1" } }) == ResponseMeaning::Success);
   CHECK(meaning(200, {}) == ResponseMeaning::Success);
@@ -251,6 +251,11 @@
   CHECK(meaning(421, {}) == ResponseMeaning::NotRun);
   CHECK(meaning(503, {}) == ResponseMeaning::Failure);
   CHECK(meaning(500, {}) == ResponseMeaning::Failure);
+  for (const int status : { 200, 421, 429, 500, 503 }) {
+    CHECK(meaning(status, { { "X-Not-Executed", "1" } }, true) == ResponseMeaning::Mismatched);
+  }
+  CHECK(meaning(503, { { "X-Not-Executed", "1" }, { "X-Request-Id", "id-1" } }, true) ==
+        ResponseMeaning::NotRun);
   CHECK(FindHeader(dialect.GatewayResponseHeaders("id-1", Milliseconds(250)), "Retry-After") ==
         "0.250");
 }
