Send a request that an endpoint refused there again only on a new connection

A request that must run once ran twice, or its caller was told 'not run' while it ran: the endpoint had refused it, got it again on a kept connection (from the daemon, since no other endpoint was left, or from the caller under the same id), ran it, and wrote the refusal once more. Same id, so it passed as the response.

Why it works: on a new connection nothing of an earlier exchange can come. Ruled out: an id of our own for each attempt (the caller's must reach the endpoint unchanged); new connections for all requests that must run once (dear for all, for a fault of few). A request that its caller repeats under the same id at another daemon is not recognised there.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -99,8 +99,9 @@
                [this](const ServiceName& aService) { return EndpointsOf(aService); },
                [this](const ServiceName& aService) { return OnlyVersionOf(aService); },
                [this](const EndpointIncarnation& aEndpoint) { OnEndpointUnavailable(aEndpoint); } })
-  , m_dependencies{ &aLoop,          &m_client, &m_broker,  &m_registry,
-                    &m_retry_budget, &aDialect, &m_metrics, aSettings.m_data_center }
+  , m_dependencies{ &aLoop,      &m_client,       &m_broker,
+                    &m_registry, &m_retry_budget, &m_refused,
+                    &aDialect,   &m_metrics,      aSettings.m_data_center }
 {
 }
 
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -6,6 +6,7 @@
 #include <LibGateway/Dialect.h>
 #include <LibGateway/EventSplitter.h>
 #include <LibGateway/GatewayMetrics.h>
+#include <LibGateway/RefusedRequests.h>
 #include <LibRelay/RelayClient.h>
 #include <LibRelay/RelayExchange.h>
 
@@ -19,6 +20,7 @@
   SlotBroker* m_broker = nullptr;
   const EndpointRegistry* m_registry = nullptr;
   RetryBudget* m_retry_budget = nullptr;
+  RefusedRequests* m_refused = nullptr;
   const Dialect* m_dialect = nullptr;
   GatewayMetrics* m_metrics = nullptr;
   DataCenterName m_data_center;
--- a/Libraries/LibGateway/include/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -111,6 +111,7 @@
   StoreReaderSelector m_readers;
   bool m_is_reader = true;
   RetryBudget m_retry_budget;
+  RefusedRequests m_refused{ RefusedRequests::Limits() };
   RelayClient m_client;
   SlotBroker m_broker;
   ActiveRequestDependencies m_dependencies;
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -433,5 +433,10 @@
   Libraries/LibGateway/ActiveRequest.cpp 's/if \(!dialect.NamesRequest\(aHead\)\)/if (false)/' \
   "$PROCESS" "Endpoints whose responses name no request*"
 
+mutate "not run is true: a refused request is sent again on a new connection" \
+  Libraries/LibGateway/ActiveRequest.cpp \
+  's/!m_dependencies.m_refused->Contains\(/true || m_dependencies.m_refused->Contains(/' \
+  "$PROCESS" "Repeated refusals: one of*"
+
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
--- a/Tests/Unit/TestGatewayParts.cpp
+++ b/Tests/Unit/TestGatewayParts.cpp
@@ -1,8 +1,10 @@
 #include <LibGateway/EventSplitter.h>
 #include <LibGateway/ForwardedHeaders.h>
 #include <LibGateway/GatewaySettings.h>
+#include <LibGateway/RefusedRequests.h>
 #include <LibGateway/RequestDigest.h>
 
+#include <LibGateway/RefusedRequests.h>
 #include <absl/strings/str_cat.h>
 #include <doctest.h>
 
@@ -153,3 +155,25 @@
   again.m_target = "/a/b?c=2";
   CHECK(RequestDigest(again, "caller", "body") != digest);
 }
+
+TEST_CASE("Refused requests are remembered for each endpoint, for a while, and not without bound")
+{
+  RefusedRequests refused(RefusedRequests::Limits{ Milliseconds(1'000), 3, 8 });
+  const TimePoint start{};
+  const EndpointId endpoint("a");
+  refused.Record("one", endpoint, start);
+  refused.Record("one", endpoint, start + Milliseconds(10));
+  CHECK(refused.Size() == 1);
+  CHECK(refused.Contains("one", endpoint));
+  CHECK_FALSE(refused.Contains("one", EndpointId("b")));
+  CHECK_FALSE(refused.Contains("two", endpoint));
+  refused.Record("123456789", endpoint, start);
+  CHECK(refused.Contains("12345678", endpoint));
+  refused.Record("three", endpoint, start);
+  refused.Record("four", endpoint, start);
+  CHECK(refused.Size() == 3);
+  CHECK_FALSE(refused.Contains("one", endpoint));
+  refused.Record("late", endpoint, start + Milliseconds(2'000));
+  CHECK(refused.Size() == 1);
+  CHECK(refused.Contains("late", endpoint));
+}
