Break off an event stream into which its endpoint writes another response

Callers of a stream without a length got the refusal of another request as events, and a response that looked complete.

Cause: without a length or chunks all bytes are body, and whatever is followed by an empty line is an event.

Why it works: a line that begins like a status line is no line of an event, so the response is broken off (502 if nothing was passed on) or, if it may be resumed, goes on elsewhere after its last event.

--- a/Libraries/LibGateway/BodyCompleteness.cpp
+++ b/Libraries/LibGateway/BodyCompleteness.cpp
@@ -54,6 +54,9 @@
   }
   const std::size_t outside = m_events.Scan(aBytes);
   m_event_bytes = outside == 0 ? m_event_bytes + aBytes.size() : aBytes.size() - outside;
+  if (m_events.HasStatusLine()) {
+    return absl::DataLossError("the endpoint wrote another response into the event stream");
+  }
   if (m_event_bytes > kMaxEventBytes) {
     return absl::ResourceExhaustedError(
       absl::StrCat("an event of the response is longer than ", kMaxEventBytes, " bytes"));
--- a/Libraries/LibGateway/EventScanner.cpp
+++ b/Libraries/LibGateway/EventScanner.cpp
@@ -2,6 +2,12 @@
 
 namespace auburnhitch {
 
+namespace {
+
+constexpr absl::string_view kStatusLine = "HTTP/1.";
+
+}
+
 std::size_t
 EventScanner::Scan(absl::string_view aBytes)
 {
@@ -25,9 +31,24 @@
   }
   if (aByte == '\n' || aByte == '\r') {
     EndLine();
-  } else if (m_line == Line::Empty) {
+    return;
+  }
+  if (m_line == Line::Empty) {
     m_line = aByte == ':' ? Line::Comment : Line::Field;
   }
+  if (m_may_be_status_line) {
+    MatchStatusLine(aByte);
+  }
+}
+
+void
+EventScanner::MatchStatusLine(char aByte)
+{
+  m_may_be_status_line = aByte == kStatusLine[m_status_line_bytes];
+  if (m_may_be_status_line && ++m_status_line_bytes == kStatusLine.size()) {
+    m_has_status_line = true;
+    m_may_be_status_line = false;
+  }
 }
 
 void
@@ -40,6 +61,8 @@
     m_has_event = true;
   }
   m_line = Line::Empty;
+  m_status_line_bytes = 0;
+  m_may_be_status_line = true;
 }
 
 }
--- a/Libraries/LibGateway/include/LibGateway/EventScanner.h
+++ b/Libraries/LibGateway/include/LibGateway/EventScanner.h
@@ -18,6 +18,8 @@
   bool IsInsideEvent() const { return m_event_has_fields || m_line != Line::Empty; }
   /// Whether an event has ended.
   bool HasEvent() const { return m_has_event; }
+  /// Whether a line began like the head of an HTTP response, which no event contains.
+  bool HasStatusLine() const { return m_has_status_line; }
   /// Prepares for a new stream.
   void Restart() { *this = EventScanner(); }
 
@@ -32,10 +34,15 @@
 
   void Scan(char aByte);
   void EndLine();
+  void MatchStatusLine(char aByte);
 
   Line m_line = Line::Empty;
   bool m_event_has_fields = false;
   bool m_has_event = false;
+  /// Bytes of the current line that match the beginning of a status line, while all of them do.
+  std::size_t m_status_line_bytes = 0;
+  bool m_may_be_status_line = true;
+  bool m_has_status_line = false;
   /// Whether the last byte was a CR: a LF that follows belongs to the same line end.
   bool m_is_after_cr = false;
 };
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -438,5 +438,9 @@
   's/!m_dependencies.m_refused->Contains\(/true || m_dependencies.m_refused->Contains(/' \
   "$PROCESS" "Repeated refusals: one of*"
 
+mutate "whole answers: a response inside an event stream is no event" \
+  Libraries/LibGateway/BodyCompleteness.cpp 's/if \(m_events.HasStatusLine\(\)\)/if (false)/' \
+  "$PROCESS" "Repeated refusals: one in the middle*"
+
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
--- a/Tests/Unit/TestBodyCompleteness.cpp
+++ b/Tests/Unit/TestBodyCompleteness.cpp
@@ -1,4 +1,5 @@
 #include <LibGateway/BodyCompleteness.h>
+#include <LibGateway/EventScanner.h>
 
 #include <absl/strings/str_cat.h>
 #include <doctest.h>
@@ -99,3 +100,23 @@
     CHECK(whole.Follow(event + "\n\n").ok());
   }
 }
+
+TEST_CASE("A status line inside an event stream is noticed, wherever the bytes are divided")
+{
+  const std::string event = "id: 1\ndata: HTTP/1.1 503\n\n";
+  const std::string refusal = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n\r\n";
+  for (std::size_t size = 1; size < event.size() + refusal.size(); ++size) {
+    EventScanner scanner;
+    const std::string bytes = event + refusal;
+    scanner.Scan(bytes.substr(0, size));
+    CHECK(scanner.HasStatusLine() == (size >= event.size() + 7));
+    scanner.Scan(bytes.substr(size));
+    CHECK(scanner.HasStatusLine());
+  }
+  for (const char* harmless :
+       { "data: a\nHTTP/2 x\n\n", ": HTTP/1.1\n\n", "xHTTP/1.1\n", "HTTP/1\n.1\n" }) {
+    EventScanner scanner;
+    scanner.Scan(harmless);
+    CHECK_FALSE(scanner.HasStatusLine());
+  }
+}
