Let the soak leave odd entries, repeat refusals and kill all daemons at once

Endpoints write their last refusal once more on kept connections, with or without its id, before or in place of a response; another writer leaves entries that are nested, out of range, no text or no record; all daemons are killed and come back one after the other. Each draws from a random number of its own, so that earlier seeds stay as they are.

--- a/Tests/Process/TestSoak.cpp
+++ b/Tests/Process/TestSoak.cpp
@@ -18,6 +18,10 @@
   bool m_has_rests = false;
   /// The same for requests that crash endpoints.
   bool m_repeats_crashes = false;
+  /// The same for odd entries and repeated refusals.
+  bool m_has_odd_bytes = false;
+  /// The same for kills of all daemons.
+  bool m_kills_all = false;
 };
 
 constexpr SoakCase kCases[]{
@@ -36,6 +40,7 @@
   { 41001, nullptr, true, true },
   { 42001, nullptr, true, true, true },
   { 42002, nullptr, true, true, true },
+  { 51001, nullptr, true, true, true, true, true },
   { 43006,
     "two daemons serve no unsafe requests after the faults: a popular request was refused after "
     "three crashes in a row, though it had been served before",
@@ -61,6 +66,8 @@
     options.m_cuts_paths = entry.m_cuts_paths;
     options.m_has_rests = entry.m_has_rests;
     options.m_repeats_crashes = entry.m_repeats_crashes;
+    options.m_has_odd_bytes = entry.m_has_odd_bytes;
+    options.m_kills_all = entry.m_kills_all;
     const SoakResult result = RunSoak(options);
     std::string text = result.m_summary;
     for (const auto* lines : { &result.m_violations, &result.m_faults }) {
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -72,8 +72,13 @@
 class SoakEndpoint
 {
 public:
-  SoakEndpoint(SoakChecker& aChecker, std::size_t aIndex, std::string aId, unsigned aSeed)
-    : m_checker(aChecker)
+  SoakEndpoint(SoakChecker& aChecker,
+               std::size_t aIndex,
+               std::string aId,
+               unsigned aSeed,
+               bool aRepeatsRefusals)
+    : m_repeats_refusals(aRepeatsRefusals)
+    , m_checker(aChecker)
     , m_index(aIndex)
     , m_id(std::move(aId))
     , m_random(aSeed)
@@ -128,12 +133,16 @@
     }
     const EndpointFault fault = DrawFault();
     if (is_other || fault == EndpointFault::Refuse) {
-      aConnection.Write(absl::StrCat("HTTP/1.1 ",
-                                     is_other ? 421 : 503,
-                                     " X\r\nX-Request-Id: ",
-                                     id,
-                                     Statements(),
-                                     "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+      const std::string refusal = absl::StrCat("HTTP/1.1 ",
+                                               is_other ? 421 : 503,
+                                               " X\r\nX-Request-Id: ",
+                                               id,
+                                               "\r\nX-Not-Executed: 1\r\nContent-Length: 0",
+                                               Statements(),
+                                               "\r\n\r\n");
+      aConnection.Write(refusal);
+      const std::lock_guard lock(m_mutex);
+      m_last_refusal = refusal;
       return true;
     }
     const SoakKind& kind = KindOf(aRequest);
@@ -171,6 +180,12 @@
                                      "\r\nContent-Length: 0\r\n\r\n"));
       return true;
     }
+    // Each connection has a thread of its own.
+    thread_local int t_requests = 0;
+    const bool is_kept = t_requests++ > 0;
+    if (is_kept && m_repeats_refusals && RepeatRefusal(aConnection)) {
+      return true;
+    }
     return kind.m_is_stream ? WriteStream(aConnection, id, kind, events, fault)
                             : WriteResponse(aConnection, id, fault);
   }
@@ -184,6 +199,27 @@
     std::string m_version;
   };
 
+  /// Now and then writes the last refusal once more, with or without its request id. Returns
+  /// whether it takes the place of the response.
+  bool RepeatRefusal(RawConnection& aConnection)
+  {
+    constexpr unsigned kOneIn = 10;
+    std::string refusal;
+    {
+      const std::lock_guard lock(m_mutex);
+      refusal = m_last_refusal;
+    }
+    if (refusal.empty() || DrawNumber() % kOneIn != 0) {
+      return false;
+    }
+    if (DrawNumber() % 2 == 0) {
+      const auto id = refusal.find("X-Request-Id");
+      refusal.erase(id, refusal.find("\r\n", id) + 2 - id);
+    }
+    aConnection.Write(refusal);
+    return DrawNumber() % 2 == 0;
+  }
+
   std::pair<std::string, std::string> Identity()
   {
     const std::lock_guard lock(m_mutex);
@@ -295,9 +331,11 @@
     return true;
   }
 
+  bool m_repeats_refusals;
   SoakChecker& m_checker;
   std::size_t m_index;
   std::mutex m_mutex;
+  std::string m_last_refusal;
   std::string m_id;
   std::string m_version = "v1";
   std::atomic<int> m_incarnation = 1;
@@ -317,6 +355,7 @@
     , m_random(aOptions.m_seed)
     , m_cut_random(aOptions.m_seed)
     , m_rest_random(aOptions.m_seed)
+    , m_odd_random(aOptions.m_seed)
     , m_checker(aOptions.m_endpoints)
     , m_cluster(GatewayClusterOptions{ aOptions.m_daemons,
                                        aOptions.m_endpoints,
@@ -328,8 +367,12 @@
     , m_start(Clock::now())
   {
     for (std::size_t i = 0; i < aOptions.m_endpoints; ++i) {
-      m_endpoints.push_back(std::make_unique<SoakEndpoint>(
-        m_checker, i, m_cluster.IdOf(i), aOptions.m_seed + static_cast<unsigned>(i)));
+      m_endpoints.push_back(
+        std::make_unique<SoakEndpoint>(m_checker,
+                                       i,
+                                       m_cluster.IdOf(i),
+                                       aOptions.m_seed + static_cast<unsigned>(i),
+                                       aOptions.m_has_odd_bytes));
       m_cluster.Endpoint(i).SetBehaviour([endpoint = m_endpoints.back().get()](
                                            RawConnection& aConnection, const RawRequest& aRequest) {
         return endpoint->Serve(aConnection, aRequest);
@@ -358,6 +401,12 @@
         if (m_options.m_has_rests && m_rest_random() % 3 == 0) {
           LetEndpointsRest();
         }
+        if (m_options.m_has_odd_bytes && m_odd_random() % 3 == 0) {
+          LeaveOddEntry();
+        }
+        if (m_options.m_kills_all && m_odd_random() % 10 == 0) {
+          KillAllDaemons();
+        }
         const Clock::time_point next = Clock::now() + Ms(m_random() % kMaxPauseMs);
         while (Clock::now() < next) {
           RunDueActions(Clock::now());
@@ -464,6 +513,49 @@
     }
   }
 
+  /// Kills all daemons that run, if none is down for another fault.
+  void KillAllDaemons()
+  {
+    if (std::count(m_is_down.begin(), m_is_down.end(), true) > 0) {
+      return;
+    }
+    RecordFault("kill all daemons");
+    for (std::size_t daemon = 0; daemon < m_options.m_daemons; ++daemon) {
+      m_is_down[daemon] = true;
+      m_checker.RecordDisturbance(daemon, false);
+      m_cluster.Daemon(daemon).Signal(SIGKILL);
+      const Ms duration(kMinFaultMs + m_odd_random() % (kMaxFaultMs - kMinFaultMs));
+      ScheduleAfter(duration, [this, daemon] { Restart(daemon); });
+    }
+  }
+
+  /// Another writer leaves an entry among the registrations that names no endpoint, or a record
+  /// that is none.
+  void LeaveOddEntry()
+  {
+    const std::string ready = R"({"service": "s", "zone": "dc-0", "version": "v1", "slots": 4,
+                                  "state": "ready", "born": 1, "address": "127.0.0.1:)";
+    const std::array<std::string, 8> entries{
+      std::string(60'000, '['),
+      R"({"service": )" + std::string(50'000, '[') + std::string(50'000, ']') + "}",
+      ready + R"(1", "slots": 1e400})",
+      ready + R"(70000"})",
+      ready + R"( 80"})",
+      "\xff\xfe\x01",
+      R"({"service": 5})",
+      std::string(200'000, '7'),
+    };
+    const std::array<std::string, 4> keys{ "odd", "\xff\xfe", "odd\r\nX-Odd: 1", "" };
+    const std::size_t drawn = m_odd_random() % (entries.size() + 1);
+    const std::string& key = keys[m_odd_random() % keys.size()];
+    RecordFault(absl::StrCat("odd entry ", drawn));
+    if (drawn == entries.size()) {
+      m_cluster.Store().PutRecord("keyed.servers", key.empty() ? "" : "\x50" + key);
+    } else {
+      m_cluster.Store().Put("keyed.servers", key, entries[drawn]);
+    }
+  }
+
   void PauseDaemon()
   {
     if (const auto daemon = ReserveDaemon()) {
@@ -817,6 +909,8 @@
   std::mt19937 m_cut_random;
   /// The same for rests.
   std::mt19937 m_rest_random;
+  /// The same for odd entries, and for the kills of all daemons.
+  std::mt19937 m_odd_random;
   SoakChecker m_checker;
   std::vector<std::unique_ptr<SoakEndpoint>> m_endpoints;
   GatewayCluster m_cluster;
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -19,6 +19,11 @@
   bool m_has_rests = true;
   /// Whether a request that crashes endpoints comes again and again, with two seeds of three.
   bool m_repeats_crashes = true;
+  /// Whether another writer leaves odd entries among the registrations, and endpoints write earlier
+  /// refusals once more on connections that they keep.
+  bool m_has_odd_bytes = true;
+  /// Whether all daemons are killed at once.
+  bool m_kills_all = true;
   /// Directory to which the daemons' logs are written when there are violations. Empty: no logs are
   /// written.
   std::string m_log_directory;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -29,6 +29,11 @@
   app.add_flag("--repeated-crashes,!--no-repeated-crashes",
                options.m_repeats_crashes,
                "Send a request that crashes endpoints again and again (default: yes)");
+  app.add_flag("--odd-bytes,!--no-odd-bytes",
+               options.m_has_odd_bytes,
+               "Leave odd entries among the registrations, and repeat refusals (default: yes)");
+  app.add_flag(
+    "--kill-all,!--no-kill-all", options.m_kills_all, "Kill all daemons at once (default: yes)");
   app.add_flag("--faults", shows_faults, "Print the faults of each seed");
   CLI11_PARSE(app, aArgumentCount, aArguments);
   options.m_length = std::chrono::seconds(seconds);
