Add failing tests of daemons that are cut off from all endpoints

The stand-ins learn what this takes: each daemon reads addresses of the endpoints of its own, behind a proxy for each pair, and a proxy can hold connections back and establish none.

--- a/Tests/StandIns/FaultProxy.cpp
+++ b/Tests/StandIns/FaultProxy.cpp
@@ -18,6 +18,7 @@
 constexpr std::array kFaultNames{
   std::pair{ "none", Fault::None },
   std::pair{ "refuse", Fault::Refuse },
+  std::pair{ "unreachable", Fault::Unreachable },
   std::pair{ "cut-before-request", Fault::CutBeforeRequest },
   std::pair{ "cut-after-request", Fault::CutAfterRequest },
   std::pair{ "cut-mid-answer", Fault::CutMidAnswer },
@@ -51,6 +52,8 @@
   bufferevent* m_target;
   std::size_t m_response_bytes = 0;
   bool m_target_has_closed = false;
+  /// Whether a side has closed while the link held back all bytes.
+  bool m_is_closed_meanwhile = false;
   std::unique_ptr<Timer> m_timer;
 
   ~Link()
@@ -87,7 +90,7 @@
 
   void OnRequestBytes()
   {
-    if (m_fault == Fault::Silence) {
+    if (m_fault == Fault::Silence || m_fault == Fault::Unreachable) {
       return;
     }
     if (m_fault == Fault::SlowBytes) {
@@ -101,6 +104,8 @@
   {
     evbuffer* response = bufferevent_get_input(m_target);
     switch (m_fault) {
+      case Fault::Unreachable:
+        return;
       case Fault::Silence:
       case Fault::SilenceAfterRequest:
         evbuffer_drain(response, evbuffer_get_length(response));
@@ -203,6 +208,36 @@
 FaultProxy::~FaultProxy()
 {
   StopListening();
+  StopListeningInVain();
+}
+
+void
+FaultProxy::ListenInVain()
+{
+  if (!m_vain_sockets.empty()) {
+    return;
+  }
+  const sockaddr_in address = ToSockaddr(m_address).value();
+  const auto* name = reinterpret_cast<const sockaddr*>(&address);
+  const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  m_vain_sockets.push_back(listener);
+  evutil_make_listen_socket_reuseable(listener);
+  bind(listener, name, sizeof(address));
+  listen(listener, 0);
+  // The system accepts one connection more than the length of the queue.
+  constexpr int kConnections = 4;
+  for (int i = 0; i < kConnections; ++i) {
+    m_vain_sockets.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    connect(m_vain_sockets.back(), name, sizeof(address));
+  }
+}
+
+void
+FaultProxy::StopListeningInVain()
+{
+  for (const int vain : std::exchange(m_vain_sockets, {})) {
+    evutil_closesocket(vain);
+  }
 }
 
 void
@@ -229,18 +264,43 @@
     }
   }
   if (body.value("change_open", false)) {
-    for (const auto& [number, link] : m_links) {
-      link->m_fault = m_fault;
-    }
+    ChangeOpenLinks();
+  }
+  if (m_fault != Fault::Unreachable) {
+    StopListeningInVain();
   }
   if (m_fault == Fault::Refuse) {
     StopListening();
+  } else if (m_fault == Fault::Unreachable) {
+    StopListening();
+    ListenInVain();
   } else {
     Listen();
   }
   aExchange.Reply(200, {}, "{}");
 }
 
+void
+FaultProxy::ChangeOpenLinks()
+{
+  std::vector<std::uint64_t> closed;
+  for (const auto& [number, link] : m_links) {
+    const bool was_held_back = std::exchange(link->m_fault, m_fault) == Fault::Unreachable;
+    if (!was_held_back || m_fault == Fault::Unreachable) {
+      continue;
+    }
+    if (link->m_is_closed_meanwhile) {
+      closed.push_back(number);
+      continue;
+    }
+    link->OnRequestBytes();
+    link->OnResponseBytes();
+  }
+  for (const std::uint64_t number : closed) {
+    Drop(number);
+  }
+}
+
 void
 FaultProxy::Accept(int aSocket)
 {
@@ -310,6 +370,11 @@
   if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) {
     return;
   }
+  if (link->m_fault == Fault::Unreachable) {
+    bufferevent_disable(aSide, EV_READ | EV_WRITE);
+    link->m_is_closed_meanwhile = true;
+    return;
+  }
   const bool is_silent =
     link->m_fault == Fault::Silence || link->m_fault == Fault::SilenceAfterRequest;
   if (is_silent && aSide == link->m_target) {
--- a/Tests/StandIns/FaultProxy.h
+++ b/Tests/StandIns/FaultProxy.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 struct bufferevent;
 struct evconnlistener;
@@ -17,6 +18,9 @@
   None,
   /// Does not listen, so that connections are refused.
   Refuse,
+  /// Does not establish connections: connecting takes until the caller gives up. Connections that
+  /// have this fault hold back all bytes until the fault is taken from them.
+  Unreachable,
   /// Closes each connection when it is accepted.
   CutBeforeRequest,
   /// Forwards the request and closes both connections at the first byte of the response.
@@ -52,6 +56,11 @@
   void OnControl(HttpExchange& aExchange);
   void Listen();
   void StopListening();
+  /// Listens without accepting, with a full queue of connections.
+  void ListenInVain();
+  void StopListeningInVain();
+  /// Gives the present fault to the connections that are open.
+  void ChangeOpenLinks();
   void Accept(int aSocket);
   /// Closes both connections of a link, if it is still open.
   void Drop(std::uint64_t aLink);
@@ -76,6 +85,8 @@
   std::map<std::uint64_t, std::unique_ptr<Link>> m_links;
   std::uint64_t m_last_link = 0;
   evconnlistener* m_listener = nullptr;
+  /// The sockets of ListenInVain(); the first one listens.
+  std::vector<int> m_vain_sockets;
   std::unique_ptr<HttpServer> m_control;
 };
 
--- a/Tests/Support/GatewayCluster.cpp
+++ b/Tests/Support/GatewayCluster.cpp
@@ -209,6 +209,7 @@
     m_daemons.push_back(std::move(daemon));
   }
   StartNetwork();
+  StartEndpointPaths();
   for (std::size_t i = 0; i < m_options.m_daemons; ++i) {
     StartDaemon(i);
   }
@@ -223,6 +224,7 @@
   m_daemons.clear();
   m_store_proxies.clear();
   m_endpoint_proxies.clear();
+  m_endpoint_paths.clear();
   std::error_code ignored;
   std::filesystem::remove_all(m_directory, ignored);
 }
@@ -241,6 +243,56 @@
   m_network = std::make_unique<PeerNetwork>(std::move(nodes));
 }
 
+void
+GatewayCluster::StartEndpointPaths()
+{
+  if (!m_options.m_has_endpoint_paths) {
+    return;
+  }
+  for (std::size_t i = 0; i < m_options.m_daemons; ++i) {
+    StoreStandIn::Replacements replacements;
+    std::vector<ProxyProcess>& paths = m_endpoint_paths.emplace_back();
+    for (std::size_t j = 0; j < m_options.m_endpoints; ++j) {
+      const SocketAddress address = m_endpoints[j]->Address();
+      paths.push_back(StartProxy(absl::StrCat("path-", i, "-", j), address));
+      replacements[absl::StrCat("\"", address.Value(), "\"")] =
+        absl::StrCat("\"", paths.back().m_address.Value(), "\"");
+    }
+    m_store_views.push_back(m_store.AddView(std::move(replacements)));
+  }
+}
+
+void
+GatewayCluster::CommandEndpointPaths(std::size_t aDaemon, const nlohmann::json& aCommand)
+{
+  for (const ProxyProcess& path : m_endpoint_paths.at(aDaemon)) {
+    Command(path, aCommand);
+  }
+}
+
+void
+GatewayCluster::CutFromEndpoints(std::size_t aDaemon, EndpointCut aCut)
+{
+  switch (aCut) {
+    case EndpointCut::Reset:
+      CommandEndpointPaths(aDaemon,
+                           { { "fault", "refuse" }, { "cut_open", true }, { "reset", true } });
+      return;
+    case EndpointCut::RefuseNew:
+      CommandEndpointPaths(aDaemon, { { "fault", "refuse" } });
+      return;
+    case EndpointCut::Hang:
+      CommandEndpointPaths(aDaemon, { { "fault", "unreachable" }, { "change_open", true } });
+      return;
+  }
+}
+
+void
+GatewayCluster::HealEndpointPaths(std::size_t aDaemon)
+{
+  CommandEndpointPaths(aDaemon, { { "fault", "none" }, { "change_open", true } });
+}
+
 HostName
 GatewayCluster::HostOf(std::size_t aIndex)
 {
@@ -307,6 +359,15 @@
   Command(m_store_proxies.at(aDaemon), aCommand);
 }
 
+SocketAddress
+GatewayCluster::StoreAddressOf(std::size_t aIndex) const
+{
+  if (m_options.m_has_proxies) {
+    return m_store_proxies.at(aIndex).m_address;
+  }
+  return m_options.m_has_endpoint_paths ? m_store_views.at(aIndex) : m_store.Address();
+}
+
 void
 GatewayCluster::StartDaemon(std::size_t aIndex)
 {
@@ -319,10 +380,7 @@
                                { "directory_address", daemon.m_addresses[2].Value() },
                                { "metrics_address", daemon.m_addresses[3].Value() },
                                { "peer_address", daemon.m_addresses[4].Value() },
-                               { "store_address",
-                                 m_options.m_has_proxies
-                                   ? m_store_proxies.at(aIndex).m_address.Value()
-                                   : m_store.Address().Value() } } } };
+                               { "store_address", StoreAddressOf(aIndex).Value() } } } };
   if (m_network != nullptr) {
     settings["gateway"]["advertised_peer_address"] = daemon.m_advertised_peer_address.Value();
   }
--- a/Tests/Support/GatewayCluster.h
+++ b/Tests/Support/GatewayCluster.h
@@ -69,6 +69,19 @@
   std::vector<std::string> m_versions;
   /// Whether daemons reach each other through a network whose paths can be cut.
   bool m_has_peer_network = false;
+  /// Whether each daemon reaches each endpoint through a fault proxy of its own.
+  bool m_has_endpoint_paths = false;
+};
+
+/// What happens to the connections of a daemon that is cut off from all endpoints.
+enum class EndpointCut
+{
+  /// Connections are reset, new ones refused.
+  Reset,
+  /// Open connections live on, new ones are refused.
+  RefuseNew,
+  /// Open connections carry no bytes any more, new ones are not established.
+  Hang,
 };
 
 /// Gateway daemons as child processes, with the store and the endpoints in the process of the test.
@@ -104,6 +117,10 @@
   /// FaultProxy.
   void CommandEndpointProxy(std::size_t aEndpoint, const nlohmann::json& aCommand);
   void CommandStoreProxy(std::size_t aDaemon, const nlohmann::json& aCommand);
+  /// Cuts a daemon off from all endpoints, or heals its paths to them. Precondition:
+  /// GatewayClusterOptions::m_has_endpoint_paths.
+  void CutFromEndpoints(std::size_t aDaemon, EndpointCut aCut);
+  void HealEndpointPaths(std::size_t aDaemon);
   /// Waits until the readiness port of a daemon responds with status 200; throws if WaitFor()
   /// fails.
   void WaitUntilReady(std::size_t aIndex);
@@ -148,6 +165,9 @@
   ProxyProcess StartProxy(const std::string& aName, const SocketAddress& aTarget);
   static void Command(const ProxyProcess& aProxy, const nlohmann::json& aCommand);
   void StartNetwork();
+  void StartEndpointPaths();
+  void CommandEndpointPaths(std::size_t aDaemon, const nlohmann::json& aCommand);
+  SocketAddress StoreAddressOf(std::size_t aIndex) const;
   static HostName HostOf(std::size_t aIndex);
   std::string DataCenterOf(std::size_t aIndex) const;
 
@@ -165,6 +185,10 @@
   std::vector<std::unique_ptr<EndpointStandIn>> m_endpoints;
   std::vector<ProxyProcess> m_store_proxies;
   std::vector<ProxyProcess> m_endpoint_proxies;
+  /// The paths of each daemon to all endpoints.
+  std::vector<std::vector<ProxyProcess>> m_endpoint_paths;
+  /// Where each daemon reads the store if it has paths of its own to the endpoints.
+  std::vector<SocketAddress> m_store_views;
   std::vector<GatewayProcess> m_daemons;
   std::unique_ptr<PeerNetwork> m_network;
   int m_version = 0;
--- a/Tests/Support/StoreStandIn.cpp
+++ b/Tests/Support/StoreStandIn.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
+#include <absl/strings/str_replace.h>
 #include <chrono>
 #include <nlohmann/json.hpp>
 
@@ -30,7 +31,7 @@
 }
 
 StoreStandIn::StoreStandIn()
-  : m_server([this](RawConnection& aConnection) { Serve(aConnection); })
+  : m_server([this](RawConnection& aConnection) { Serve(aConnection, {}); })
 {
 }
 
@@ -41,6 +42,16 @@
   m_changed.notify_all();
 }
 
+SocketAddress
+StoreStandIn::AddView(Replacements aReplacements)
+{
+  m_views.push_back(std::make_unique<RawServer>(
+    [this, replacements = std::move(aReplacements)](RawConnection& aConnection) {
+      Serve(aConnection, replacements);
+    }));
+  return m_views.back()->Address();
+}
+
 void
 StoreStandIn::SetMode(Mode aMode)
 {
@@ -146,7 +157,7 @@
 }
 
 void
-StoreStandIn::Serve(RawConnection& aConnection)
+StoreStandIn::Serve(RawConnection& aConnection, const Replacements& aReplacements)
 {
   while (const auto request = aConnection.ReadRequest()) {
     if (Hold(aConnection, *request)) {
@@ -154,9 +165,9 @@
     }
     std::string response;
     if (request->Path() == "/log-read") {
-      response = ReplyToRead(*request);
+      response = ReplyToRead(*request, aReplacements);
     } else if (request->Path() == "/log-newest") {
-      response = ReplyToNewest(*request);
+      response = ReplyToNewest(*request, aReplacements);
     } else {
       response = ReplyToAppend(*request);
     }
@@ -189,7 +200,7 @@
 }
 
 std::string
-StoreStandIn::ReplyToRead(const RawRequest& aRequest)
+StoreStandIn::ReplyToRead(const RawRequest& aRequest, const Replacements& aReplacements)
 {
   std::unique_lock lock(m_mutex);
   const std::string name = aRequest.Query("topic");
@@ -203,22 +214,25 @@
   }
   std::string body = BigEndian(topic.End(), 8) + BigEndian(topic.m_first, 8);
   for (std::uint64_t at = from; at < topic.End(); ++at) {
-    const std::string& record = topic.m_records[at - topic.m_first];
+    const std::string record =
+      absl::StrReplaceAll(topic.m_records[at - topic.m_first], aReplacements);
     body += BigEndian(record.size(), 4) + record;
   }
   return MakeResponse(200, body);
 }
 
 std::string
-StoreStandIn::ReplyToNewest(const RawRequest& aRequest)
+StoreStandIn::ReplyToNewest(const RawRequest& aRequest, const Replacements& aReplacements)
 {
   const std::lock_guard lock(m_mutex);
   const Topic& topic = m_topics[aRequest.Query("topic")];
   std::vector<std::string> items;
   for (const auto& [key, value] : topic.m_newest) {
-    items.push_back(
-      nlohmann::json{ { "key", key }, { "value", absl::Base64Escape(value) }, { "offset", 0 } }
-        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    items.push_back(nlohmann::json{
+      { "key", key },
+      { "value", absl::Base64Escape(absl::StrReplaceAll(value, aReplacements)) },
+      { "offset",
+        0 } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
   }
   if (!topic.m_odd_item.empty()) {
     items.push_back(topic.m_odd_item);
--- a/Tests/Support/StoreStandIn.h
+++ b/Tests/Support/StoreStandIn.h
@@ -4,6 +4,7 @@
 
 #include <condition_variable>
 #include <map>
+#include <memory>
 
 namespace auburnhitch::tests {
 
@@ -31,6 +32,11 @@
   ~StoreStandIn();
 
   SocketAddress Address() const { return m_server.Address(); }
+  /// Texts to replace in the records of the registrations, by what stands there.
+  using Replacements = std::map<std::string, std::string>;
+  /// Opens another address at which the same store is served with texts replaced, so that a daemon
+  /// reads other addresses of the endpoints than others do.
+  SocketAddress AddView(Replacements aReplacements);
   void SetMode(Mode aMode);
   /// Sets whether calls for a topic are left without a response until the caller closes them.
   void SetSilent(const std::string& aTopic, bool aIsSilent);
@@ -61,11 +67,11 @@
     std::uint64_t End() const { return m_first + m_records.size(); }
   };
 
-  void Serve(RawConnection& aConnection);
+  void Serve(RawConnection& aConnection, const Replacements& aReplacements);
   /// If the topic of a call is silent, waits until the caller closes and returns true.
   bool Hold(RawConnection& aConnection, const RawRequest& aRequest);
-  std::string ReplyToRead(const RawRequest& aRequest);
-  std::string ReplyToNewest(const RawRequest& aRequest);
+  std::string ReplyToRead(const RawRequest& aRequest, const Replacements& aReplacements);
+  std::string ReplyToNewest(const RawRequest& aRequest, const Replacements& aReplacements);
   std::string ReplyToAppend(const RawRequest& aRequest);
   void PutLocked(const std::string& aTopic,
                  const std::string& aKey,
@@ -79,6 +85,7 @@
   std::map<std::string, int> m_held_calls;
   std::map<std::string, Topic> m_topics;
   RawServer m_server;
+  std::vector<std::unique_ptr<RawServer>> m_views;
 };
 
 }
--- a/Tests/Unit/TestPlacement.cpp
+++ b/Tests/Unit/TestPlacement.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <doctest.h>
+#include <set>
+#include <utility>
 
 using namespace auburnhitch;
 
@@ -171,6 +173,82 @@
   }));
 }
 
+TEST_CASE("A daemon that reaches no endpoint makes none of them suspect for other daemons")
+{
+  constexpr int kEndpoints = 4;
+  constexpr int kStepMs = 20;
+  constexpr int kSteps = 200;
+  std::vector<SlotEndpointInfo> infos;
+  for (const char* id : { "a", "b", "c", "e" }) {
+    infos.push_back(EndpointOf(id, 2));
+  }
+  const auto request_of = [](const char* aDaemon, std::uint64_t aNumber, double aNowMs) {
+    SlotRequest request = RequestOf(aNumber, 0, aNowMs);
+    request.m_request_id.m_daemon = Incarnation(aDaemon);
+    return request;
+  };
+  for (const SlotOutcome outcome : { SlotOutcome::Unreachable, SlotOutcome::Broken }) {
+    CAPTURE(NameOf(outcome));
+    SlotScheduler scheduler = SchedulerOf(infos);
+    std::uint64_t number = 0;
+    std::size_t suspect_steps = 0;
+    std::vector<SlotGrant> running;
+    for (int step = 0; step < kSteps; ++step) {
+      const TimePoint now = At(step * kStepMs);
+      for (const SlotGrant& grant : std::exchange(running, {})) {
+        scheduler.RecordStarted(grant.m_request_id, grant.m_endpoint, now);
+        scheduler.RecordEnded(grant.m_request_id, grant.m_endpoint, SlotOutcome::Complete, now);
+      }
+      scheduler.RequestSlot(request_of("healthy", ++number, step * kStepMs), now);
+      scheduler.RequestSlot(request_of("cut-off", ++number, step * kStepMs), now);
+      for (const SlotGrant& grant : scheduler.Decide(now).m_grants) {
+        if (grant.m_request_id.m_daemon == Incarnation("healthy")) {
+          running.push_back(grant);
+        } else {
+          scheduler.RecordEnded(grant.m_request_id, grant.m_endpoint, outcome, now);
+        }
+      }
+      const auto views = scheduler.View(now);
+      suspect_steps += static_cast<std::size_t>(std::count_if(
+        views.begin(), views.end(), [](const auto& aView) { return aView.m_is_suspect; }));
+    }
+    // The first failures of the daemon may be those of the endpoints.
+    constexpr std::size_t kFirstBackOffSteps = 500 / kStepMs;
+    CHECK(suspect_steps <= kEndpoints * kFirstBackOffSteps);
+  }
+}
+
+TEST_CASE("A daemon without answers for its requests makes no endpoint suspect for other daemons")
+{
+  SlotScheduler scheduler = SchedulerOf({ EndpointOf("a", 4), EndpointOf("b", 4) });
+  const auto request_of = [](const char* aDaemon, std::uint64_t aNumber, double aNowMs) {
+    SlotRequest request = RequestOf(aNumber, 0, aNowMs, 20'000);
+    request.m_request_id.m_daemon = Incarnation(aDaemon);
+    return request;
+  };
+  for (std::uint64_t number = 1; number <= 4; ++number) {
+    scheduler.RequestSlot(request_of("cut-off", number, 0), At(0));
+  }
+  REQUIRE(scheduler.Decide(At(0)).m_grants.size() == 4);
+  std::uint64_t number = 100;
+  std::set<EndpointId> suspects;
+  for (int now_ms = 100; now_ms < 4'000; now_ms += 100) {
+    scheduler.RequestSlot(request_of("healthy", ++number, now_ms), At(now_ms));
+    scheduler.RequestSlot(request_of("healthy", ++number, now_ms), At(now_ms));
+    for (const SlotGrant& grant : scheduler.Decide(At(now_ms)).m_grants) {
+      scheduler.RecordStarted(grant.m_request_id, grant.m_endpoint, At(now_ms + 50));
+      scheduler.RecordEnded(
+        grant.m_request_id, grant.m_endpoint, SlotOutcome::Complete, At(now_ms + 60));
+    }
+    for (const SlotEndpointView& view : scheduler.View(At(now_ms + 90))) {
+      if (view.m_is_suspect) {
+        suspects.insert(view.m_id);
+      }
+    }
+  }
+  CHECK(suspects.empty());
+}
+
 TEST_CASE("An endpoint whose first byte is overdue gets no more work while others are available")
 {
   SlotScheduler scheduler = SchedulerOf({ EndpointOf("a", 4), EndpointOf("b", 4, "far") });
