--- a/Tests/Process/TestEndpointCuts.cpp
+++ b/Tests/Process/TestEndpointCuts.cpp
@@ -1,6 +1,7 @@
 #include "GatewayCluster.h"
 
 #include <absl/strings/str_cat.h>
+#include <chrono>
 #include <doctest.h>
 #include <map>
 #include <mutex>
@@ -14,6 +15,7 @@
 constexpr std::size_t kDaemons = 3;
 constexpr std::size_t kEndpoints = 3;
 constexpr int kRounds = 8;
+constexpr std::chrono::milliseconds kWorkTime{ 30 };
 constexpr const char* kPaths[] = { "/safe/x", "/unsafe/x", "/stream/x", "/resumable/x" };
 
 GatewayClusterOptions
@@ -85,8 +87,14 @@
 {
   GatewayCluster cluster(WithPaths());
   const ServedCount all{ kRounds * 4, kRounds * 4 };
-  // Opens connections to the endpoints that are kept.
-  REQUIRE(CountServed(cluster, 0, "before") == all);
+  for (std::size_t i = 0; i < kEndpoints; ++i) {
+    // Requests overlap, so that they need more connections than are open.
+    cluster.Endpoint(i).SetBehaviour([](RawConnection& aConnection, const RawRequest& aRequest) {
+      std::this_thread::sleep_for(kWorkTime);
+      return RespondWithSuccess(aConnection, aRequest);
+    });
+  }
+  REQUIRE(WaitUntilServed(cluster, 0, "before"));
   cluster.CutFromEndpoints(0, aCut);
   REQUIRE(WaitUntilServed(cluster, 0, "cut"));
   CHECK(CountServed(cluster, 0, "cut") == all);
