Keep the origin of evidence that an endpoint cannot be reached

Cause: an endpoint had one suspicion, whoever could not reach it, and an overdue first byte counted whoever waited for it.

Now a failure belongs to the daemon that reports it. If the endpoint answers another daemon later, the failing daemon is doubted, and what it reports counts only for its own requests, for 3 s after its last failure. Its first reports still count for all, so that a crash is noticed at once; repeated ones of one daemon within a back-off do not lengthen it, since only a try after it says more.

--- a/Libraries/LibPlacement/SlotEndpoint.cpp
+++ b/Libraries/LibPlacement/SlotEndpoint.cpp
@@ -19,6 +19,9 @@
 constexpr Milliseconds kFullBackOff{ 200 };
 // Within this time all daemons have reported the requests that the end of an endpoint broke off.
 constexpr Milliseconds kReportDelay{ 150 };
+// For this long a failure that the endpoint's answers to other daemons contradict is evidence
+// against the daemon that reported it.
+constexpr Milliseconds kEvidenceLifetime{ 3'000 };
 // A registration that is read may have been written this long before: daemons that do not long-poll
 // the store read it when a heartbeat tells them of it.
 constexpr Milliseconds kRegistrationLag{ 1'000 };
@@ -82,7 +85,7 @@
   Held& held = found->second;
   held.m_started_at = aNow;
   m_prompt_tokens_ahead -= held.m_work.m_prompt_tokens;
-  RecordAlive(held.m_granted_at, aNow);
+  RecordAlive(aRequestId.m_daemon, held.m_granted_at, aNow);
   const double took = std::chrono::duration<double, std::milli>(aNow - held.m_granted_at).count();
   // The expectation at the time of the grant included the prompts ahead of this one.
   m_times.LearnFirstByte(held.m_expected_first_byte_ms / m_times.FirstByteSlowness(), took);
@@ -93,7 +96,10 @@
 }
 
 bool
-SlotEndpoint::RecordEnded(const SlotRequestId& aRequestId, SlotOutcome aOutcome, TimePoint aNow)
+SlotEndpoint::RecordEnded(const SlotRequestId& aRequestId,
+                          SlotOutcome aOutcome,
+                          const Daemons& aDoubted,
+                          TimePoint aNow)
 {
   const auto found = m_held.find(aRequestId);
   if (found == m_held.end()) {
@@ -106,7 +112,7 @@
   m_held.erase(found);
   switch (aOutcome) {
     case SlotOutcome::Complete:
-      RecordAlive(held.m_granted_at, aNow);
+      RecordAlive(aRequestId.m_daemon, held.m_granted_at, aNow);
       if (held.m_started_at) {
         m_times.LearnRest(
           ServiceTimeModel::ReferenceRestMs(held.m_work),
@@ -123,12 +129,10 @@
       break;
     case SlotOutcome::Unreachable:
       m_unreachable_at = aNow;
-      RecordOutcome(true);
-      Suspect(aNow);
+      Suspect(aRequestId.m_daemon, aDoubted, aNow);
       break;
     case SlotOutcome::Broken:
-      RecordOutcome(true);
-      Suspect(aNow);
+      Suspect(aRequestId.m_daemon, aDoubted, aNow);
       break;
     case SlotOutcome::Cancelled:
       break;
@@ -137,8 +141,11 @@
 }
 
 void
-SlotEndpoint::RecordAlive(TimePoint aGrantedAt, TimePoint aNow)
+SlotEndpoint::RecordAlive(const Incarnation& aDaemon, TimePoint aGrantedAt, TimePoint aNow)
 {
+  ForgetOldEvidence(aNow);
+  m_answered_at[aDaemon] = aNow;
+  m_failures.erase(aDaemon);
   if (m_unreachable_at && aGrantedAt < *m_unreachable_at &&
       aNow - *m_unreachable_at > kReportDelay) {
     m_unreachable_at = std::nullopt;
@@ -224,16 +231,76 @@
 }
 
 bool
-SlotEndpoint::IsSuspect(TimePoint aNow) const
+SlotEndpoint::IsSuspect(const Daemons& aDoubted, TimePoint aNow) const
 {
   if (aNow < m_suspect_until) {
     return true;
   }
   return std::any_of(m_held.begin(), m_held.end(), [&](const auto& aEntry) {
-    return IsOverdue(aEntry.second, aNow);
+    return IsOverdue(aEntry.second, aNow) && !aDoubted.contains(aEntry.first.m_daemon);
   });
 }
 
+bool
+SlotEndpoint::IsSuspectFor(const Incarnation& aDaemon,
+                           const Daemons& aDoubted,
+                           TimePoint aNow) const
+{
+  if (IsSuspect(aDoubted, aNow)) {
+    return true;
+  }
+  const auto failed = m_failures.find(aDaemon);
+  if (failed != m_failures.end() && aNow - failed->second.m_last_at < kInitialBackOff) {
+    return true;
+  }
+  return aDoubted.contains(aDaemon) &&
+         std::any_of(m_held.begin(), m_held.end(), [&](const auto& aEntry) {
+           return aEntry.first.m_daemon == aDaemon && IsOverdue(aEntry.second, aNow);
+         });
+}
+
+void
+SlotEndpoint::FindContradicted(TimePoint aNow, Daemons& aContradicted) const
+{
+  if (m_answered_at.empty()) {
+    return;
+  }
+  const auto check = [&](const Incarnation& aDaemon, TimePoint aFailedAt) {
+    // Until then answers may be reported that came before the failure.
+    if (HasAnsweredOthers(aDaemon, aFailedAt + kReportDelay)) {
+      aContradicted.insert(aDaemon);
+    }
+  };
+  for (const auto& [daemon, failures] : m_failures) {
+    if (aNow - failures.m_last_at < kEvidenceLifetime) {
+      check(daemon, failures.m_first_at);
+    }
+  }
+  for (const auto& [id, held] : m_held) {
+    if (IsOverdue(held, aNow)) {
+      check(id.m_daemon, held.m_granted_at);
+    }
+  }
+}
+
+bool
+SlotEndpoint::HasAnsweredOthers(const Incarnation& aDaemon, TimePoint aSince) const
+{
+  return std::any_of(m_answered_at.begin(), m_answered_at.end(), [&](const auto& aEntry) {
+    return aEntry.first != aDaemon && aEntry.second > aSince;
+  });
+}
+
+void
+SlotEndpoint::ForgetOldEvidence(TimePoint aNow)
+{
+  absl::erase_if(m_failures, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second.m_last_at >= kEvidenceLifetime;
+  });
+  absl::erase_if(m_answered_at,
+                 [aNow](const auto& aEntry) { return aNow - aEntry.second >= kEvidenceLifetime; });
+}
+
 double
 SlotEndpoint::ExpectedFirstByteMs(const RequestWork& aWork) const
 {
@@ -255,8 +322,19 @@
 }
 
 void
-SlotEndpoint::Suspect(TimePoint aNow)
+SlotEndpoint::Suspect(const Incarnation& aDaemon, const Daemons& aDoubted, TimePoint aNow)
 {
+  ForgetOldEvidence(aNow);
+  const auto [failures, is_first] = m_failures.try_emplace(aDaemon, Failures{ aNow, aNow });
+  failures->second.m_last_at = aNow;
+  if (aDoubted.contains(aDaemon)) {
+    return;
+  }
+  RecordOutcome(true);
+  if (!is_first && aNow < m_suspect_until) {
+    // The word of one daemon lengthens the back-off only by a try after it.
+    return;
+  }
   m_suspect_until = aNow + kInitialBackOff * (1 << m_consecutive_failures);
   m_consecutive_failures = std::min(m_consecutive_failures + 1, kMaxBackOffDoublings);
 }
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -214,7 +214,7 @@
   }
   const auto serving =
     std::count_if(m_endpoints.begin(), m_endpoints.end(), [&](const auto& aEntry) {
-      return !aEntry.second.IsSuspect(aNow);
+      return !aEntry.second.IsSuspect(m_doubted, aNow);
     });
   return serving > 1 ? CrashSuspects::Admission::Admit : CrashSuspects::Admission::Refuse;
 }
@@ -295,7 +295,8 @@
   const bool is_usable = found != m_endpoints.end();
   m_crash_suspects->RecordEnded(aRequestId, aOutcome, !is_usable, aNow);
   if (is_usable) {
-    found->second.RecordEnded(aRequestId, aOutcome, aNow);
+    UpdateDoubted(aNow);
+    found->second.RecordEnded(aRequestId, aOutcome, m_doubted, aNow);
   }
 }
 
@@ -304,7 +305,7 @@
 {
   m_crash_suspects->RecordEnded(aRequestId, SlotOutcome::Cancelled, true, aNow);
   for (auto& [id, endpoint] : m_endpoints) {
-    if (endpoint.RecordEnded(aRequestId, SlotOutcome::Cancelled, aNow)) {
+    if (endpoint.RecordEnded(aRequestId, SlotOutcome::Cancelled, m_doubted, aNow)) {
       return;
     }
   }
@@ -343,7 +344,7 @@
   double slots = 0;
   bool is_limited = false;
   for (const auto& [id, endpoint] : m_endpoints) {
-    if (!endpoint.IsSuspect(aNow)) {
+    if (!endpoint.IsSuspect(m_doubted, aNow)) {
       slots += endpoint.UsableSlots(m_slot_share, m_mean_slot_time_ms, aNow);
       is_limited = is_limited || endpoint.StatedLimit().has_value();
     }
@@ -359,7 +360,7 @@
   views.reserve(m_endpoints.size());
   for (const auto& [id, endpoint] : m_endpoints) {
     views.push_back({ id,
-                      endpoint.IsSuspect(aNow),
+                      endpoint.IsSuspect(m_doubted, aNow),
                       endpoint.HeldCount(),
                       endpoint.Times().FirstByteSlowness(),
                       endpoint.Times().RestSlowness(),
@@ -506,13 +507,17 @@
   const SlotRequest& request = aWaiting.m_request;
   const bool is_suspected = m_crash_suspects->HasSuspectedRequest(request.m_crash_traits);
   const std::set<EndpointId> isolated = m_crash_suspects->EndpointsOfSuspects(aNow);
+  const Incarnation& daemon = request.m_request_id.m_daemon;
+  const auto is_suspect = [&](const SlotEndpoint& aEndpoint) {
+    return aEndpoint.IsSuspectFor(daemon, m_doubted, aNow);
+  };
   const auto may_serve = [&](const SlotEndpoint& aEndpoint) {
     return IsEligibleNow(aEndpoint, request, aNow) && !RestEnd(aEndpoint, request, aNow);
   };
   bool has_unsuspected = false;
   bool has_open = false;
   for (const auto& [id, endpoint] : m_endpoints) {
-    if (may_serve(endpoint) && !endpoint.IsSuspect(aNow)) {
+    if (may_serve(endpoint) && !is_suspect(endpoint)) {
       has_unsuspected = true;
       has_open = has_open || !isolated.contains(id);
     }
@@ -521,7 +526,7 @@
   std::tuple<std::size_t, bool, double> best_cost;
   for (auto& [id, endpoint] : m_endpoints) {
     if (!endpoint.HasFreeSlot(m_slot_share, aNow) || !may_serve(endpoint) ||
-        (has_unsuspected && endpoint.IsSuspect(aNow)) || (has_open && isolated.contains(id))) {
+        (has_unsuspected && is_suspect(endpoint)) || (has_open && isolated.contains(id))) {
       continue;
     }
     const bool is_avoided =
@@ -556,9 +561,19 @@
          m_queue.IsOverloaded(request.m_priority, SlotCount(aNow), aNow);
 }
 
+void
+SlotScheduler::UpdateDoubted(TimePoint aNow)
+{
+  m_doubted.clear();
+  for (const auto& [id, endpoint] : m_endpoints) {
+    endpoint.FindContradicted(aNow, m_doubted);
+  }
+}
+
 SlotDecisions
 SlotScheduler::Decide(TimePoint aNow)
 {
+  UpdateDoubted(aNow);
   SlotDecisions decisions;
   for (const auto& [request, reason] : std::exchange(m_ineligible, {})) {
     Refuse(request, reason, aNow, decisions);
--- a/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
@@ -4,6 +4,7 @@
 #include <LibPlacement/ServiceTimeModel.h>
 #include <absl/container/flat_hash_map.h>
 #include <optional>
+#include <set>
 
 namespace auburnhitch {
 
@@ -23,10 +24,14 @@
 };
 
 /// The slots of one endpoint: which requests hold them, how long responses take, and whether the
-/// endpoint is suspected to have failed. Uses no clock of its own. Not thread-safe.
+/// endpoint is suspected to have failed. What a daemon could not reach keeps its origin: it counts
+/// against the endpoint for that daemon, and for the others unless the daemon is doubted. Uses no
+/// clock of its own. Not thread-safe.
 class SlotEndpoint
 {
 public:
+  using Daemons = std::set<Incarnation>;
+
   SlotEndpoint(SlotEndpointInfo aInfo, TimePoint aNow);
 
   const SlotEndpointInfo& Info() const { return m_info; }
@@ -43,8 +48,12 @@
   /// to first byte, or nothing if the request holds no slot here or its first byte has been
   /// recorded.
   std::optional<double> RecordStarted(const SlotRequestId& aRequestId, TimePoint aNow);
-  /// Frees the slot of a request. Returns whether the request held one here.
-  bool RecordEnded(const SlotRequestId& aRequestId, SlotOutcome aOutcome, TimePoint aNow);
+  /// Frees the slot of a request. Returns whether the request held one here. aDoubted: see
+  /// IsSuspect().
+  bool RecordEnded(const SlotRequestId& aRequestId,
+                   SlotOutcome aOutcome,
+                   const Daemons& aDoubted,
+                   TimePoint aNow);
   /// Applies the rate limit, or its absence, that a response to this request stated. Without a
   /// request, or if this scheduler did not grant its slot, the statement may be an old one. Returns
   /// whether the limit has changed.
@@ -84,8 +93,13 @@
   /// than the concurrency limit while a rate limit applies.
   double UsableSlots(double aSlotShare, double aSlotTimeMs, TimePoint aNow) const;
   /// Whether the endpoint should get no more work now: it could not be reached, broke a connection,
-  /// or a first byte is overdue.
-  bool IsSuspect(TimePoint aNow) const;
+  /// or a first byte is overdue, at a daemon that is not in aDoubted.
+  bool IsSuspect(const Daemons& aDoubted, TimePoint aNow) const;
+  /// As IsSuspect(), or the endpoint has failed this daemon, doubted or not.
+  bool IsSuspectFor(const Incarnation& aDaemon, const Daemons& aDoubted, TimePoint aNow) const;
+  /// Adds the daemons whose failures here are their own: the endpoint has answered another daemon
+  /// after it had failed them.
+  void FindContradicted(TimePoint aNow, Daemons& aContradicted) const;
   /// Expected time to first byte, behind the prompts of requests that were sent here and have not
   /// started.
   double ExpectedFirstByteMs(const RequestWork& aWork) const;
@@ -104,15 +118,25 @@
     std::optional<TimePoint> m_started_at;
   };
 
+  struct Failures
+  {
+    TimePoint m_first_at;
+    TimePoint m_last_at;
+  };
+
   bool IsOverdue(const Held& aHeld, TimePoint aNow) const;
   /// Whether a request runs that was granted since the endpoint asked for rest, and none has been
   /// answered since.
   bool IsTryingAfterRest() const;
   void Insert(const SlotRequestId& aRequestId, const Held& aHeld);
   void RecordOutcome(bool aIsFailure);
-  void Suspect(TimePoint aNow);
-  /// Records that a request that was granted at aGrantedAt is answered by the endpoint now.
-  void RecordAlive(TimePoint aGrantedAt, TimePoint aNow);
+  void Suspect(const Incarnation& aDaemon, const Daemons& aDoubted, TimePoint aNow);
+  /// Records that a request of a daemon that was granted at aGrantedAt is answered by the endpoint
+  /// now.
+  void RecordAlive(const Incarnation& aDaemon, TimePoint aGrantedAt, TimePoint aNow);
+  /// Whether the endpoint has answered a daemon other than this one since a moment.
+  bool HasAnsweredOthers(const Incarnation& aDaemon, TimePoint aSince) const;
+  void ForgetOldEvidence(TimePoint aNow);
 
   SlotEndpointInfo m_info;
   ServiceTimeModel m_times;
@@ -122,6 +146,10 @@
   double m_failure_rate = 0;
   int m_consecutive_failures = 0;
   TimePoint m_suspect_until;
+  /// The failures at each daemon since the endpoint answered it, and when it was answered last, as
+  /// far as that matters still.
+  absl::flat_hash_map<Incarnation, Failures> m_failures;
+  absl::flat_hash_map<Incarnation, TimePoint> m_answered_at;
   /// When it could not be reached last, unless the same incarnation has been seen alive since.
   std::optional<TimePoint> m_unreachable_at;
   TimePoint m_full_until;
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -138,6 +138,8 @@
   bool IsKeptByRest(const SlotRequest& aRequest, TimePoint aNow) const;
   /// Whether all eligible endpoints rest for longer than a request can wait.
   bool RestsTooLong(const WaitingSlotRequest& aWaiting, TimePoint aNow) const;
+  /// Determines anew which daemons are doubted.
+  void UpdateDoubted(TimePoint aNow);
   double CostOf(const SlotEndpoint& aEndpoint, const SlotRequest& aRequest) const;
   double ExpectedWaitMs(int aPriority, TimePoint aNow) const;
   /// Whether to refuse a new request at once: the queue is full, its caller would stop waiting, or
@@ -177,6 +179,9 @@
   /// EWMA of the time for which requests are expected to hold a slot.
   double m_mean_slot_time_ms = 0;
   std::map<EndpointId, SlotEndpoint> m_endpoints;
+  /// The daemons that endpoints fail while they answer others, so that the cause is probably on the
+  /// daemons' side.
+  SlotEndpoint::Daemons m_doubted;
   SlotQueue m_queue;
   /// Requests enqueued since the last Decide().
   std::vector<SlotRequestId> m_undecided;
