Serve the callers of a daemon that cannot reach the endpoints through another daemon

Cause: a request led only to the endpoints that its own daemon can connect to.

Now EndpointReach decides from the daemon's own connections whether it can establish any. While it cannot, and for a request that failed to connect to two endpoints, the request goes on through one other daemon, as the caller sent it, with the time that is left. That daemon asks for the slot, charges the quota, keeps to rests, limits and leaving, and binds streams to their versions, as for its own callers; it runs the request once at most and never sends it on. The first daemon counts the hop as one possible run, so 503 stays true, and a stream that breaks is continued through a daemon from its last event. One request in 500 ms tries a new connection, so a healed path is used at once. Such a daemon announces itself as not ready to the others, so that they neither list it nor choose it, and its readiness port stays as it was. A caller that sends the fields of the hop gains nothing.

Ruled out: a list of cut off daemons in heartbeats of another layout, which daemons of an earlier version reject; tunnels of bytes, which would hide from the sending daemon what endpoints state to it.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -95,11 +95,7 @@
       m_call->ResumeReading();
     }
   });
-  if (ResumesStream()) {
-    FindStreamVersion();
-  } else {
-    RequestSlot();
-  }
+  Proceed();
 }
 
 bool
@@ -112,7 +108,9 @@
 void
 ActiveRequest::FindStreamVersion()
 {
-  m_stream = m_request.m_head.m_resumed_stream;
+  if (m_stream.empty()) {
+    m_stream = m_request.m_head.m_resumed_stream;
+  }
   m_stream_lookup = m_dependencies.m_broker->Streams().Find(
     m_request.m_service, m_stream, [this](const std::optional<SoftwareVersion>& aVersion) {
       OnStreamVersion(aVersion);
@@ -126,6 +124,10 @@
   if (m_phase == Phase::Done) {
     return;
   }
+  if (!aVersion && m_exchange->HasStarted()) {
+    AbortResponse("the software version of the stream is unknown");
+    return;
+  }
   if (!aVersion) {
     RespondNotRun(kServiceUnavailable,
                   "the software version of the stream is unknown",
@@ -143,6 +145,11 @@
       m_attempt->m_response_head.m_status >= kFirstErrorStatus) {
     return;
   }
+  if (m_attempt->m_forwarded_to) {
+    // The daemon that runs it knows the version.
+    m_stream = ResumesStream() ? m_request.m_head.m_resumed_stream : m_request.m_head.m_request_id;
+    return;
+  }
   m_stream = m_request.m_head.m_request_id;
   m_required_version = m_attempt->m_endpoint.m_software_version;
   // The registered version may be that of an earlier incarnation; the stream then ends with this
@@ -303,6 +310,7 @@
   // The active request ends at its deadline, before this timeout, which is only a safeguard.
   limits.m_total_timeout = instructions.m_time_left + Milliseconds(1'000);
   limits.m_may_reuse =
+    m_may_reuse_connection && m_dependencies.m_reach->MayReuseConnections(Now()) &&
     !m_dependencies.m_refused->Contains(m_request.m_head.m_request_id, aEndpoint.m_id);
   m_call = m_dependencies.m_client->Send(
     aEndpoint.m_address,
@@ -319,14 +327,21 @@
 ActiveRequest::OnRequestWritten()
 {
   m_attempt->m_is_written = true;
+  m_attempt->m_heard_at = Now();
   ++m_possible_runs;
-  m_dependencies.m_metrics->OnAttemptSent(m_request.m_service, m_written_attempts > 0);
+  if (!m_attempt->m_forwarded_to) {
+    if (!m_call->IsReused()) {
+      m_dependencies.m_reach->RecordConnected(Now());
+    }
+    m_dependencies.m_metrics->OnAttemptSent(m_request.m_service, m_written_attempts > 0);
+  }
   ++m_written_attempts;
 }
 
 void
 ActiveRequest::OnResponseHead(const MessageHead& aHead)
 {
+  RecordHeard();
   m_attempt->m_response_head = aHead;
   m_attempt->m_completeness.emplace(aHead, IsStream());
   const Dialect& dialect = *m_dependencies.m_dialect;
@@ -336,7 +351,9 @@
     // The response to the next request could not be told from one that is written again.
     m_call->CloseAfterResponse();
   }
-  RecordNotice(meaning, aHead);
+  if (!m_attempt->m_forwarded_to) {
+    RecordNotice(meaning, aHead);
+  }
   switch (meaning) {
     case ResponseMeaning::Mismatched:
       m_call = nullptr;
@@ -380,12 +397,29 @@
         return;
       }
       if (!IsStream()) {
-        m_dependencies.m_broker->RecordStarted(*m_slot_request_id);
+        RecordStarted();
       }
       return;
   }
 }
 
+void
+ActiveRequest::RecordStarted()
+{
+  if (m_slot_request_id) {
+    m_dependencies.m_broker->RecordStarted(*m_slot_request_id);
+  }
+}
+
+void
+ActiveRequest::RecordHeard()
+{
+  m_attempt->m_heard_at = Now();
+  if (!m_attempt->m_forwarded_to) {
+    m_dependencies.m_reach->RecordHeard(Now());
+  }
+}
+
 void
 ActiveRequest::RecordNotice(ResponseMeaning aMeaning, const MessageHead& aHead)
 {
@@ -401,6 +435,7 @@
 void
 ActiveRequest::OnResponseBytes(std::string aBytes)
 {
+  RecordHeard();
   m_attempt->m_response_bytes += aBytes.size();
   if (const absl::Status followed = m_attempt->m_completeness->Follow(aBytes); !followed.ok()) {
     m_call = nullptr;
@@ -413,7 +448,7 @@
     return;
   }
   if (!std::exchange(m_attempt->m_has_first_byte, true)) {
-    m_dependencies.m_broker->RecordStarted(*m_slot_request_id);
+    RecordStarted();
   }
   const std::string bytes = IsResumableStream() ? m_event_splitter.Feed(aBytes) : std::move(aBytes);
   if (bytes.empty()) {
@@ -494,6 +529,10 @@
       OnResponseReceived(aResult.m_end);
       return;
     case RelayCallEnd::NotSent:
+      if (!m_attempt->m_forwarded_to) {
+        ++m_unreached_count;
+        m_dependencies.m_reach->RecordConnectFailure(m_attempt->m_endpoint.m_id, Now());
+      }
       OnAttemptFailed(SlotOutcome::Unreachable, aResult.m_reason);
       return;
     case RelayCallEnd::Broken:
@@ -516,7 +555,7 @@
   if (IsResumableStream() && status < kFirstErrorStatus) {
     ForwardRemainder();
   }
-  if (aEnd == RelayCallEnd::Closed) {
+  if (aEnd == RelayCallEnd::Closed && m_slot_request_id) {
     m_dependencies.m_broker->MarkEndUnproven(*m_slot_request_id);
   }
   ReleaseSlot(status >= kFirstServerErrorStatus ? SlotOutcome::Failed : SlotOutcome::Complete);
@@ -548,11 +587,17 @@
   Forward(bytes);
 }
 
+int
+ActiveRequest::MaxRuns() const
+{
+  // The daemon that forwards a request decides on further runs.
+  return m_request.m_forwarded ? 1 : m_request.m_route->m_max_endpoints;
+}
+
 bool
 ActiveRequest::MayRunAgain() const
 {
-  const Route& route = *m_request.m_route;
-  return route.IsIdempotent() && m_possible_runs < route.m_max_endpoints &&
+  return m_request.m_route->IsIdempotent() && m_possible_runs < MaxRuns() &&
          m_slot_request_count < kMaxSlotRequests && Now() < m_request.m_deadline;
 }
 
@@ -576,7 +621,7 @@
   ReleaseSlot(aSlotOutcome);
   m_event_splitter.DiscardIncompleteEvent();
   m_buffered_body.clear();
-  RequestSlot();
+  Proceed();
 }
 
 void
@@ -584,15 +629,17 @@
 {
   const bool has_started = m_exchange->HasStarted();
   const bool may_resume =
-    !has_started || (IsResumableStream() && !m_event_splitter.LastEventId().empty() &&
-                     m_dependencies.m_broker->Streams().MayBeOfVersion(
-                       m_request.m_service, m_stream, *m_required_version));
+    !has_started ||
+    (IsResumableStream() && !m_event_splitter.LastEventId().empty() &&
+     (!m_required_version || m_dependencies.m_broker->Streams().MayBeOfVersion(
+                               m_request.m_service, m_stream, *m_required_version)));
+  const bool is_forwarded = m_attempt && m_attempt->m_forwarded_to;
   const std::string endpoint =
-    m_tried_endpoints.empty() ? "none" : m_tried_endpoints.back().Value();
+    m_tried_endpoints.empty() || is_forwarded ? "none" : m_tried_endpoints.back().Value();
   const bool is_retried = may_resume && TryReserveRetry();
   LogOf("send").warn(
     "event=send-failed request={} service={} endpoint={} end={} why=\"{}\" runs={} "
-    "arrivals={} passed_on={} again={} digest={} prompt_parts={}",
+    "arrivals={} passed_on={} again={} via={} digest={} prompt_parts={}",
     m_request.m_head.m_request_id,
     m_request.m_service.Value(),
     endpoint,
@@ -602,6 +649,7 @@
     m_written_attempts,
     has_started,
     is_retried,
+    is_forwarded ? m_attempt->m_forwarded_to->Value() : "none",
     m_request.m_digest,
     DescribeParts(m_request.m_head.m_prompt_parts));
   if (is_retried) {
@@ -645,7 +693,8 @@
 void
 ActiveRequest::CancelCall()
 {
-  if (m_call == nullptr) {
+  if (m_call == nullptr || m_attempt->m_forwarded_to) {
+    m_call = nullptr;
     return;
   }
   m_call->Cancel([dependencies = m_dependencies,
@@ -702,23 +751,31 @@
   }
 }
 
+HttpHeaders
+ActiveRequest::OwnResponseHeaders(const ForwardedReply& aReply) const
+{
+  HttpHeaders headers = m_dependencies.m_dialect->GatewayResponseHeaders(
+    m_request.m_head.m_request_id, aReply.m_retry_after);
+  if (m_request.m_forwarded) {
+    AppendForwardedReply(aReply, headers);
+  }
+  return headers;
+}
+
 void
-ActiveRequest::RespondNotRun(int aStatus, const char* aReason, Milliseconds aRetryAfter)
+ActiveRequest::RespondNotRun(int aStatus,
+                             const char* aReason,
+                             Milliseconds aRetryAfter,
+                             ForwardedOutcome aOutcome)
 {
-  m_exchange->Reply(
-    aStatus,
-    m_dependencies.m_dialect->GatewayResponseHeaders(m_request.m_head.m_request_id, aRetryAfter),
-    "");
+  m_exchange->Reply(aStatus, OwnResponseHeaders({ aOutcome, aRetryAfter }), "");
   Finish("not-run", aStatus, aReason);
 }
 
 void
 ActiveRequest::RespondOutcomeUnknown(int aStatus, const char* aReason)
 {
-  m_exchange->Reply(
-    aStatus,
-    m_dependencies.m_dialect->GatewayResponseHeaders(m_request.m_head.m_request_id, std::nullopt),
-    "");
+  m_exchange->Reply(aStatus, OwnResponseHeaders({ ForwardedOutcome::Unknown, std::nullopt }), "");
   Finish("unknown", aStatus, aReason);
 }
 
@@ -737,7 +794,7 @@
   m_dependencies.m_metrics->OnRequestEnded(m_request.m_service, aOutcome, took);
   LogOf("request").info(
     "event=ended request={} service={} route={} workspace={} priority={} "
-    "outcome={} status={} took_ms={} first_ms={} endpoint={} runs={} "
+    "outcome={} status={} took_ms={} first_ms={} endpoint={} forwarded={} via={} runs={} "
     "arrivals={} framing={} response_bytes={} response_end={} "
     "stated_limit={} stated_leaving={} stated_rest_ms={} version={} resumes={} last_event={} "
     "config={} digest={} prompt_parts={} "
@@ -752,6 +809,8 @@
     ToMilliseconds(took),
     m_first_byte_after ? m_first_byte_after->count() : -1,
     m_tried_endpoints.empty() ? "none" : m_tried_endpoints.back().Value(),
+    m_request.m_forwarded.has_value(),
+    m_forwarded_to.empty() ? "none" : m_forwarded_to.back().Value(),
     m_possible_runs,
     m_written_attempts,
     m_attempt && m_attempt->m_completeness ? NameOf(m_attempt->m_response_head.m_framing)
--- a/Libraries/LibGateway/ForwardedHeaders.cpp
+++ b/Libraries/LibGateway/ForwardedHeaders.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/ForwardedHeaders.h>
 
+#include <LibGateway/ForwardedRequest.h>
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_split.h>
 #include <algorithm>
@@ -48,7 +49,8 @@
   std::copy_if(
     aHeaders.begin(), aHeaders.end(), std::back_inserter(forwarded), [&](const auto& aField) {
       const std::string name = absl::AsciiStrToLower(aField.first);
-      return !IsHopByHopOrFraming(name) && !named.contains(name) && !aDropped.contains(name);
+      return !IsHopByHopOrFraming(name) && !IsForwardingField(name) && !named.contains(name) &&
+             !aDropped.contains(name);
     });
   return forwarded;
 }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -89,6 +89,7 @@
   , m_quotas(aSettings.m_quota_tolerance)
   , m_readers(StoreReaderSelector::Limits())
   , m_retry_budget(aSettings.m_retry_budget)
+  , m_targets(m_membership, aSettings.m_data_center)
   , m_client(aLoop, kIdleLifetime, kMaxIdlePerEndpoint)
   , m_broker(BrokerLimits(aSettings),
              SlotBroker::Dependencies{
@@ -99,9 +100,10 @@
                [this](const ServiceName& aService) { return EndpointsOf(aService); },
                [this](const ServiceName& aService) { return OnlyVersionOf(aService); },
                [this](const EndpointIncarnation& aEndpoint) { OnEndpointUnavailable(aEndpoint); } })
-  , m_dependencies{ &aLoop,      &m_client,       &m_broker,
-                    &m_registry, &m_retry_budget, &m_refused,
-                    &aDialect,   &m_metrics,      aSettings.m_data_center }
+  , m_dependencies{
+    &aLoop,   &m_client,  &m_broker, &m_registry, &m_retry_budget,        &m_refused,
+    &m_reach, &m_targets, &aDialect, &m_metrics,  aSettings.m_data_center
+  }
 {
 }
 
@@ -118,7 +120,7 @@
                  m_settings.m_advertised_peer_address,
                  m_settings.m_caller_address,
                  IsLeaving(),
-                 IsReady(),
+                 IsReady() && !m_reach.CannotConnect(Now()),
                  is_current,
                  m_is_reader,
                  m_settings.m_processor_millicores };
@@ -346,12 +348,43 @@
   }
   ServeEarlyRequests();
   UpdateDaemonCounts();
+  UpdateReach();
   UpdateReader();
   m_membership.RemoveStale(now);
   OnRegistryChanges(m_registry.Expire(now));
   m_broker.Tick();
 }
 
+void
+Gateway::UpdateReach()
+{
+  constexpr Milliseconds kSilence = EndpointReach::Limits().m_min_silence;
+  std::set<EndpointId> silent;
+  std::vector<ActiveRequest*> active;
+  for (const auto& [raw, active_request] : m_active_requests) {
+    active.push_back(raw);
+    if (const auto endpoint = raw->SilentEndpoint(kSilence)) {
+      silent.insert(*endpoint);
+    }
+  }
+  m_reach.RecordAwaited(silent, Now());
+  const bool is_cut_off = m_reach.IsCutOff(Now());
+  const bool cannot_connect = m_reach.CannotConnect(Now());
+  if (cannot_connect != m_cannot_connect) {
+    m_cannot_connect = cannot_connect;
+    LogOf("reach").warn("event={} silent_endpoints={} active_requests={}",
+                        cannot_connect ? "cannot-connect" : "connects",
+                        silent.size(),
+                        active.size());
+  }
+  for (ActiveRequest* request : active) {
+    request->OnDaemonsChanged();
+    if (is_cut_off && request->SilentEndpoint(kSilence)) {
+      request->OnCutOff();
+    }
+  }
+}
+
 void
 Gateway::BeginLeaving()
 {
@@ -362,7 +395,7 @@
 Gateway::CallerAddresses() const
 {
   std::vector<SocketAddress> addresses;
-  if (IsReady() && !IsLeaving()) {
+  if (IsReady() && !IsLeaving() && !m_reach.CannotConnect(Now())) {
     addresses.push_back(m_settings.m_caller_address);
   }
   for (const Member& member : m_membership.AliveMembers(Now())) {
@@ -370,6 +403,9 @@
       addresses.push_back(member.m_caller_address);
     }
   }
+  if (addresses.empty() && m_reach.CannotConnect(Now()) && IsReady() && !IsLeaving()) {
+    addresses.push_back(m_settings.m_caller_address);
+  }
   return addresses;
 }
 
@@ -385,6 +421,7 @@
   gauges.m_endpoint_connections_active = connections.m_active;
   gauges.m_peers_alive = m_alive_count;
   gauges.m_endpoints = m_registry.Size();
+  gauges.m_cannot_connect = m_cannot_connect;
   gauges.m_configuration_version = m_table ? m_table->Version() : 0;
   return gauges;
 }
@@ -403,7 +440,14 @@
                         aRetryAfter ? aRetryAfter->count() : -1,
                         m_table ? m_table->Version() : 0);
   m_metrics.OnRefusedBeforeAdmission(aReason);
-  aExchange.Reply(aStatus, m_dialect.GatewayResponseHeaders(aRequestId, aRetryAfter), "");
+  HttpHeaders headers = m_dialect.GatewayResponseHeaders(aRequestId, aRetryAfter);
+  if (ParseForwardedRequest(aExchange.Head().m_headers)) {
+    const bool may_another = aStatus == kServiceUnavailable;
+    AppendForwardedReply(
+      { may_another ? ForwardedOutcome::TryAnother : ForwardedOutcome::NotRun, aRetryAfter },
+      headers);
+  }
+  aExchange.Reply(aStatus, std::move(headers), "");
 }
 
 void
@@ -450,6 +494,10 @@
   const TimePoint now = Now();
   AdmittedRequest request;
   request.m_table = m_table;
+  request.m_forwarded = ParseForwardedRequest(aExchange->Head().m_headers);
+  if (request.m_forwarded && aHead.m_resumed_stream.empty()) {
+    aHead.m_resumed_stream = request.m_forwarded->m_stream;
+  }
   request.m_route = m_table->Match(aHead.m_host, aHead.m_path);
   if (request.m_route == nullptr) {
     Refuse(*aExchange, kNotFound, aHead.m_request_id, "no-route", std::nullopt);
@@ -478,7 +526,9 @@
   request.m_arrived_at = now;
   request.m_deadline = now + std::min(route.m_timeout, aHead.m_max_wait.value_or(kDefaultMaxWait));
   request.m_head = std::move(aHead);
-  m_retry_budget.RecordRequest(request.m_service, now);
+  if (!request.m_forwarded) {
+    m_retry_budget.RecordRequest(request.m_service, now);
+  }
   auto active_request = std::make_unique<ActiveRequest>(
     m_dependencies, aExchange, std::move(request), [this](ActiveRequest* aDone) {
       m_active_requests.erase(aDone);
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -46,6 +46,10 @@
         .Name("auburnhitch_malformed_notices_total")
         .Help("Statements of endpoints about themselves that cannot be understood, by service.")
         .Register(m_registry))
+  , m_forwarded(prometheus::BuildCounter()
+                  .Name("auburnhitch_forwarded_total")
+                  .Help("Requests sent through another daemon, by service.")
+                  .Register(m_registry))
   , m_store_calls(prometheus::BuildCounter()
                     .Name("auburnhitch_store_calls_total")
                     .Help("Calls to the store, by call and outcome.")
@@ -129,6 +133,12 @@
   counter->Increment();
 }
 
+void
+GatewayMetrics::OnForwarded(const ServiceName& aService)
+{
+  m_forwarded.Add({ { "service", aService.Value() } }).Increment();
+}
+
 void
 GatewayMetrics::OnMalformedNotice(const ServiceName& aService)
 {
@@ -155,6 +165,7 @@
   set("endpoint_connections_active", static_cast<double>(aGauges.m_endpoint_connections_active));
   set("peers_heard", static_cast<double>(aGauges.m_peers_alive));
   set("endpoints", static_cast<double>(aGauges.m_endpoints));
+  set("cannot_connect", aGauges.m_cannot_connect ? 1 : 0);
   set("configuration_version", static_cast<double>(aGauges.m_configuration_version));
   set("log_lines_dropped", static_cast<double>(aGauges.m_log_lines_dropped));
   return prometheus::TextSerializer().Serialize(m_registry.Collect());
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -4,7 +4,10 @@
 #include <LibBroker/SlotBroker.h>
 #include <LibGateway/BodyCompleteness.h>
 #include <LibGateway/Dialect.h>
+#include <LibGateway/EndpointReach.h>
 #include <LibGateway/EventSplitter.h>
+#include <LibGateway/ForwardTargets.h>
+#include <LibGateway/ForwardedRequest.h>
 #include <LibGateway/GatewayMetrics.h>
 #include <LibGateway/RefusedRequests.h>
 #include <LibRelay/RelayClient.h>
@@ -21,6 +24,8 @@
   const EndpointRegistry* m_registry = nullptr;
   RetryBudget* m_retry_budget = nullptr;
   RefusedRequests* m_refused = nullptr;
+  EndpointReach* m_reach = nullptr;
+  ForwardTargets* m_targets = nullptr;
   const Dialect* m_dialect = nullptr;
   GatewayMetrics* m_metrics = nullptr;
   DataCenterName m_data_center;
@@ -35,6 +40,8 @@
   const Route* m_route = nullptr;
   ServiceName m_service;
   std::optional<WorkspaceName> m_workspace;
+  /// Set if another daemon sent the request on.
+  std::optional<ForwardedRequest> m_forwarded;
   /// See RequestDigest().
   std::string m_digest;
   /// Combines the priority of the workspace with that of the route; 0 is served first.
@@ -47,7 +54,8 @@
 };
 
 /// A caller's request while this daemon handles it: waits for a slot, sends the request to the
-/// endpoint of that slot and forwards the response. Retries only if the request provably did not
+/// endpoint of that slot and forwards the response. Sends the request through another daemon while
+/// this one cannot reach the endpoints. Retries only if the request provably did not
 /// run, or if it may run more than once. Ends exactly once: with a complete response, an aborted
 /// one, or a disconnected caller. Not thread-safe.
 class ActiveRequest
@@ -71,6 +79,12 @@
   /// Called when an endpoint has said that it leaves or rests. Requests another slot if the present
   /// one is there and the request has not been written yet.
   void OnEndpointUnavailable(const EndpointIncarnation& aEndpoint);
+  /// Called when this daemon has been cut off from all endpoints. Ends a call to one of them.
+  void OnCutOff();
+  /// Called when other daemons may have stopped. Ends a call to one that has.
+  void OnDaemonsChanged();
+  /// The endpoint that owes bytes of its response for at least this time; nothing if none does.
+  std::optional<EndpointId> SilentEndpoint(Milliseconds aSilence) const;
 
 private:
   enum class Phase
@@ -89,7 +103,11 @@
     TimePoint m_granted_at;
     /// See SlotGrant.
     bool m_may_have_restarted = false;
+    /// Set if the attempt goes through another daemon; m_endpoint is then empty.
+    std::optional<HostName> m_forwarded_to;
     bool m_is_written = false;
+    /// When the request was written, or bytes of the response arrived last.
+    TimePoint m_heard_at;
     bool m_has_first_byte = false;
     MessageHead m_response_head;
     EndpointNotice m_notice;
@@ -107,6 +125,12 @@
   void OnStreamVersion(const std::optional<SoftwareVersion>& aVersion);
   /// Binds a resumable stream to the software version that sends its first event.
   void BindToVersion();
+  /// Begins the next attempt: at an endpoint, or through another daemon.
+  void Proceed();
+  void StartForwarding(const Member& aTarget);
+  void OnForwardedResponseHead(const MessageHead& aHead);
+  /// Responds that this daemon reaches no endpoint.
+  void RespondCutOff();
   void RequestSlot();
   SlotRequest MakeSlotRequest() const;
   void OnGranted(const SlotGrant& aGrant, const HostName& aCoordinator);
@@ -116,6 +140,10 @@
   void StartAttempt(const EndpointEntry& aEndpoint, bool aMayHaveRestarted);
   void OnRequestWritten();
   void OnResponseHead(const MessageHead& aHead);
+  /// Reports to the coordinator that the response has begun, if this daemon holds a slot.
+  void RecordStarted();
+  /// Bytes of the response have arrived.
+  void RecordHeard();
   /// Records what the endpoint states about itself.
   void RecordNotice(ResponseMeaning aMeaning, const MessageHead& aHead);
   void OnResponseBytes(std::string aBytes);
@@ -132,6 +160,8 @@
   /// Returns whether another attempt may follow now. Charges the retry budget if an earlier attempt
   /// was written to an endpoint.
   bool TryReserveRetry();
+  /// How many attempts may run the request.
+  int MaxRuns() const;
   void Retry(SlotOutcome aSlotOutcome);
   bool IsStream() const { return m_request.m_route->m_kind == RequestKind::Stream; }
   bool IsResumableStream() const { return IsStream() && m_request.m_route->m_is_resumable; }
@@ -143,7 +173,12 @@
   /// in a response that is on its way.
   void CancelCall();
   /// Responds that the request has not run and never will.
-  void RespondNotRun(int aStatus, const char* aReason, Milliseconds aRetryAfter);
+  void RespondNotRun(int aStatus,
+                     const char* aReason,
+                     Milliseconds aRetryAfter,
+                     ForwardedOutcome aOutcome = ForwardedOutcome::NotRun);
+  /// The header fields of a response of this daemon.
+  HttpHeaders OwnResponseHeaders(const ForwardedReply& aReply) const;
   /// Responds that the request may or may not have run.
   void RespondOutcomeUnknown(int aStatus, const char* aReason);
   void AbortResponse(const char* aReason);
@@ -167,7 +202,13 @@
   int m_possible_runs = 0;
   /// Attempts whose request was written to a connection to an endpoint.
   int m_written_attempts = 0;
+  /// Slots requested and daemons to which the request was forwarded.
   int m_slot_request_count = 0;
+  /// Endpoints to which no connection could be established.
+  int m_unreached_count = 0;
+  /// Whether the next attempt may use a connection that is open.
+  bool m_may_reuse_connection = true;
+  std::vector<HostName> m_forwarded_to;
   EventSplitter m_event_splitter;
   /// Body of a response that is forwarded once it is complete.
   std::string m_buffered_body;
--- a/Libraries/LibGateway/include/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/include/LibGateway/Dialect.h
@@ -73,6 +73,11 @@
   /// system may set, and the instructions.
   virtual HttpHeaders EndpointHeaders(const MessageHead& aHead,
                                       const EndpointInstructions& aInstructions) const = 0;
+  /// The header fields of a request that another daemon is to handle: the caller's, with the time
+  /// that is left and, if given, the id of the last event that the caller received.
+  virtual HttpHeaders PeerHeaders(const MessageHead& aHead,
+                                  Milliseconds aTimeLeft,
+                                  const std::optional<std::string>& aLastEventId) const = 0;
   /// aIsReused: whether the connection has carried other requests before. A response that names no
   /// request belongs to the only one that a new connection has carried; on a reused one it may
   /// belong to any of them.
--- a/Libraries/LibGateway/include/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -90,6 +90,9 @@
   /// other endpoints.
   void OnEndpointUnavailable(const EndpointIncarnation& aEndpoint);
   void UpdateDaemonCounts();
+  /// Notices whether this daemon reaches the endpoints, and ends calls that wait for some of them
+  /// in vain.
+  void UpdateReach();
   TimePoint Now() const { return m_loop.Now(); }
 
   EventLoop& m_loop;
@@ -112,6 +115,9 @@
   bool m_is_reader = true;
   RetryBudget m_retry_budget;
   RefusedRequests m_refused{ RefusedRequests::Limits() };
+  EndpointReach m_reach{ EndpointReach::Limits() };
+  bool m_cannot_connect = false;
+  ForwardTargets m_targets;
   RelayClient m_client;
   SlotBroker m_broker;
   ActiveRequestDependencies m_dependencies;
--- a/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
@@ -22,6 +22,8 @@
   std::size_t m_endpoint_connections_active = 0;
   std::size_t m_peers_alive = 0;
   std::size_t m_endpoints = 0;
+  /// Whether this daemon can establish no connection to an endpoint.
+  bool m_cannot_connect = false;
   std::int64_t m_configuration_version = 0;
   std::uint64_t m_log_lines_dropped = 0;
 
@@ -47,6 +49,8 @@
   /// of a small fixed set, since they become labels.
   void OnResponseEnded(const ServiceName& aService, const char* aFraming, const char* aEnd);
   /// An endpoint stated something about itself that cannot be understood.
+  /// A request was sent through another daemon.
+  void OnForwarded(const ServiceName& aService);
   void OnMalformedNotice(const ServiceName& aService);
   void OnStoreCall(const char* aCall, const char* aOutcome);
 
@@ -66,6 +70,7 @@
   prometheus::Family<prometheus::Counter>& m_attempts_sent;
   prometheus::Family<prometheus::Counter>& m_responses_ended;
   prometheus::Family<prometheus::Counter>& m_malformed_notices;
+  prometheus::Family<prometheus::Counter>& m_forwarded;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Family<prometheus::Histogram>& m_latency;
   prometheus::Family<prometheus::Histogram>& m_time_to_first_byte;
