Replace a waiting slot request that is enqueued again under its id

Cause: SlotQueue::PutBack replaced the entry of the id in its index, but left the key of the earlier one, with another priority or objective, in its level. Once the id was removed, Front looked that key up in vain and threw. A daemon asks again under an id after its link or its coordinator was lost, also of itself, so any daemon could end a coordinator.

Why it works: an id has one entry and one key, since inserting removes what is there. The coordinator gives back the quota that the replaced request had been charged. StreamTracker::Tick, which looked up ids after it had called handlers, now looks whether they are there. An exception that nothing catches is logged before the process ends.

--- a/Daemon/main.cpp
+++ b/Daemon/main.cpp
@@ -6,11 +6,14 @@
 #include <LibCore/Try.h>
 #include <LibHttp/BlockedSignals.h>
 #include <csignal>
+#include <cstdlib>
+#include <exception>
 #include <fstream>
 #include <iostream>
 #include <memory>
 #include <sstream>
 #include <sys/resource.h>
+#include <typeinfo>
 #include <variant>
 
 namespace auburnhitch {
@@ -91,6 +94,25 @@
   aDaemon.Reload(std::get<GatewaySettings>(*settings));
 }
 
+/// Logs an exception that nothing caught before the process ends.
+[[noreturn]] void
+OnUncaughtException()
+{
+  try {
+    if (const std::exception_ptr uncaught = std::current_exception()) {
+      std::rethrow_exception(uncaught);
+    }
+    LogOf("daemon").critical("event=terminated why=\"no exception\"");
+  } catch (const std::exception& exception) {
+    LogOf("daemon").critical(
+      "event=terminated type={} why=\"{}\"", typeid(exception).name(), exception.what());
+  } catch (...) {
+    LogOf("daemon").critical("event=terminated why=\"an exception of an unknown type\"");
+  }
+  FlushLogs();
+  std::abort();
+}
+
 absl::Status
 Run(const GatewaySettings& aSettings,
     const std::string& aPath,
@@ -135,6 +157,7 @@
     std::cout << settings_path << ": correct\n";
     return 0;
   }
+  std::set_terminate(auburnhitch::OnUncaughtException);
   auburnhitch::RaiseDescriptorLimit();
   const absl::Status status = std::visit(
     [&](const auto& aKind) { return auburnhitch::Run(aKind, settings_path, std::move(blocked)); },
--- a/Libraries/LibBroker/SlotCoordinator.cpp
+++ b/Libraries/LibBroker/SlotCoordinator.cpp
@@ -34,6 +34,9 @@
                              TimePoint aNow)
 {
   SlotScheduler& scheduler = SchedulerOf(aService, aNow);
+  if (const auto replaced = scheduler.Withdraw(aRequest.m_request_id)) {
+    Refund({ *replaced });
+  }
   const bool is_charged = aRequest.m_quota_tokens > 0;
   if (is_charged && !m_quotas.TrySpend(aRequest.m_workspace, aRequest.m_quota_tokens, aNow)) {
     m_quota_refusals[aService].push_back(
--- a/Libraries/LibBroker/StreamTracker.cpp
+++ b/Libraries/LibBroker/StreamTracker.cpp
@@ -187,7 +187,12 @@
     }
   }
   for (const std::uint64_t number : unanswered) {
-    const Lookup lookup = m_lookups.at(number);
+    // The handler of an earlier one may have cancelled it.
+    const auto found = m_lookups.find(number);
+    if (found == m_lookups.end()) {
+      continue;
+    }
+    const Lookup lookup = found->second;
     LogOf("broker").warn(
       "event=lookup-unanswered stream={} service={}", lookup.m_stream, lookup.m_service.Value());
     Resolve(number, KnownVersion(lookup.m_service, lookup.m_stream));
--- a/Libraries/LibPlacement/SlotQueue.cpp
+++ b/Libraries/LibPlacement/SlotQueue.cpp
@@ -67,6 +67,8 @@
 SlotQueue::PutBack(WaitingSlotRequest aWaiting)
 {
   const SlotRequest& request = aWaiting.m_request;
+  // The keys of a request with the same id may be others.
+  Remove(request.m_request_id);
   Level& level = m_levels[request.m_priority];
   level.m_slot_time_ms += aWaiting.m_slot_time_ms;
   level.m_in_time.emplace(request.m_objective_at, request.m_request_id);
--- a/Libraries/LibPlacement/include/LibPlacement/SlotQueue.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotQueue.h
@@ -29,6 +29,7 @@
 class SlotQueue
 {
 public:
+  /// Enqueues a new arrival. One that waits under the same id is replaced.
   void Push(WaitingSlotRequest aWaiting, TimePoint aNow);
   /// Returns a removed request to the queue without counting it as a new arrival.
   void PutBack(WaitingSlotRequest aWaiting);
--- a/Tests/Unit/TestPlacement.cpp
+++ b/Tests/Unit/TestPlacement.cpp
@@ -295,6 +295,25 @@
   CHECK(NumbersOf(scheduler.Decide(kStart)) == std::vector<std::uint64_t>{ 3 });
 }
 
+TEST_CASE("A request that is enqueued again under its id replaces the one that waits")
+{
+  // A daemon asks again after its link to the coordinator was lost, with the times of then.
+  SlotScheduler scheduler = SchedulerOf({ EndpointOf("a") });
+  scheduler.RequestSlot(RequestOf(1), At(0));
+  REQUIRE(NumbersOf(scheduler.Decide(At(0))) == std::vector<std::uint64_t>{ 1 });
+  scheduler.RequestSlot(RequestOf(2), At(0));
+  scheduler.Decide(At(0));
+  scheduler.RequestSlot(RequestOf(2, 1, 10), At(10));
+  CHECK(scheduler.Decide(At(10)).m_refusals.empty());
+  CHECK(scheduler.WaitingCount() == 1);
+  CHECK(scheduler.Withdraw(SlotRequestId{ Incarnation("d"), 2 }).has_value());
+  scheduler.RecordEnded(
+    SlotRequestId{ Incarnation("d"), 1 }, EndpointId("a"), SlotOutcome::Complete, At(20));
+  CHECK(scheduler.Decide(At(20)).m_grants.empty());
+  scheduler.RequestSlot(RequestOf(3, 0, 30), At(30));
+  CHECK(NumbersOf(scheduler.Decide(At(30))) == std::vector<std::uint64_t>{ 3 });
+}
+
 TEST_CASE("A restarted endpoint has all of its slots free")
 {
   SlotScheduler scheduler = SchedulerOf({ EndpointOf("a", 1) });
