Name no endpoint in the log line of a forwarded attempt that is repeated

Cause: an endpoint's 500 behind the hop is repeated, and the log line named the last endpoint tried, of which there was none. Also a test that a rest holds on requests that come from another daemon; it held.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -383,7 +383,7 @@
         m_call = nullptr;
         LogOf("send").info("event=send-again request={} endpoint={} why=\"status {}\" runs={}",
                            m_request.m_head.m_request_id,
-                           m_tried_endpoints.back().Value(),
+                           NameOfEndpoint(),
                            aHead.m_status,
                            m_possible_runs);
         Retry(SlotOutcome::Failed);
@@ -594,6 +594,13 @@
   return m_request.m_forwarded ? 1 : m_request.m_route->m_max_endpoints;
 }
 
+std::string
+ActiveRequest::NameOfEndpoint() const
+{
+  const bool is_forwarded = m_attempt && m_attempt->m_forwarded_to;
+  return is_forwarded || m_tried_endpoints.empty() ? "none" : m_tried_endpoints.back().Value();
+}
+
 bool
 ActiveRequest::MayRunAgain() const
 {
@@ -634,8 +641,7 @@
      (!m_required_version || m_dependencies.m_broker->Streams().MayBeOfVersion(
                                m_request.m_service, m_stream, *m_required_version)));
   const bool is_forwarded = m_attempt && m_attempt->m_forwarded_to;
-  const std::string endpoint =
-    m_tried_endpoints.empty() || is_forwarded ? "none" : m_tried_endpoints.back().Value();
+  const std::string endpoint = NameOfEndpoint();
   const bool is_retried = may_resume && TryReserveRetry();
   LogOf("send").warn(
     "event=send-failed request={} service={} endpoint={} end={} why=\"{}\" runs={} "
--- a/Libraries/LibGateway/ActiveRequestForwarding.cpp
+++ b/Libraries/LibGateway/ActiveRequestForwarding.cpp
@@ -161,11 +161,6 @@
 void
 ActiveRequest::OnCutOff()
 {
-  if (m_request.m_forwarded && m_phase == Phase::Waiting && m_slot_request_id) {
-    m_dependencies.m_broker->Withdraw(*std::exchange(m_slot_request_id, std::nullopt));
-    RespondCutOff();
-    return;
-  }
   if (m_call == nullptr || m_attempt->m_forwarded_to) {
     return;
   }
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -160,6 +160,8 @@
   /// Returns whether another attempt may follow now. Charges the retry budget if an earlier attempt
   /// was written to an endpoint.
   bool TryReserveRetry();
+  /// The endpoint of the present attempt, for logs; "none" if it goes through another daemon.
+  std::string NameOfEndpoint() const;
   /// How many attempts may run the request.
   int MaxRuns() const;
   void Retry(SlotOutcome aSlotOutcome);
--- a/Tests/Process/TestEndpointCuts.cpp
+++ b/Tests/Process/TestEndpointCuts.cpp
@@ -73,7 +73,9 @@
     caller.join();
   }
   ServedCount count;
-  for (const auto& [id, response] : responses) {
+  for (const auto& entry : responses) {
+    const std::string& id = entry.first;
+    const CallerResponse& response = entry.second;
     CAPTURE(id);
     const bool is_whole = response.m_is_complete && response.m_body == "answer to " + id;
     CHECK((response.m_status != 200 || is_whole));
@@ -255,3 +257,52 @@
   CHECK(response.m_body ==
         "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\n");
 }
+
+TEST_CASE("Cut off: an endpoint's failure reaches the caller of a forwarded request")
+{
+  GatewayCluster cluster(WithPaths());
+  cluster.CutFromEndpoints(0, EndpointCut::Reset);
+  REQUIRE(WaitUntilServed(cluster, 0, "cut"));
+  for (std::size_t i = 0; i < kEndpoints; ++i) {
+    cluster.Endpoint(i).SetBehaviour([](RawConnection& aConnection, const RawRequest& aRequest) {
+      aConnection.Write(absl::StrCat("HTTP/1.1 500 X\r\nX-Request-Id: ",
+                                     aRequest.Header("x-request-id"),
+                                     "\r\nX-Response-Seal: s\r\nContent-Length: 0\r\n\r\n"));
+      return true;
+    });
+  }
+  for (const char* path : kPaths) {
+    const std::string id = absl::StrCat("failing", path);
+    CHECK(cluster.Call(path, id, "", 0).m_status == 500);
+    CHECK(cluster.RunsOf(id) <= 2);
+  }
+}
+
+TEST_CASE("Rest: a daemon that was asked for rest sends no forwarded request there either")
+{
+  GatewayCluster cluster(WithPaths(2));
+  cluster.CutFromEndpoints(0, EndpointCut::Reset);
+  REQUIRE(WaitUntilServed(cluster, 0, "cut"));
+  std::atomic<int> refused = 0;
+  for (std::size_t i = 0; i < kEndpoints; ++i) {
+    cluster.Endpoint(i).SetBehaviour([&](RawConnection& aConnection, const RawRequest& aRequest) {
+      ++refused;
+      aConnection.Write(absl::StrCat("HTTP/1.1 503 X\r\nX-Request-Id: ",
+                                     aRequest.Header("x-request-id"),
+                                     "\r\nX-Not-Executed: 1\r\nRetry-After: 250\r\n",
+                                     "Content-Length: 0\r\n\r\n"));
+      return true;
+    });
+  }
+  int count = 0;
+  REQUIRE(WaitFor([&] {
+    cluster.Call("/safe/x", absl::StrCat("resting-", ++count), "X-Deadline-Ms: 500\r\n", 0);
+    return refused == static_cast<int>(kEndpoints);
+  }));
+  for (int i = 0; i < kRounds; ++i) {
+    const std::string id = absl::StrCat("rested-", i);
+    CHECK(cluster.Call("/unsafe/x", id, "X-Deadline-Ms: 500\r\n", 0).m_status == 503);
+    CHECK(cluster.RunsOf(id) == 0);
+  }
+  CHECK(refused == static_cast<int>(kEndpoints));
+}
