--- a/Tests/Process/TestSoak.cpp
+++ b/Tests/Process/TestSoak.cpp
@@ -22,6 +22,8 @@
   bool m_has_odd_bytes = false;
   /// The same for kills of all daemons.
   bool m_kills_all = false;
+  /// The same for daemons that are cut off from all endpoints.
+  bool m_cuts_endpoints = false;
 };
 
 constexpr SoakCase kCases[]{
@@ -41,6 +43,7 @@
   { 42001, nullptr, true, true, true },
   { 42002, nullptr, true, true, true },
   { 51001, nullptr, true, true, true, true, true },
+  { 61001, nullptr, true, true, true, true, true, true },
   { 43006,
     "two daemons serve no unsafe requests after the faults: a popular request was refused after "
     "three crashes in a row, though it had been served before",
@@ -68,6 +71,7 @@
     options.m_repeats_crashes = entry.m_repeats_crashes;
     options.m_has_odd_bytes = entry.m_has_odd_bytes;
     options.m_kills_all = entry.m_kills_all;
+    options.m_cuts_endpoints = entry.m_cuts_endpoints;
     const SoakResult result = RunSoak(options);
     std::string text = result.m_summary;
     for (const auto* lines : { &result.m_violations, &result.m_faults }) {
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -356,14 +356,17 @@
     , m_cut_random(aOptions.m_seed)
     , m_rest_random(aOptions.m_seed)
     , m_odd_random(aOptions.m_seed)
+    , m_endpoint_cut_random(aOptions.m_seed)
     , m_checker(aOptions.m_endpoints)
     , m_cluster(GatewayClusterOptions{ aOptions.m_daemons,
                                        aOptions.m_endpoints,
                                        2,
                                        true,
                                        {},
-                                       aOptions.m_cuts_paths })
+                                       aOptions.m_cuts_paths,
+                                       CutsEndpoints() })
     , m_is_down(aOptions.m_daemons, false)
+    , m_is_cut_off(aOptions.m_daemons, false)
     , m_start(Clock::now())
   {
     for (std::size_t i = 0; i < aOptions.m_endpoints; ++i) {
@@ -398,7 +401,10 @@
         if (m_options.m_cuts_paths && m_cut_random() % 3 == 0) {
           CutPaths();
         }
-        if (m_options.m_has_rests && m_rest_random() % 3 == 0) {
+        if (CutsEndpoints() && m_endpoint_cut_random() % 3 == 0) {
+          CutFromEndpoints();
+        }
+        if (m_options.m_has_rests && !CutsEndpoints() && m_rest_random() % 3 == 0) {
           LetEndpointsRest();
         }
         if (m_options.m_has_odd_bytes && m_odd_random() % 3 == 0) {
@@ -695,6 +701,43 @@
     });
   }
 
+  bool CutsEndpoints() const { return m_options.m_cuts_endpoints && m_options.m_seed % 2 == 1; }
+
+  /// Cuts one daemon, half of them, all but one or all of them off from all endpoints.
+  void CutFromEndpoints()
+  {
+    constexpr std::array kCuts{ EndpointCut::Reset, EndpointCut::RefuseNew, EndpointCut::Hang };
+    const EndpointCut cut = kCuts[m_endpoint_cut_random() % kCuts.size()];
+    const std::size_t daemons = m_options.m_daemons;
+    const std::array counts{
+      std::size_t{ 1 }, std::size_t{ 1 }, daemons / 2, daemons - 1, daemons
+    };
+    const std::size_t count = counts[m_endpoint_cut_random() % counts.size()];
+    const std::size_t first = m_endpoint_cut_random() % daemons;
+    const Ms duration(kMinFaultMs + m_endpoint_cut_random() % kMaxFaultMs * 2);
+    RecordFault(absl::StrCat("cut ",
+                             count,
+                             " daemons from ",
+                             first,
+                             " on off from the endpoints, way ",
+                             static_cast<int>(cut),
+                             ", for ",
+                             duration.count(),
+                             " ms"));
+    for (std::size_t i = 0; i < count; ++i) {
+      const std::size_t daemon = (first + i) % daemons;
+      if (m_is_cut_off[daemon]) {
+        continue;
+      }
+      m_is_cut_off[daemon] = true;
+      m_cluster.CutFromEndpoints(daemon, cut);
+      ScheduleAfter(duration, [this, daemon] {
+        m_cluster.HealEndpointPaths(daemon);
+        m_is_cut_off[daemon] = false;
+      });
+    }
+  }
+
   void InjectStoreConnectionFault()
   {
     const std::size_t daemon = m_random() % m_options.m_daemons;
@@ -911,10 +954,12 @@
   std::mt19937 m_rest_random;
   /// The same for odd entries, and for the kills of all daemons.
   std::mt19937 m_odd_random;
+  std::mt19937 m_endpoint_cut_random;
   SoakChecker m_checker;
   std::vector<std::unique_ptr<SoakEndpoint>> m_endpoints;
   GatewayCluster m_cluster;
   std::vector<bool> m_is_down;
+  std::vector<bool> m_is_cut_off;
   Clock::time_point m_start;
   std::priority_queue<ScheduledAction> m_scheduled_actions;
   std::vector<std::string> m_faults;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -34,6 +34,9 @@
                "Leave odd entries among the registrations, and repeat refusals (default: yes)");
   app.add_flag(
     "--kill-all,!--no-kill-all", options.m_kills_all, "Kill all daemons at once (default: yes)");
+  app.add_flag("--cut-endpoints,!--no-cut-endpoints",
+               options.m_cuts_endpoints,
+               "Cut daemons off from all endpoints (default: yes)");
   app.add_flag("--faults", shows_faults, "Print the faults of each seed");
   CLI11_PARSE(app, aArgumentCount, aArguments);
   options.m_length = std::chrono::seconds(seconds);
--- a/Tests/StandIns/FaultProxy.cpp
+++ b/Tests/StandIns/FaultProxy.cpp
@@ -4,9 +4,11 @@
 
 #include <LibCore/JsonObjectReader.h>
 #include <array>
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <utility>
 #include <vector>
@@ -222,13 +224,16 @@
   const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   m_vain_sockets.push_back(listener);
   evutil_make_listen_socket_reuseable(listener);
-  bind(listener, name, sizeof(address));
-  listen(listener, 0);
+  if (bind(listener, name, sizeof(address)) != 0 || listen(listener, 0) != 0) {
+    throw std::runtime_error("cannot listen on " + m_address.Value());
+  }
   // The system accepts one connection more than the length of the queue.
   constexpr int kConnections = 4;
   for (int i = 0; i < kConnections; ++i) {
     m_vain_sockets.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    connect(m_vain_sockets.back(), name, sizeof(address));
+    if (connect(m_vain_sockets.back(), name, sizeof(address)) != 0 && errno != EINPROGRESS) {
+      throw std::runtime_error("cannot connect to " + m_address.Value());
+    }
   }
 }
 
--- a/Tests/Support/GatewayCluster.cpp
+++ b/Tests/Support/GatewayCluster.cpp
@@ -198,9 +198,10 @@
     }
     Register(i);
   }
+  StartEndpointPaths();
   for (std::size_t i = 0; i < m_options.m_daemons; ++i) {
     if (m_options.m_has_proxies) {
-      m_store_proxies.push_back(StartProxy(absl::StrCat("store-", i), m_store.Address()));
+      m_store_proxies.push_back(StartProxy(absl::StrCat("store-", i), StoreViewOf(i)));
     }
     GatewayProcess daemon;
     for (std::size_t port = 0; port < kAddressesPerDaemon; ++port) {
@@ -209,7 +210,6 @@
     m_daemons.push_back(std::move(daemon));
   }
   StartNetwork();
-  StartEndpointPaths();
   for (std::size_t i = 0; i < m_options.m_daemons; ++i) {
     StartDaemon(i);
   }
@@ -253,7 +253,7 @@
     StoreStandIn::Replacements replacements;
     std::vector<ProxyProcess>& paths = m_endpoint_paths.emplace_back();
     for (std::size_t j = 0; j < m_options.m_endpoints; ++j) {
-      const SocketAddress address = m_endpoints[j]->Address();
+      const SocketAddress address = RegisteredAddressOf(j);
       paths.push_back(StartProxy(absl::StrCat("path-", i, "-", j), address));
       replacements[absl::StrCat("\"", address.Value(), "\"")] =
         absl::StrCat("\"", paths.back().m_address.Value(), "\"");
@@ -362,14 +362,24 @@
 }
 
 SocketAddress
-GatewayCluster::StoreAddressOf(std::size_t aIndex) const
+GatewayCluster::StoreViewOf(std::size_t aIndex) const
 {
-  if (m_options.m_has_proxies) {
-    return m_store_proxies.at(aIndex).m_address;
-  }
   return m_options.m_has_endpoint_paths ? m_store_views.at(aIndex) : m_store.Address();
 }
 
+SocketAddress
+GatewayCluster::StoreAddressOf(std::size_t aIndex) const
+{
+  return m_options.m_has_proxies ? m_store_proxies.at(aIndex).m_address : StoreViewOf(aIndex);
+}
+
+SocketAddress
+GatewayCluster::RegisteredAddressOf(std::size_t aEndpoint) const
+{
+  return m_options.m_has_proxies ? m_endpoint_proxies.at(aEndpoint).m_address
+                                 : m_endpoints.at(aEndpoint)->Address();
+}
+
 void
 GatewayCluster::StartDaemon(std::size_t aIndex)
 {
@@ -473,9 +483,7 @@
 {
   nlohmann::json entry{
     { "service", "s" },
-    { "address",
-      m_options.m_has_proxies ? m_endpoint_proxies.at(aEndpoint).m_address.Value()
-                              : m_endpoints.at(aEndpoint)->Address().Value() },
+    { "address", RegisteredAddressOf(aEndpoint).Value() },
     { "zone", DataCenterOf(aEndpoint) },
     { "version", aEndpoint < m_options.m_versions.size() ? m_options.m_versions[aEndpoint] : "v1" },
     { "slots", 4 },
--- a/Tests/Support/GatewayCluster.h
+++ b/Tests/Support/GatewayCluster.h
@@ -167,7 +167,11 @@
   void StartNetwork();
   void StartEndpointPaths();
   void CommandEndpointPaths(std::size_t aDaemon, const nlohmann::json& aCommand);
+  /// Where a daemon's view of the store is served, without a proxy.
+  SocketAddress StoreViewOf(std::size_t aIndex) const;
+  /// Where a daemon reads the store.
   SocketAddress StoreAddressOf(std::size_t aIndex) const;
+  SocketAddress RegisteredAddressOf(std::size_t aEndpoint) const;
   static HostName HostOf(std::size_t aIndex);
   std::string DataCenterOf(std::size_t aIndex) const;
 
