--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -442,5 +442,27 @@
   Libraries/LibGateway/BodyCompleteness.cpp 's/if \(m_events.HasStatusLine\(\)\)/if (false)/' \
   "$PROCESS" "Repeated refusals: one in the middle*"
 
+mutate "cut off daemons: a doubted daemon makes no endpoint suspect for others" \
+  Libraries/LibPlacement/SlotEndpoint.cpp 's/if \(aDoubted.contains\(aDaemon\)\) \{/if (false) {/' \
+  "$UNIT" "A daemon that reaches no endpoint*"
+mutate "cut off daemons: overdue bytes count only against who waits for them" \
+  Libraries/LibPlacement/SlotEndpoint.cpp \
+  's/ \&\& !aDoubted.contains\(aEntry.first.m_daemon\)//' \
+  "$UNIT" "A daemon without answers*"
+mutate "cut off daemons: callers are served through another daemon" \
+  Libraries/LibGateway/ActiveRequestForwarding.cpp 's/if \(target\) \{/if (false) {/' \
+  "$PROCESS" "Cut off: a daemon whose connections to all endpoints are reset*"
+mutate "cut off daemons: a path that hangs is noticed" \
+  Libraries/LibGateway/EndpointReach.cpp 's/return CannotConnect\(aNow\) \&\& aNow/return false \&\& aNow/' \
+  "$UNIT" "A daemon that cannot connect is cut off*"
+mutate "cut off daemons: the hop counts as a run" \
+  Libraries/LibGateway/ActiveRequest.cpp 's/\n  \+\+m_possible_runs;/\n  m_possible_runs += m_attempt->m_forwarded_to ? 0 : 1;/' \
+  "$PROCESS" "Cut off: a request whose other daemon is killed*"
+mutate "cut off daemons: fields of the hop reach nobody else" \
+  Libraries/LibGateway/ForwardedHeaders.cpp 's/ \&\& !IsForwardingField\(name\)//' \
+  "$UNIT" "What daemons state on the hop*"
+mutate "queue: an id waits once" Libraries/LibPlacement/SlotQueue.cpp \
+  's/\n  Remove\(request.m_request_id\);//' "$UNIT" "A request that is enqueued again*"
+
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
