Know a refused request by the address that refused it, not by the endpoint's id

Cause: an endpoint that had taken over an address refused (421) a request that was meant for the id before; sent there again under its own id, on a kept connection, it wrote that refusal once more after it had run the request, and RefusedRequests, which went by the id, did not ask for a new connection. The refusal was believed and the request ran again. Evidence: the daemons' logs of all three: two refusals with status 421 of two ids of one process, then a third grant.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -311,7 +311,7 @@
   limits.m_total_timeout = instructions.m_time_left + Milliseconds(1'000);
   limits.m_may_reuse =
     m_may_reuse_connection && m_dependencies.m_reach->MayReuseConnections(Now()) &&
-    !m_dependencies.m_refused->Contains(m_request.m_head.m_request_id, aEndpoint.m_id);
+    !m_dependencies.m_refused->Contains(m_request.m_head.m_request_id, aEndpoint.m_address);
   m_call = m_dependencies.m_client->Send(
     aEndpoint.m_address,
     aEndpoint.m_id.Value() + "/" + std::to_string(aEndpoint.m_started_at_ms),
@@ -365,7 +365,7 @@
       m_call = nullptr;
       --m_possible_runs;
       m_dependencies.m_refused->Record(
-        m_request.m_head.m_request_id, m_attempt->m_endpoint.m_id, Now());
+        m_request.m_head.m_request_id, m_attempt->m_endpoint.m_address, Now());
       OnAttemptFailed(SlotOutcome::Refused,
                       absl::StrCat("the endpoint refused the request with status ",
                                    aHead.m_status,
--- a/Libraries/LibGateway/include/LibGateway/RefusedRequests.h
+++ b/Libraries/LibGateway/include/LibGateway/RefusedRequests.h
@@ -9,9 +9,11 @@
 
 namespace auburnhitch {
 
-/// Which requests were refused by which endpoints lately. If one of them is sent there again, under
+/// Which requests were refused at which addresses lately. If one of them is sent there again, under
 /// the same id, only a new connection shows that a refusal is not the earlier one, written once
-/// more. Its size is bounded: the oldest entries are dropped first. Owns no clock. Not thread-safe.
+/// more. The endpoint may have another id by then: one that took over an address refuses what was
+/// meant for the one before. Its size is bounded: the oldest entries are dropped first. Owns no
+/// clock. Not thread-safe.
 class RefusedRequests
 {
 public:
@@ -29,16 +31,16 @@
   {
   }
 
-  void Record(const std::string& aRequestId, const EndpointId& aEndpoint, TimePoint aNow);
-  bool Contains(const std::string& aRequestId, const EndpointId& aEndpoint) const;
+  void Record(const std::string& aRequestId, const SocketAddress& aAddress, TimePoint aNow);
+  bool Contains(const std::string& aRequestId, const SocketAddress& aAddress) const;
   std::size_t Size() const { return m_entries.size(); }
 
 private:
-  using Entry = std::pair<std::string, EndpointId>;
+  using Entry = std::pair<std::string, SocketAddress>;
 
-  Entry MakeEntry(const std::string& aRequestId, const EndpointId& aEndpoint) const
+  Entry MakeEntry(const std::string& aRequestId, const SocketAddress& aAddress) const
   {
-    return { aRequestId.substr(0, m_limits.m_max_id_bytes), aEndpoint };
+    return { aRequestId.substr(0, m_limits.m_max_id_bytes), aAddress };
   }
 
   Limits m_limits;
--- a/Tests/Process/TestRepeatedRefusals.cpp
+++ b/Tests/Process/TestRepeatedRefusals.cpp
@@ -1,9 +1,13 @@
 #include "GatewayCluster.h"
 
 #include <absl/strings/str_cat.h>
+#include <chrono>
 #include <csignal>
 #include <doctest.h>
+#include <map>
+#include <mutex>
 #include <thread>
+#include <vector>
 
 using namespace auburnhitch;
 using namespace auburnhitch::tests;
@@ -283,3 +287,62 @@
   CHECK(on_reused > 0);
   CHECK(cluster.LogOfDaemon(0).find("event=limit-learned") == std::string::npos);
 }
+
+TEST_CASE("Repeated refusals: one of a request for the endpoint that was at the address before")
+{
+  // More than the slots of one endpoint, so that both ids are used.
+  constexpr int kCallers = 16;
+  constexpr int kCalls = 20;
+  constexpr std::chrono::milliseconds kWorkTime{ 5 };
+  GatewayCluster cluster;
+  std::mutex mutex;
+  std::map<std::string, int> runs;
+  std::map<std::string, std::string> refusals;
+  cluster.Endpoint(0).SetBehaviour([&](RawConnection& aConnection, const RawRequest& aRequest) {
+    const std::string id = aRequest.Header("x-request-id");
+    std::string repeated;
+    {
+      const std::lock_guard lock(mutex);
+      if (aRequest.Header("x-expect-instance") != cluster.IdOf(1)) {
+        refusals[id] =
+          absl::StrCat("HTTP/1.1 421 X\r\nX-Request-Id: ", id, "\r\nContent-Length: 0\r\n\r\n");
+        repeated = refusals[id];
+      } else {
+        ++runs[id];
+        thread_local int t_requests = 0;
+        const bool is_kept = t_requests++ > 0;
+        repeated = is_kept ? refusals[id] : "";
+      }
+    }
+    if (!repeated.empty()) {
+      aConnection.Write(repeated);
+      return true;
+    }
+    std::this_thread::sleep_for(kWorkTime);
+    return RespondWithSuccess(aConnection, aRequest);
+  });
+  // The endpoint registers under another id at the same address.
+  cluster.Register(1, "ready", { { "address", cluster.Endpoint(0).Address().Value() } });
+  REQUIRE(WaitFor([&] {
+    static int s_count = 0;
+    cluster.Call("/safe/x", absl::StrCat("warm-", ++s_count));
+    const std::lock_guard lock(mutex);
+    return !runs.empty();
+  }));
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&, caller] {
+      for (int call = 0; call < kCalls; ++call) {
+        cluster.Call("/unsafe/x", absl::StrCat("unsafe-", caller, "-", call));
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK_FALSE(refusals.empty());
+  for (const auto& [id, count] : runs) {
+    INFO(id);
+    CHECK((!id.starts_with("unsafe-") || count <= 1));
+  }
+}
--- a/Tests/Unit/TestGatewayParts.cpp
+++ b/Tests/Unit/TestGatewayParts.cpp
@@ -160,12 +160,12 @@
 {
   RefusedRequests refused(RefusedRequests::Limits{ Milliseconds(1'000), 3, 8 });
   const TimePoint start{};
-  const EndpointId endpoint("a");
+  const SocketAddress endpoint("127.0.0.1:1");
   refused.Record("one", endpoint, start);
   refused.Record("one", endpoint, start + Milliseconds(10));
   CHECK(refused.Size() == 1);
   CHECK(refused.Contains("one", endpoint));
-  CHECK_FALSE(refused.Contains("one", EndpointId("b")));
+  CHECK_FALSE(refused.Contains("one", SocketAddress("127.0.0.1:2")));
   CHECK_FALSE(refused.Contains("two", endpoint));
   refused.Record("123456789", endpoint, start);
   CHECK(refused.Contains("12345678", endpoint));
