--- a/Tests/Process/TestRepeatedRefusals.cpp
+++ b/Tests/Process/TestRepeatedRefusals.cpp
@@ -341,8 +341,9 @@
     caller.join();
   }
   CHECK_FALSE(refusals.empty());
-  for (const auto& [id, count] : runs) {
+  for (const auto& entry : runs) {
+    const std::string& id = entry.first;
     INFO(id);
-    CHECK((!id.starts_with("unsafe-") || count <= 1));
+    CHECK((!id.starts_with("unsafe-") || entry.second <= 1));
   }
 }
