--- a/Tests/Process/TestRepeatedRefusals.cpp
+++ b/Tests/Process/TestRepeatedRefusals.cpp
@@ -330,6 +330,7 @@
     return !runs.empty();
   }));
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&, caller] {
       for (int call = 0; call < kCalls; ++call) {
