Let endpoints of the soak tell which daemon has sent a request, and cuts accept connections

Where each daemon has its own paths to the endpoints, each path now ends at an address of its own of the endpoint, so the sender is known; rests are asked for in these runs as well. No check and no bound is changed.

Cuts get two more shapes: connections that are established and then reset, or silent.

--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -116,12 +116,12 @@
     const auto [own_id, version] = Identity();
     const bool is_other = aRequest.Header("x-expect-instance") != own_id;
     m_checker.RecordArrival(
-      id, m_index, is_other ? std::nullopt : std::optional(m_incarnation.load()));
+      aRequest, m_index, is_other ? std::nullopt : std::optional(m_incarnation.load()));
     const auto rest = std::chrono::ceil<Ms>(m_rests_until.load() - Clock::now());
     if (!is_other && rest > Ms(0)) {
       // A response that may be lost on its way binds no daemon.
       if (m_link_faults == 0) {
-        m_checker.RecordRest(id, m_index, m_incarnation, rest);
+        m_checker.RecordRest(aRequest, m_index, m_incarnation, rest);
       }
       aConnection.Write(absl::StrCat("HTTP/1.1 503 X\r\nX-Request-Id: ",
                                      id,
@@ -357,6 +357,7 @@
     , m_rest_random(aOptions.m_seed)
     , m_odd_random(aOptions.m_seed)
     , m_endpoint_cut_random(aOptions.m_seed)
+    , m_accepting_cut_random(aOptions.m_seed)
     , m_checker(aOptions.m_endpoints)
     , m_cluster(GatewayClusterOptions{ aOptions.m_daemons,
                                        aOptions.m_endpoints,
@@ -404,7 +405,7 @@
         if (CutsEndpoints() && m_endpoint_cut_random() % 3 == 0) {
           CutFromEndpoints();
         }
-        if (m_options.m_has_rests && !CutsEndpoints() && m_rest_random() % 3 == 0) {
+        if (m_options.m_has_rests && m_rest_random() % 3 == 0) {
           LetEndpointsRest();
         }
         if (m_options.m_has_odd_bytes && m_odd_random() % 3 == 0) {
@@ -707,7 +708,12 @@
   void CutFromEndpoints()
   {
     constexpr std::array kCuts{ EndpointCut::Reset, EndpointCut::RefuseNew, EndpointCut::Hang };
-    const EndpointCut cut = kCuts[m_endpoint_cut_random() % kCuts.size()];
+    constexpr std::array kAcceptingCuts{ EndpointCut::ResetAccepted,
+                                         EndpointCut::RefuseNew,
+                                         EndpointCut::SilenceAccepted };
+    const bool accepts = m_options.m_has_accepting_cuts && m_accepting_cut_random() % 2 == 0;
+    const EndpointCut cut =
+      (accepts ? kAcceptingCuts : kCuts)[m_endpoint_cut_random() % kCuts.size()];
     const std::size_t daemons = m_options.m_daemons;
     const std::array counts{
       std::size_t{ 1 }, std::size_t{ 1 }, daemons / 2, daemons - 1, daemons
@@ -955,6 +961,7 @@
   /// The same for odd entries, and for the kills of all daemons.
   std::mt19937 m_odd_random;
   std::mt19937 m_endpoint_cut_random;
+  std::mt19937 m_accepting_cut_random;
   SoakChecker m_checker;
   std::vector<std::unique_ptr<SoakEndpoint>> m_endpoints;
   GatewayCluster m_cluster;
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -24,9 +24,11 @@
   bool m_has_odd_bytes = true;
   /// Whether all daemons are killed at once.
   bool m_kills_all = true;
-  /// Whether daemons are cut off from all endpoints, with every second seed. Endpoints then ask for
-  /// no rest, since they do not see which daemon sends a request that another one has forwarded.
+  /// Whether daemons are cut off from all endpoints, with every second seed. Endpoints then have an
+  /// address for each daemon, so that they see which one has sent a request.
   bool m_cuts_endpoints = true;
+  /// Whether connections of such a daemon are established all the same at times.
+  bool m_has_accepting_cuts = true;
   /// Directory to which the daemons' logs are written when there are violations. Empty: no logs are
   /// written.
   std::string m_log_directory;
--- a/Tests/Soak/SoakChecker.cpp
+++ b/Tests/Soak/SoakChecker.cpp
@@ -69,40 +69,47 @@
   m_sent_at[aRequest.m_id] = LeavingChecker::Clock::now();
 }
 
+const SoakRequest*
+SoakChecker::FindSent(const RawRequest& aRequest) const
+{
+  const auto found = m_sent.find(aRequest.Header("x-request-id"));
+  return found == m_sent.end() ? nullptr : &found->second;
+}
+
 void
-SoakChecker::RecordArrival(const std::string& aRequestId,
+SoakChecker::RecordArrival(const RawRequest& aRequest,
                            std::size_t aEndpoint,
                            std::optional<int> aIncarnation)
 {
   const std::lock_guard lock(m_mutex);
-  const auto found = m_sent.find(aRequestId);
-  if (found == m_sent.end()) {
+  const SoakRequest* sent = FindSent(aRequest);
+  if (sent == nullptr) {
     return;
   }
-  const std::size_t daemon = found->second.m_daemon;
-  if (found->second.m_is_harmful && aIncarnation) {
+  const std::size_t daemon = SenderOf(aRequest, *sent);
+  if (sent->m_is_harmful && aIncarnation) {
     m_crashes.RecordArrival(kHarmfulPart, daemon);
   }
-  if (found->second.m_is_repeated_crash && aIncarnation) {
+  if (sent->m_is_repeated_crash && aIncarnation) {
     m_repeated_crashes.RecordArrival(kHarmfulBody, daemon);
   }
   m_limits.at(aEndpoint)->RecordArrival(daemon);
   if (aIncarnation) {
     m_leaving.at(aEndpoint)->RecordArrival(
-      daemon, *aIncarnation, m_sent_at.at(aRequestId), aRequestId);
+      daemon, *aIncarnation, m_sent_at.at(sent->m_id), sent->m_id);
     m_rests.at(aEndpoint)->RecordArrival(daemon, *aIncarnation);
   }
 }
 
 void
-SoakChecker::RecordRest(const std::string& aRequestId,
+SoakChecker::RecordRest(const RawRequest& aRequest,
                         std::size_t aEndpoint,
                         int aIncarnation,
                         std::chrono::milliseconds aRest)
 {
   const std::lock_guard lock(m_mutex);
-  if (const auto found = m_sent.find(aRequestId); found != m_sent.end()) {
-    m_rests.at(aEndpoint)->RecordRest(found->second.m_daemon, aIncarnation, aRest);
+  if (const SoakRequest* sent = FindSent(aRequest)) {
+    m_rests.at(aEndpoint)->RecordRest(SenderOf(aRequest, *sent), aIncarnation, aRest);
   }
 }
 
--- a/Tests/Soak/SoakChecker.h
+++ b/Tests/Soak/SoakChecker.h
@@ -76,11 +76,11 @@
   void RecordSent(const SoakRequest& aRequest);
   /// Called when an endpoint receives a request, whether or not it executes it. aIncarnation: its
   /// own, or nothing if the request is for another one.
-  void RecordArrival(const std::string& aRequestId,
+  void RecordArrival(const RawRequest& aRequest,
                      std::size_t aEndpoint,
                      std::optional<int> aIncarnation);
   /// Called when an endpoint refuses a request and asks the daemon for rest.
-  void RecordRest(const std::string& aRequestId,
+  void RecordRest(const RawRequest& aRequest,
                   std::size_t aEndpoint,
                   int aIncarnation,
                   std::chrono::milliseconds aRest);
@@ -126,6 +126,14 @@
   };
 
   void AddViolation(const std::string& aWhat);
+  /// The request of a caller that an endpoint received; null if no caller sent it.
+  const SoakRequest* FindSent(const RawRequest& aRequest) const;
+  /// The daemon from which an endpoint received a request: another than the caller's if that has
+  /// forwarded it.
+  static std::size_t SenderOf(const RawRequest& aRequest, const SoakRequest& aSent)
+  {
+    return aRequest.m_daemon.value_or(aSent.m_daemon);
+  }
   /// Removes the lines that state versions from the body of a stream, and checks that the stream
   /// has one version.
   std::string CheckVersions(const SoakRequest& aRequest, const CallerResponse& aResponse);
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -37,6 +37,9 @@
   app.add_flag("--cut-endpoints,!--no-cut-endpoints",
                options.m_cuts_endpoints,
                "Cut daemons off from all endpoints (default: yes)");
+  app.add_flag("--accepting-cuts,!--no-accepting-cuts",
+               options.m_has_accepting_cuts,
+               "Let connections of such daemons be accepted at times (default: yes)");
   app.add_flag("--faults", shows_faults, "Print the faults of each seed");
   CLI11_PARSE(app, aArgumentCount, aArguments);
   options.m_length = std::chrono::seconds(seconds);
--- a/Tests/StandIns/FaultProxy.cpp
+++ b/Tests/StandIns/FaultProxy.cpp
@@ -42,6 +42,13 @@
   return Fault::None;
 }
 
+void
+ResetSocketOnClose(int aSocket)
+{
+  const linger discard_unsent{ 1, 0 };
+  setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &discard_unsent, sizeof(discard_unsent));
+}
+
 }
 
 /// A connection from a caller and the one to the target that belongs to it.
@@ -67,10 +74,8 @@
   /// Makes the destructor close both connections with a TCP reset.
   void ResetOnClose()
   {
-    const linger discard_unsent{ 1, 0 };
     for (bufferevent* side : { m_caller, m_target }) {
-      setsockopt(
-        bufferevent_getfd(side), SOL_SOCKET, SO_LINGER, &discard_unsent, sizeof(discard_unsent));
+      ResetSocketOnClose(bufferevent_getfd(side));
     }
   }
 
@@ -314,6 +319,9 @@
     --m_times;
   }
   if (fault == Fault::CutBeforeRequest) {
+    if (m_cuts_with_reset) {
+      ResetSocketOnClose(aSocket);
+    }
     evutil_closesocket(aSocket);
     return;
   }
--- a/Tests/StandIns/FaultProxy.h
+++ b/Tests/StandIns/FaultProxy.h
@@ -21,7 +21,7 @@
   /// Does not establish connections: connecting takes until the caller gives up. Connections that
   /// have this fault hold back all bytes until the fault is taken from them.
   Unreachable,
-  /// Closes each connection when it is accepted.
+  /// Closes each connection when it is accepted, with a TCP reset if the command asks for it.
   CutBeforeRequest,
   /// Forwards the request and closes both connections at the first byte of the response.
   CutAfterRequest,
--- a/Tests/Support/GatewayCluster.cpp
+++ b/Tests/Support/GatewayCluster.cpp
@@ -116,10 +116,14 @@
   return response;
 }
 
-EndpointStandIn::EndpointStandIn()
+EndpointStandIn::EndpointStandIn(std::size_t aDaemons)
   : m_behaviour(RespondWithSuccess)
-  , m_server([this](RawConnection& aConnection) { Serve(aConnection); })
+  , m_server([this](RawConnection& aConnection) { Serve(aConnection, std::nullopt); })
 {
+  for (std::size_t daemon = 0; daemon < aDaemons; ++daemon) {
+    m_daemon_servers.push_back(std::make_unique<RawServer>(
+      [this, daemon](RawConnection& aConnection) { Serve(aConnection, daemon); }));
+  }
 }
 
 void
@@ -130,9 +134,10 @@
 }
 
 void
-EndpointStandIn::Serve(RawConnection& aConnection)
+EndpointStandIn::Serve(RawConnection& aConnection, std::optional<std::size_t> aDaemon)
 {
-  while (const auto request = aConnection.ReadRequest()) {
+  while (auto request = aConnection.ReadRequest()) {
+    request->m_daemon = aDaemon;
     Behaviour behaviour;
     {
       const std::lock_guard lock(m_mutex);
@@ -191,11 +196,7 @@
   std::filesystem::create_directories(m_directory);
   Configure();
   for (std::size_t i = 0; i < m_options.m_endpoints; ++i) {
-    m_endpoints.push_back(std::make_unique<EndpointStandIn>());
-    if (m_options.m_has_proxies) {
-      m_endpoint_proxies.push_back(
-        StartProxy(absl::StrCat("endpoint-", i), m_endpoints.back()->Address()));
-    }
+    StartEndpoint();
     Register(i);
   }
   StartEndpointPaths();
@@ -229,6 +230,33 @@
   std::filesystem::remove_all(m_directory, ignored);
 }
 
+void
+GatewayCluster::StartEndpoint()
+{
+  const std::size_t index = m_endpoints.size();
+  const std::size_t paths = m_options.m_has_endpoint_paths ? m_options.m_daemons : 0;
+  const EndpointStandIn& endpoint =
+    *m_endpoints.emplace_back(std::make_unique<EndpointStandIn>(paths));
+  if (!m_options.m_has_proxies) {
+    return;
+  }
+  std::vector<ProxyProcess>& proxies = m_endpoint_proxies.emplace_back();
+  if (paths == 0) {
+    proxies.push_back(StartProxy(absl::StrCat("endpoint-", index), endpoint.Address()));
+  }
+  for (std::size_t daemon = 0; daemon < paths; ++daemon) {
+    proxies.push_back(
+      StartProxy(absl::StrCat("endpoint-", index, "-", daemon), endpoint.AddressFor(daemon)));
+  }
+}
+
+SocketAddress
+GatewayCluster::EndOfPath(std::size_t aDaemon, std::size_t aEndpoint) const
+{
+  return m_options.m_has_proxies ? m_endpoint_proxies.at(aEndpoint).at(aDaemon).m_address
+                                 : m_endpoints.at(aEndpoint)->AddressFor(aDaemon);
+}
+
 void
 GatewayCluster::StartNetwork()
 {
@@ -254,7 +282,7 @@
     std::vector<ProxyProcess>& paths = m_endpoint_paths.emplace_back();
     for (std::size_t j = 0; j < m_options.m_endpoints; ++j) {
       const SocketAddress address = RegisteredAddressOf(j);
-      paths.push_back(StartProxy(absl::StrCat("path-", i, "-", j), address));
+      paths.push_back(StartProxy(absl::StrCat("path-", i, "-", j), EndOfPath(i, j)));
       replacements[absl::StrCat("\"", address.Value(), "\"")] =
         absl::StrCat("\"", paths.back().m_address.Value(), "\"");
     }
@@ -286,6 +314,14 @@
     case EndpointCut::Hang:
       CommandEndpointPaths(aDaemon, { { "fault", "unreachable" }, { "change_open", true } });
       return;
+    case EndpointCut::ResetAccepted:
+      CommandEndpointPaths(aDaemon, { { "fault", "cut-before-request" }, { "reset", true } });
+      CommandEndpointPaths(
+        aDaemon, { { "fault", "cut-before-request" }, { "cut_open", true }, { "reset", true } });
+      return;
+    case EndpointCut::SilenceAccepted:
+      CommandEndpointPaths(aDaemon, { { "fault", "silence" }, { "change_open", true } });
+      return;
   }
 }
 
@@ -352,7 +388,9 @@
 void
 GatewayCluster::CommandEndpointProxy(std::size_t aEndpoint, const nlohmann::json& aCommand)
 {
-  Command(m_endpoint_proxies.at(aEndpoint), aCommand);
+  for (const ProxyProcess& proxy : m_endpoint_proxies.at(aEndpoint)) {
+    Command(proxy, aCommand);
+  }
 }
 
 void
@@ -376,7 +414,7 @@
 SocketAddress
 GatewayCluster::RegisteredAddressOf(std::size_t aEndpoint) const
 {
-  return m_options.m_has_proxies ? m_endpoint_proxies.at(aEndpoint).m_address
+  return m_options.m_has_proxies ? m_endpoint_proxies.at(aEndpoint).front().m_address
                                  : m_endpoints.at(aEndpoint)->Address();
 }
 
--- a/Tests/Support/GatewayCluster.h
+++ b/Tests/Support/GatewayCluster.h
@@ -34,9 +34,15 @@
   /// Responds to one request. Returns whether the connection may carry another one.
   using Behaviour = std::function<bool(RawConnection& aConnection, const RawRequest& aRequest)>;
 
-  EndpointStandIn();
+  /// aDaemons: how many daemons have an address of their own to which they send.
+  explicit EndpointStandIn(std::size_t aDaemons = 0);
 
   SocketAddress Address() const { return m_server.Address(); }
+  /// Where a daemon sends its requests, so that they tell who has sent them.
+  SocketAddress AddressFor(std::size_t aDaemon) const
+  {
+    return m_daemon_servers.at(aDaemon)->Address();
+  }
   void SetBehaviour(Behaviour aBehaviour);
   /// How often a request with this id was received. It is counted before the behaviour responds.
   int RunsOf(const std::string& aRequestId) const;
@@ -45,12 +51,13 @@
   void WaitForRun(const std::string& aRequestId) const;
 
 private:
-  void Serve(RawConnection& aConnection);
+  void Serve(RawConnection& aConnection, std::optional<std::size_t> aDaemon);
 
   mutable std::mutex m_mutex;
   Behaviour m_behaviour;
   std::vector<RawRequest> m_requests;
   RawServer m_server;
+  std::vector<std::unique_ptr<RawServer>> m_daemon_servers;
 };
 
 /// Responds with status 200, Content-Length, X-Response-Seal and the id of the request.
@@ -69,7 +76,8 @@
   std::vector<std::string> m_versions;
   /// Whether daemons reach each other through a network whose paths can be cut.
   bool m_has_peer_network = false;
-  /// Whether each daemon reaches each endpoint through a fault proxy of its own.
+  /// Whether each daemon reaches each endpoint through a fault proxy of its own, at an address of
+  /// its own.
   bool m_has_endpoint_paths = false;
 };
 
@@ -82,6 +90,10 @@
   RefuseNew,
   /// Open connections carry no bytes any more, new ones are not established.
   Hang,
+  /// Connections are reset, new ones as soon as they are established.
+  ResetAccepted,
+  /// Connections carry no bytes any more; new ones are established all the same.
+  SilenceAccepted,
 };
 
 /// Gateway daemons as child processes, with the store and the endpoints in the process of the test.
@@ -172,6 +184,9 @@
   /// Where a daemon reads the store.
   SocketAddress StoreAddressOf(std::size_t aIndex) const;
   SocketAddress RegisteredAddressOf(std::size_t aEndpoint) const;
+  void StartEndpoint();
+  /// Where the path of a daemon to an endpoint ends.
+  SocketAddress EndOfPath(std::size_t aDaemon, std::size_t aEndpoint) const;
   static HostName HostOf(std::size_t aIndex);
   std::string DataCenterOf(std::size_t aIndex) const;
 
@@ -188,7 +203,8 @@
   StoreStandIn m_store;
   std::vector<std::unique_ptr<EndpointStandIn>> m_endpoints;
   std::vector<ProxyProcess> m_store_proxies;
-  std::vector<ProxyProcess> m_endpoint_proxies;
+  /// The proxies in front of each endpoint: one, or one for each daemon that has its own path.
+  std::vector<std::vector<ProxyProcess>> m_endpoint_proxies;
   /// The paths of each daemon to all endpoints.
   std::vector<std::vector<ProxyProcess>> m_endpoint_paths;
   /// Where each daemon reads the store if it has paths of its own to the endpoints.
--- a/Tests/Support/RawServer.h
+++ b/Tests/Support/RawServer.h
@@ -20,6 +20,8 @@
   /// Names in lower case and values, in the order of arrival.
   std::vector<std::pair<std::string, std::string>> m_headers;
   std::string m_body;
+  /// The daemon that sent it; set by an endpoint that has an address for each daemon.
+  std::optional<std::size_t> m_daemon;
 
   /// The value of a header field, or empty. Precondition: the name is in lower case.
   std::string Header(const std::string& aName) const;
