Judge by bytes of endpoints whether a daemon reaches them, not by established connections

Cause: EndpointReach::RecordConnected. A connection that breaks without a byte on it, or is silent while all endpoints are, now counts as a failure to connect, and only bytes on a new connection end that state. Requests that may not be sent again are no trials then, and are not ended when the daemon finds itself cut off.

That case sent one request at a time, each of which waits for 8 s; the tests of cuts now send several until the daemon logs that it cannot connect, which is the event they wait for. Silence is judged by 1 s without a byte on two new connections while nothing else is heard, so that slow engines do not count; a test says so.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -331,7 +331,7 @@
   ++m_possible_runs;
   if (!m_attempt->m_forwarded_to) {
     if (!m_call->IsReused()) {
-      m_dependencies.m_reach->RecordConnected(Now());
+      m_dependencies.m_reach->RecordConnected();
     }
     m_dependencies.m_metrics->OnAttemptSent(m_request.m_service, m_written_attempts > 0);
   }
@@ -416,7 +416,7 @@
 {
   m_attempt->m_heard_at = Now();
   if (!m_attempt->m_forwarded_to) {
-    m_dependencies.m_reach->RecordHeard(Now());
+    m_dependencies.m_reach->RecordHeard(!m_call->IsReused(), Now());
   }
 }
 
@@ -537,6 +537,9 @@
       return;
     case RelayCallEnd::Broken:
     case RelayCallEnd::Malformed:
+      if (!m_attempt->m_forwarded_to && !aResult.m_was_reused && !m_attempt->m_completeness) {
+        m_dependencies.m_reach->RecordUnanswered(m_attempt->m_endpoint.m_id, Now());
+      }
       OnAttemptFailed(SlotOutcome::Broken,
                       aResult.m_reason + (aResult.m_was_reused ? " (reused connection)" : ""));
       return;
@@ -734,6 +737,10 @@
     m_dependencies.m_broker->Withdraw(*std::exchange(m_slot_request_id, std::nullopt));
   }
   const bool is_connecting = m_attempt && !m_attempt->m_is_written;
+  if (IsUnanswered()) {
+    m_dependencies.m_reach->RecordGivenUp(
+      m_attempt->m_endpoint.m_id, Now() - m_attempt->m_heard_at, Now());
+  }
   CancelCall();
   ReleaseSlot(is_connecting ? SlotOutcome::Unreachable : SlotOutcome::Cancelled);
   if (m_exchange->HasStarted()) {
--- a/Libraries/LibGateway/ActiveRequestForwarding.cpp
+++ b/Libraries/LibGateway/ActiveRequestForwarding.cpp
@@ -33,7 +33,8 @@
     m_may_reuse_connection = m_unreached_count == 0;
   } else {
     const bool cannot_connect = reach.CannotConnect(now);
-    const bool is_avoiding = has_failed_to_connect || reach.ShouldAvoid(now);
+    const bool may_run_again = m_request.m_route->IsIdempotent() && m_possible_runs + 1 < MaxRuns();
+    const bool is_avoiding = has_failed_to_connect || reach.ShouldAvoid(may_run_again, now);
     const auto target = is_avoiding && m_forwarded_to.size() < kMaxForwards
                           ? m_dependencies.m_targets->Choose(m_forwarded_to, now)
                           : std::nullopt;
@@ -161,9 +162,14 @@
 void
 ActiveRequest::OnCutOff()
 {
-  if (m_call == nullptr || m_attempt->m_forwarded_to) {
+  if (m_call == nullptr || m_attempt->m_forwarded_to ||
+      (m_attempt->m_is_written && !MayRunAgain())) {
     return;
   }
+  if (IsUnanswered()) {
+    m_dependencies.m_reach->RecordGivenUp(
+      m_attempt->m_endpoint.m_id, Now() - m_attempt->m_heard_at, Now());
+  }
   m_call = nullptr;
   OnAttemptFailed(m_attempt->m_is_written ? SlotOutcome::Broken : SlotOutcome::Unreachable,
                   "this daemon reaches no endpoint");
@@ -181,12 +187,22 @@
                   "the daemon to which the request was forwarded is silent");
 }
 
-std::optional<EndpointId>
-ActiveRequest::SilentEndpoint(Milliseconds aSilence) const
+bool
+ActiveRequest::IsUnanswered() const
 {
-  const bool is_awaited = m_call != nullptr && m_attempt->m_is_written &&
-                          !m_attempt->m_forwarded_to && Now() - m_attempt->m_heard_at >= aSilence;
-  return is_awaited ? std::optional(m_attempt->m_endpoint.m_id) : std::nullopt;
+  return m_call != nullptr && m_attempt->m_is_written && !m_attempt->m_forwarded_to &&
+         !m_call->IsReused() && !m_attempt->m_completeness;
+}
+
+bool
+ActiveRequest::RecordAwaited(Milliseconds aMinSilence) const
+{
+  if (m_call == nullptr || !m_attempt->m_is_written || m_attempt->m_forwarded_to) {
+    return false;
+  }
+  const Duration silence = Now() - m_attempt->m_heard_at;
+  m_dependencies.m_reach->RecordAwaited(m_attempt->m_endpoint.m_id, silence, IsUnanswered(), Now());
+  return silence >= aMinSilence;
 }
 
 }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -359,27 +359,28 @@
 Gateway::UpdateReach()
 {
   constexpr Milliseconds kSilence = EndpointReach::Limits().m_min_silence;
-  std::set<EndpointId> silent;
   std::vector<ActiveRequest*> active;
+  std::vector<ActiveRequest*> silent;
   for (const auto& [raw, active_request] : m_active_requests) {
     active.push_back(raw);
-    if (const auto endpoint = raw->SilentEndpoint(kSilence)) {
-      silent.insert(*endpoint);
+    if (raw->RecordAwaited(kSilence)) {
+      silent.push_back(raw);
     }
   }
-  m_reach.RecordAwaited(silent, Now());
   const bool is_cut_off = m_reach.IsCutOff(Now());
   const bool cannot_connect = m_reach.CannotConnect(Now());
   if (cannot_connect != m_cannot_connect) {
     m_cannot_connect = cannot_connect;
-    LogOf("reach").warn("event={} silent_endpoints={} active_requests={}",
+    LogOf("reach").warn("event={} silent_requests={} active_requests={}",
                         cannot_connect ? "cannot-connect" : "connects",
                         silent.size(),
                         active.size());
   }
   for (ActiveRequest* request : active) {
     request->OnDaemonsChanged();
-    if (is_cut_off && request->SilentEndpoint(kSilence)) {
+  }
+  if (is_cut_off) {
+    for (ActiveRequest* request : silent) {
       request->OnCutOff();
     }
   }
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -79,12 +79,14 @@
   /// Called when an endpoint has said that it leaves or rests. Requests another slot if the present
   /// one is there and the request has not been written yet.
   void OnEndpointUnavailable(const EndpointIncarnation& aEndpoint);
-  /// Called when this daemon has been cut off from all endpoints. Ends a call to one of them.
+  /// Called when this daemon has been cut off from all endpoints. Ends a call to one of them if the
+  /// request may be sent again.
   void OnCutOff();
   /// Called when other daemons may have stopped. Ends a call to one that has.
   void OnDaemonsChanged();
-  /// The endpoint that owes bytes of its response for at least this time; nothing if none does.
-  std::optional<EndpointId> SilentEndpoint(Milliseconds aSilence) const;
+  /// Tells the reach which endpoint owes bytes of a response. Returns whether one does for at least
+  /// this time.
+  bool RecordAwaited(Milliseconds aMinSilence) const;
 
 private:
   enum class Phase
@@ -144,6 +146,8 @@
   void RecordStarted();
   /// Bytes of the response have arrived.
   void RecordHeard();
+  /// Whether the request was written to a new connection to an endpoint, and nothing has come back.
+  bool IsUnanswered() const;
   /// Records what the endpoint states about itself.
   void RecordNotice(ResponseMeaning aMeaning, const MessageHead& aHead);
   void OnResponseBytes(std::string aBytes);
--- a/Libraries/LibGateway/include/LibGateway/EndpointReach.h
+++ b/Libraries/LibGateway/include/LibGateway/EndpointReach.h
@@ -7,20 +7,23 @@
 
 namespace auburnhitch {
 
-/// Decides from a daemon's own connections whether the daemon can reach the endpoints. Uses no
-/// clock of its own. Not thread-safe.
+/// Decides from a daemon's own connections whether the daemon can reach the endpoints. A connection
+/// that was established proves nothing, since something on the path may have accepted it; only
+/// bytes of an endpoint do. Uses no clock of its own. Not thread-safe.
 class EndpointReach
 {
 public:
   struct Limits
   {
-    /// Endpoints to which connecting must have failed since a connection to any of them was
-    /// established; one alone may have crashed.
+    /// Endpoints that must have failed in one of the ways below; one alone may have crashed.
     std::size_t m_min_endpoints = 2;
-    /// How long failures to connect count. Without requests, nothing shows that a path is healed.
+    /// How long failures count. Without requests, nothing shows that a path is healed.
     Milliseconds m_failure_lifetime{ 3'000 };
     /// Time without a byte of any endpoint after which they count as silent.
     Milliseconds m_min_silence{ 500 };
+    /// Time without a byte after which the request on a new connection counts as unanswered while
+    /// all endpoints are silent; longer than a prompt is read on a loaded engine.
+    Milliseconds m_unanswered_after{ 1'000 };
     /// How often one request of a daemon that cannot connect tries to reach an endpoint itself.
     Milliseconds m_trial_interval{ 500 };
   };
@@ -31,31 +34,53 @@
   }
 
   /// A connection to an endpoint was established.
-  void RecordConnected(TimePoint aNow);
-  /// Bytes of an endpoint have arrived.
-  void RecordHeard(TimePoint aNow);
+  void RecordConnected();
+  /// Bytes of an endpoint have arrived. aIsNewConnection: whether the connection was opened for the
+  /// request to which they respond.
+  void RecordHeard(bool aIsNewConnection, TimePoint aNow);
   /// No connection to an endpoint could be established.
   void RecordConnectFailure(const EndpointId& aEndpoint, TimePoint aNow);
-  /// aEndpoints: those that have owed bytes of a response for at least the minimum silence.
-  void RecordAwaited(const std::set<EndpointId>& aEndpoints, TimePoint aNow);
+  /// A request was written to a new connection, which then broke without a byte of a response.
+  void RecordUnanswered(const EndpointId& aEndpoint, TimePoint aNow);
+  /// An endpoint owes bytes of a response. aSilence: since when. aIsUnanswered: whether it has sent
+  /// none since the request was written to a new connection.
+  void RecordAwaited(const EndpointId& aEndpoint,
+                     Duration aSilence,
+                     bool aIsUnanswered,
+                     TimePoint aNow);
+  /// A request is given up that was written to a new connection and got no byte of a response.
+  void RecordGivenUp(const EndpointId& aEndpoint, Duration aSilence, TimePoint aNow);
 
-  /// Whether no connection can be established to any endpoint, as far as recent requests show.
-  /// Those that are open may live on.
+  /// Whether no new connection leads to any endpoint, as far as recent requests show. Those that
+  /// are open may live on.
   bool CannotConnect(TimePoint aNow) const;
   /// Whether in addition nothing is heard on the connections that are open.
   bool IsCutOff(TimePoint aNow) const;
+  /// For how long nothing has been heard of any endpoint.
+  Duration Silence(TimePoint aNow) const { return aNow - m_heard_at; }
   /// Whether connections that are open may carry further requests. If several endpoints are silent
   /// at once, only a new connection shows whether they can be reached.
-  bool MayReuseConnections(TimePoint aNow) const { return !m_is_silent && !IsCutOff(aNow); }
+  bool MayReuseConnections(TimePoint aNow) const { return !IsSilent(aNow) && !IsCutOff(aNow); }
   /// Whether the next request should not try to reach an endpoint from here. False at intervals
-  /// while no connection can be established: the request that asked is the trial.
-  bool ShouldAvoid(TimePoint aNow);
+  /// while no new connection leads to an endpoint: the request that asked is the trial.
+  /// aMayRunAgain: whether that request may be sent again if it is lost. If connections are
+  /// established all the same, only such a request is a trial.
+  bool ShouldAvoid(bool aMayRunAgain, TimePoint aNow);
 
 private:
+  bool IsSilent(TimePoint aNow) const;
+  bool IsUnanswered() const { return m_unanswered.size() >= m_limits.m_min_endpoints; }
+  /// Forgets the failures if the last one is too old.
+  void ForgetOldFailures(TimePoint aNow);
+
   Limits m_limits;
   TimePoint m_heard_at;
-  bool m_is_silent = false;
+  /// The endpoints that have been silent since a byte of any endpoint arrived.
+  std::set<EndpointId> m_silent;
+  /// Those to which connecting has failed since a connection was established.
   std::set<EndpointId> m_unreached;
+  /// Those that have not responded on a new connection since any endpoint did.
+  std::set<EndpointId> m_unanswered;
   TimePoint m_failed_at;
   TimePoint m_trial_at;
 };
--- a/Tests/Process/TestEndpointCuts.cpp
+++ b/Tests/Process/TestEndpointCuts.cpp
@@ -87,6 +87,32 @@
   return count;
 }
 
+/// Sends requests through a daemon, several at a time, until it has found that it reaches no
+/// endpoint. Returns whether it has.
+bool
+WaitUntilCutOffIsFound(GatewayCluster& aCluster, std::size_t aDaemon)
+{
+  constexpr int kCallers = 4;
+  std::atomic<bool> is_over = false;
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&, caller] {
+      for (int count = 0; !is_over; ++count) {
+        aCluster.Call("/safe/x", absl::StrCat("find-", caller, "-", count), "", aDaemon);
+      }
+    });
+  }
+  const bool is_found = WaitFor([&] {
+    return aCluster.LogOfDaemon(aDaemon).find("event=cannot-connect") != std::string::npos;
+  });
+  is_over = true;
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  return is_found;
+}
+
 void
 CheckCut(EndpointCut aCut)
 {
@@ -101,6 +127,7 @@
   }
   REQUIRE(WaitUntilServed(cluster, 0, "before"));
   cluster.CutFromEndpoints(0, aCut);
+  REQUIRE(WaitUntilCutOffIsFound(cluster, 0));
   REQUIRE(WaitUntilServed(cluster, 0, "cut"));
   CHECK(CountServed(cluster, 0, "cut") == all);
   CHECK(CountServed(cluster, 1, "cut") == all);
@@ -126,6 +153,16 @@
   CheckCut(EndpointCut::Hang);
 }
 
+TEST_CASE("Cut off: a daemon whose connections are accepted and then reset serves its callers")
+{
+  CheckCut(EndpointCut::ResetAccepted);
+}
+
+TEST_CASE("Cut off: a daemon whose connections are accepted and then silent serves its callers")
+{
+  CheckCut(EndpointCut::SilenceAccepted);
+}
+
 TEST_CASE("Cut off: while no daemon reaches an endpoint, each refuses what has not run")
 {
   GatewayCluster cluster(WithPaths());
--- a/Tests/Unit/TestEndpointReach.cpp
+++ b/Tests/Unit/TestEndpointReach.cpp
@@ -21,7 +21,7 @@
 ReachAfterFailures(std::initializer_list<const char*> aEndpoints)
 {
   EndpointReach reach{ kLimits };
-  reach.RecordConnected(At(0));
+  reach.RecordHeard(true, At(0));
   for (const char* endpoint : aEndpoints) {
     reach.RecordConnectFailure(EndpointId(endpoint), At(0));
   }
@@ -53,7 +53,7 @@
   CHECK(reach.CannotConnect(At(0)));
   CHECK_FALSE(reach.IsCutOff(At(0)));
   CHECK(reach.IsCutOff(At(500)));
-  reach.RecordHeard(At(600));
+  reach.RecordHeard(false, At(600));
   CHECK(reach.CannotConnect(At(600)));
   CHECK_FALSE(reach.IsCutOff(At(600)));
 }
@@ -61,13 +61,13 @@
 TEST_CASE("A daemon that cannot connect tries at intervals, and the first connection ends that")
 {
   EndpointReach reach = ReachAfterFailures({ "a", "b" });
-  CHECK_FALSE(reach.ShouldAvoid(At(10)));
-  CHECK(reach.ShouldAvoid(At(20)));
-  CHECK(reach.ShouldAvoid(At(509)));
-  CHECK_FALSE(reach.ShouldAvoid(At(510)));
-  reach.RecordConnected(At(520));
+  CHECK_FALSE(reach.ShouldAvoid(false, At(10)));
+  CHECK(reach.ShouldAvoid(true, At(20)));
+  CHECK(reach.ShouldAvoid(true, At(509)));
+  CHECK_FALSE(reach.ShouldAvoid(false, At(510)));
+  reach.RecordConnected();
   CHECK_FALSE(reach.CannotConnect(At(520)));
-  CHECK_FALSE(reach.ShouldAvoid(At(530)));
+  CHECK_FALSE(reach.ShouldAvoid(false, At(530)));
 }
 
 TEST_CASE("Failures to connect lapse, so that a daemon without requests does not stay cut off")
@@ -82,14 +82,81 @@
 TEST_CASE("Open connections are not used while several endpoints are silent at once")
 {
   EndpointReach reach = ReachAfterFailures({});
-  reach.RecordAwaited({ EndpointId("a") }, At(1'000));
-  CHECK(reach.MayReuseConnections(At(1'000)));
-  reach.RecordAwaited({ EndpointId("a"), EndpointId("b") }, At(499));
+  const auto await = [&](const char* aEndpoint, int aSilenceMs, int aMs) {
+    reach.RecordAwaited(EndpointId(aEndpoint), Milliseconds(aSilenceMs), false, At(aMs));
+  };
+  await("a", 499, 499);
+  await("b", 499, 499);
   CHECK(reach.MayReuseConnections(At(499)));
-  reach.RecordAwaited({ EndpointId("a"), EndpointId("b") }, At(1'000));
+  await("a", 1'000, 1'000);
+  CHECK(reach.MayReuseConnections(At(1'000)));
+  await("b", 1'000, 1'000);
   CHECK_FALSE(reach.MayReuseConnections(At(1'000)));
-  reach.RecordHeard(At(1'010));
+  reach.RecordHeard(false, At(1'010));
   CHECK(reach.MayReuseConnections(At(1'010)));
+  CHECK_FALSE(reach.CannotConnect(At(1'010)));
+}
+
+TEST_CASE("A connection that is established and breaks without a byte reaches no endpoint")
+{
+  EndpointReach reach = ReachAfterFailures({});
+  reach.RecordConnected();
+  reach.RecordUnanswered(EndpointId("a"), At(10));
+  reach.RecordUnanswered(EndpointId("a"), At(20));
+  CHECK_FALSE(reach.CannotConnect(At(20)));
+  reach.RecordConnected();
+  reach.RecordUnanswered(EndpointId("b"), At(30));
+  CHECK(reach.CannotConnect(At(30)));
+  CHECK(reach.IsCutOff(At(500)));
+  reach.RecordConnected();
+  reach.RecordHeard(false, At(510));
+  CHECK(reach.CannotConnect(At(510)));
+  reach.RecordHeard(true, At(520));
+  CHECK_FALSE(reach.CannotConnect(At(520)));
+}
+
+TEST_CASE("While connections are established in vain, only a request that may run again is a trial")
+{
+  EndpointReach reach = ReachAfterFailures({});
+  reach.RecordUnanswered(EndpointId("a"), At(10));
+  reach.RecordUnanswered(EndpointId("b"), At(20));
+  CHECK(reach.ShouldAvoid(false, At(600)));
+  CHECK_FALSE(reach.ShouldAvoid(true, At(600)));
+  CHECK(reach.ShouldAvoid(true, At(610)));
+}
+
+TEST_CASE("Endpoints that accept connections and stay silent are not reached, a slow one is")
+{
+  EndpointReach reach = ReachAfterFailures({});
+  const auto await = [&](const char* aEndpoint, int aSilenceMs, int aMs) {
+    reach.RecordAwaited(EndpointId(aEndpoint), Milliseconds(aSilenceMs), true, At(aMs));
+  };
+  await("a", 1'500, 1'500);
+  CHECK_FALSE(reach.CannotConnect(At(1'500)));
+  reach.RecordHeard(true, At(1'600));
+  await("a", 900, 2'500);
+  await("b", 900, 2'500);
+  CHECK_FALSE(reach.CannotConnect(At(2'500)));
+  await("a", 1'000, 2'600);
+  await("b", 1'000, 2'600);
+  CHECK(reach.CannotConnect(At(2'600)));
+  CHECK(reach.IsCutOff(At(2'600)));
+}
+
+TEST_CASE("Requests given up in silence show that no endpoint is reached, short waits do not")
+{
+  EndpointReach reach = ReachAfterFailures({});
+  const auto give_up = [&](const char* aEndpoint, int aSilenceMs, int aMs) {
+    reach.RecordAwaited(EndpointId(aEndpoint), Milliseconds(aSilenceMs), true, At(aMs));
+    reach.RecordGivenUp(EndpointId(aEndpoint), Milliseconds(aSilenceMs), At(aMs));
+  };
+  give_up("a", 400, 600);
+  give_up("b", 400, 600);
+  CHECK_FALSE(reach.CannotConnect(At(600)));
+  give_up("a", 600, 1'200);
+  give_up("b", 600, 1'300);
+  give_up("a", 600, 1'400);
+  CHECK(reach.CannotConnect(At(1'400)));
 }
 
 TEST_CASE(
