--- a/Tests/Process/TestEndlessResponses.cpp
+++ b/Tests/Process/TestEndlessResponses.cpp
@@ -135,3 +135,49 @@
   CHECK(written < kMaxBytesWritten);
   CHECK(cluster.Call("/safe/x", "idle-2").m_body == "answer to idle-2");
 }
+
+TEST_CASE("A slow stream is passed on whole, one that only sends a byte now and then ends")
+{
+  constexpr std::chrono::milliseconds kPause{ 700 };
+  constexpr int kEvents = 4;
+  GatewayCluster cluster(1, 1);
+  cluster.Configure([](nlohmann::json& aConfiguration) {
+    for (nlohmann::json& route : aConfiguration["routes"]) {
+      route["timeout_ms"] = 4'000;
+    }
+  });
+  REQUIRE(WaitFor(
+    [&] { return cluster.LogOfDaemon(0).find("event=in-force version=2") != std::string::npos; }));
+  std::string events;
+  for (int number = 1; number <= kEvents; ++number) {
+    events += absl::StrCat("id: ", number, "\ndata: ", number, "\n\n");
+  }
+  cluster.Endpoint(0).SetBehaviour([&](RawConnection& aConnection, const RawRequest& aRequest) {
+    const bool stalls = aRequest.Header("x-request-id").starts_with("stalled");
+    aConnection.Write(absl::StrCat(kHead,
+                                   "X-Request-Id: ",
+                                   aRequest.Header("x-request-id"),
+                                   "\r\nContent-Type: text/event-stream\r\n",
+                                   "Transfer-Encoding: chunked\r\n\r\n"));
+    const std::size_t step = events.size() / kEvents;
+    for (int number = 0; stalls || number < kEvents; ++number) {
+      const std::string part =
+        stalls ? std::string(":") : events.substr(static_cast<std::size_t>(number) * step, step);
+      if (!aConnection.Write(absl::StrCat(absl::Hex(part.size()), "\r\n", part, "\r\n"))) {
+        return false;
+      }
+      std::this_thread::sleep_for(kPause);
+    }
+    aConnection.Write("0\r\n\r\n");
+    return true;
+  });
+  for (const char* path : { "/stream/x", "/resumable/x" }) {
+    CAPTURE(path);
+    const CallerResponse slow = cluster.Call(path, absl::StrCat("slow", path));
+    CHECK(slow.m_status == 200);
+    CHECK(slow.m_is_complete);
+    CHECK(slow.m_body == events);
+    const CallerResponse stalled = cluster.Call(path, absl::StrCat("stalled", path));
+    CHECK_FALSE((stalled.m_status == 200 && stalled.m_is_complete));
+  }
+}
--- a/Tests/Process/TestGatewayFaults.cpp
+++ b/Tests/Process/TestGatewayFaults.cpp
@@ -143,6 +143,34 @@
   }
 }
 
+TEST_CASE("A second copy of a response that comes where the next one is due reaches no caller")
+{
+  for (const bool comes_after_response : { false, true }) {
+    CAPTURE(comes_after_response);
+    GatewayCluster cluster(1, 1);
+    std::atomic<int> copies = 0;
+    cluster.Endpoint(0).SetBehaviour([&](RawConnection& aConnection, const RawRequest& aRequest) {
+      // Each connection has a thread of its own.
+      thread_local std::string t_last;
+      const std::string response = SuccessResponse(aRequest.Header("x-request-id"));
+      const std::string copy = std::exchange(t_last, response);
+      copies += copy.empty() ? 0 : 1;
+      aConnection.Write(comes_after_response ? response + copy : copy + response);
+      return true;
+    });
+    for (const char* path : { "/safe/x", "/unsafe/x" }) {
+      for (int i = 0; i < 10; ++i) {
+        const std::string id = absl::StrCat("copied-", i, path);
+        const CallerResponse response = cluster.Call(path, id);
+        const bool is_own = response.m_is_complete && response.m_body == "answer to " + id;
+        CHECK((response.m_status == 200 ? is_own : response.m_status == 502));
+        CHECK((path[1] == 's' || cluster.RunsOf(id) <= 1));
+      }
+    }
+    CHECK(copies > 0);
+  }
+}
+
 TEST_CASE(
   "An endpoint that responds before it reads the body still gets the rest of that body next")
 {
