--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -39,6 +39,9 @@
 // Time from the crash of an endpoint to its next start.
 constexpr Ms kRestartTime{ 1'500 };
 
+// How often an endpoint renews its registration.
+constexpr Ms kRenewalInterval{ 200 };
+
 /// How an endpoint deviates from a correct response.
 enum class EndpointFault
 {
@@ -93,6 +96,7 @@
     m_version = std::move(aVersion);
     m_incarnation = aIncarnation;
     m_is_leaving = false;
+    m_lives = true;
     m_rests_until = Clock::time_point();
   }
   std::string Version()
@@ -103,6 +107,8 @@
 
   /// Whether the endpoint has crashed since the last call.
   bool TakeCrash() { return m_has_crashed.exchange(false); }
+  /// Whether it has not crashed since it started.
+  bool Lives() const { return m_lives; }
   void Leave() { m_is_leaving = true; }
   bool IsLeaving() const { return m_is_leaving; }
   /// Refuses all requests for a while and asks for rest.
@@ -163,6 +169,7 @@
       } else {
         m_checker.RecordRepeatedCrash();
       }
+      m_lives = false;
       m_has_crashed = true;
       aConnection.WaitForClose();
       return false;
@@ -341,6 +348,7 @@
   std::atomic<int> m_incarnation = 1;
   std::atomic<bool> m_is_leaving = false;
   std::atomic<bool> m_has_crashed = false;
+  std::atomic<bool> m_lives = true;
   std::atomic<Clock::time_point> m_rests_until{};
   std::atomic<int> m_link_faults = 0;
   std::mt19937 m_random;
@@ -416,6 +424,7 @@
         }
         const Clock::time_point next = Clock::now() + Ms(m_random() % kMaxPauseMs);
         while (Clock::now() < next) {
+          RenewRegistrations();
           RunDueActions(Clock::now());
           RestartCrashedEndpoints();
           std::this_thread::sleep_for(Ms(5));
@@ -427,6 +436,7 @@
       while (!m_scheduled_actions.empty()) {
         RestartCrashedEndpoints();
         RunDueActions(Clock::now());
+        RenewRegistrations();
         std::this_thread::sleep_for(Ms(5));
       }
       CheckRecovery();
@@ -770,6 +780,20 @@
     ScheduleAfter(DrawFaultDuration(), [this] { m_cluster.Store().SetMode(Mode::Normal); });
   }
 
+  /// Endpoints that live write their registrations again, at intervals.
+  void RenewRegistrations()
+  {
+    if (Clock::now() - m_renewed_at < kRenewalInterval) {
+      return;
+    }
+    m_renewed_at = Clock::now();
+    for (std::size_t endpoint = 0; endpoint < m_options.m_endpoints; ++endpoint) {
+      if (m_endpoints[endpoint]->Lives()) {
+        m_cluster.Renew(endpoint);
+      }
+    }
+  }
+
   void ReregisterEndpoint()
   {
     const std::size_t endpoint = m_random() % m_options.m_endpoints;
@@ -908,6 +932,7 @@
       for (const SoakKind& kind : kSoakKinds) {
         int attempts = 0;
         const bool is_served = WaitFor([&] {
+          RenewRegistrations();
           const std::string id = absl::StrCat("after-", daemon, "-", kind.m_name, "-", ++attempts);
           const SoakRequest request{ id, &kind, daemon, id };
           m_checker.RecordSent(request);
@@ -968,6 +993,7 @@
   std::vector<bool> m_is_down;
   std::vector<bool> m_is_cut_off;
   Clock::time_point m_start;
+  Clock::time_point m_renewed_at;
   std::priority_queue<ScheduledAction> m_scheduled_actions;
   std::vector<std::string> m_faults;
   int m_last_incarnation = 1;
--- a/Tests/Support/GatewayCluster.cpp
+++ b/Tests/Support/GatewayCluster.cpp
@@ -510,6 +510,14 @@
   m_options.m_versions[aEndpoint] = std::move(aVersion);
 }
 
+void
+GatewayCluster::Renew(std::size_t aEndpoint)
+{
+  if (const auto entry = m_store.Newest("keyed.servers", IdOf(aEndpoint))) {
+    m_store.Put("keyed.servers", IdOf(aEndpoint), *entry);
+  }
+}
+
 void
 GatewayCluster::Deregister(std::size_t aEndpoint)
 {
