--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -118,6 +118,11 @@
 
   bool Serve(RawConnection& aConnection, const RawRequest& aRequest)
   {
+    if (!m_lives) {
+      // Its connections are cut a moment later.
+      aConnection.WaitForClose();
+      return false;
+    }
     const std::string id = aRequest.Header("x-request-id");
     const auto [own_id, version] = Identity();
     const bool is_other = aRequest.Header("x-expect-instance") != own_id;
@@ -174,6 +179,10 @@
       aConnection.WaitForClose();
       return false;
     }
+    if (!m_lives) {
+      aConnection.WaitForClose();
+      return false;
+    }
     if (fault == EndpointFault::ResetConnection) {
       aConnection.Reset();
       return false;
