--- a/Tests/Support/GatewayCluster.h
+++ b/Tests/Support/GatewayCluster.h
@@ -142,8 +142,8 @@
   void Register(std::size_t aEndpoint,
                 const char* aState = "ready",
                 const nlohmann::json& aChange = nlohmann::json::object());
-  /// Writes the registry entry of an endpoint again as it is, as an endpoint does that lives. Without
-  /// an entry it does nothing.
+  /// Writes the registry entry of an endpoint again as it is, as an endpoint does that lives.
+  /// Without an entry it does nothing.
   void Renew(std::size_t aEndpoint);
   /// Removes the registry entry of an endpoint.
   void Deregister(std::size_t aEndpoint);
