Refuse as cut off only where connections are not even established

Such endpoints look like a path that resets. Requests still go through another daemon where there is one; without one they are sent as before.

--- a/Libraries/LibGateway/ActiveRequestForwarding.cpp
+++ b/Libraries/LibGateway/ActiveRequestForwarding.cpp
@@ -42,7 +42,7 @@
       StartForwarding(*target);
       return;
     }
-    if (is_avoiding && reach.IsCutOff(now)) {
+    if (is_avoiding && reach.IsRefusedByAll(now)) {
       RespondCutOff();
       return;
     }
--- a/Libraries/LibGateway/include/LibGateway/EndpointReach.h
+++ b/Libraries/LibGateway/include/LibGateway/EndpointReach.h
@@ -56,6 +56,12 @@
   bool CannotConnect(TimePoint aNow) const;
   /// Whether in addition nothing is heard on the connections that are open.
   bool IsCutOff(TimePoint aNow) const;
+  /// Whether in addition connections are not even established. Endpoints that reset connections
+  /// look like a path that does; only this shows that a request would not be sent.
+  bool IsRefusedByAll(TimePoint aNow) const
+  {
+    return IsCutOff(aNow) && m_unreached.size() >= m_limits.m_min_endpoints;
+  }
   /// For how long nothing has been heard of any endpoint.
   Duration Silence(TimePoint aNow) const { return aNow - m_heard_at; }
   /// Whether connections that are open may carry further requests. If several endpoints are silent
--- a/Tests/Unit/TestEndpointReach.cpp
+++ b/Tests/Unit/TestEndpointReach.cpp
@@ -53,6 +53,7 @@
   CHECK(reach.CannotConnect(At(0)));
   CHECK_FALSE(reach.IsCutOff(At(0)));
   CHECK(reach.IsCutOff(At(500)));
+  CHECK(reach.IsRefusedByAll(At(500)));
   reach.RecordHeard(false, At(600));
   CHECK(reach.CannotConnect(At(600)));
   CHECK_FALSE(reach.IsCutOff(At(600)));
@@ -108,6 +109,7 @@
   reach.RecordUnanswered(EndpointId("b"), At(30));
   CHECK(reach.CannotConnect(At(30)));
   CHECK(reach.IsCutOff(At(500)));
+  CHECK_FALSE(reach.IsRefusedByAll(At(500)));
   reach.RecordConnected();
   reach.RecordHeard(false, At(510));
   CHECK(reach.CannotConnect(At(510)));
