Take all failures of new connections as one evidence, and let only requests that may run again be trials

The two kinds of evidence were kept apart, so neither or only the wrong one was complete, and a request that may not run again became the trial of a path that loses it. Now there is one record of how the last new connection to each endpoint failed. Only bytes on a new connection end it, and only a request that may run again tries the path.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -330,9 +330,6 @@
   m_attempt->m_heard_at = Now();
   ++m_possible_runs;
   if (!m_attempt->m_forwarded_to) {
-    if (!m_call->IsReused()) {
-      m_dependencies.m_reach->RecordConnected();
-    }
     m_dependencies.m_metrics->OnAttemptSent(m_request.m_service, m_written_attempts > 0);
   }
   ++m_written_attempts;
--- a/Libraries/LibGateway/EndpointReach.cpp
+++ b/Libraries/LibGateway/EndpointReach.cpp
@@ -1,12 +1,8 @@
 #include <LibGateway/EndpointReach.h>
 
-namespace auburnhitch {
+#include <algorithm>
 
-void
-EndpointReach::RecordConnected()
-{
-  m_unreached.clear();
-}
+namespace auburnhitch {
 
 void
 EndpointReach::RecordHeard(bool aIsNewConnection, TimePoint aNow)
@@ -14,34 +10,30 @@
   m_heard_at = aNow;
   m_silent.clear();
   if (aIsNewConnection) {
-    m_unreached.clear();
-    m_unanswered.clear();
+    m_failures.clear();
   }
 }
 
 void
-EndpointReach::ForgetOldFailures(TimePoint aNow)
+EndpointReach::RecordFailure(const EndpointId& aEndpoint, Failure aFailure, TimePoint aNow)
 {
   if (aNow - m_failed_at >= m_limits.m_failure_lifetime) {
-    m_unreached.clear();
-    m_unanswered.clear();
+    m_failures.clear();
   }
+  m_failures[aEndpoint] = aFailure;
+  m_failed_at = aNow;
 }
 
 void
 EndpointReach::RecordConnectFailure(const EndpointId& aEndpoint, TimePoint aNow)
 {
-  ForgetOldFailures(aNow);
-  m_unreached.insert(aEndpoint);
-  m_failed_at = aNow;
+  RecordFailure(aEndpoint, Failure::NotEstablished, aNow);
 }
 
 void
 EndpointReach::RecordUnanswered(const EndpointId& aEndpoint, TimePoint aNow)
 {
-  ForgetOldFailures(aNow);
-  m_unanswered.insert(aEndpoint);
-  m_failed_at = aNow;
+  RecordFailure(aEndpoint, Failure::Unanswered, aNow);
 }
 
 void
@@ -62,7 +54,7 @@
 void
 EndpointReach::RecordGivenUp(const EndpointId& aEndpoint, Duration aSilence, TimePoint aNow)
 {
-  if (aSilence >= m_limits.m_min_silence && (IsSilent(aNow) || IsUnanswered())) {
+  if (aSilence >= m_limits.m_min_silence && (IsSilent(aNow) || CannotConnect(aNow))) {
     RecordUnanswered(aEndpoint, aNow);
   }
 }
@@ -76,7 +68,7 @@
 bool
 EndpointReach::CannotConnect(TimePoint aNow) const
 {
-  return (m_unreached.size() >= m_limits.m_min_endpoints || IsUnanswered()) &&
+  return m_failures.size() >= m_limits.m_min_endpoints &&
          aNow - m_failed_at < m_limits.m_failure_lifetime;
 }
 
@@ -86,13 +78,22 @@
   return CannotConnect(aNow) && Silence(aNow) >= m_limits.m_min_silence;
 }
 
+bool
+EndpointReach::IsRefusedByAll(TimePoint aNow) const
+{
+  const auto refused = std::count_if(m_failures.begin(), m_failures.end(), [](const auto& aEntry) {
+    return aEntry.second == Failure::NotEstablished;
+  });
+  return IsCutOff(aNow) && static_cast<std::size_t>(refused) >= m_limits.m_min_endpoints;
+}
+
 bool
 EndpointReach::ShouldAvoid(bool aMayRunAgain, TimePoint aNow)
 {
   if (!CannotConnect(aNow)) {
     return false;
   }
-  if (aNow - m_trial_at < m_limits.m_trial_interval || (IsUnanswered() && !aMayRunAgain)) {
+  if (!aMayRunAgain || aNow - m_trial_at < m_limits.m_trial_interval) {
     return true;
   }
   m_trial_at = aNow;
--- a/Libraries/LibGateway/include/LibGateway/EndpointReach.h
+++ b/Libraries/LibGateway/include/LibGateway/EndpointReach.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibRegistry/EndpointRegistry.h>
 #include <cstddef>
+#include <map>
 #include <set>
 
 namespace auburnhitch {
@@ -33,8 +34,6 @@
   {
   }
 
-  /// A connection to an endpoint was established.
-  void RecordConnected();
   /// Bytes of an endpoint have arrived. aIsNewConnection: whether the connection was opened for the
   /// request to which they respond.
   void RecordHeard(bool aIsNewConnection, TimePoint aNow);
@@ -58,35 +57,34 @@
   bool IsCutOff(TimePoint aNow) const;
   /// Whether in addition connections are not even established. Endpoints that reset connections
   /// look like a path that does; only this shows that a request would not be sent.
-  bool IsRefusedByAll(TimePoint aNow) const
-  {
-    return IsCutOff(aNow) && m_unreached.size() >= m_limits.m_min_endpoints;
-  }
+  bool IsRefusedByAll(TimePoint aNow) const;
   /// For how long nothing has been heard of any endpoint.
   Duration Silence(TimePoint aNow) const { return aNow - m_heard_at; }
   /// Whether connections that are open may carry further requests. If several endpoints are silent
   /// at once, only a new connection shows whether they can be reached.
   bool MayReuseConnections(TimePoint aNow) const { return !IsSilent(aNow) && !IsCutOff(aNow); }
   /// Whether the next request should not try to reach an endpoint from here. False at intervals
-  /// while no new connection leads to an endpoint: the request that asked is the trial.
-  /// aMayRunAgain: whether that request may be sent again if it is lost. If connections are
-  /// established all the same, only such a request is a trial.
+  /// while no new connection leads to an endpoint: the request that asked is the trial. It may be
+  /// lost, so only one that may run again is. aMayRunAgain: whether that request may.
   bool ShouldAvoid(bool aMayRunAgain, TimePoint aNow);
 
 private:
+  /// How a new connection to an endpoint has failed.
+  enum class Failure
+  {
+    NotEstablished,
+    Unanswered,
+  };
+
   bool IsSilent(TimePoint aNow) const;
-  bool IsUnanswered() const { return m_unanswered.size() >= m_limits.m_min_endpoints; }
-  /// Forgets the failures if the last one is too old.
-  void ForgetOldFailures(TimePoint aNow);
+  void RecordFailure(const EndpointId& aEndpoint, Failure aFailure, TimePoint aNow);
 
   Limits m_limits;
   TimePoint m_heard_at;
   /// The endpoints that have been silent since a byte of any endpoint arrived.
   std::set<EndpointId> m_silent;
-  /// Those to which connecting has failed since a connection was established.
-  std::set<EndpointId> m_unreached;
-  /// Those that have not responded on a new connection since any endpoint did.
-  std::set<EndpointId> m_unanswered;
+  /// How the last new connection to each endpoint has failed, since any responded on a new one.
+  std::map<EndpointId, Failure> m_failures;
   TimePoint m_failed_at;
   TimePoint m_trial_at;
 };
