--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -1,5 +1,7 @@
 #include <LibPlacement/CrashSuspects.h>
 
+#include "RegistrationLag.h"
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -21,8 +23,6 @@
 constexpr Milliseconds kReportDelay{ 100 };
 // An endpoint that has crashed does not respond again before this time.
 constexpr Milliseconds kMinRestartTime{ 1'000 };
-// A registration that is read may have been written this long before.
-constexpr Milliseconds kRegistrationLag{ 1'000 };
 // Evidence of one complete response, in log odds: an endpoint survives a trait that crashes
 // endpoints once in a thousand times.
 constexpr double kCompletionEvidence = -7;
--- a/Libraries/LibPlacement/SlotEndpoint.cpp
+++ b/Libraries/LibPlacement/SlotEndpoint.cpp
@@ -1,5 +1,7 @@
 #include <LibPlacement/SlotEndpoint.h>
 
+#include "RegistrationLag.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -22,9 +24,6 @@
 // For this long a failure that the endpoint's answers to other daemons contradict is evidence
 // against the daemon that reported it.
 constexpr Milliseconds kEvidenceLifetime{ 3'000 };
-// A registration that is read may have been written this long before: daemons that do not long-poll
-// the store read it when a heartbeat tells them of it.
-constexpr Milliseconds kRegistrationLag{ 1'000 };
 // EWMA weight of a new outcome in the failure rate, which averages about ten responses.
 constexpr double kOutcomeWeight = 0.1;
 
