--- a/Libraries/LibGateway/ActiveRequestForwarding.cpp
+++ b/Libraries/LibGateway/ActiveRequestForwarding.cpp
@@ -160,18 +160,6 @@
   }
 }
 
-void
-ActiveRequest::RecordForwardedNotice(const MessageHead& aHead)
-{
-  const auto endpoint = ParseForwardedEndpoint(aHead.m_headers);
-  if (!endpoint) {
-    return;
-  }
-  m_attempt->m_notice = m_dependencies.m_dialect->DecodeNotice(aHead);
-  m_dependencies.m_broker->RecordForwardedNotice(
-    m_request.m_service, *endpoint, m_attempt->m_notice);
-}
-
 void
 ActiveRequest::OnCutOff()
 {
