--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -164,7 +164,7 @@
   's/return m_entries.contains\(aEndpoint\);/return std::any_of(m_entries.begin(), m_entries.end(), [\&](const auto\& aEntry) { return aEntry.first.m_id == aEndpoint.m_id; });/; s/#include <functional>/#include <algorithm>\n#include <functional>/' \
   "$UNIT" "Leaving: *"
 mutate "an endpoint that leaves gets no requests: a daemon hands back grants" \
-  Libraries/LibGateway/ActiveRequest.cpp \
+  Libraries/LibGateway/ActiveRequestNotices.cpp \
   's/if \(m_dependencies.m_broker->IsLeaving\(aEndpoint\)\) \{/if (false) {/' \
   "$PROCESS" "Leaving: the daemon that heard it*"
 mutate "an endpoint that leaves gets no requests: those that connect to it are moved" \
@@ -176,7 +176,7 @@
   's/if \(m_leaving.RecordRegistered\(aService, aEndpoint, aReadableSince, aNow\)\)/if (false)/; s/TimePoint aReadableSince,\n *TimePoint aNow\)/TimePoint,\n                             TimePoint)/' \
   "$PROCESS" "Leaving: a statement of an incarnation*"
 mutate "an endpoint that rests gets no requests: the daemon that was asked hands back grants" \
-  Libraries/LibGateway/ActiveRequest.cpp \
+  Libraries/LibGateway/ActiveRequestNotices.cpp \
   's/return m_dependencies.m_broker->IsResting\(aEndpoint\)/return false/' \
   "$PROCESS" "Rest: the daemon that heard it*"
 mutate "an endpoint that rests gets no requests: the coordinator grants the daemon none" \
@@ -239,7 +239,7 @@
   's/if \(!IsWholeRequest\(id\)\) \{\n( *trait.m_crashes = std::min)/if (true) {\n\1/; s/m_limits.m_max_crashes - 1\)/2)/' \
   "$UNIT" "Repeated crashes: at most two trials*"
 mutate "a request that crashes endpoints is refused: not those under which many endpoints break at once" \
-  Libraries/LibPlacement/CrashSuspects.cpp \
+  Libraries/LibPlacement/CrashSuspectsWithdrawal.cpp \
   's/endpoints.size\(\) < kManyCrashes/endpoints.size() < 100 * kManyCrashes/' \
   "$UNIT" "Repeated crashes: many endpoints*"
 mutate "a request that crashes endpoints is refused: a popular one is not" \
@@ -453,8 +453,38 @@
   Libraries/LibGateway/ActiveRequestForwarding.cpp 's/if \(target\) \{/if (false) {/' \
   "$PROCESS" "Cut off: a daemon whose connections to all endpoints are reset*"
 mutate "cut off daemons: a path that hangs is noticed" \
-  Libraries/LibGateway/EndpointReach.cpp 's/return CannotConnect\(aNow\) \&\& aNow/return false \&\& aNow/' \
+  Libraries/LibGateway/EndpointReach.cpp 's/return CannotConnect\(aNow\) \&\& Silence/return false \&\& Silence/' \
   "$UNIT" "A daemon that cannot connect is cut off*"
+mutate "reach: a connection that breaks without a byte is a failure" \
+  Libraries/LibGateway/EndpointReach.cpp 's/RecordFailure\(aEndpoint, Failure::Unanswered, aNow\);//' \
+  "$UNIT" "A connection that is established and breaks*"
+mutate "reach: bytes on an open connection prove nothing of new ones" \
+  Libraries/LibGateway/EndpointReach.cpp 's/if \(aIsNewConnection\)/if (true)/' \
+  "$UNIT" "A connection that is established and breaks*"
+mutate "reach: silence on a new connection counts only for long" \
+  Libraries/LibGateway/EndpointReach.cpp 's/ \&\& aSilence >= m_limits.m_unanswered_after//' \
+  "$UNIT" "Endpoints that accept connections and stay silent*"
+mutate "reach: requests given up in silence count" \
+  Libraries/LibGateway/EndpointReach.cpp 's/if \(aSilence >= m_limits.m_min_silence \&\& \(/if (aSilence < Duration::zero() \&\& (/' \
+  "$UNIT" "Requests given up in silence*"
+mutate "reach: a request that may not run again is no trial" \
+  Libraries/LibGateway/EndpointReach.cpp 's/!aMayRunAgain \|\| //' \
+  "$UNIT" "A daemon that cannot connect tries*"
+mutate "reach: a daemon that endpoints reset does not refuse" \
+  Libraries/LibGateway/ActiveRequestForwarding.cpp 's/reach.IsRefusedByAll\(now\)/reach.IsCutOff(now)/' \
+  "$PROCESS" "A non-idempotent request whose response is lost*"
+mutate "reach: an endpoint that goes on registering has not crashed" \
+  Libraries/LibPlacement/SlotScheduler.cpp 's/m_crash_suspects->RecordRenewed\(aEndpoint.m_id, aReadableSince, aNow\);//' \
+  "$PROCESS" "Cut off: requests that broke off*"
+mutate "reach: a renewal may have been written before the crash" \
+  Libraries/LibPlacement/CrashSuspectsWithdrawal.cpp 's/aNow - std::max\(aCrash.m_at, aReadableSince\) > kRegistrationLag/aReadableSince < aNow/' \
+  "$UNIT" "Cut off: *"
+mutate "reach: an endpoint that has restarted has crashed" \
+  Libraries/LibPlacement/CrashSuspectsWithdrawal.cpp 's/!aCrash.m_has_restarted \&\& //' \
+  "$UNIT" "Cut off: a restarted*"
+mutate "reach: the hop names the endpoint" \
+  Libraries/LibGateway/ActiveRequestNotices.cpp 's/if \(!endpoint\)/if (true)/' \
+  "$PROCESS" "Leaving: what an endpoint states in a forwarded*"
 mutate "cut off daemons: the hop counts as a run" \
   Libraries/LibGateway/ActiveRequest.cpp 's/\n  \+\+m_possible_runs;/\n  m_possible_runs += m_attempt->m_forwarded_to ? 0 : 1;/' \
   "$PROCESS" "Cut off: a request whose other daemon is killed*"
