State readiness and reach apart in heartbeats, so that a cut path moves no coordinator

A coordinator connects to no endpoint, so that it reaches none is no reason to move. The heartbeat now says both apart, in a layout of its own; the layout before is still read. The reader of the store does not move either.

--- a/Libraries/LibCluster/Heartbeat.cpp
+++ b/Libraries/LibCluster/Heartbeat.cpp
@@ -14,9 +14,13 @@
 
 namespace {
 
-// Increased whenever the layout changes. Datagrams of any other version are rejected.
-constexpr int kHeartbeatLayoutVersion = 2;
-constexpr std::size_t kHeartbeatFields = 16;
+// Increased whenever the layout changes. Datagrams of versions without an entry in
+// IsHeartbeatJson() are rejected.
+constexpr int kHeartbeatLayoutVersion = 3;
+constexpr std::size_t kHeartbeatFields = 17;
+// Without the field at the end that says whether the daemon reaches endpoints.
+constexpr int kEarlierLayoutVersion = 2;
+constexpr std::size_t kEarlierFields = 16;
 // Fits into one packet on a network with the usual MTU of 1,500 bytes.
 constexpr std::size_t kMaxDatagramBytes = 1'400;
 // FIXME: With more active workspaces than this, the spending of some is announced too seldom.
@@ -28,8 +32,12 @@
 bool
 IsHeartbeatJson(const Json& aJson)
 {
-  if (!aJson.is_array() || aJson.size() != kHeartbeatFields ||
-      aJson[0] != kHeartbeatLayoutVersion) {
+  if (!aJson.is_array() || aJson.empty()) {
+    return false;
+  }
+  const bool is_current = aJson[0] == kHeartbeatLayoutVersion && aJson.size() == kHeartbeatFields;
+  const bool is_earlier = aJson[0] == kEarlierLayoutVersion && aJson.size() == kEarlierFields;
+  if (!is_current && !is_earlier) {
     return false;
   }
   constexpr std::size_t kFirstText = 1;
@@ -38,6 +46,7 @@
   constexpr std::size_t kVersion = 11;
   constexpr std::size_t kFirstPosition = 12;
   constexpr std::size_t kSpending = 15;
+  constexpr std::size_t kReachesEndpoints = 16;
   for (std::size_t i = kFirstText; i < kFirstFlag; ++i) {
     if (!aJson[i].is_string()) {
       return false;
@@ -54,7 +63,7 @@
     }
   }
   return aJson[kProcessor].is_number_integer() && aJson[kVersion].is_number_integer() &&
-         aJson[kSpending].is_array();
+         aJson[kSpending].is_array() && (is_earlier || aJson[kReachesEndpoints].is_boolean());
 }
 
 }
@@ -84,7 +93,8 @@
                                   aHeartbeat.m_topic_positions.m_configuration,
                                   aHeartbeat.m_topic_positions.m_registrations,
                                   aHeartbeat.m_topic_positions.m_members,
-                                  spending });
+                                  spending,
+                                  member.m_reaches_endpoints });
   std::string bytes;
   Json::to_msgpack(json, bytes);
   return bytes;
@@ -128,6 +138,9 @@
     heartbeat.m_spending.push_back(
       { WorkspaceName(entry[0].get<std::string>()), entry[1].get<std::int64_t>() });
   }
+  // A daemon with the earlier layout states that it is not ready while it reaches no endpoint.
+  heartbeat.m_member.m_reaches_endpoints =
+    json.size() == kHeartbeatFields ? next().get<bool>() : heartbeat.m_member.m_is_ready;
   return heartbeat;
 }
 
--- a/Libraries/LibGateway/ForwardTargets.cpp
+++ b/Libraries/LibGateway/ForwardTargets.cpp
@@ -21,7 +21,7 @@
   std::vector<Member> far;
   for (const Member& member : m_membership.AliveMembers(aNow)) {
     const bool is_tried = std::find(aTried.begin(), aTried.end(), member.m_host) != aTried.end();
-    if (!member.m_is_ready || member.m_is_leaving || is_tried ||
+    if (!member.m_is_ready || !member.m_reaches_endpoints || member.m_is_leaving || is_tried ||
         m_unable_at.contains(member.m_host)) {
       continue;
     }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -120,10 +120,11 @@
                  m_settings.m_advertised_peer_address,
                  m_settings.m_caller_address,
                  IsLeaving(),
-                 IsReady() && !m_reach.CannotConnect(Now()),
+                 IsReady(),
                  is_current,
                  m_is_reader,
-                 m_settings.m_processor_millicores };
+                 m_settings.m_processor_millicores,
+                 !m_reach.CannotConnect(Now()) };
 }
 
 Heartbeat
@@ -400,7 +401,7 @@
     addresses.push_back(m_settings.m_caller_address);
   }
   for (const Member& member : m_membership.AliveMembers(Now())) {
-    if (member.m_is_ready && !member.m_is_leaving) {
+    if (member.m_is_ready && member.m_reaches_endpoints && !member.m_is_leaving) {
       addresses.push_back(member.m_caller_address);
     }
   }
--- a/Tests/Unit/TestCluster.cpp
+++ b/Tests/Unit/TestCluster.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest.h>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <random>
 
 using namespace auburnhitch;
@@ -107,6 +108,7 @@
   heartbeat.m_configuration_version = 17;
   heartbeat.m_member.m_is_reader = true;
   heartbeat.m_member.m_processor_millicores = 250;
+  heartbeat.m_member.m_reaches_endpoints = false;
   heartbeat.m_topic_positions = { 3, 5, 7 };
   heartbeat.m_spending = { { WorkspaceName("w"), 12'345 } };
   const std::string bytes = EncodeHeartbeat(heartbeat);
@@ -124,6 +126,40 @@
   }
 }
 
+TEST_CASE("Heartbeats of the earlier layout are read, and tell of readiness and reach together")
+{
+  for (const bool is_ready : { true, false }) {
+    Heartbeat heartbeat;
+    heartbeat.m_member = MemberOf(3);
+    heartbeat.m_member.m_is_ready = is_ready;
+    nlohmann::json json = nlohmann::json::from_msgpack(EncodeHeartbeat(heartbeat));
+    json[0] = 2;
+    json.erase(json.size() - 1);
+    const std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(json);
+    heartbeat.m_member.m_reaches_endpoints = is_ready;
+    CHECK(DecodeHeartbeat({ reinterpret_cast<const char*>(bytes.data()), bytes.size() }) ==
+          heartbeat);
+    json[0] = 3;
+    const std::vector<std::uint8_t> mixed = nlohmann::json::to_msgpack(json);
+    CHECK_FALSE(DecodeHeartbeat({ reinterpret_cast<const char*>(mixed.data()), mixed.size() }));
+  }
+}
+
+TEST_CASE("A daemon that reaches no endpoint stays the coordinator, one that is not ready does not")
+{
+  Member strong = MemberOf(1);
+  strong.m_processor_millicores = 500;
+  Membership membership(Membership::Limits(), MemberOf(0).m_host);
+  const auto coordinator = [&] {
+    membership.RecordHeartbeat(strong, kStart);
+    return membership.CoordinatorOf(ServiceName("s"), MemberOf(0), kStart).m_host;
+  };
+  strong.m_reaches_endpoints = false;
+  CHECK(coordinator() == strong.m_host);
+  strong.m_is_ready = false;
+  CHECK(coordinator() == MemberOf(0).m_host);
+}
+
 TEST_CASE(
   "A host with more CPU is preferred as coordinator for any service while it can read the store")
 {
