Let an established connection end the evidence of refused ones again, and tell both apart

With two endpoints down, the next new connection to any other one ends it now.

What was for stays: a connection that is reset before the request is written counts as established, by its error, so a path that accepts and resets is known by one kind of evidence. Only while there is such evidence are requests that may not run again kept from being trials.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -319,6 +319,9 @@
   m_attempt->m_heard_at = Now();
   ++m_possible_runs;
   if (!m_attempt->m_forwarded_to) {
+    if (!m_call->IsReused()) {
+      m_dependencies.m_reach->RecordConnected();
+    }
     m_dependencies.m_metrics->OnAttemptSent(m_request.m_service, m_written_attempts > 0);
   }
   ++m_written_attempts;
@@ -515,14 +518,14 @@
     case RelayCallEnd::NotSent:
       if (!m_attempt->m_forwarded_to) {
         ++m_unreached_count;
-        m_dependencies.m_reach->RecordConnectFailure(m_attempt->m_endpoint.m_id, Now());
+        RecordNotReached(aResult.m_was_established);
       }
       OnAttemptFailed(SlotOutcome::Unreachable, aResult.m_reason);
       return;
     case RelayCallEnd::Broken:
     case RelayCallEnd::Malformed:
       if (!m_attempt->m_forwarded_to && !aResult.m_was_reused && !m_attempt->m_completeness) {
-        m_dependencies.m_reach->RecordUnanswered(m_attempt->m_endpoint.m_id, Now());
+        RecordNotReached(true);
       }
       OnAttemptFailed(SlotOutcome::Broken,
                       aResult.m_reason + (aResult.m_was_reused ? " (reused connection)" : ""));
@@ -530,6 +533,17 @@
   }
 }
 
+void
+ActiveRequest::RecordNotReached(bool aWasEstablished)
+{
+  const EndpointId& endpoint = m_attempt->m_endpoint.m_id;
+  if (aWasEstablished) {
+    m_dependencies.m_reach->RecordUnanswered(endpoint, Now());
+  } else {
+    m_dependencies.m_reach->RecordConnectFailure(endpoint, Now());
+  }
+}
+
 void
 ActiveRequest::OnResponseReceived(RelayCallEnd aEnd)
 {
--- a/Libraries/LibGateway/EndpointReach.cpp
+++ b/Libraries/LibGateway/EndpointReach.cpp
@@ -4,6 +4,13 @@
 
 namespace auburnhitch {
 
+void
+EndpointReach::RecordConnected()
+{
+  std::erase_if(m_failures,
+                [](const auto& aEntry) { return aEntry.second == Failure::NotEstablished; });
+}
+
 void
 EndpointReach::RecordHeard(bool aIsNewConnection, TimePoint aNow)
 {
@@ -65,6 +72,15 @@
   return m_silent.size() >= m_limits.m_min_endpoints && Silence(aNow) >= m_limits.m_min_silence;
 }
 
+std::size_t
+EndpointReach::Count(Failure aFailure) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_failures.begin(), m_failures.end(), [aFailure](const auto& aEntry) {
+      return aEntry.second == aFailure;
+    }));
+}
+
 bool
 EndpointReach::CannotConnect(TimePoint aNow) const
 {
@@ -81,10 +97,7 @@
 bool
 EndpointReach::IsRefusedByAll(TimePoint aNow) const
 {
-  const auto refused = std::count_if(m_failures.begin(), m_failures.end(), [](const auto& aEntry) {
-    return aEntry.second == Failure::NotEstablished;
-  });
-  return IsCutOff(aNow) && static_cast<std::size_t>(refused) >= m_limits.m_min_endpoints;
+  return IsCutOff(aNow) && Count(Failure::NotEstablished) >= m_limits.m_min_endpoints;
 }
 
 bool
@@ -93,7 +106,8 @@
   if (!CannotConnect(aNow)) {
     return false;
   }
-  if (!aMayRunAgain || aNow - m_trial_at < m_limits.m_trial_interval) {
+  const bool may_be_lost = Count(Failure::Unanswered) > 0;
+  if (aNow - m_trial_at < m_limits.m_trial_interval || (may_be_lost && !aMayRunAgain)) {
     return true;
   }
   m_trial_at = aNow;
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -148,6 +148,8 @@
   void RecordStarted();
   /// Bytes of the response have arrived.
   void RecordHeard();
+  /// Records that the new connection of the attempt led to no endpoint.
+  void RecordNotReached(bool aWasEstablished);
   /// Whether the request was written to a new connection to an endpoint, and nothing has come back.
   bool IsUnanswered() const;
   /// Records what the endpoint states about itself.
--- a/Libraries/LibGateway/include/LibGateway/EndpointReach.h
+++ b/Libraries/LibGateway/include/LibGateway/EndpointReach.h
@@ -9,8 +9,9 @@
 namespace auburnhitch {
 
 /// Decides from a daemon's own connections whether the daemon can reach the endpoints. A connection
-/// that was established proves nothing, since something on the path may have accepted it; only
-/// bytes of an endpoint do. Uses no clock of its own. Not thread-safe.
+/// that was established shows that not all are refused, but something on the path may have accepted
+/// it: only bytes of an endpoint show that it is reached. Uses no clock of its own. Not
+/// thread-safe.
 class EndpointReach
 {
 public:
@@ -34,12 +35,14 @@
   {
   }
 
+  /// A new connection was established.
+  void RecordConnected();
   /// Bytes of an endpoint have arrived. aIsNewConnection: whether the connection was opened for the
   /// request to which they respond.
   void RecordHeard(bool aIsNewConnection, TimePoint aNow);
   /// No connection to an endpoint could be established.
   void RecordConnectFailure(const EndpointId& aEndpoint, TimePoint aNow);
-  /// A request was written to a new connection, which then broke without a byte of a response.
+  /// A new connection was established, and broke without a byte of a response.
   void RecordUnanswered(const EndpointId& aEndpoint, TimePoint aNow);
   /// An endpoint owes bytes of a response. aSilence: since when. aIsUnanswered: whether it has sent
   /// none since the request was written to a new connection.
@@ -64,8 +67,9 @@
   /// at once, only a new connection shows whether they can be reached.
   bool MayReuseConnections(TimePoint aNow) const { return !IsSilent(aNow) && !IsCutOff(aNow); }
   /// Whether the next request should not try to reach an endpoint from here. False at intervals
-  /// while no new connection leads to an endpoint: the request that asked is the trial. It may be
-  /// lost, so only one that may run again is. aMayRunAgain: whether that request may.
+  /// while no new connection leads to an endpoint: the request that asked is the trial. If
+  /// connections are established all the same, it may be lost, so only one that may run again is.
+  /// aMayRunAgain: whether that request may.
   bool ShouldAvoid(bool aMayRunAgain, TimePoint aNow);
 
 private:
@@ -77,6 +81,7 @@
   };
 
   bool IsSilent(TimePoint aNow) const;
+  std::size_t Count(Failure aFailure) const;
   void RecordFailure(const EndpointId& aEndpoint, Failure aFailure, TimePoint aNow);
 
   Limits m_limits;
@@ -84,6 +89,7 @@
   /// The endpoints that have been silent since a byte of any endpoint arrived.
   std::set<EndpointId> m_silent;
   /// How the last new connection to each endpoint has failed, since any responded on a new one.
+  /// Those that were not established count only until one is.
   std::map<EndpointId, Failure> m_failures;
   TimePoint m_failed_at;
   TimePoint m_trial_at;
--- a/Libraries/LibRelay/RelayClient.cpp
+++ b/Libraries/LibRelay/RelayClient.cpp
@@ -7,9 +7,11 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/util.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -261,6 +263,7 @@
     m_events = m_limits.m_may_reuse ? m_pool->Take(m_peer) : nullptr;
     if (m_events != nullptr) {
       m_is_reused = true;
+      m_is_established = true;
       ++m_pool->m_counts.m_reused;
       Attach();
       // Deferred, so that callbacks run from the loop, after the caller has received the call.
@@ -330,11 +333,15 @@
     const auto self = static_cast<State*>(aState)->shared_from_this();
     if ((aWhat & BEV_EVENT_CONNECTED) != 0) {
       self->m_connect_timer = nullptr;
+      self->m_is_established = true;
       SetSocketOptions(bufferevent_getfd(self->m_events));
       self->WriteRequest();
       return;
     }
     if (!self->m_is_written) {
+      // The peer may have reset the connection before the loop learned that it was established.
+      self->m_is_established = self->m_is_established || (aWhat & BEV_EVENT_EOF) != 0 ||
+                               EVUTIL_SOCKET_ERROR() == ECONNRESET;
       self->Finish(RelayCallEnd::NotSent,
                    "connection refused or closed before the request was sent");
       return;
@@ -461,7 +468,7 @@
     auto handlers = std::move(m_handlers);
     m_handlers = {};
     if (handlers.m_on_end) {
-      handlers.m_on_end(RelayResult{ aEnd, m_is_reused, std::move(aReason) });
+      handlers.m_on_end(RelayResult{ aEnd, m_is_reused, m_is_established, std::move(aReason) });
     }
   }
 
@@ -544,6 +551,7 @@
   std::unique_ptr<Timer> m_head_timer;
   std::unique_ptr<Timer> m_total_timer;
   bool m_is_reused = false;
+  bool m_is_established = false;
   bool m_is_written = false;
   bool m_is_head_reported = false;
   int m_informational_responses = 0;
--- a/Libraries/LibRelay/include/LibRelay/RelayClient.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayClient.h
@@ -38,6 +38,9 @@
 {
   RelayCallEnd m_end = RelayCallEnd::Broken;
   bool m_was_reused = false;
+  /// Whether something has accepted the connection, which it may have closed before the request was
+  /// written.
+  bool m_was_established = false;
   std::string m_reason;
 };
 
--- a/Tests/Unit/TestEndpointReach.cpp
+++ b/Tests/Unit/TestEndpointReach.cpp
@@ -62,17 +62,35 @@
 TEST_CASE("A daemon that cannot connect tries at intervals, and the first response on a new "
           "connection ends that")
 {
-  EndpointReach reach = ReachAfterFailures({ "a", "b" });
+  EndpointReach reach = ReachAfterFailures({});
+  reach.RecordUnanswered(EndpointId("a"), At(0));
+  reach.RecordUnanswered(EndpointId("b"), At(0));
   CHECK(reach.ShouldAvoid(false, At(10)));
   CHECK_FALSE(reach.ShouldAvoid(true, At(10)));
   CHECK(reach.ShouldAvoid(true, At(20)));
   CHECK(reach.ShouldAvoid(true, At(509)));
   CHECK_FALSE(reach.ShouldAvoid(true, At(510)));
+  reach.RecordConnected();
+  CHECK(reach.CannotConnect(At(515)));
   reach.RecordHeard(true, At(520));
   CHECK_FALSE(reach.CannotConnect(At(520)));
   CHECK_FALSE(reach.ShouldAvoid(false, At(530)));
 }
 
+TEST_CASE("Endpoints that refuse connections do not make a daemon cut off that connects to others")
+{
+  EndpointReach reach = ReachAfterFailures({ "a", "b" });
+  // A request that is refused is not lost, whether or not it may run again.
+  CHECK_FALSE(reach.ShouldAvoid(false, At(10)));
+  CHECK(reach.ShouldAvoid(false, At(20)));
+  reach.RecordConnected();
+  CHECK_FALSE(reach.CannotConnect(At(30)));
+  CHECK_FALSE(reach.ShouldAvoid(false, At(30)));
+  // What has accepted the connection breaks it.
+  reach.RecordUnanswered(EndpointId("c"), At(40));
+  CHECK_FALSE(reach.CannotConnect(At(40)));
+}
+
 TEST_CASE("Failures to connect lapse, so that a daemon without requests does not stay cut off")
 {
   EndpointReach reach = ReachAfterFailures({ "a", "b" });
@@ -169,11 +187,14 @@
   leaving.m_is_leaving = true;
   Member unready = DaemonOf("unready", "near");
   unready.m_is_ready = false;
+  Member cut_off = DaemonOf("cut-off", "near");
+  cut_off.m_reaches_endpoints = false;
   for (const Member& member : { DaemonOf("n1", "near"),
                                 DaemonOf("n2", "near"),
                                 DaemonOf("f1", "far"),
                                 leaving,
-                                unready }) {
+                                unready,
+                                cut_off }) {
     membership.RecordHeartbeat(member, At(0));
   }
   ForwardTargets targets(membership, DataCenterName("near"));
