Withdraw at a new coordinator what the one before withdraws of its evidence

It now remembers from whom it took evidence over and how much, and withdraws up to that when the same daemon states less. Its own evidence stays (own test).

--- a/Libraries/LibBroker/CrashSuspectTable.cpp
+++ b/Libraries/LibBroker/CrashSuspectTable.cpp
@@ -46,6 +46,7 @@
 
 void
 CrashSuspectTable::OnMessage(const TraitSuspicionsMessage& aMessage,
+                             const HostName& aSender,
                              bool aIsFromCoordinator,
                              TimePoint aNow)
 {
@@ -54,7 +55,7 @@
     if (aIsFromCoordinator) {
       suspects.Apply(suspicion, aNow);
     } else {
-      suspects.Merge(suspicion, aNow);
+      suspects.Merge(suspicion, aSender, aNow);
     }
   }
 }
--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -419,6 +419,7 @@
                 [&](const TraitSuspicionsMessage& aSuspicions) {
                   const auto coordinator = m_coordinators.find(aSuspicions.m_service);
                   m_coordinator.Suspects().OnMessage(aSuspicions,
+                                                     aCoordinator,
                                                      coordinator != m_coordinators.end() &&
                                                        coordinator->second == aCoordinator,
                                                      Now());
@@ -575,7 +576,7 @@
         m_coordinator.Suspects().Of(aEnd.m_service)->MarkEndUnproven(id_of(aEnd.m_number));
       },
       [&](const TraitSuspicionsMessage& aSuspicions) {
-        m_coordinator.Suspects().OnMessage(aSuspicions, false, now);
+        m_coordinator.Suspects().OnMessage(aSuspicions, aLink.m_peer.m_host, false, now);
       },
       [&](const EndpointNoticeMessage& aNotice) { OnReport(&aLink, aNotice); },
       [&](const RequiredVersionMessage& aRequired) { aLink.m_required_version = aRequired; },
--- a/Libraries/LibBroker/include/LibBroker/CrashSuspectTable.h
+++ b/Libraries/LibBroker/include/LibBroker/CrashSuspectTable.h
@@ -22,7 +22,10 @@
 
   /// Applies what another daemon knows. The coordinator's word replaces what is known here; any
   /// other daemon may know less.
-  void OnMessage(const TraitSuspicionsMessage& aMessage, bool aIsFromCoordinator, TimePoint aNow);
+  void OnMessage(const TraitSuspicionsMessage& aMessage,
+                 const HostName& aSender,
+                 bool aIsFromCoordinator,
+                 TimePoint aNow);
   /// Returns what the other daemons need to know of changes since the last call, and logs it.
   std::vector<TraitSuspicionsMessage> TakeChanges(TimePoint aNow);
   /// What a new coordinator of a service needs to know.
--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -575,22 +575,55 @@
   trait.m_log_odds = std::clamp(LogOddsOf(aSuspicion.m_probability), kMinLogOdds, kMaxLogOdds);
   UpdateRunningSuspects(aSuspicion.m_trait, trait);
   trait.m_crashes = aSuspicion.m_crashes;
+  trait.m_taken_over = std::nullopt;
   trait.m_refused_until = trait.m_log_odds >= m_refuse_log_odds
                             ? std::optional(aNow + aSuspicion.m_refused_for)
                             : std::nullopt;
 }
 
 void
-CrashSuspects::Merge(const TraitSuspicion& aSuspicion, TimePoint aNow)
+CrashSuspects::Merge(const TraitSuspicion& aSuspicion, const HostName& aSender, TimePoint aNow)
 {
   const auto found = m_traits.find(aSuspicion.m_trait);
   const double prior =
     IsWholeRequest(aSuspicion.m_trait) ? m_request_prior_log_odds : m_prior_log_odds;
   const double known = found == m_traits.end() ? prior : found->second.m_log_odds;
-  if (std::min(LogOddsOf(aSuspicion.m_probability), kMaxLogOdds) > known) {
+  const int known_crashes = found == m_traits.end() ? 0 : found->second.m_crashes;
+  const double stated = std::min(LogOddsOf(aSuspicion.m_probability), kMaxLogOdds);
+  if (stated > known) {
     Apply(aSuspicion, aNow);
-    MarkChanged(aSuspicion.m_trait, m_traits.at(aSuspicion.m_trait));
+    Trait& trait = m_traits.at(aSuspicion.m_trait);
+    trait.m_taken_over = TakenOver{ aSender,
+                                    stated,
+                                    aSuspicion.m_crashes,
+                                    stated - known,
+                                    std::max(0, aSuspicion.m_crashes - known_crashes) };
+    MarkChanged(aSuspicion.m_trait, trait);
+    return;
+  }
+  if (found != m_traits.end() && found->second.m_taken_over &&
+      found->second.m_taken_over->m_sender == aSender) {
+    WithdrawTakenOver(found->second, aSuspicion, aNow);
+  }
+}
+
+void
+CrashSuspects::WithdrawTakenOver(Trait& aTrait, const TraitSuspicion& aSuspicion, TimePoint aNow)
+{
+  TakenOver& taken_over = *aTrait.m_taken_over;
+  const double stated = LogOddsOf(aSuspicion.m_probability);
+  if (stated >= taken_over.m_stated_log_odds) {
+    return;
   }
+  const double log_odds = std::min(taken_over.m_stated_log_odds - stated, taken_over.m_log_odds);
+  const int crashes =
+    std::clamp(taken_over.m_stated_crashes - aSuspicion.m_crashes, 0, taken_over.m_crashes);
+  taken_over.m_stated_log_odds = stated;
+  taken_over.m_stated_crashes = std::min(taken_over.m_stated_crashes, aSuspicion.m_crashes);
+  taken_over.m_log_odds -= log_odds;
+  taken_over.m_crashes -= crashes;
+  aTrait.m_crashes = std::max(0, aTrait.m_crashes - crashes);
+  SetLogOdds(aSuspicion.m_trait, aTrait, aTrait.m_log_odds - log_odds, aNow);
 }
 
 std::vector<TraitSuspicion>
--- a/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -131,8 +131,9 @@
 
   /// Applies what the coordinator knows.
   void Apply(const TraitSuspicion& aSuspicion, TimePoint aNow);
-  /// Applies what another daemon knows, unless more is known here.
-  void Merge(const TraitSuspicion& aSuspicion, TimePoint aNow);
+  /// Applies what another daemon knows, unless more is known here. If it has withdrawn evidence
+  /// that was taken over from it, that is withdrawn here too.
+  void Merge(const TraitSuspicion& aSuspicion, const HostName& aSender, TimePoint aNow);
   /// What other daemons need to know of changes since the last call.
   std::vector<TraitSuspicion> TakeChanges(TimePoint aNow);
   /// All that other daemons need to know.
@@ -143,6 +144,18 @@
   double BaseRate() const;
 
 private:
+  /// Evidence that was taken over from another daemon.
+  struct TakenOver
+  {
+    HostName m_sender;
+    /// The least that the sender has stated since.
+    double m_stated_log_odds = 0;
+    int m_stated_crashes = 0;
+    /// What is left of the evidence.
+    double m_log_odds = 0;
+    int m_crashes = 0;
+  };
+
   struct Trait
   {
     double m_log_odds = 0;
@@ -157,6 +170,7 @@
     std::optional<TimePoint> m_refused_until;
     /// When a crash was evidence against it last.
     std::optional<TimePoint> m_last_evidence_at;
+    std::optional<TakenOver> m_taken_over;
     int m_failed_trials = 0;
     bool m_is_changed = false;
   };
@@ -217,6 +231,8 @@
   bool HasUnprovenEndAt(const EndpointId& aEndpoint) const;
   void Decay(TimePoint aNow);
   void SetLogOdds(const CrashTrait& aId, Trait& aTrait, double aLogOdds, TimePoint aNow);
+  /// Withdraws what the sender of aSuspicion has withdrawn of the evidence taken over from it.
+  void WithdrawTakenOver(Trait& aTrait, const TraitSuspicion& aSuspicion, TimePoint aNow);
   void MarkChanged(const CrashTrait& aId, Trait& aTrait);
   std::map<CrashTrait, Candidate> CandidatesAt(const EndpointId& aEndpoint, TimePoint aNow);
   /// The last known crash in which a request broke off, if there is one: it ran there then, or was
--- a/Tests/Unit/TestCrashSuspectTable.cpp
+++ b/Tests/Unit/TestCrashSuspectTable.cpp
@@ -10,6 +10,8 @@
 constexpr TimePoint kNow{};
 const ServiceName kService("s");
 const CrashTrait kPart("5c");
+const HostName kFirst("first");
+const HostName kSecond("second");
 
 TraitSuspicionsMessage
 MessageOf(const CrashTrait& aTrait, double aProbability)
@@ -22,12 +24,12 @@
 TEST_CASE("Crashes: only the coordinator's word replaces a stronger suspicion")
 {
   CrashSuspectTable table;
-  table.OnMessage(MessageOf(kPart, 0.99), false, kNow);
+  table.OnMessage(MessageOf(kPart, 0.99), kFirst, false, kNow);
   CHECK(table.IsHarmful(kService, { kPart }, kNow));
   CHECK_FALSE(table.IsHarmful(ServiceName("t"), { kPart }, kNow));
-  table.OnMessage(MessageOf(kPart, 0.3), false, kNow);
+  table.OnMessage(MessageOf(kPart, 0.3), kSecond, false, kNow);
   CHECK(table.IsHarmful(kService, { kPart }, kNow));
-  table.OnMessage(MessageOf(kPart, 0.3), true, kNow);
+  table.OnMessage(MessageOf(kPart, 0.3), kFirst, true, kNow);
   CHECK_FALSE(table.IsHarmful(kService, { kPart }, kNow));
 }
 
@@ -35,11 +37,11 @@
   "Crashes: a daemon passes on what it learned, and what the coordinator says only if asked")
 {
   CrashSuspectTable table;
-  table.OnMessage(MessageOf(kPart, 0.99), true, kNow);
+  table.OnMessage(MessageOf(kPart, 0.99), kFirst, true, kNow);
   CHECK(table.TakeChanges(kNow).empty());
   CHECK(table.MessagesForCoordinator(kService, kNow).size() == 1);
   CHECK(table.MessagesForCoordinator(ServiceName("t"), kNow).empty());
-  table.OnMessage(MessageOf(CrashTrait("5d"), 0.99), false, kNow);
+  table.OnMessage(MessageOf(CrashTrait("5d"), 0.99), kFirst, false, kNow);
   CHECK(table.TakeChanges(kNow).size() == 1);
   CHECK(table.TakeChanges(kNow).empty());
   REQUIRE(table.MessagesForDaemon(kNow).size() == 1);
@@ -53,7 +55,7 @@
   for (std::size_t i = 0; i < size; ++i) {
     std::string id = std::to_string(i);
     id.resize(64, 'f');
-    table.OnMessage(MessageOf(CrashTrait(id), 0.987654321), true, kNow);
+    table.OnMessage(MessageOf(CrashTrait(id), 0.987654321), kFirst, true, kNow);
   }
   std::size_t received = 0;
   for (const TraitSuspicionsMessage& message : table.MessagesForDaemon(kNow)) {
--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -11,6 +11,7 @@
 
 const CrashTrait kCommon("c0");
 const CrashTrait kHarmful("bad0");
+const HostName kOther("other");
 
 TimePoint
 At(int aMilliseconds)
@@ -368,12 +369,12 @@
   CHECK(other.AdmissionOf({ kCommon }, At(0)) == Admission::Admit);
   CrashSuspects next;
   for (const TraitSuspicion& suspicion : other.All(At(0))) {
-    next.Merge(suspicion, At(10));
+    next.Merge(suspicion, kOther, At(10));
   }
   CHECK(next.AdmissionOf({ kHarmful }, At(10)) == Admission::Refuse);
   CHECK(next.TakeChanges(At(10)).size() == 1);
-  // An older suspicion does not replace a stronger one.
-  next.Merge({ kHarmful, 0.3, 1, Milliseconds(0) }, At(20));
+  // A weaker suspicion of another daemon does not replace a stronger one.
+  next.Merge({ kHarmful, 0.3, 1, Milliseconds(0) }, HostName("third"), At(20));
   CHECK(next.AdmissionOf({ kHarmful }, At(20)) == Admission::Refuse);
   other.Apply({ kHarmful, 0.001, 0, Milliseconds(0) }, At(20));
   CHECK(other.AdmissionOf({ kHarmful }, At(20)) == Admission::Admit);
@@ -683,7 +684,7 @@
   }
   const TraitSuspicion suspicion{ kRequest, 0.34, 1, Milliseconds(0) };
   follower.m_suspects.Apply(suspicion, follower.m_now);
-  follower.m_suspects.Merge(suspicion, follower.m_now);
+  follower.m_suspects.Merge(suspicion, kOther, follower.m_now);
   follower.Crash({ { kRequest } });
   follower.Crash({ { kRequest } });
   CHECK(follower.AdmissionOf(kRequest) != Admission::Refuse);
@@ -782,6 +783,49 @@
   }
 }
 
+TEST_CASE("Cut off: evidence that one coordinator withdraws is withdrawn by the next one too")
+{
+  for (const CrashTrait& trait : { kRequest, kHarmful }) {
+    Trace first;
+    Trace next;
+    const auto tell_next = [&] {
+      for (const TraitSuspicion& suspicion : first.m_suspects.TakeChanges(first.m_now)) {
+        next.m_suspects.Merge(suspicion, kOther, next.m_now);
+      }
+    };
+    for (const char* endpoint : { "e1", "e2", "e3" }) {
+      first.Break(endpoint, trait);
+    }
+    tell_next();
+    REQUIRE(next.AdmissionOf(trait) == Admission::Refuse);
+    first.m_now += Milliseconds(1'200);
+    for (const char* endpoint : { "e1", "e2", "e3" }) {
+      first.m_suspects.RecordRenewed(EndpointId(endpoint), At(0), first.m_now);
+    }
+    tell_next();
+    CHECK(next.AdmissionOf(trait) == Admission::Admit);
+  }
+}
+
+TEST_CASE("Cut off: a coordinator's own evidence stays when another daemon withdraws its own")
+{
+  Trace next;
+  for (const char* endpoint : { "e1", "e2", "e3" }) {
+    next.Break(endpoint, kRequest);
+  }
+  REQUIRE(next.AdmissionOf(kRequest) == Admission::Refuse);
+  const auto state = [&](double aProbability, int aCrashes) {
+    next.m_suspects.Merge(
+      { kRequest, aProbability, aCrashes, Milliseconds(60'000) }, kOther, next.m_now);
+  };
+  state(0.9, 2);
+  state(0.01, 0);
+  CHECK(next.AdmissionOf(kRequest) == Admission::Refuse);
+  state(0.9999, 5);
+  state(0.01, 0);
+  CHECK(next.AdmissionOf(kRequest) == Admission::Refuse);
+}
+
 TEST_CASE("Cut off: a restarted endpoint's renewals, and those read late, leave the evidence")
 {
   const auto trace_after_breaks = [] {
