--- a/Tests/Process/TestLeavingEndpoints.cpp
+++ b/Tests/Process/TestLeavingEndpoints.cpp
@@ -400,7 +400,9 @@
     CHECK(cluster.FirstViolation() == "none");
     const std::size_t received = cluster.Received(0);
     for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
-      CHECK(cluster.Call(daemon).m_status == 200);
+      const CallerResponse response = cluster.Call(daemon);
+      INFO(response.m_head, response.m_body);
+      CHECK(response.m_status == 200);
     }
     CHECK(cluster.Received(0) == received);
   }
