Use the later layout of heartbeats only for what the earlier one cannot say

A daemon of an earlier version rejects datagrams of another layout, so during an upgrade it would not have heard the later ones at all, and each service would have had two coordinators. The layout with the field for the reach is sent only by a daemon that reaches no endpoint; until its path is healed, daemons of an earlier version take it for gone, where they took it for not ready.

--- a/Libraries/LibCluster/Heartbeat.cpp
+++ b/Libraries/LibCluster/Heartbeat.cpp
@@ -18,7 +18,8 @@
 // IsHeartbeatJson() are rejected.
 constexpr int kHeartbeatLayoutVersion = 3;
 constexpr std::size_t kHeartbeatFields = 17;
-// Without the field at the end that says whether the daemon reaches endpoints.
+// Without the field at the end that says whether the daemon reaches endpoints: it does. All that
+// can be said so is, since daemons of an earlier version read no other layout.
 constexpr int kEarlierLayoutVersion = 2;
 constexpr std::size_t kEarlierFields = 16;
 // Fits into one packet on a network with the usual MTU of 1,500 bytes.
@@ -78,23 +79,26 @@
     }
   }
   const Member& member = aHeartbeat.m_member;
-  const Json json = Json::array({ kHeartbeatLayoutVersion,
-                                  member.m_host.Value(),
-                                  member.m_incarnation.Value(),
-                                  member.m_data_center.Value(),
-                                  member.m_peer_address.Value(),
-                                  member.m_caller_address.Value(),
-                                  member.m_is_leaving,
-                                  member.m_is_ready,
-                                  member.m_can_read_store,
-                                  member.m_is_reader,
-                                  member.m_processor_millicores,
-                                  aHeartbeat.m_configuration_version,
-                                  aHeartbeat.m_topic_positions.m_configuration,
-                                  aHeartbeat.m_topic_positions.m_registrations,
-                                  aHeartbeat.m_topic_positions.m_members,
-                                  spending,
-                                  member.m_reaches_endpoints });
+  Json json = Json::array({ kEarlierLayoutVersion,
+                            member.m_host.Value(),
+                            member.m_incarnation.Value(),
+                            member.m_data_center.Value(),
+                            member.m_peer_address.Value(),
+                            member.m_caller_address.Value(),
+                            member.m_is_leaving,
+                            member.m_is_ready,
+                            member.m_can_read_store,
+                            member.m_is_reader,
+                            member.m_processor_millicores,
+                            aHeartbeat.m_configuration_version,
+                            aHeartbeat.m_topic_positions.m_configuration,
+                            aHeartbeat.m_topic_positions.m_registrations,
+                            aHeartbeat.m_topic_positions.m_members,
+                            spending });
+  if (!member.m_reaches_endpoints) {
+    json[0] = kHeartbeatLayoutVersion;
+    json.push_back(false);
+  }
   std::string bytes;
   Json::to_msgpack(json, bytes);
   return bytes;
@@ -138,9 +142,7 @@
     heartbeat.m_spending.push_back(
       { WorkspaceName(entry[0].get<std::string>()), entry[1].get<std::int64_t>() });
   }
-  // A daemon with the earlier layout states that it is not ready while it reaches no endpoint.
-  heartbeat.m_member.m_reaches_endpoints =
-    json.size() == kHeartbeatFields ? next().get<bool>() : heartbeat.m_member.m_is_ready;
+  heartbeat.m_member.m_reaches_endpoints = json.size() == kEarlierFields || next().get<bool>();
   return heartbeat;
 }
 
--- a/Tests/Unit/TestCluster.cpp
+++ b/Tests/Unit/TestCluster.cpp
@@ -126,23 +126,23 @@
   }
 }
 
-TEST_CASE("Heartbeats of the earlier layout are read, and tell of readiness and reach together")
+TEST_CASE("Only heartbeats that daemons of an earlier version could not read use the later layout")
 {
-  for (const bool is_ready : { true, false }) {
+  const auto layout_of = [](bool aReachesEndpoints) {
     Heartbeat heartbeat;
     heartbeat.m_member = MemberOf(3);
-    heartbeat.m_member.m_is_ready = is_ready;
-    nlohmann::json json = nlohmann::json::from_msgpack(EncodeHeartbeat(heartbeat));
-    json[0] = 2;
-    json.erase(json.size() - 1);
-    const std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(json);
-    heartbeat.m_member.m_reaches_endpoints = is_ready;
-    CHECK(DecodeHeartbeat({ reinterpret_cast<const char*>(bytes.data()), bytes.size() }) ==
-          heartbeat);
-    json[0] = 3;
+    heartbeat.m_member.m_reaches_endpoints = aReachesEndpoints;
+    const std::string bytes = EncodeHeartbeat(heartbeat);
+    CHECK(DecodeHeartbeat(bytes) == heartbeat);
+    nlohmann::json json = nlohmann::json::from_msgpack(bytes);
+    const std::pair layout(json[0].get<int>(), json.size());
+    json[0] = 5 - json[0].get<int>();
     const std::vector<std::uint8_t> mixed = nlohmann::json::to_msgpack(json);
     CHECK_FALSE(DecodeHeartbeat({ reinterpret_cast<const char*>(mixed.data()), mixed.size() }));
-  }
+    return layout;
+  };
+  CHECK(layout_of(true) == std::pair<int, std::size_t>(2, 16));
+  CHECK(layout_of(false) == std::pair<int, std::size_t>(3, 17));
 }
 
 TEST_CASE("A daemon that reaches no endpoint stays the coordinator, one that is not ready does not")
