--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -468,8 +468,26 @@
   Libraries/LibGateway/EndpointReach.cpp 's/if \(aSilence >= m_limits.m_min_silence \&\& \(/if (aSilence < Duration::zero() \&\& (/' \
   "$UNIT" "Requests given up in silence*"
 mutate "reach: a request that may not run again is no trial" \
-  Libraries/LibGateway/EndpointReach.cpp 's/!aMayRunAgain \|\| //' \
+  Libraries/LibGateway/EndpointReach.cpp 's/may_be_lost \&\& !aMayRunAgain/false/' \
   "$UNIT" "A daemon that cannot connect tries*"
+mutate "reach: a connection that is established ends the evidence of refused ones" \
+  Libraries/LibGateway/EndpointReach.cpp 's/return aEntry.second == Failure::NotEstablished;/return false \&\& aEntry.second == Failure::NotEstablished;/' \
+  "$UNIT" "Endpoints that refuse connections do not make*"
+mutate "reach: a daemon that reaches no endpoint stays the coordinator" \
+  Libraries/LibCluster/Membership.cpp 's/!aMember.m_is_leaving \&\& aMember.m_is_ready/!aMember.m_is_leaving \&\& aMember.m_is_ready \&\& aMember.m_reaches_endpoints/' \
+  "$UNIT" "A daemon that reaches no endpoint stays*"
+mutate "reach: daemons of an earlier version hear one that reaches endpoints" \
+  Libraries/LibCluster/Heartbeat.cpp 's/if \(!member.m_reaches_endpoints\)/if (true)/' \
+  "$UNIT" "Only heartbeats that daemons of an earlier version*"
+mutate "reach: nothing is forwarded to a daemon that reaches no endpoint" \
+  Libraries/LibGateway/ForwardTargets.cpp 's/!member.m_reaches_endpoints \|\| //' \
+  "$UNIT" "A request is forwarded to daemons in turn*"
+mutate "reach: a new coordinator withdraws what the one before withdraws" \
+  Libraries/LibPlacement/CrashSuspects.cpp 's/WithdrawTakenOver\(found->second, aSuspicion, aNow\);//' \
+  "$UNIT" "Cut off: evidence that one coordinator withdraws*"
+mutate "reach: a coordinator keeps its own evidence" \
+  Libraries/LibPlacement/CrashSuspects.cpp 's/std::min\(taken_over.m_stated_log_odds - stated, taken_over.m_log_odds\)/taken_over.m_stated_log_odds - stated/' \
+  "$UNIT" "Cut off: a coordinator.s own evidence stays*"
 mutate "reach: a daemon that endpoints reset does not refuse" \
   Libraries/LibGateway/ActiveRequestForwarding.cpp 's/reach.IsRefusedByAll\(now\)/reach.IsCutOff(now)/' \
   "$PROCESS" "A non-idempotent request whose response is lost*"
@@ -480,7 +498,7 @@
   Libraries/LibPlacement/CrashSuspectsWithdrawal.cpp 's/aNow - std::max\(aCrash.m_at, aReadableSince\) > kRegistrationLag/aReadableSince < aNow/' \
   "$UNIT" "Cut off: *"
 mutate "reach: an endpoint that has restarted has crashed" \
-  Libraries/LibPlacement/CrashSuspectsWithdrawal.cpp 's/!aCrash.m_has_restarted \&\& //' \
+  Libraries/LibPlacement/CrashSuspectsWithdrawal.cpp 's/!aCrash.m_has_restarted \&\&\s+//' \
   "$UNIT" "Cut off: a restarted*"
 mutate "reach: the hop names the endpoint" \
   Libraries/LibGateway/ActiveRequestNotices.cpp 's/if \(!endpoint\)/if (true)/' \
