Do not take a kept connection that was closed for a path that leads nowhere

By reading: a kept connection that its endpoint closes just before the request is written ended as not sent, which counted as a new connection that failed, since even as one that was established. Two of them would have kept requests that must not run twice from endpoints that live. No test plays the moment between taking and writing.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -518,7 +518,9 @@
     case RelayCallEnd::NotSent:
       if (!m_attempt->m_forwarded_to) {
         ++m_unreached_count;
-        RecordNotReached(aResult.m_was_established);
+        if (!aResult.m_was_reused) {
+          RecordNotReached(aResult.m_was_established);
+        }
       }
       OnAttemptFailed(SlotOutcome::Unreachable, aResult.m_reason);
       return;
