--- a/Libraries/LibCluster/include/LibCluster/Membership.h
+++ b/Libraries/LibCluster/include/LibCluster/Membership.h
@@ -28,8 +28,8 @@
   bool m_is_reader = false;
   /// CPU that it may use, in thousandths of a core.
   int m_processor_millicores = 0;
-  /// New connections of it lead to endpoints. One that reaches none may still coordinate: only the
-  /// daemons of the callers connect to endpoints.
+  /// Its new connections lead to endpoints. One that reaches none may still coordinate: granting
+  /// slots needs no connection to an endpoint.
   bool m_reaches_endpoints = true;
 
   auto operator<=>(const Member&) const = default;
