--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -1,7 +1,7 @@
 // Clients read long answers over slow links. Meanwhile the daemon that took their requests is
 // stopped as planned, and the answers must still arrive whole.
 
-#include <Deployment.h>
+#include "../stand-in/Deployment.h"
 
 #include <algorithm>
 #include <csignal>
@@ -69,8 +69,7 @@
     daemons.push_back(std::make_unique<DaemonProcess>(
       aProgram,
       aDirectory,
-      DaemonOptions{
-        "edge-zona-a-" + std::to_string(i), "zona-a", "127.0.0.1", store.Address() }));
+      DaemonOptions{ "edge-zona-a-" + std::to_string(i), "zona-a", "127.0.0.1", store.Address() }));
     daemons.back()->Start();
   }
   if (!WaitUntilReady(daemons)) {
@@ -96,8 +95,7 @@
         return;
       }
       Record("client sent " + call.m_request_id + " to " + daemons[0]->Host());
-      const Answer answer =
-        ToAnswer(MessageReader(*socket).Next(kDeadlineMs, kBytesPerSecond));
+      const Answer answer = ToAnswer(MessageReader(*socket).Next(kDeadlineMs, kBytesPerSecond));
       const bool is_whole = answer.m_status == 200 && answer.m_is_complete &&
                             answer.m_body == Document(call.m_request_id);
       const std::lock_guard lock(mutex);
--- a/review/4/Case.cpp
+++ b/review/4/Case.cpp
@@ -1,7 +1,7 @@
-// A service is busy, so requests wait in the queue. The daemon that took them is stopped as planned.
-// Requests that have not been passed on must get an answer before the daemon ends.
+// A service is busy, so requests wait in the queue. The daemon that took them is stopped as
+// planned. Requests that have not been passed on must get an answer before the daemon ends.
 
-#include <Deployment.h>
+#include "../stand-in/Deployment.h"
 
 #include <algorithm>
 #include <csignal>
--- a/review/stand-in/Deployment.cpp
+++ b/review/stand-in/Deployment.cpp
@@ -51,7 +51,8 @@
 Replaced(std::string aText, const std::map<std::string, std::string>& aReplacements)
 {
   for (const auto& [from, to] : aReplacements) {
-    for (auto at = aText.find(from); at != std::string::npos; at = aText.find(from, at + to.size())) {
+    for (auto at = aText.find(from); at != std::string::npos;
+         at = aText.find(from, at + to.size())) {
       aText.replace(at, from.size(), to);
     }
   }
@@ -68,8 +69,8 @@
 std::string
 Store::AddView(const std::string& aIp, std::map<std::string, std::string> aReplacements)
 {
-  m_views.push_back(std::make_unique<Server>(
-    aIp, [this, replacements = std::move(aReplacements)](Socket& aSocket) {
+  m_views.push_back(
+    std::make_unique<Server>(aIp, [this, replacements = std::move(aReplacements)](Socket& aSocket) {
       Serve(aSocket, replacements);
     }));
   return m_views.back()->Address();
@@ -161,10 +162,9 @@
   const std::size_t from = std::stoul(aRequest.Query("from"));
   const std::string wait_text = aRequest.Query("wait_ms");
   const int era = m_era;
-  m_changed.wait_for(
-    lock, std::chrono::milliseconds(wait_text.empty() ? 0 : std::stoi(wait_text)), [&] {
-      return m_era != era || m_topics[name].m_records.size() != from;
-    });
+  m_changed.wait_for(lock,
+                     std::chrono::milliseconds(wait_text.empty() ? 0 : std::stoi(wait_text)),
+                     [&] { return m_era != era || m_topics[name].m_records.size() != from; });
   const std::string era_header = "Store-Era: " + std::to_string(m_era) + "\r\n";
   const Topic& topic = m_topics[name];
   if (from > topic.m_records.size()) {
@@ -213,8 +213,7 @@
     }
     const std::string record = body.substr(at + kLengthBytes, length);
     const auto key_bytes = static_cast<unsigned char>(record.at(0));
-    const std::size_t offset =
-      Put(name, record.substr(1, key_bytes), record.substr(1 + key_bytes));
+    const std::size_t offset = Put(name, record.substr(1, key_bytes), record.substr(1 + key_bytes));
     first = count == 0 ? offset : first;
     at += kLengthBytes + length;
   }
@@ -277,6 +276,8 @@
     }
     const std::string id = request->Header("X-Request-Id");
     const std::string echo = "X-Request-Id: " + id + "\r\n";
+    std::string sealed = echo;
+    sealed.append("X-Response-Seal: ").append(m_id).append(".").append(id).append("\r\n");
     const std::string expected = request->Header("X-Expect-Instance");
     if (!expected.empty() && expected != m_id) {
       aSocket.Write(MakeResponse(421, echo + "X-Not-Executed: 1\r\n", ""));
@@ -292,7 +293,7 @@
     Record("server " + m_id + " runs " + id + " " + request->Method() + " " + request->Path() +
            " tenant " + request->Header("X-Tenant"));
     const std::string body = work(*request);
-    if (!aSocket.Write(MakeResponse(200, echo + "X-Response-Seal: " + m_id + "." + id + "\r\n", body))) {
+    if (!aSocket.Write(MakeResponse(200, sealed, body))) {
       return;
     }
   }
@@ -315,9 +316,8 @@
            << m_readiness_address << R"(", "directory_address": ")" << FreeAddress(aOptions.m_ip)
            << R"(", "metrics_address": ")" << FreeAddress(aOptions.m_ip)
            << R"(", "peer_address": ")" << FreeAddress(aOptions.m_ip) << R"(", "store_address": ")"
-           << aOptions.m_store_address
-           << R"(", "max_descriptors": 1024, "processor_share": )" << aOptions.m_processor_share
-           << R"(, "processor_cores": 1,
+           << aOptions.m_store_address << R"(", "max_descriptors": 1024, "processor_share": )"
+           << aOptions.m_processor_share << R"(, "processor_cores": 1,
   "bounds": {"drain_ms": 2000, "stop_grace_s": 8, "most_retry_after_s": 10,
     "directory_lifetime_s": 5, "retry_ratio": 0.2, "retry_slack": 52, "retry_window_s": 10,
     "quota_overage": 0.1, "quota_slack_tokens": 190000, "quota_window_s": 8}}})"
--- a/review/stand-in/Net.cpp
+++ b/review/stand-in/Net.cpp
@@ -22,7 +22,7 @@
 
 std::mutex s_record_mutex;
 std::ofstream s_record;
-const auto s_started_at = std::chrono::steady_clock::now();
+const auto kStartedAt = std::chrono::steady_clock::now();
 
 sockaddr_in
 ToSockaddr(const std::string& aAddress)
@@ -75,7 +75,7 @@
 NowMs()
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() -
-                                                               s_started_at)
+                                                               kStartedAt)
     .count();
 }
 
@@ -121,8 +121,8 @@
       connected->m_descriptor, SOL_SOCKET, SO_RCVBUF, &aReceiveBytes, sizeof(aReceiveBytes));
   }
   const sockaddr_in name = ToSockaddr(aAddress);
-  if (connect(
-        connected->m_descriptor, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) != 0) {
+  if (connect(connected->m_descriptor, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) !=
+      0) {
     return nullptr;
   }
   return connected;
@@ -212,7 +212,8 @@
 std::string
 Message::Query(const std::string& aName) const
 {
-  const std::string target = "&" + Target().substr(std::min(Target().size(), Target().find('?') + 1));
+  const std::string target =
+    "&" + Target().substr(std::min(Target().size(), Target().find('?') + 1));
   const auto at = target.find("&" + aName + "=");
   if (at == std::string::npos) {
     return "";
@@ -285,7 +286,8 @@
     const std::string line = m_bytes.substr(from, at - from);
     const auto colon = line.find(':');
     message.m_headers.emplace_back(
-      line.substr(0, colon), line.substr(std::min(line.size(), line.find_first_not_of(' ', colon + 1))));
+      line.substr(0, colon),
+      line.substr(std::min(line.size(), line.find_first_not_of(' ', colon + 1))));
   }
   m_bytes.erase(0, head_end + 4);
   if (message.Header("Transfer-Encoding") == "chunked") {
@@ -375,7 +377,7 @@
 FreeAddress(const std::string& aIp)
 {
   const int descriptor = Listen(aIp + ":0");
-  const std::string address = AddressOf(descriptor);
+  std::string address = AddressOf(descriptor);
   close(descriptor);
   return address;
 }
--- a/review/stand-in/Net.h
+++ b/review/stand-in/Net.h
@@ -46,7 +46,8 @@
   bool HasTimedOut() const { return m_has_timed_out; }
   /// Ends the connection with a reset.
   void Reset();
-  /// Waits until the peer has closed the connection, for aTimeoutMs at most. Returns whether it has.
+  /// Waits until the peer has closed the connection, for aTimeoutMs at most. Returns whether it
+  /// has.
   bool WaitForClose(int aTimeoutMs);
 
 private:
