--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -17,8 +17,8 @@
 constexpr int kGraceMs = 8'000;
 constexpr int kDeadlineMs = 20'000;
 // Documents are of different lengths.
-constexpr std::size_t kShortestBytes = 480'000;
-constexpr std::size_t kLengthStep = 5'000;
+constexpr std::size_t kShortestBytes = 300'000;
+constexpr std::size_t kLengthStep = 20'000;
 constexpr int kBytesPerSecond = 50'000;
 constexpr int kReceiveBytes = 32 << 10;
 // From the requests to SIGTERM.
