--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# A planned stop while requests wait for a slot of a busy service. TROUBLE=0: no stop.
+# The store comes back from a copy some seconds old. TROUBLE=0: it comes back as it was.
 exec "$(dirname "${BASH_SOURCE[0]}")/../run-case.sh" "$(dirname "${BASH_SOURCE[0]}")"
--- a/review/stand-in/Deployment.cpp
+++ b/review/stand-in/Deployment.cpp
@@ -225,7 +225,8 @@
 }
 
 AppServer::AppServer(const std::string& aIp, std::string aId, std::string aService)
-  : m_id(std::move(aId))
+  : m_ip(aIp)
+  , m_id(std::move(aId))
   , m_service(std::move(aService))
   , m_born_ms(std::chrono::duration_cast<std::chrono::milliseconds>(
                 std::chrono::system_clock::now().time_since_epoch())
@@ -235,6 +236,13 @@
 {
 }
 
+std::string
+AppServer::AddPath()
+{
+  m_path = std::make_unique<Server>(m_ip, [this](Socket& aSocket) { Serve(aSocket); });
+  return m_path->Address();
+}
+
 void
 AppServer::SetWork(Work aWork)
 {
--- a/review/stand-in/Deployment.h
+++ b/review/stand-in/Deployment.h
@@ -79,6 +79,10 @@
   const std::string& Id() const { return m_id; }
   const std::string& Service() const { return m_service; }
   const std::string& Address() const { return m_server->Address(); }
+  /// Opens one more address of this server, as the path of one machine. Returns it.
+  std::string AddPath();
+  /// Cuts the path of that machine: connections are reset, new ones are refused.
+  void CutPath() { m_path->Refuse(); }
   void SetWork(Work aWork);
   /// The entry of this server in the store, with its state.
   std::string Entry(const std::string& aState) const;
@@ -91,12 +95,14 @@
 private:
   void Serve(Socket& aSocket);
 
+  std::string m_ip;
   std::string m_id;
   std::string m_service;
   std::int64_t m_born_ms;
   mutable std::mutex m_mutex;
   Work m_work;
   std::vector<Run> m_runs;
+  std::unique_ptr<Server> m_path;
   std::unique_ptr<Server> m_server;
 };
 
--- a/review/stand-in/Net.cpp
+++ b/review/stand-in/Net.cpp
@@ -344,6 +344,14 @@
   }
 }
 
+void
+Server::Refuse()
+{
+  SetClosed(true);
+  // A socket that no longer listens refuses connections.
+  shutdown(m_listener, SHUT_RDWR);
+}
+
 void
 Server::Accept()
 {
--- a/review/stand-in/Net.h
+++ b/review/stand-in/Net.h
@@ -112,6 +112,8 @@
   const std::string& Address() const { return m_address; }
   /// While it is closed, open connections are reset, and new ones as soon as they are accepted.
   void SetClosed(bool aIsClosed);
+  /// Resets open connections and refuses new ones from now on.
+  void Refuse();
 
 private:
   void Accept();
