--- a/review/4/Case.cpp
+++ b/review/4/Case.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr int kDaemons = 5;
+constexpr int kDaemons = 8;
 constexpr int kDrainMs = 2'000;
 constexpr int kContactMs = 3'000;
 constexpr int kAwayMs = 300;
@@ -20,7 +20,7 @@
 constexpr int kHeartbeatMs = 1'200;
 // A request that is sent this long after the bound is surely beyond it.
 constexpr int kMarginMs = 300;
-constexpr int kLingerMs = 2'000;
+constexpr int kLingerMs = 5'000;
 constexpr int kWorkMs = 30;
 // Three heartbeat intervals of silence.
 constexpr int kLapseMs = 3 * kHeartbeatMs;
