--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -510,7 +510,7 @@
   Libraries/LibGateway/ForwardedHeaders.cpp 's/ \&\& !IsForwardingField\(name\)//' \
   "$UNIT" "What daemons state on the hop*"
 mutate "stop: requests that wait are answered" \
-  Libraries/LibGateway/Gateway.cpp 's/raw->OnStopping\(\);//' \
+  Libraries/LibGateway/Gateway.cpp 's/raw->OnStopping\(\);/static_cast<void>(raw);/' \
   "$PROCESS" "Stop: requests that wait for a slot*"
 mutate "stop: requests that are being received are answered" \
   Daemon/GatewayDaemon.cpp 's/if \(now >= stop.WaitsUntil\(\)\)/if (false)/' \
