Reject registrations that lack the counts which each server states

Cause: members that nothing here depends on were not checked, although a server always states them. Ruled out: holding an endpoint to the service that it registered first, since a complete entry is the server's own word.

The stand-ins' registrations now state both members.

--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -559,8 +559,9 @@
   /// that is none.
   void LeaveOddEntry()
   {
-    const std::string ready = R"({"service": "s", "zone": "dc-0", "version": "v1", "slots": 4,
-                                  "state": "ready", "born": 1, "address": "127.0.0.1:)";
+    const std::string ready =
+      R"({"service": "s", "zone": "dc-0", "version": "v1", "slots": 4, "seq": 0,
+                                  "cold_left_ms": 0, "state": "ready", "born": 1, "address": "127.0.0.1:)";
     const std::array<std::string, 8> entries{
       std::string(60'000, '['),
       R"({"service": )" + std::string(50'000, '[') + std::string(50'000, ']') + "}",
--- a/Tests/Support/GatewayCluster.cpp
+++ b/Tests/Support/GatewayCluster.cpp
@@ -537,6 +537,8 @@
     { "version", aEndpoint < m_options.m_versions.size() ? m_options.m_versions[aEndpoint] : "v1" },
     { "slots", 4 },
     { "state", aState },
+    { "cold_left_ms", 0 },
+    { "seq", 0 },
     { "born", m_born.contains(aEndpoint) ? m_born.at(aEndpoint) : 1 }
   };
   entry.update(aChange);
--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -131,6 +131,24 @@
   }
 }
 
+// Guards against requests that go to a service which another writer names for a server: its entries
+// lack what each server states.
+TEST_CASE("A registration that lacks a count which each server states is rejected")
+{
+  for (const auto& change : std::vector<std::pair<std::string, std::string>>{
+         { "\"seq\": 4, ", "" },
+         { "\"seq\": 4", "\"seq\": \"4\"" },
+         { "\"seq\": 4", "\"seq\": -1" },
+         { "\"cold_left_ms\": 0, ", "" },
+         { "\"cold_left_ms\": 0", "\"cold_left_ms\": null" } }) {
+    CAPTURE(change.second);
+    Findings findings;
+    CHECK_FALSE(
+      DecodeRegistration("i-1", With(kRegistration, change.first, change.second), findings));
+    CHECK_FALSE(findings.IsEmpty());
+  }
+}
+
 TEST_CASE("A registration whose id is no header value, or whose names break a line, is rejected")
 {
   for (const std::string& id : { std::string(),
