Forward requests only to daemons whose configuration is at least as new

Cause: the choice of the other daemon asked for its readiness and reach only, and the request did not state under which configuration it was admitted. Heartbeats carry the version already; now it is kept with the member and decides the choice, and the request states the version in a field of the hop, so that a daemon with an older one hands it back as not run. Daemons of earlier builds pass over the field and are chosen by their heartbeats.

The unit test does not compile before, as the choice had no such argument; the process test sends the field to a daemon.

--- a/Libraries/LibCluster/include/LibCluster/Membership.h
+++ b/Libraries/LibCluster/include/LibCluster/Membership.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/StrongString.h>
 #include <LibCore/Time.h>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -31,6 +32,8 @@
   /// Its new connections lead to endpoints. One that reaches none may still coordinate: granting
   /// slots needs no connection to an endpoint.
   bool m_reaches_endpoints = true;
+  /// Version of the configuration that it has in force, by its latest heartbeat; 0 if unknown.
+  std::int64_t m_configuration_version = 0;
 
   auto operator<=>(const Member&) const = default;
 };
--- a/Libraries/LibGateway/ActiveRequestForwarding.cpp
+++ b/Libraries/LibGateway/ActiveRequestForwarding.cpp
@@ -35,9 +35,10 @@
     const bool cannot_connect = reach.CannotConnect(now);
     const bool may_run_again = m_request.m_route->IsIdempotent() && m_possible_runs + 1 < MaxRuns();
     const bool is_avoiding = has_failed_to_connect || reach.ShouldAvoid(may_run_again, now);
-    const auto target = is_avoiding && m_forwarded_to.size() < kMaxForwards
-                          ? m_dependencies.m_targets->Choose(m_forwarded_to, now)
-                          : std::nullopt;
+    const auto target =
+      is_avoiding && m_forwarded_to.size() < kMaxForwards
+        ? m_dependencies.m_targets->Choose(m_forwarded_to, m_request.m_table->Version(), now)
+        : std::nullopt;
     if (target) {
       StartForwarding(*target);
       return;
@@ -90,7 +91,9 @@
     TimeLeft(m_request.m_deadline, Now()),
     m_event_splitter.LastEventId().empty() ? std::nullopt
                                            : std::optional(m_event_splitter.LastEventId()));
-  AppendForwardedRequest({ continues_own_stream ? m_stream : std::string() }, request.m_headers);
+  AppendForwardedRequest(
+    { continues_own_stream ? m_stream : std::string(), m_request.m_table->Version() },
+    request.m_headers);
   request.m_body = m_exchange->Body();
   LogOf("send").info("event=forwarded request={} service={} to={} unreached={} runs={} "
                      "last_event={}",
--- a/Libraries/LibGateway/ForwardTargets.cpp
+++ b/Libraries/LibGateway/ForwardTargets.cpp
@@ -13,7 +13,9 @@
 }
 
 std::optional<Member>
-ForwardTargets::Choose(const std::vector<HostName>& aTried, TimePoint aNow)
+ForwardTargets::Choose(const std::vector<HostName>& aTried,
+                       std::int64_t aMinConfigurationVersion,
+                       TimePoint aNow)
 {
   std::erase_if(m_unable_at,
                 [aNow](const auto& aEntry) { return aNow - aEntry.second >= kUnableFor; });
@@ -22,6 +24,7 @@
   for (const Member& member : m_membership.AliveMembers(aNow)) {
     const bool is_tried = std::find(aTried.begin(), aTried.end(), member.m_host) != aTried.end();
     if (!member.m_is_ready || !member.m_reaches_endpoints || member.m_is_leaving || is_tried ||
+        member.m_configuration_version < aMinConfigurationVersion ||
         m_unable_at.contains(member.m_host)) {
       continue;
     }
--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -12,6 +12,7 @@
 constexpr absl::string_view kFieldPrefix = "auburnhitch-";
 constexpr absl::string_view kForwarded = "Auburnhitch-Forwarded";
 constexpr absl::string_view kStream = "Auburnhitch-Stream";
+constexpr absl::string_view kConfigurationVersion = "Auburnhitch-Configuration-Version";
 constexpr absl::string_view kOutcome = "Auburnhitch-Outcome";
 constexpr absl::string_view kRetryAfterMs = "Auburnhitch-Retry-After-Ms";
 constexpr absl::string_view kEndpoint = "Auburnhitch-Endpoint";
@@ -40,6 +41,8 @@
 AppendForwardedRequest(const ForwardedRequest& aRequest, HttpHeaders& aHeaders)
 {
   aHeaders.emplace_back(std::string(kForwarded), "1");
+  aHeaders.emplace_back(std::string(kConfigurationVersion),
+                        std::to_string(aRequest.m_configuration_version));
   if (!aRequest.m_stream.empty()) {
     aHeaders.emplace_back(std::string(kStream), aRequest.m_stream);
   }
@@ -51,7 +54,12 @@
   if (FindHeader(aHeaders, kForwarded).empty()) {
     return std::nullopt;
   }
-  return ForwardedRequest{ std::string(FindHeader(aHeaders, kStream)) };
+  ForwardedRequest request{ std::string(FindHeader(aHeaders, kStream)) };
+  if (!absl::SimpleAtoi(FindHeader(aHeaders, kConfigurationVersion),
+                        &request.m_configuration_version)) {
+    request.m_configuration_version = 0;
+  }
+  return request;
 }
 
 void
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -281,7 +281,9 @@
     return;
   }
   const bool was_alive = m_membership.IsAlive(host, Now());
-  const bool is_new = m_membership.RecordHeartbeat(aHeartbeat.m_member, Now());
+  Member member = aHeartbeat.m_member;
+  member.m_configuration_version = aHeartbeat.m_configuration_version;
+  const bool is_new = m_membership.RecordHeartbeat(member, Now());
   if (!was_alive || is_new) {
     LogOf("cluster").info("event=peer-heard peer={} incarnation={} new={}",
                           host.Value(),
@@ -522,6 +524,14 @@
   if (request.m_forwarded && aHead.m_resumed_stream.empty()) {
     aHead.m_resumed_stream = request.m_forwarded->m_stream;
   }
+  if (request.m_forwarded && request.m_forwarded->m_configuration_version > m_table->Version()) {
+    Refuse(*aExchange,
+           kServiceUnavailable,
+           aHead.m_request_id,
+           "older-configuration",
+           kRetryAfterWithoutConfiguration);
+    return;
+  }
   request.m_route = m_table->Match(aHead.m_host, aHead.m_path);
   if (request.m_route == nullptr) {
     Refuse(*aExchange, kNotFound, aHead.m_request_id, "no-route", std::nullopt);
--- a/Libraries/LibGateway/include/LibGateway/ForwardTargets.h
+++ b/Libraries/LibGateway/include/LibGateway/ForwardTargets.h
@@ -19,8 +19,11 @@
   {
   }
 
-  /// Returns a daemon that is alive, takes callers and is not in aTried; nothing if there is none.
-  std::optional<Member> Choose(const std::vector<HostName>& aTried, TimePoint aNow);
+  /// Returns a daemon that is alive, takes callers, is not in aTried and has a configuration of at
+  /// least this version in force; nothing if there is none.
+  std::optional<Member> Choose(const std::vector<HostName>& aTried,
+                               std::int64_t aMinConfigurationVersion,
+                               TimePoint aNow);
   /// Records that a daemon could not serve what was forwarded to it. It is left out for a while.
   void RecordUnable(const HostName& aHost, TimePoint aNow) { m_unable_at[aHost] = aNow; }
   bool IsAlive(const HostName& aHost, TimePoint aNow) const
--- a/Libraries/LibGateway/include/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ForwardedRequest.h
@@ -16,6 +16,9 @@
   /// The request in whose response the stream began that is to be continued; empty if the caller's
   /// request names it, or if nothing is continued.
   std::string m_stream;
+  /// Version of the configuration under which the other daemon has admitted the request: an older
+  /// one may send it to another service. 0 if that daemon is of a version that does not state it.
+  std::int64_t m_configuration_version = 0;
 
   auto operator<=>(const ForwardedRequest&) const = default;
 };
--- a/Tests/Process/TestEndpointCuts.cpp
+++ b/Tests/Process/TestEndpointCuts.cpp
@@ -371,6 +371,20 @@
   }
 }
 
+// Guards against requests that an older configuration sends to another service than the newer one
+// by which they were admitted.
+TEST_CASE("Cut off: a daemon hands back a request that a newer configuration than its own admitted")
+{
+  GatewayCluster cluster(1, 1);
+  const std::string forwarded = "Auburnhitch-Forwarded: 1\r\nAuburnhitch-Configuration-Version: ";
+  const CallerResponse newer =
+    cluster.Call("/unsafe/x", "newer", absl::StrCat(forwarded, "1000000\r\n"));
+  CHECK(newer.m_status == 503);
+  CHECK(newer.Header("Auburnhitch-Outcome") == "try-another");
+  CHECK(cluster.RunsOf("newer") == 0);
+  CHECK(cluster.Call("/unsafe/x", "older", absl::StrCat(forwarded, "0\r\n")).m_status == 200);
+}
+
 TEST_CASE("Rest: a daemon that was asked for rest sends no forwarded request there either")
 {
   GatewayCluster cluster(WithPaths(2));
--- a/Tests/Unit/TestEndpointReach.cpp
+++ b/Tests/Unit/TestEndpointReach.cpp
@@ -199,7 +199,7 @@
   }
   ForwardTargets targets(membership, DataCenterName("near"));
   const auto choose = [&](const std::vector<HostName>& aTried, int aMs) {
-    const auto chosen = targets.Choose(aTried, At(aMs));
+    const auto chosen = targets.Choose(aTried, 0, At(aMs));
     return chosen ? chosen->m_host.Value() : "none";
   };
   const std::string first = choose({}, 0);
@@ -214,13 +214,30 @@
   CHECK(choose({}, 5'000) == "none");
 }
 
+// Guards against requests that an older configuration sends to another service than the newer one
+// by which they were admitted.
+TEST_CASE("A request is forwarded only to daemons whose configuration is at least as new")
+{
+  Membership membership(Membership::Limits(), HostName("own"));
+  Member older = DaemonOf("older", "near");
+  older.m_configuration_version = 14;
+  Member current = DaemonOf("current", "far");
+  current.m_configuration_version = 15;
+  membership.RecordHeartbeat(older, At(0));
+  membership.RecordHeartbeat(current, At(0));
+  ForwardTargets targets(membership, DataCenterName("near"));
+  CHECK(targets.Choose({}, 14, At(0))->m_host == older.m_host);
+  CHECK(targets.Choose({}, 15, At(0))->m_host == current.m_host);
+  CHECK_FALSE(targets.Choose({}, 16, At(0)));
+}
+
 TEST_CASE(
   "What daemons state on the hop between them is read as it was written, and goes no further")
 {
   HttpHeaders headers{ { "Host", "h" } };
   CHECK_FALSE(ParseForwardedRequest(headers));
-  AppendForwardedRequest({ "stream-1" }, headers);
-  CHECK(ParseForwardedRequest(headers) == ForwardedRequest{ "stream-1" });
+  AppendForwardedRequest({ "stream-1", 7 }, headers);
+  CHECK(ParseForwardedRequest(headers) == ForwardedRequest{ "stream-1", 7 });
   CHECK(ForwardedHeaders(headers, {}) == HttpHeaders{ { "Host", "h" } });
   for (const ForwardedOutcome outcome :
        { ForwardedOutcome::NotRun, ForwardedOutcome::TryAnother, ForwardedOutcome::Unknown }) {
