Split the choice of an endpoint from the scheduler, and count a new connection as its cost

With learn_concurrency, or the contract pressure, a grant prefers an endpoint to which its daemon probably has an idle connection. Without the setting nothing changes.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -3,15 +3,13 @@
 #include <LibCore/Digest.h>
 #include <LibCore/Log.h>
 #include <LibGateway/RequestDigest.h>
+#include <LibPlacement/IdleConnections.h>
 #include <algorithm>
 
 namespace auburnhitch {
 
 namespace {
 
-// Endpoints announce in whole seconds how long they keep an idle connection, so one that announces
-// nothing may close it in less than a second.
-constexpr Milliseconds kIdleLifetime{ 700 };
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
 // A daemon without a configuration receives one within a few hundred milliseconds.
 constexpr Milliseconds kRetryAfterWithoutConfiguration{ 300 };
@@ -70,6 +68,7 @@
 {
   SlotBroker::Limits limits;
   limits.m_scheduler.m_max_retry_after = aSettings.m_max_retry_after;
+  limits.m_scheduler.m_learn_concurrency = aSettings.m_learn_concurrency;
   return limits;
 }
 
@@ -87,7 +86,7 @@
   , m_readers(StoreReaderSelector::Limits())
   , m_retry_budget(aSettings.m_retry_budget)
   , m_targets(m_membership, aSettings.m_data_center)
-  , m_client(aLoop, kIdleLifetime, kMaxIdlePerEndpoint)
+  , m_client(aLoop, kIdleConnectionLifetime, kMaxIdlePerEndpoint)
   , m_broker(BrokerLimits(aSettings),
              SlotBroker::Dependencies{
                &aLoop,
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/GatewaySettings.h>
 
 #include <LibHttp/HttpServer.h>
+#include <set>
 
 namespace auburnhitch {
 
@@ -11,6 +12,8 @@
 // Descriptors reserved for files, the log and libraries.
 constexpr std::int64_t kOtherDescriptors = 200;
 constexpr double kMillisecondsPerSecond = 1'000;
+// A deployment with this contract has more load at times than its endpoints can serve in time.
+constexpr const char* kPressureContract = "pressure";
 
 SocketAddress
 ReadAddress(JsonObjectReader& aReader, const char* aKey, Findings& aFindings)
@@ -73,6 +76,26 @@
   return static_cast<int>(share * cores * kMillicores);
 }
 
+/// Returns the contracts of the deployment. Contracts that this build does not know are kept; an
+/// absent list is an empty one.
+std::set<std::string>
+ReadContracts(JsonObjectReader& aReader, Findings& aFindings)
+{
+  std::set<std::string> contracts;
+  const Json* value = aReader.Member("contracts");
+  if (value == nullptr || value->is_null()) {
+    return contracts;
+  }
+  aReader.ForEach("contracts", 0, [&](const Json& aElement, const std::string& aPath) {
+    if (!aElement.is_string()) {
+      aFindings.Add(aPath, "must be a string");
+      return;
+    }
+    contracts.insert(aElement.get<std::string>());
+  });
+  return contracts;
+}
+
 void
 ReadBounds(const Json& aJson, GatewaySettings& aSettings, Findings& aFindings)
 {
@@ -134,6 +157,9 @@
                            kMaxDescriptors);
   settings.m_max_sockets = static_cast<std::size_t>(descriptors - kOtherDescriptors);
   settings.m_processor_millicores = ReadProcessor(reader, aFindings);
+  const std::set<std::string> contracts = ReadContracts(reader, aFindings);
+  settings.m_learn_concurrency =
+    reader.OptionalBool("learn_concurrency", contracts.contains(kPressureContract));
   if (const Json* bounds = reader.Member("bounds")) {
     ReadBounds(*bounds, settings, aFindings);
   }
--- a/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
@@ -43,6 +43,9 @@
   int m_processor_millicores = 1'000;
   /// File descriptors that this process may use for sockets.
   std::size_t m_max_sockets = 3'900;
+  /// Whether requests are placed by the learned concurrency of the endpoints and by the connections
+  /// that daemons keep to them.
+  bool m_learn_concurrency = false;
 
   /// Parses and validates settings. Returns nullopt and records a finding for each invalid member.
   static std::optional<GatewaySettings> FromJson(const Json& aJson, Findings& aFindings);
--- a/Libraries/LibPlacement/SlotEndpoint.cpp
+++ b/Libraries/LibPlacement/SlotEndpoint.cpp
@@ -27,6 +27,14 @@
 // EWMA weight of a new outcome in the failure rate, which averages about ten responses.
 constexpr double kOutcomeWeight = 0.1;
 
+/// Whether the connection of a request stays open: it does after a complete response.
+bool
+LeavesConnection(SlotOutcome aOutcome)
+{
+  return aOutcome == SlotOutcome::Complete || aOutcome == SlotOutcome::Failed ||
+         aOutcome == SlotOutcome::Refused;
+}
+
 }
 
 SlotEndpoint::SlotEndpoint(SlotEndpointInfo aInfo, TimePoint aNow)
@@ -41,6 +49,7 @@
 SlotEndpoint::Hold(const SlotRequestId& aRequestId, const RequestWork& aWork, TimePoint aNow)
 {
   m_rate.RecordSent(aNow);
+  m_idle_connections.RecordUsed(aRequestId.m_daemon, aNow);
   Insert(aRequestId, Held{ aWork, aNow, false, ExpectedFirstByteMs(aWork), std::nullopt });
 }
 
@@ -109,6 +118,9 @@
     m_prompt_tokens_ahead -= held.m_work.m_prompt_tokens;
   }
   m_held.erase(found);
+  if (LeavesConnection(aOutcome)) {
+    m_idle_connections.RecordIdle(aRequestId.m_daemon, aNow);
+  }
   switch (aOutcome) {
     case SlotOutcome::Complete:
       RecordAlive(aRequestId.m_daemon, held.m_granted_at, aNow);
@@ -190,6 +202,7 @@
 void
 SlotEndpoint::ReleaseDaemon(const Incarnation& aDaemon)
 {
+  m_idle_connections.ForgetDaemon(aDaemon);
   for (auto held = m_held.begin(); held != m_held.end();) {
     if (held->first.m_daemon != aDaemon) {
       ++held;
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -4,23 +4,14 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
-#include <tuple>
 #include <utility>
 
 namespace auburnhitch {
 
 namespace {
 
-// Cost of using another data centre: an endpoint there must save this much expected time. Traffic
-// between data centres is more expensive than a few milliseconds within the objective.
-constexpr double kOtherDataCenterCostMs = 15;
 // Lower bound of the expected time to first byte at any endpoint.
 constexpr double kMinFirstByteMs = 0.1;
-// Share of the slot-holding time that is added to the time to first byte as cost: a slot at a slow
-// endpoint is unavailable to later requests for longer.
-constexpr double kHoldingTimeCostShare = 0.2;
-// Cost of a failure rate of 1, in milliseconds; exceeds any queueing delay.
-constexpr double kFailureCostMs = 3'000;
 // Jitter of the retry delay as a share of the delay, so that refused callers do not return at the
 // same time.
 constexpr double kRetryJitterShare = 0.5;
@@ -410,16 +401,6 @@
   aDecisions.m_refused.push_back(aRequest);
 }
 
-double
-SlotScheduler::CostOf(const SlotEndpoint& aEndpoint, const SlotRequest& aRequest) const
-{
-  const bool is_other_data_center = aEndpoint.Info().m_data_center != aRequest.m_data_center;
-  return aEndpoint.ExpectedFirstByteMs(aRequest.m_work) +
-         kHoldingTimeCostShare * aEndpoint.ExpectedTotalMs(aRequest.m_work) +
-         (is_other_data_center ? kOtherDataCenterCostMs : 0) +
-         kFailureCostMs * aEndpoint.FailureRate();
-}
-
 bool
 SlotScheduler::IsEligible(const SlotEndpoint& aEndpoint, const SlotRequest& aRequest)
 {
@@ -504,44 +485,14 @@
 }
 
 SlotEndpoint*
-SlotScheduler::Choose(const WaitingSlotRequest& aWaiting, TimePoint aNow)
+SlotScheduler::Choose(const SlotRequest& aRequest, TimePoint aNow)
 {
-  const SlotRequest& request = aWaiting.m_request;
-  const bool is_suspected = m_crash_suspects->HasSuspectedRequest(request.m_crash_traits);
-  const std::set<EndpointId> isolated = m_crash_suspects->EndpointsOfSuspects(aNow);
-  const Incarnation& daemon = request.m_request_id.m_daemon;
-  const auto is_suspect = [&](const SlotEndpoint& aEndpoint) {
-    return aEndpoint.IsSuspectFor(daemon, m_doubted, aNow);
-  };
+  const EndpointChooser chooser(
+    { *m_crash_suspects, m_doubted, m_slot_share, m_limits.m_learn_concurrency });
   const auto may_serve = [&](const SlotEndpoint& aEndpoint) {
-    return IsEligibleNow(aEndpoint, request, aNow) && !RestEnd(aEndpoint, request, aNow);
+    return IsEligibleNow(aEndpoint, aRequest, aNow) && !RestEnd(aEndpoint, aRequest, aNow);
   };
-  bool has_unsuspected = false;
-  bool has_open = false;
-  for (const auto& [id, endpoint] : m_endpoints) {
-    if (may_serve(endpoint) && !is_suspect(endpoint)) {
-      has_unsuspected = true;
-      has_open = has_open || !isolated.contains(id);
-    }
-  }
-  SlotEndpoint* best = nullptr;
-  std::tuple<std::size_t, bool, double> best_cost;
-  for (auto& [id, endpoint] : m_endpoints) {
-    if (!endpoint.HasFreeSlot(m_slot_share, aNow) || !may_serve(endpoint) ||
-        (has_unsuspected && is_suspect(endpoint)) || (has_open && isolated.contains(id))) {
-      continue;
-    }
-    const bool is_avoided =
-      std::find(request.m_avoided.begin(), request.m_avoided.end(), id) != request.m_avoided.end();
-    // If a suspected request crashes its endpoint, those that run there break off with it.
-    const std::size_t at_risk = is_suspected ? m_crash_suspects->CountAtRisk(id, aNow) : 0;
-    const std::tuple cost(at_risk, is_avoided, CostOf(endpoint, request));
-    if (best == nullptr || cost < best_cost) {
-      best = &endpoint;
-      best_cost = cost;
-    }
-  }
-  return best;
+  return chooser.Choose(m_endpoints, aRequest, may_serve, aNow);
 }
 
 bool
@@ -615,7 +566,7 @@
       set_aside.push_back(take());
       continue;
     }
-    if (SlotEndpoint* endpoint = Choose(*front, aNow)) {
+    if (SlotEndpoint* endpoint = Choose(request, aNow)) {
       GrantFront(*endpoint, aNow, aDecisions);
       continue;
     }
--- a/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibPlacement/EndpointRateLimit.h>
+#include <LibPlacement/IdleConnections.h>
 #include <LibPlacement/ServiceTimeModel.h>
 #include <absl/container/flat_hash_map.h>
 #include <optional>
@@ -107,6 +108,11 @@
   double ExpectedTotalMs(const RequestWork& aWork) const;
   /// Share of recent attempts that failed; an EWMA.
   double FailureRate() const { return m_failure_rate; }
+  /// Whether a request of a daemon that is sent now probably finds an idle connection.
+  bool HasIdleConnection(const Incarnation& aDaemon, TimePoint aNow) const
+  {
+    return m_idle_connections.Has(aDaemon, aNow);
+  }
 
 private:
   struct Held
@@ -141,6 +147,7 @@
   SlotEndpointInfo m_info;
   ServiceTimeModel m_times;
   EndpointRateLimit m_rate;
+  IdleConnections m_idle_connections;
   absl::flat_hash_map<SlotRequestId, Held> m_held;
   double m_prompt_tokens_ahead = 0;
   double m_failure_rate = 0;
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibPlacement/CrashSuspects.h>
+#include <LibPlacement/EndpointChooser.h>
 #include <LibPlacement/EndpointRests.h>
 #include <LibPlacement/SlotEndpoint.h>
 #include <LibPlacement/SlotQueue.h>
@@ -16,6 +17,8 @@
   /// Bounds of the retry delay that is sent with a refusal.
   Milliseconds m_min_retry_after{ 100 };
   Milliseconds m_max_retry_after{ 10'000 };
+  /// Whether requests are placed by what is learned of the endpoints beyond their speed.
+  bool m_learn_concurrency = false;
 };
 
 /// How many rests a coordinator keeps: a few for each of several thousand daemons. The daemons keep
@@ -117,8 +120,8 @@
   std::vector<SlotEndpointView> View(TimePoint aNow) const;
 
 private:
-  /// The endpoint with a free slot that costs least, or null if none has a free slot.
-  SlotEndpoint* Choose(const WaitingSlotRequest& aWaiting, TimePoint aNow);
+  /// See EndpointChooser::Choose().
+  SlotEndpoint* Choose(const SlotRequest& aRequest, TimePoint aNow);
   /// Whether an endpoint may serve a request as registered, apart from free slots.
   static bool IsEligible(const SlotEndpoint& aEndpoint, const SlotRequest& aRequest);
   /// As IsEligible(), but not while the software version that the request requires is in doubt.
@@ -140,7 +143,6 @@
   bool RestsTooLong(const WaitingSlotRequest& aWaiting, TimePoint aNow) const;
   /// Determines anew which daemons are doubted.
   void UpdateDoubted(TimePoint aNow);
-  double CostOf(const SlotEndpoint& aEndpoint, const SlotRequest& aRequest) const;
   double ExpectedWaitMs(int aPriority, TimePoint aNow) const;
   /// Whether to refuse a new request at once: the queue is full, its caller would stop waiting, or
   /// the service is overloaded and the request would probably miss its objective.
--- a/Tests/Unit/TestGatewayParts.cpp
+++ b/Tests/Unit/TestGatewayParts.cpp
@@ -125,6 +125,27 @@
         SocketAddress("127.0.0.1:7"));
 }
 
+TEST_CASE("Only a setting or the contract pressure turns on learned concurrency")
+{
+  // Guards against new placement on earlier deployments, whose settings have neither.
+  const auto learns = [](const Json& aContracts, const Json& aSetting) {
+    Findings findings;
+    Json json = ValidSettings();
+    json["contracts"] = aContracts;
+    if (!aSetting.is_null()) {
+      json["learn_concurrency"] = aSetting;
+    }
+    const auto settings = GatewaySettings::FromJson(json, findings);
+    REQUIRE(settings);
+    return settings->m_learn_concurrency;
+  };
+  CHECK_FALSE(learns(nullptr, nullptr));
+  CHECK_FALSE(learns(Json::array({ "other" }), nullptr));
+  CHECK(learns(Json::array({ "other", "pressure" }), nullptr));
+  CHECK(learns(nullptr, true));
+  CHECK_FALSE(learns(Json::array({ "pressure" }), false));
+}
+
 TEST_CASE("Every error in gateway settings is reported with its path")
 {
   Json json = ValidSettings();
@@ -132,6 +153,8 @@
   json["advertised_peer_address"] = "127.0.0.1";
   json["max_descriptors"] = 3;
   json["surprise"] = 1;
+  json["contracts"] = { 5 };
+  json["learn_concurrency"] = "yes";
   json["seed_addresses"] = { "127.0.0.1:7", 5 };
   json["bounds"] = { { "stop_grace_s", -1 }, { "retry_slack", "many" } };
   json.erase("host");
@@ -142,6 +165,8 @@
                             "/advertised_peer_address",
                             "/max_descriptors",
                             "/surprise",
+                            "/contracts/0",
+                            "/learn_concurrency",
                             "/seed_addresses/1",
                             "/bounds/stop_grace_s",
                             "/bounds/retry_slack",
