Split the admission off SlotScheduler into SlotAdmission

What is expected of a request, whether it is refused because of the load, and its retry delay are decided in a class of their own. No change of behaviour.

--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -1,8 +1,6 @@
 #include <LibPlacement/SlotScheduler.h>
 
-#include <absl/hash/hash.h>
 #include <algorithm>
-#include <cmath>
 #include <numeric>
 #include <tuple>
 #include <utility>
@@ -14,41 +12,17 @@
 // Cost of using another data centre: an endpoint there must save this much expected time. Traffic
 // between data centres is more expensive than a few milliseconds within the objective.
 constexpr double kOtherDataCenterCostMs = 15;
-// Lower bound of the expected time to first byte at any endpoint.
-constexpr double kMinFirstByteMs = 0.1;
 // Share of the slot-holding time that is added to the time to first byte as cost: a slot at a slow
 // endpoint is unavailable to later requests for longer.
 constexpr double kHoldingTimeCostShare = 0.2;
 // Cost of a failure rate of 1, in milliseconds; exceeds any queueing delay.
 constexpr double kFailureCostMs = 3'000;
-// Jitter of the retry delay as a share of the delay, so that refused callers do not return at the
-// same time.
-constexpr double kRetryJitterShare = 0.5;
-// A request may be queued if its expected wait is at most this share of the time for which its
-// caller still waits, less the time to first byte.
-constexpr double kMaxWaitShare = 0.9;
-// EWMA weight of a new deviation from an expected time; averages about thirty responses.
-constexpr double kDeviationWeight = 0.03;
-// Margin above an expected time, in mean deviations; about nine in ten times are within it.
-constexpr double kMarginInDeviations = 1.25;
-// Upper bound of one sample, so that a single response of an endpoint that has just become slow
-// does not dominate the mean.
-constexpr double kMaxDeviation = 1;
-// Under overload the expected wait is limited to this share of the time that a request can wait and
-// still be in time. A longer queue serves no more callers; it only makes each of them wait longer,
-// and callers that retry after a refusal return too late.
-constexpr double kOverloadSlackShare = 0.25;
 // An endpoint of a missing software version may come back after a restart, which takes seconds.
 constexpr double kRestartTimeMs = 1'000;
 // EWMA weight of a new request in the mean time for which a slot is held.
 constexpr double kSlotTimeWeight = 0.05;
 // Lower bound of the number of slots while rate limits apply.
 constexpr double kMinLimitedSlots = 1e-3;
-// Lower bound of the time for which a request is expected to hold a slot.
-constexpr double kMinSlotTimeMs = 1;
-// Minimum share of the slots that work of higher priorities is expected to leave.
-constexpr double kMinShareLeft = 0.1;
-
 double
 MsBetween(TimePoint aFrom, TimePoint aTo)
 {
@@ -232,24 +206,7 @@
     m_ineligible.emplace_back(aRequest, SlotRefusalReason::Harmful);
     return;
   }
-  WaitingSlotRequest waiting{ aRequest, 0, 0, 0 };
-  double min_first = -1;
-  double total = 0;
-  double rate = 0;
-  for (const auto& [id, endpoint] : m_endpoints) {
-    const double first = endpoint.Times().FirstByteSlowness() *
-                         ServiceTimeModel::ReferenceFirstByteMs(aRequest.m_work, 0);
-    min_first = min_first < 0 ? first : std::min(min_first, first);
-    total += endpoint.ExpectedTotalMs(aRequest.m_work);
-    rate += 1 / std::max(first, kMinFirstByteMs);
-  }
-  waiting.m_min_first_byte_ms = std::max(0.0, min_first);
-  // Harmonic mean: fast endpoints have a free slot more often, so they get more weight.
-  const double typical_first = rate > 0 ? static_cast<double>(m_endpoints.size()) / rate : 0;
-  waiting.m_first_byte_bound_ms = typical_first * (1 + kMarginInDeviations * m_deviation);
-  waiting.m_slot_time_ms =
-    m_endpoints.empty() ? 0
-                        : std::max(kMinSlotTimeMs, total / static_cast<double>(m_endpoints.size()));
+  WaitingSlotRequest waiting = m_admission.Estimate(aRequest, m_endpoints);
   const bool is_first = m_mean_slot_time_ms == 0;
   m_mean_slot_time_ms +=
     (is_first ? 1 : kSlotTimeWeight) * (waiting.m_slot_time_ms - m_mean_slot_time_ms);
@@ -282,8 +239,7 @@
     return;
   }
   if (const auto ratio = found->second.RecordStarted(aRequestId, aNow)) {
-    const double deviation = std::min(std::abs(*ratio - 1), kMaxDeviation);
-    m_deviation += kDeviationWeight * (deviation - m_deviation);
+    m_admission.RecordFirstByteRatio(*ratio);
   }
 }
 
@@ -371,24 +327,6 @@
   return views;
 }
 
-double
-SlotScheduler::ExpectedWaitMs(int aPriority, TimePoint aNow) const
-{
-  const double slots = SlotCount(aNow);
-  const double left = std::max(kMinShareLeft, 1.0 - m_queue.LoadAbove(aPriority, slots, aNow));
-  return m_queue.SlotTimeAheadMs(aPriority) / (slots * left);
-}
-
-Milliseconds
-SlotScheduler::RetryAfter(const SlotRequest& aRequest, double aWaitMs) const
-{
-  constexpr std::uint64_t kSteps = 1'000;
-  const double point =
-    static_cast<double>(absl::HashOf(aRequest.m_request_id) % kSteps) / static_cast<double>(kSteps);
-  const auto spread = static_cast<std::int64_t>(aWaitMs * (1 + kRetryJitterShare * point));
-  return std::clamp(Milliseconds(spread), m_limits.m_min_retry_after, m_limits.m_max_retry_after);
-}
-
 void
 SlotScheduler::Refuse(const SlotRequest& aRequest,
                       SlotRefusalReason aReason,
@@ -397,14 +335,16 @@
 {
   const auto retry_after = [&] {
     if (aReason == SlotRefusalReason::Harmful) {
-      return m_limits.m_max_retry_after;
+      return m_admission.Limits().m_max_retry_after;
     }
     if (aReason == SlotRefusalReason::NoEndpointOfVersion) {
-      return RetryAfter(aRequest, kRestartTimeMs);
+      return m_admission.RetryAfter(aRequest, kRestartTimeMs);
     }
-    const double wait_ms = ExpectedWaitMs(aRequest.m_priority, aNow);
+    const double wait_ms =
+      m_admission.ExpectedWaitMs(m_queue, aRequest.m_priority, SlotCount(aNow), aNow);
     const auto rest_end = RestEndOfAll(aRequest, aNow);
-    return RetryAfter(aRequest, rest_end ? std::max(wait_ms, MsBetween(aNow, *rest_end)) : wait_ms);
+    return m_admission.RetryAfter(
+      aRequest, rest_end ? std::max(wait_ms, MsBetween(aNow, *rest_end)) : wait_ms);
   };
   aDecisions.m_refusals.push_back({ aRequest.m_request_id, aReason, retry_after() });
   aDecisions.m_refused.push_back(aRequest);
@@ -544,25 +484,6 @@
   return best;
 }
 
-bool
-SlotScheduler::ShouldRefuse(const WaitingSlotRequest& aWaiting, TimePoint aNow) const
-{
-  if (m_queue.Size() >= m_limits.m_max_waiting) {
-    return true;
-  }
-  const auto until = [&](TimePoint aAt) {
-    return std::chrono::duration<double, std::milli>(aAt - aNow).count();
-  };
-  const SlotRequest& request = aWaiting.m_request;
-  const double wait_ms = ExpectedWaitMs(request.m_priority, aNow);
-  if (wait_ms > kMaxWaitShare * (until(request.m_abandoned_at) - aWaiting.m_min_first_byte_ms)) {
-    return true;
-  }
-  const double slack_ms = until(request.m_objective_at) - aWaiting.m_first_byte_bound_ms;
-  return wait_ms > kOverloadSlackShare * slack_ms &&
-         m_queue.IsOverloaded(request.m_priority, SlotCount(aNow), aNow);
-}
-
 void
 SlotScheduler::UpdateDoubted(TimePoint aNow)
 {
@@ -670,7 +591,7 @@
     }
     if (RestsTooLong(*waiting, aNow)) {
       Refuse(waiting->m_request, SlotRefusalReason::NoEndpoint, aNow, aDecisions);
-    } else if (ShouldRefuse(*waiting, aNow)) {
+    } else if (m_admission.ShouldRefuse(m_queue, *waiting, SlotCount(aNow), aNow)) {
       Refuse(waiting->m_request, SlotRefusalReason::Overloaded, aNow, aDecisions);
     } else {
       m_queue.PutBack(std::move(*waiting));
--- /dev/null
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotAdmission.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <LibPlacement/SlotEndpoint.h>
+#include <LibPlacement/SlotQueue.h>
+#include <map>
+
+namespace auburnhitch {
+
+struct SlotSchedulerLimits
+{
+  std::size_t m_max_waiting = 5'000;
+  /// Bounds of the retry delay that is sent with a refusal.
+  Milliseconds m_min_retry_after{ 100 };
+  Milliseconds m_max_retry_after{ 10'000 };
+};
+
+/// Decides which waiting requests of a service are refused because more work arrives than its slots
+/// can serve, and after which delay their callers may try again. The slot counts that its functions
+/// take are positive. Uses no clock of its own. Not thread-safe.
+class SlotAdmission
+{
+public:
+  explicit SlotAdmission(SlotSchedulerLimits aLimits)
+    : m_limits(aLimits)
+  {
+  }
+
+  const SlotSchedulerLimits& Limits() const { return m_limits; }
+
+  /// Returns a request with the times that are expected of it at a service's endpoints.
+  WaitingSlotRequest Estimate(const SlotRequest& aRequest,
+                              const std::map<EndpointId, SlotEndpoint>& aEndpoints) const;
+  /// Records the ratio of a measured to an expected time to first byte.
+  void RecordFirstByteRatio(double aRatio);
+
+  /// How long a new request of this priority is expected to wait for a slot, in milliseconds.
+  double ExpectedWaitMs(const SlotQueue& aQueue,
+                        int aPriority,
+                        double aSlots,
+                        TimePoint aNow) const;
+  /// Whether to refuse a new request at once: the queue is full, its caller would stop waiting, or
+  /// the service is overloaded and the request would probably miss its objective.
+  bool ShouldRefuse(const SlotQueue& aQueue,
+                    const WaitingSlotRequest& aWaiting,
+                    double aSlots,
+                    TimePoint aNow) const;
+  /// The retry delay to send with a refusal, given the expected wait in milliseconds.
+  Milliseconds RetryAfter(const SlotRequest& aRequest, double aWaitMs) const;
+
+private:
+  SlotSchedulerLimits m_limits;
+  /// EWMA of the deviation of times to first byte, as a share of the expected time.
+  double m_deviation = 0.25;
+};
+
+}
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -2,22 +2,13 @@
 
 #include <LibPlacement/CrashSuspects.h>
 #include <LibPlacement/EndpointRests.h>
-#include <LibPlacement/SlotEndpoint.h>
-#include <LibPlacement/SlotQueue.h>
+#include <LibPlacement/SlotAdmission.h>
 #include <map>
 #include <memory>
 #include <set>
 
 namespace auburnhitch {
 
-struct SlotSchedulerLimits
-{
-  std::size_t m_max_waiting = 5'000;
-  /// Bounds of the retry delay that is sent with a refusal.
-  Milliseconds m_min_retry_after{ 100 };
-  Milliseconds m_max_retry_after{ 10'000 };
-};
-
 /// How many rests a coordinator keeps: a few for each of several thousand daemons. The daemons keep
 /// their own besides.
 constexpr std::size_t kMaxRestsOfDaemons = 50'000;
@@ -54,7 +45,7 @@
     SlotSchedulerLimits aLimits,
     std::shared_ptr<CrashSuspects> aSuspects = std::make_shared<CrashSuspects>(),
     std::shared_ptr<EndpointRests> aRests = std::make_shared<EndpointRests>(kMaxRestsOfDaemons))
-    : m_limits(aLimits)
+    : m_admission(aLimits)
     , m_crash_suspects(std::move(aSuspects))
     , m_rests(std::move(aRests))
   {
@@ -141,11 +132,6 @@
   /// Determines anew which daemons are doubted.
   void UpdateDoubted(TimePoint aNow);
   double CostOf(const SlotEndpoint& aEndpoint, const SlotRequest& aRequest) const;
-  double ExpectedWaitMs(int aPriority, TimePoint aNow) const;
-  /// Whether to refuse a new request at once: the queue is full, its caller would stop waiting, or
-  /// the service is overloaded and the request would probably miss its objective.
-  bool ShouldRefuse(const WaitingSlotRequest& aWaiting, TimePoint aNow) const;
-  Milliseconds RetryAfter(const SlotRequest& aRequest, double aWaitMs) const;
   void Refuse(const SlotRequest& aRequest,
               SlotRefusalReason aReason,
               TimePoint aNow,
@@ -169,7 +155,7 @@
   /// Informs the suspects when endpoints of another software version serve.
   void RecordVersions(const std::vector<SlotEndpointInfo>& aEndpoints, TimePoint aNow);
 
-  SlotSchedulerLimits m_limits;
+  SlotAdmission m_admission;
   std::shared_ptr<CrashSuspects> m_crash_suspects;
   std::shared_ptr<EndpointRests> m_rests;
   /// The software versions that have served.
@@ -187,8 +173,6 @@
   std::vector<SlotRequestId> m_undecided;
   /// Requests since the last decision that no endpoint may serve, with the reason.
   std::vector<std::pair<SlotRequest, SlotRefusalReason>> m_ineligible;
-  /// EWMA of the deviation of times to first byte, as a share of the expected time.
-  double m_deviation = 0.25;
 };
 
 }
