Let store readers forward the records that they have read, where forward_records is set

Daemons announce in their heartbeats that they accept records, in an entry that earlier builds pass over, so that others get none. Off by default.

--- a/Daemon/GatewayDaemon.cpp
+++ b/Daemon/GatewayDaemon.cpp
@@ -40,7 +40,12 @@
   : m_loop(aLoop)
   , m_settings(aSettings)
   , m_gateway(aLoop, aSettings, m_dialect)
-  , m_adapter(aLoop, m_gateway, aSettings.m_store_address)
+  , m_adapter(aLoop,
+              m_gateway,
+              aSettings.m_store_address,
+              aSettings.m_forward_records
+                ? [this](const RecordsMessage& aMessage) { SendRecords(aMessage); }
+                : PlatformAdapter::RecordsSender())
   , m_heartbeats_sent_at(aLoop.Now())
   , m_logs_flushed_at(aLoop.Now())
   , m_tick(aLoop, kTickInterval, Timer::Repeat::Always, [this] { OnTick(); })
@@ -95,11 +100,12 @@
                m_settings.m_metrics_address,
                InternalServerLimits(),
                [this](const RelayExchangePtr& aExchange) { OnMetricsRequest(*aExchange); }));
-  TRY_ASSIGN(
-    m_heartbeat_socket,
-    HeartbeatSocket::Create(m_loop, m_settings.m_peer_address, [this](const Heartbeat& aHeartbeat) {
-      OnHeartbeat(aHeartbeat);
-    }));
+  TRY_ASSIGN(m_heartbeat_socket,
+             HeartbeatSocket::Create(
+               m_loop,
+               m_settings.m_peer_address,
+               [this](const Heartbeat& aHeartbeat) { OnHeartbeat(aHeartbeat); },
+               [this](const RecordsMessage& aMessage) { OnForwardedRecords(aMessage); }));
   TRY_ASSIGN(m_link_listener,
              PeerLinkListener::Create(
                m_loop, m_settings.m_peer_address, [this](std::unique_ptr<PeerLink> aLink) {
@@ -159,10 +165,56 @@
   }
 }
 
+void
+GatewayDaemon::OnForwardedRecords(const RecordsMessage& aMessage)
+{
+  const auto sender = m_gateway.Members().Find(aMessage.m_sender);
+  const bool is_known = sender && sender->m_incarnation == aMessage.m_incarnation &&
+                        m_gateway.Members().IsAlive(aMessage.m_sender, m_loop.Now());
+  if (!m_settings.m_forward_records || !is_known) {
+    m_gateway.Metrics().OnForwardedRecords(
+      "unknown", is_known ? "disabled" : "unknown-sender", aMessage.m_records.size());
+    return;
+  }
+  m_adapter.OnForwardedRecords(aMessage);
+}
+
+void
+GatewayDaemon::SendRecords(const RecordsMessage& aMessage)
+{
+  const std::vector<std::string> datagrams = EncodeRecords(aMessage);
+  std::size_t receivers = 0;
+  for (const Member& member : m_gateway.Members().AliveMembers(m_loop.Now())) {
+    if (member.m_accepts_records && !member.m_is_reader &&
+        member.m_data_center == m_settings.m_data_center) {
+      ++receivers;
+      for (const std::string& datagram : datagrams) {
+        m_heartbeat_socket->SendTo(member.m_peer_address, datagram);
+      }
+    }
+  }
+  m_gateway.Metrics().OnForwardedRecords(
+    aMessage.m_topic, "sent", receivers * aMessage.m_records.size());
+}
+
+bool
+GatewayDaemon::ExpectsForwarding() const
+{
+  if (!m_settings.m_forward_records) {
+    return false;
+  }
+  const std::vector<Member> alive = m_gateway.Members().AliveMembers(m_loop.Now());
+  return std::any_of(alive.begin(), alive.end(), [&](const Member& aMember) {
+    return aMember.m_is_reader && aMember.m_can_read_store && aMember.m_accepts_records &&
+           aMember.m_data_center == m_settings.m_data_center;
+  });
+}
+
 Heartbeat
 GatewayDaemon::OwnHeartbeat() const
 {
   Heartbeat heartbeat = m_gateway.MakeHeartbeat();
+  heartbeat.m_member.m_accepts_records = m_settings.m_forward_records;
   heartbeat.m_topic_positions = m_adapter.Positions();
   return heartbeat;
 }
@@ -199,6 +251,7 @@
 {
   const TimePoint now = m_loop.Now();
   m_gateway.Tick();
+  m_adapter.SetExpectsForwarding(ExpectsForwarding());
   m_adapter.SetStoreReader(m_gateway.IsReader());
   SendNewPositions();
   if (m_gateway.Table() != m_applied_table) {
--- a/Daemon/GatewayDaemon.h
+++ b/Daemon/GatewayDaemon.h
@@ -37,6 +37,12 @@
   void OnDirectoryRequest(RelayExchange& aExchange) const;
   void OnMetricsRequest(RelayExchange& aExchange);
   void OnHeartbeat(const Heartbeat& aHeartbeat);
+  void OnForwardedRecords(const RecordsMessage& aMessage);
+  /// Sends records that this daemon has read as a store reader to the daemons of its data centre
+  /// that are not store readers.
+  void SendRecords(const RecordsMessage& aMessage);
+  /// Whether a store reader of this data centre forwards its records to this daemon.
+  bool ExpectsForwarding() const;
   Heartbeat OwnHeartbeat() const;
   void SendHeartbeats();
   /// Announces new records in the store to the other daemons, if this one is a store reader.
--- a/Libraries/LibCluster/Heartbeat.cpp
+++ b/Libraries/LibCluster/Heartbeat.cpp
@@ -31,6 +31,9 @@
 // earlier version reject further fields, and pass over the spending of workspaces that they do not
 // know.
 constexpr const char* kEraEntry = "";
+// An entry of the same name with this number, which is no era, says that the daemon accepts
+// forwarded records. Daemons of an earlier version pass over it.
+constexpr std::int64_t kAcceptsRecordsEntry = -1;
 // Datagrams read per loop iteration, so that a flood cannot block the event loop.
 constexpr int kMaxDatagramsPerTurn = 256;
 
@@ -80,6 +83,9 @@
   if (aHeartbeat.m_topic_positions.m_era) {
     spending.push_back(Json::array({ kEraEntry, *aHeartbeat.m_topic_positions.m_era }));
   }
+  if (aHeartbeat.m_member.m_accepts_records) {
+    spending.push_back(Json::array({ kEraEntry, kAcceptsRecordsEntry }));
+  }
   const std::size_t max_entries = spending.size() + kMaxSpendingEntries;
   for (const WorkspaceSpending& entry : aHeartbeat.m_spending) {
     if (spending.size() < max_entries) {
@@ -150,6 +156,8 @@
     if (entry[0] == kEraEntry) {
       if (entry[1].is_number_unsigned()) {
         heartbeat.m_topic_positions.m_era = entry[1].get<StoreEra>();
+      } else if (entry[1] == kAcceptsRecordsEntry) {
+        heartbeat.m_member.m_accepts_records = true;
       }
       continue;
     }
@@ -160,21 +168,26 @@
   return heartbeat;
 }
 
-HeartbeatSocket::HeartbeatSocket(int aSocket, Handler aHandler)
+HeartbeatSocket::HeartbeatSocket(int aSocket, Handler aHandler, RecordsHandler aRecordsHandler)
   : m_socket(aSocket)
   , m_handler(std::move(aHandler))
+  , m_records_handler(std::move(aRecordsHandler))
 {
 }
 
 absl::StatusOr<std::unique_ptr<HeartbeatSocket>>
-HeartbeatSocket::Create(EventLoop& aLoop, const SocketAddress& aAddress, Handler aHandler)
+HeartbeatSocket::Create(EventLoop& aLoop,
+                        const SocketAddress& aAddress,
+                        Handler aHandler,
+                        RecordsHandler aRecordsHandler)
 {
   TRY_ASSIGN(const sockaddr_in name, ToSockaddr(aAddress));
   const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (descriptor < 0) {
     return absl::UnavailableError("can't open a UDP socket for heartbeats");
   }
-  std::unique_ptr<HeartbeatSocket> created(new HeartbeatSocket(descriptor, std::move(aHandler)));
+  std::unique_ptr<HeartbeatSocket> created(
+    new HeartbeatSocket(descriptor, std::move(aHandler), std::move(aRecordsHandler)));
   if (bind(descriptor, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) != 0) {
     return absl::UnavailableError("can't bind the heartbeat socket to " + aAddress.Value());
   }
@@ -225,8 +238,14 @@
     if (size < 0) {
       return;
     }
-    const auto heartbeat = DecodeHeartbeat({ buffer.data(), static_cast<std::size_t>(size) });
+    const absl::string_view bytes(buffer.data(), static_cast<std::size_t>(size));
+    const auto heartbeat = DecodeHeartbeat(bytes);
     if (!heartbeat) {
+      const auto records = DecodeRecords(bytes);
+      if (records && m_records_handler) {
+        m_records_handler(*records);
+        continue;
+      }
       LogOf("cluster").warn("event=beacon-malformed bytes={}", size);
       continue;
     }
--- a/Libraries/LibCluster/include/LibCluster/Heartbeat.h
+++ b/Libraries/LibCluster/include/LibCluster/Heartbeat.h
@@ -2,6 +2,7 @@
 
 #include <LibAllowance/QuotaLedger.h>
 #include <LibCluster/Membership.h>
+#include <LibCluster/RecordsMessage.h>
 #include <LibCluster/StoreReaderSelector.h>
 #include <LibHttp/EventLoop.h>
 #include <absl/status/statusor.h>
@@ -33,16 +34,20 @@
 std::optional<Heartbeat>
 DecodeHeartbeat(absl::string_view aBytes);
 
-/// Sends and receives heartbeats as UDP datagrams, any of which may be lost. Not thread-safe.
+/// Sends and receives heartbeats and forwarded records as UDP datagrams, any of which may be lost.
+/// Not thread-safe.
 class HeartbeatSocket
 {
 public:
   using Handler = std::function<void(const Heartbeat&)>;
+  using RecordsHandler = std::function<void(const RecordsMessage&)>;
 
   /// Fails with Unavailable when the socket cannot be opened or bound to the address.
-  static absl::StatusOr<std::unique_ptr<HeartbeatSocket>> Create(EventLoop& aLoop,
-                                                                 const SocketAddress& aAddress,
-                                                                 Handler aHandler);
+  static absl::StatusOr<std::unique_ptr<HeartbeatSocket>> Create(
+    EventLoop& aLoop,
+    const SocketAddress& aAddress,
+    Handler aHandler,
+    RecordsHandler aRecordsHandler = {});
   ~HeartbeatSocket();
   HeartbeatSocket(const HeartbeatSocket&) = delete;
   HeartbeatSocket& operator=(const HeartbeatSocket&) = delete;
@@ -50,13 +55,14 @@
   void SendTo(const SocketAddress& aPeer, absl::string_view aDatagram);
 
 private:
-  HeartbeatSocket(int aSocket, Handler aHandler);
+  HeartbeatSocket(int aSocket, Handler aHandler, RecordsHandler aRecordsHandler);
   static void OnReadable(int aSocket, short aWhat, void* aSelf);
   void Receive();
 
   int m_socket;
   event* m_event = nullptr;
   Handler m_handler;
+  RecordsHandler m_records_handler;
 };
 
 }
--- a/Libraries/LibCluster/include/LibCluster/Membership.h
+++ b/Libraries/LibCluster/include/LibCluster/Membership.h
@@ -31,6 +31,8 @@
   /// Its new connections lead to endpoints. One that reaches none may still coordinate: granting
   /// slots needs no connection to an endpoint.
   bool m_reaches_endpoints = true;
+  /// Applies records that store readers forward to it.
+  bool m_accepts_records = false;
 
   auto operator<=>(const Member&) const = default;
 };
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -54,6 +54,10 @@
                     .Name("auburnhitch_store_calls_total")
                     .Help("Calls to the store, by call and outcome.")
                     .Register(m_registry))
+  , m_forwarded_records(prometheus::BuildCounter()
+                          .Name("auburnhitch_forwarded_records_total")
+                          .Help("Records forwarded by store readers, by topic and outcome.")
+                          .Register(m_registry))
   , m_latency(prometheus::BuildHistogram()
                 .Name("auburnhitch_attempt_seconds")
                 .Help("Time from a request's arrival to its last byte.")
@@ -151,6 +155,17 @@
   m_store_calls.Add({ { "call", aCall }, { "outcome", aOutcome } }).Increment();
 }
 
+void
+GatewayMetrics::OnForwardedRecords(const std::string& aTopic,
+                                   const char* aOutcome,
+                                   std::size_t aCount)
+{
+  if (aCount > 0) {
+    m_forwarded_records.Add({ { "topic", aTopic }, { "outcome", aOutcome } })
+      .Increment(static_cast<double>(aCount));
+  }
+}
+
 std::string
 GatewayMetrics::Serialize(const GatewayGauges& aGauges)
 {
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -134,6 +134,7 @@
                            kMaxDescriptors);
   settings.m_max_sockets = static_cast<std::size_t>(descriptors - kOtherDescriptors);
   settings.m_processor_millicores = ReadProcessor(reader, aFindings);
+  settings.m_forward_records = reader.OptionalBool("forward_records", settings.m_forward_records);
   if (const Json* bounds = reader.Member("bounds")) {
     ReadBounds(*bounds, settings, aFindings);
   }
--- a/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
@@ -53,6 +53,9 @@
   void OnForwarded(const ServiceName& aService);
   void OnMalformedNotice(const ServiceName& aService);
   void OnStoreCall(const char* aCall, const char* aOutcome);
+  /// Records were forwarded by a store reader, or should have been. aTopic and aOutcome are each
+  /// one of a small fixed set, since they become labels.
+  void OnForwardedRecords(const std::string& aTopic, const char* aOutcome, std::size_t aCount);
 
   /// All metrics in the Prometheus text format.
   std::string Serialize(const GatewayGauges& aGauges);
@@ -72,6 +75,7 @@
   prometheus::Family<prometheus::Counter>& m_malformed_notices;
   prometheus::Family<prometheus::Counter>& m_forwarded;
   prometheus::Family<prometheus::Counter>& m_store_calls;
+  prometheus::Family<prometheus::Counter>& m_forwarded_records;
   prometheus::Family<prometheus::Histogram>& m_latency;
   prometheus::Family<prometheus::Histogram>& m_time_to_first_byte;
   prometheus::Family<prometheus::Gauge>& m_gauges;
--- a/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
@@ -41,6 +41,9 @@
   QuotaTolerance m_quota_tolerance;
   /// Processor time that this process may use, in thousandths of a core.
   int m_processor_millicores = 1'000;
+  /// Whether store readers forward the records that they have read to this daemon, and this daemon
+  /// forwards records to others while it is a store reader.
+  bool m_forward_records = false;
   /// File descriptors that this process may use for sockets.
   std::size_t m_max_sockets = 3'900;
 
--- a/Tests/Support/GatewayCluster.cpp
+++ b/Tests/Support/GatewayCluster.cpp
@@ -434,6 +434,9 @@
   if (m_options.m_stop_grace_s) {
     settings["gateway"]["bounds"]["stop_grace_s"] = *m_options.m_stop_grace_s;
   }
+  if (m_options.m_forward_records) {
+    settings["gateway"]["forward_records"] = true;
+  }
   if (m_network != nullptr) {
     settings["gateway"]["advertised_peer_address"] = daemon.m_advertised_peer_address.Value();
   }
--- a/Tests/Support/GatewayCluster.h
+++ b/Tests/Support/GatewayCluster.h
@@ -81,6 +81,8 @@
   bool m_has_endpoint_paths = false;
   /// Time from SIGTERM to SIGKILL that the daemons are told; their default if it is not set.
   std::optional<double> m_stop_grace_s = std::nullopt;
+  /// Whether store readers forward records to the other daemons.
+  bool m_forward_records = false;
 };
 
 /// What happens to the connections of a daemon that is cut off from all endpoints.
--- a/Tests/Support/PeerNetwork.cpp
+++ b/Tests/Support/PeerNetwork.cpp
@@ -23,9 +23,12 @@
         OnLink(target, std::move(aLink));
       }).value());
     m_sockets.push_back(
-      HeartbeatSocket::Create(m_loop, address, [this, target](const Heartbeat& aHeartbeat) {
-        OnHeartbeat(target, aHeartbeat);
-      }).value());
+      HeartbeatSocket::Create(
+        m_loop,
+        address,
+        [this, target](const Heartbeat& aHeartbeat) { OnHeartbeat(target, aHeartbeat); },
+        [this, target](const RecordsMessage& aMessage) { OnRecords(target, aMessage); })
+        .value());
   }
   m_thread = std::thread([this] { Run(); });
 }
@@ -97,6 +100,19 @@
   m_sockets[aTarget]->SendTo(m_nodes[aTarget].m_address, EncodeHeartbeat(aHeartbeat));
 }
 
+void
+PeerNetwork::OnRecords(std::size_t aTarget, const RecordsMessage& aMessage)
+{
+  const auto sender = IndexOf(aMessage.m_sender);
+  if (!sender || m_loses_records || IsCut(*sender, aTarget)) {
+    ++m_held_back;
+    return;
+  }
+  for (const std::string& datagram : EncodeRecords(aMessage)) {
+    m_sockets[aTarget]->SendTo(m_nodes[aTarget].m_address, datagram);
+  }
+}
+
 void
 PeerNetwork::OnLink(std::size_t aTarget, std::unique_ptr<PeerLink> aLink)
 {
--- a/Tests/Support/PeerNetwork.h
+++ b/Tests/Support/PeerNetwork.h
@@ -36,6 +36,8 @@
   void SetCut(std::size_t aFrom, std::size_t aTo, bool aIsCut);
   /// Cuts or heals the paths between a daemon and all others, in both directions.
   void SetIsolated(std::size_t aNode, bool aIsIsolated);
+  /// Sets whether forwarded records are lost on all paths.
+  void SetLosesRecords(bool aLoses) { m_loses_records = aLoses; }
   /// Number of heartbeats and messages that were lost or held back.
   std::size_t HeldBackCount() const { return m_held_back; }
 
@@ -57,6 +59,7 @@
 
   void Run();
   void OnHeartbeat(std::size_t aTarget, const Heartbeat& aHeartbeat);
+  void OnRecords(std::size_t aTarget, const RecordsMessage& aMessage);
   void OnLink(std::size_t aTarget, std::unique_ptr<PeerLink> aLink);
   void OnMessageFromInitiator(Relay& aRelay, const nlohmann::json& aMessage);
   void Forward(Relay& aRelay);
@@ -74,6 +77,7 @@
   std::vector<std::unique_ptr<Relay>> m_relays;
   std::atomic<std::size_t> m_held_back = 0;
   std::atomic<bool> m_is_stopping = false;
+  std::atomic<bool> m_loses_records = false;
   mutable std::mutex m_mutex;
   std::set<std::pair<std::size_t, std::size_t>> m_cut;
   std::thread m_thread;
--- a/Tests/Support/StoreStandIn.cpp
+++ b/Tests/Support/StoreStandIn.cpp
@@ -85,6 +85,14 @@
   return found == m_held_calls.end() ? 0 : found->second;
 }
 
+int
+StoreStandIn::ReadsWithoutWait(const std::string& aTopic) const
+{
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_reads_without_wait.find(aTopic);
+  return found == m_reads_without_wait.end() ? 0 : found->second;
+}
+
 bool
 StoreStandIn::Hold(RawConnection& aConnection, const RawRequest& aRequest)
 {
@@ -249,6 +257,9 @@
   std::unique_lock lock(m_mutex);
   const std::string name = aRequest.Query("topic");
   const auto from = static_cast<std::uint64_t>(std::stoull(aRequest.Query("from")));
+  if (aRequest.Query("wait_ms") == "0") {
+    ++m_reads_without_wait[name];
+  }
   m_changed.wait_for(lock, std::chrono::milliseconds(std::stoi(aRequest.Query("wait_ms"))), [&] {
     return m_is_stopping || m_mode != Mode::Normal || m_topics[name].End() != from;
   });
--- a/Tests/Support/StoreStandIn.h
+++ b/Tests/Support/StoreStandIn.h
@@ -58,6 +58,8 @@
   void SetSilent(const std::string& aTopic, bool aIsSilent);
   /// Number of open calls for a silent topic.
   int HeldCalls(const std::string& aTopic) const;
+  /// Number of reads of a topic that did not wait for records, as followers make them.
+  int ReadsWithoutWait(const std::string& aTopic) const;
   /// Appends a record. Without a value it deletes the key.
   void Put(const std::string& aTopic,
            const std::string& aKey,
@@ -99,6 +101,7 @@
   std::set<std::string> m_silent_topics;
   std::set<std::string> m_endless_topics;
   std::map<std::string, int> m_held_calls;
+  std::map<std::string, int> m_reads_without_wait;
   std::map<std::string, Topic> m_topics;
   std::uint64_t m_era = 1;
   RawServer m_server;
--- a/Tests/Unit/TestForwardedRecords.cpp
+++ b/Tests/Unit/TestForwardedRecords.cpp
@@ -271,3 +271,22 @@
   CHECK_FALSE(DecodeHeartbeat(datagrams.front()));
   CHECK_FALSE(DecodeRecords(EncodeHeartbeat(Heartbeat())));
 }
+
+// Guards against records that are sent to builds which cannot use them, and against a heartbeat
+// that earlier builds reject: they pass over an entry without a name whose number is negative.
+TEST_CASE("Forwarded records: a heartbeat says whether its daemon accepts them")
+{
+  Heartbeat heartbeat;
+  heartbeat.m_member.m_peer_address = SocketAddress("127.0.0.1:1");
+  heartbeat.m_member.m_caller_address = SocketAddress("127.0.0.1:2");
+  heartbeat.m_topic_positions.m_era = 4;
+  CHECK(DecodeHeartbeat(EncodeHeartbeat(heartbeat)) == heartbeat);
+  heartbeat.m_member.m_accepts_records = true;
+  const std::string bytes = EncodeHeartbeat(heartbeat);
+  CHECK(DecodeHeartbeat(bytes) == heartbeat);
+  const auto json = ParseMessagePack(bytes);
+  REQUIRE(json);
+  CHECK((*json)[0] == 2);
+  CHECK(json->size() == 16);
+  CHECK((*json)[15] == Json::array({ Json::array({ "", 4 }), Json::array({ "", -1 }) }));
+}
