--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -557,5 +557,30 @@
 mutate "queue: an id waits once" Libraries/LibPlacement/SlotQueue.cpp \
   's/\n  Remove\(request.m_request_id\);//' "$UNIT" "A request that is enqueued again*"
 
+mutate "forwarded records: those that have been applied are not applied again" \
+  Libraries/LibCluster/ForwardedRecordBuffer.cpp 's/record_offset < aNext \|\| //' \
+  "$UNIT" "Forwarded records: those that follow*"
+mutate "forwarded records: none is applied past a gap" \
+  Libraries/LibCluster/ForwardedRecordBuffer.cpp 's/at->first == aNext \+ taken.size\(\) && //' \
+  "$UNIT" "Forwarded records: those that follow*"
+mutate "forwarded records: what a read brings once more is not applied again" \
+  Libraries/LibCluster/ForwardedRecordBuffer.cpp 's/std::min<std::uint64_t>\(aNext - aFrom, aRecords.size\(\)\)/std::uint64_t(0) * aFrom * aNext/' \
+  "$UNIT" "Forwarded records: reads and datagrams*"
+mutate "forwarded records: a gap is bounded in records" \
+  Libraries/LibCluster/ForwardedRecordBuffer.cpp 's/m_records.size\(\) >= m_limits.m_max_records \|\|//' \
+  "$UNIT" "Forwarded records: what is kept ahead*"
+mutate "forwarded records: an offset does not wrap around" \
+  Libraries/LibCluster/RecordsMessage.cpp 's/if \(records.size\(\) > std::numeric_limits<std::uint64_t>::max\(\) - message.m_first_offset\)/if (false)/' \
+  "$UNIT" "Forwarded records: malformed*"
+mutate "forwarded records: the datagrams of a backlog are bounded" \
+  Libraries/LibCluster/RecordsMessage.cpp 's/datagrams.size\(\) == kMaxRecordsDatagrams/false/' \
+  "$UNIT" "Forwarded records: a long backlog*"
+mutate "forwarded records: what follows is applied without a call" \
+  platform/KeyedTopicConsumer.cpp 's/m_next_offset \+= records.size\(\);/return;/' \
+  "$PROCESS" "Forwarded records: followers follow*"
+mutate "forwarded records: the store is read if they do not arrive" \
+  platform/KeyedTopicConsumer.cpp 's/\*since \+ m_timing.m_forwarding_grace - m_loop.Now\(\)/Duration(Milliseconds(100'"'"'000))/' \
+  "$PROCESS" "Forwarded records: followers read what*"
+
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
