--- a/Libraries/LibCluster/include/LibCluster/Membership.h
+++ b/Libraries/LibCluster/include/LibCluster/Membership.h
@@ -32,6 +32,8 @@
   /// Its new connections lead to endpoints. One that reaches none may still coordinate: granting
   /// slots needs no connection to an endpoint.
   bool m_reaches_endpoints = true;
+  /// Applies records that store readers forward to it.
+  bool m_accepts_records = false;
   /// Version of the configuration that it has in force, by its latest heartbeat; 0 if unknown.
   std::int64_t m_configuration_version = 0;
 
