Test that a caller which writes its whole request first reads its refusal

At each address, 200 KiB of a declared body of 2 MiB are sent before the response is read; the status must be 413. The case passes on the present code.

--- a/Tests/Process/TestHostileCallers.cpp
+++ b/Tests/Process/TestHostileCallers.cpp
@@ -137,6 +137,24 @@
     }
   }
 
+  // Guards against a refusal that is lost because the connection closes on unread bytes.
+  TEST_CASE("Hostile callers: a caller that writes its whole request first reads its refusal")
+  {
+    HostileCluster cluster;
+    constexpr std::size_t kDeclaredBytes = 2 << 20;
+    constexpr std::size_t kBytesSent = 200 << 10;
+    const GatewayCluster& gateway = cluster.Gateway();
+    for (const SocketAddress& address : { gateway.CallerAddress(0),
+                                          gateway.ReadinessAddress(0),
+                                          gateway.DirectoryAddress(0),
+                                          gateway.MetricsAddress(0) }) {
+      CAPTURE(address.Value());
+      const std::string request =
+        absl::StrCat(HeadOf("/unsafe/x", LengthOf(kDeclaredBytes)), std::string(kBytesSent, 'x'));
+      CHECK(ParseResponse(Exchange(address, request)).m_status == 413);
+    }
+  }
+
   // Guards against memory that is kept for chunks after their refusal.
   TEST_CASE("Hostile callers: bodies far over the limit in chunks, sent on after the refusal")
   {
