--- a/Tests/Support/GatewayCluster.h
+++ b/Tests/Support/GatewayCluster.h
@@ -83,6 +83,8 @@
   std::optional<double> m_stop_grace_s = std::nullopt;
   /// Whether store readers forward records to the other daemons.
   bool m_forward_records = false;
+  /// JSON merge patch for the settings of every daemon.
+  nlohmann::json m_settings = nlohmann::json::object();
 };
 
 /// What happens to the connections of a daemon that is cut off from all endpoints.
