--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -56,6 +56,20 @@
   return value->get<double>();
 }
 
+/// Returns nothing unless all bounds are set.
+std::optional<RolloutBounds>
+ReadRolloutBounds(JsonObjectReader& aReader, Findings& aFindings)
+{
+  constexpr double kUnset = -1;
+  const double share = ReadNumber(aReader, "exposure_share", kUnset, aFindings);
+  const double slack = ReadNumber(aReader, "exposure_slack", kUnset, aFindings);
+  const double rollback_ms = ReadNumber(aReader, "rollback_ms", kUnset, aFindings);
+  if (share < 0 || slack < 0 || rollback_ms < 0) {
+    return std::nullopt;
+  }
+  return RolloutBounds{ { share, slack }, Milliseconds(static_cast<std::int64_t>(rollback_ms)) };
+}
+
 /// Returns the processor time that this process may use, in thousandths of a core: its share of the
 /// processor times the number of cores.
 int
@@ -97,6 +111,7 @@
   tolerance.m_slack_tokens =
     ReadNumber(reader, "quota_slack_tokens", tolerance.m_slack_tokens, aFindings);
   tolerance.m_window = ReadSeconds(reader, "quota_window_s", tolerance.m_window, aFindings);
+  aSettings.m_rollout_bounds = ReadRolloutBounds(reader, aFindings);
 }
 
 }
--- a/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
@@ -4,11 +4,22 @@
 #include <LibAllowance/RetryBudget.h>
 #include <LibCore/JsonObjectReader.h>
 #include <LibCore/StrongString.h>
+#include <LibRollout/ExposureBudget.h>
 #include <optional>
 #include <vector>
 
 namespace auburnhitch {
 
+/// Bounds on a bad version in a rollout.
+struct RolloutBounds
+{
+  ExposureBounds m_exposure;
+  /// Time from the bad responses that convict a version until it must receive no more requests.
+  Milliseconds m_rollback{ 0 };
+
+  auto operator<=>(const RolloutBounds&) const = default;
+};
+
 /// The start-up configuration of a gateway daemon. Immutable once validated.
 struct GatewaySettings
 {
@@ -39,6 +50,8 @@
   Milliseconds m_max_retry_after{ 10'000 };
   RetryBudgetLimits m_retry_budget;
   QuotaTolerance m_quota_tolerance;
+  /// Rollouts are in force only where all of these bounds are set.
+  std::optional<RolloutBounds> m_rollout_bounds;
   /// Processor time that this process may use, in thousandths of a core.
   int m_processor_millicores = 1'000;
   /// File descriptors that this process may use for sockets.
--- a/Tests/Support/StoreStandIn.cpp
+++ b/Tests/Support/StoreStandIn.cpp
@@ -311,6 +311,10 @@
 StoreStandIn::ReplyToAppend(const RawRequest& aRequest)
 {
   const std::lock_guard lock(m_mutex);
+  const std::string at = aRequest.Query("at");
+  if (!at.empty() && std::stoull(at) != m_topics[aRequest.Query("topic")].End()) {
+    return MakeResponse(412, "{}");
+  }
   constexpr std::size_t kLengthBytes = 4;
   const std::string record = aRequest.m_body.substr(kLengthBytes);
   const auto key_bytes = static_cast<std::size_t>(static_cast<unsigned char>(record.front()));
--- a/Tests/Unit/TestGatewayParts.cpp
+++ b/Tests/Unit/TestGatewayParts.cpp
@@ -125,6 +125,23 @@
         SocketAddress("127.0.0.1:7"));
 }
 
+// Guards against rollouts that are in force where the platform states no bounds for them.
+TEST_CASE("Rollouts are in force only if all of their bounds are set")
+{
+  Findings findings;
+  Json json = ValidSettings();
+  CHECK_FALSE(GatewaySettings::FromJson(json, findings)->m_rollout_bounds);
+  json["bounds"] = { { "exposure_share", nullptr },
+                     { "exposure_slack", nullptr },
+                     { "rollback_ms", nullptr } };
+  CHECK_FALSE(GatewaySettings::FromJson(json, findings)->m_rollout_bounds);
+  json["bounds"] = { { "exposure_share", 0.1 }, { "exposure_slack", 50 } };
+  CHECK_FALSE(GatewaySettings::FromJson(json, findings)->m_rollout_bounds);
+  json["bounds"]["rollback_ms"] = 5'000;
+  CHECK(GatewaySettings::FromJson(json, findings)->m_rollout_bounds ==
+        RolloutBounds{ { 0.1, 50 }, Milliseconds(5'000) });
+}
+
 TEST_CASE("Every error in gateway settings is reported with its path")
 {
   Json json = ValidSettings();
