Grant free slots before refusing for load, whatever the estimates

Late requests were removed before slots were granted, so a service whose estimates were high refused everything, and no response renewed them. The coordinator logs what refusals for load are judged by.

--- a/Libraries/LibBroker/SlotCoordinator.cpp
+++ b/Libraries/LibBroker/SlotCoordinator.cpp
@@ -80,6 +80,7 @@
     return;
   }
   SlotDecisions decisions = found->second.Decide(aNow);
+  m_load_refusals[aService].Record(aService, decisions, aNow);
   Refund(decisions.m_refused);
   if (const auto refused = m_quota_refusals.find(aService); refused != m_quota_refusals.end()) {
     decisions.m_refusals.insert(
--- a/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
@@ -2,6 +2,7 @@
 
 #include <LibAllowance/QuotaLedger.h>
 #include <LibBroker/CrashSuspectTable.h>
+#include <LibBroker/LoadRefusalLog.h>
 #include <LibPlacement/SlotScheduler.h>
 #include <functional>
 #include <map>
@@ -105,6 +106,7 @@
   EndpointSource m_endpoints;
   DecisionHandler m_handler;
   double m_slot_share = 1.0;
+  std::map<ServiceName, LoadRefusalLog> m_load_refusals;
   CrashSuspectTable m_crash_suspects;
   /// The rests of all daemons that request slots here, which the schedulers share.
   std::shared_ptr<EndpointRests> m_rests = std::make_shared<EndpointRests>(kMaxRestsOfDaemons);
--- a/Libraries/LibPlacement/SlotAdmission.cpp
+++ b/Libraries/LibPlacement/SlotAdmission.cpp
@@ -66,12 +66,32 @@
 }
 
 void
-SlotAdmission::RecordFirstByteRatio(double aRatio)
+SlotAdmission::RecordFirstByteRatio(double aRatio, TimePoint aNow)
 {
+  m_last_first_byte_at = aNow;
   const double deviation = std::min(std::abs(aRatio - 1), kMaxDeviation);
   m_deviation += kDeviationWeight * (deviation - m_deviation);
 }
 
+LoadJudgement
+SlotAdmission::JudgementOf(const WaitingSlotRequest& aWaiting,
+                           const std::map<EndpointId, SlotEndpoint>& aEndpoints,
+                           TimePoint aNow) const
+{
+  LoadJudgement judgement;
+  judgement.m_priority = aWaiting.m_request.m_priority;
+  judgement.m_waited_ms = MsBetween(aWaiting.m_request.m_arrived_at, aNow);
+  judgement.m_first_byte_bound_ms = aWaiting.m_first_byte_bound_ms;
+  judgement.m_until_objective_ms = MsBetween(aNow, aWaiting.m_request.m_objective_at);
+  for (const auto& [id, endpoint] : aEndpoints) {
+    judgement.m_responses += endpoint.Times().ResponseCount();
+  }
+  if (m_last_first_byte_at) {
+    judgement.m_estimate_age_ms = MsBetween(*m_last_first_byte_at, aNow);
+  }
+  return judgement;
+}
+
 double
 SlotAdmission::ExpectedWaitMs(const SlotQueue& aQueue,
                               int aPriority,
--- a/Libraries/LibPlacement/SlotQueue.cpp
+++ b/Libraries/LibPlacement/SlotQueue.cpp
@@ -174,7 +174,6 @@
 std::vector<WaitingSlotRequest>
 SlotQueue::TakeUnservable(double aSlots, TimePoint aNow)
 {
-  std::vector<WaitingSlotRequest> unservable;
   std::vector<SlotRequestId> ids;
   for (auto& [priority, level] : m_levels) {
     MoveLateRequests(level, aNow);
@@ -189,13 +188,40 @@
       ids.push_back(id);
     }
   }
-  unservable.reserve(ids.size());
-  for (const SlotRequestId& id : ids) {
+  return Take(ids);
+}
+
+std::vector<WaitingSlotRequest>
+SlotQueue::TakeAbandoned(TimePoint aNow)
+{
+  std::vector<SlotRequestId> ids;
+  for (const auto& [id, waiting] : m_index) {
+    if (aNow >= waiting.m_request.m_abandoned_at) {
+      ids.push_back(id);
+    }
+  }
+  return Take(ids);
+}
+
+std::vector<WaitingSlotRequest>
+SlotQueue::Take(const std::vector<SlotRequestId>& aIds)
+{
+  std::vector<WaitingSlotRequest> taken;
+  taken.reserve(aIds.size());
+  for (const SlotRequestId& id : aIds) {
     if (auto waiting = Remove(id)) {
-      unservable.push_back(*std::move(waiting));
+      taken.push_back(*std::move(waiting));
     }
   }
-  return unservable;
+  return taken;
+}
+
+void
+SlotQueue::RecordServed(int aPriority, TimePoint aNow)
+{
+  Level& level = m_levels[aPriority];
+  Decay(level, aNow);
+  level.m_served += 1;
 }
 
 std::vector<WaitingSlotRequest>
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -239,7 +239,7 @@
     return;
   }
   if (const auto ratio = found->second.RecordStarted(aRequestId, aNow)) {
-    m_admission.RecordFirstByteRatio(*ratio);
+    m_admission.RecordFirstByteRatio(*ratio, aNow);
   }
 }
 
@@ -508,10 +508,13 @@
     m_undecided.clear();
     return decisions;
   }
-  for (const WaitingSlotRequest& waiting : m_queue.TakeUnservable(SlotCount(aNow), aNow)) {
+  for (const WaitingSlotRequest& waiting : m_queue.TakeAbandoned(aNow)) {
     Refuse(waiting.m_request, SlotRefusalReason::WaitedTooLong, aNow, decisions);
   }
   PutBack(GrantSlots(aNow, decisions), aNow, decisions);
+  for (const WaitingSlotRequest& waiting : m_queue.TakeUnservable(SlotCount(aNow), aNow)) {
+    GrantOrRefuse(waiting, SlotRefusalReason::WaitedTooLong, aNow, decisions);
+  }
   DecideNew(aNow, decisions);
   return decisions;
 }
@@ -537,7 +540,7 @@
       continue;
     }
     if (SlotEndpoint* endpoint = Choose(*front, aNow)) {
-      GrantFront(*endpoint, aNow, aDecisions);
+      Grant(*endpoint, m_queue.PopFront(aNow).m_request, aNow, aDecisions);
       continue;
     }
     if (!is_for_one_version && !IsKeptByRest(request, aNow)) {
@@ -552,19 +555,44 @@
 }
 
 void
-SlotScheduler::GrantFront(SlotEndpoint& aEndpoint, TimePoint aNow, SlotDecisions& aDecisions)
+SlotScheduler::Grant(SlotEndpoint& aEndpoint,
+                     const SlotRequest& aRequest,
+                     TimePoint aNow,
+                     SlotDecisions& aDecisions)
 {
-  const SlotRequest granted = m_queue.PopFront(aNow).m_request;
-  const double expected_ms = aEndpoint.ExpectedFirstByteMs(granted.m_work);
-  aEndpoint.Hold(granted.m_request_id, granted.m_work, aNow);
+  const double expected_ms = aEndpoint.ExpectedFirstByteMs(aRequest.m_work);
+  aEndpoint.Hold(aRequest.m_request_id, aRequest.m_work, aNow);
   m_crash_suspects->Begin(
-    granted.m_request_id, aEndpoint.Info().m_id, granted.m_crash_traits, aNow);
-  aDecisions.m_grants.push_back({ granted.m_request_id,
+    aRequest.m_request_id, aEndpoint.Info().m_id, aRequest.m_crash_traits, aNow);
+  aDecisions.m_grants.push_back({ aRequest.m_request_id,
                                   aEndpoint.Info().m_id,
                                   Milliseconds(static_cast<std::int64_t>(expected_ms)),
                                   aEndpoint.MayHaveRestarted(aNow) });
 }
 
+void
+SlotScheduler::GrantOrRefuse(const WaitingSlotRequest& aWaiting,
+                             SlotRefusalReason aReason,
+                             TimePoint aNow,
+                             SlotDecisions& aDecisions)
+{
+  const SlotRequest& request = aWaiting.m_request;
+  SlotEndpoint* endpoint = Choose(aWaiting, aNow);
+  const CrashSuspects::Admission admission = AdmissionOf(request, aNow);
+  if (endpoint != nullptr && (admission == CrashSuspects::Admission::Admit ||
+                              admission == CrashSuspects::Admission::Trial)) {
+    m_queue.RecordServed(request.m_priority, aNow);
+    Grant(*endpoint, request, aNow, aDecisions);
+    return;
+  }
+  aDecisions.m_refused_beside_free_slot += endpoint != nullptr ? 1 : 0;
+  ++aDecisions.m_refused_for_load;
+  if (!aDecisions.m_judgement) {
+    aDecisions.m_judgement = m_admission.JudgementOf(aWaiting, m_endpoints, aNow);
+  }
+  Refuse(request, aReason, aNow, aDecisions);
+}
+
 void
 SlotScheduler::PutBack(std::vector<WaitingSlotRequest> aSetAside,
                        TimePoint aNow,
@@ -592,7 +620,7 @@
     if (RestsTooLong(*waiting, aNow)) {
       Refuse(waiting->m_request, SlotRefusalReason::NoEndpoint, aNow, aDecisions);
     } else if (m_admission.ShouldRefuse(m_queue, *waiting, SlotCount(aNow), aNow)) {
-      Refuse(waiting->m_request, SlotRefusalReason::Overloaded, aNow, aDecisions);
+      GrantOrRefuse(*waiting, SlotRefusalReason::Overloaded, aNow, aDecisions);
     } else {
       m_queue.PutBack(std::move(*waiting));
     }
--- a/Libraries/LibPlacement/include/LibPlacement/ServiceTimeModel.h
+++ b/Libraries/LibPlacement/include/LibPlacement/ServiceTimeModel.h
@@ -19,6 +19,8 @@
   double FirstByteSlowness() const { return m_first_byte_slowness; }
   double RestSlowness() const { return m_rest_slowness; }
   bool HasLearned() const { return m_samples > 0; }
+  /// Number of first bytes behind the estimate.
+  int ResponseCount() const { return m_samples; }
   /// Sets the initial estimates, taken from the median of the other endpoints.
   void SetPrior(double aFirstByteSlowness, double aRestSlowness);
 
--- a/Libraries/LibPlacement/include/LibPlacement/SlotAdmission.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotAdmission.h
@@ -31,7 +31,11 @@
   WaitingSlotRequest Estimate(const SlotRequest& aRequest,
                               const std::map<EndpointId, SlotEndpoint>& aEndpoints) const;
   /// Records the ratio of a measured to an expected time to first byte.
-  void RecordFirstByteRatio(double aRatio);
+  void RecordFirstByteRatio(double aRatio, TimePoint aNow);
+  /// What a refusal of a request for load is judged by.
+  LoadJudgement JudgementOf(const WaitingSlotRequest& aWaiting,
+                            const std::map<EndpointId, SlotEndpoint>& aEndpoints,
+                            TimePoint aNow) const;
 
   /// How long a new request of this priority is expected to wait for a slot, in milliseconds.
   double ExpectedWaitMs(const SlotQueue& aQueue,
@@ -51,6 +55,8 @@
   SlotSchedulerLimits m_limits;
   /// EWMA of the deviation of times to first byte, as a share of the expected time.
   double m_deviation = 0.25;
+  /// When a first byte was recorded last.
+  std::optional<TimePoint> m_last_first_byte_at;
 };
 
 }
--- a/Libraries/LibPlacement/include/LibPlacement/SlotQueue.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotQueue.h
@@ -38,11 +38,16 @@
   const WaitingSlotRequest* Front(TimePoint aNow);
   /// Removes the request that Front() returns and counts it as served. Precondition: Size() > 0.
   WaitingSlotRequest PopFront(TimePoint aNow);
+  /// Counts a request of a priority, taken from the queue before, as served.
+  void RecordServed(int aPriority, TimePoint aNow);
+  /// Removes the requests whose callers have stopped waiting.
+  std::vector<WaitingSlotRequest> TakeAbandoned(TimePoint aNow);
   // aSlots, the number of usable slots, is positive in the calls below.
 
   /// Removes the requests whose callers will stop waiting before the first byte could arrive, and
   /// those that can no longer be in time while work that precedes them takes all slots: these would
-  /// only wait until their callers leave.
+  /// only wait until their callers leave. Both depend on estimates; see
+  /// SlotScheduler::GrantOrRefuse().
   std::vector<WaitingSlotRequest> TakeUnservable(double aSlots, TimePoint aNow);
   /// Whether the work that arrives at this priority and higher ones exceeds the capacity of all
   /// slots.
@@ -73,6 +78,7 @@
     TimePoint m_decayed_at;
   };
 
+  std::vector<WaitingSlotRequest> Take(const std::vector<SlotRequestId>& aIds);
   void Decay(Level& aLevel, TimePoint aNow) const;
   void MoveLateRequests(Level& aLevel, TimePoint aNow);
   void Erase(const WaitingSlotRequest& aWaiting);
--- a/Libraries/LibPlacement/include/LibPlacement/SlotRequest.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotRequest.h
@@ -126,6 +126,23 @@
   auto operator<=>(const SlotRefusal&) const = default;
 };
 
+/// What a refusal for load was judged by, for logs. Times are in milliseconds.
+struct LoadJudgement
+{
+  int m_priority = 0;
+  /// How long the request has waited since it arrived at its first daemon.
+  double m_waited_ms = 0;
+  /// Upper estimate of the time to first byte, and the time until the objective.
+  double m_first_byte_bound_ms = 0;
+  double m_until_objective_ms = 0;
+  /// Responses behind the estimates of all endpoints, and the time since the last of them; negative
+  /// if there was none.
+  std::int64_t m_responses = 0;
+  double m_estimate_age_ms = -1;
+
+  auto operator<=>(const LoadJudgement&) const = default;
+};
+
 /// Decisions of a scheduler, in the order in which they were made.
 struct SlotDecisions
 {
@@ -133,6 +150,12 @@
   std::vector<SlotRefusal> m_refusals;
   /// The refused requests, in the order of m_refusals.
   std::vector<SlotRequest> m_refused;
+  /// Refusals because of the load, and those of them while a slot at an endpoint that may serve the
+  /// request was free.
+  std::size_t m_refused_for_load = 0;
+  std::size_t m_refused_beside_free_slot = 0;
+  /// What the first refusal for load was judged by.
+  std::optional<LoadJudgement> m_judgement;
 };
 
 }
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -141,8 +141,17 @@
   /// whose endpoints are busy or in doubt, with a suspected trait, or of a daemon that endpoints
   /// have asked for rest.
   std::vector<WaitingSlotRequest> GrantSlots(TimePoint aNow, SlotDecisions& aDecisions);
-  /// Grants a slot to the request that is first in the queue.
-  void GrantFront(SlotEndpoint& aEndpoint, TimePoint aNow, SlotDecisions& aDecisions);
+  /// Grants a slot to a request that has been taken from the queue.
+  void Grant(SlotEndpoint& aEndpoint,
+             const SlotRequest& aRequest,
+             TimePoint aNow,
+             SlotDecisions& aDecisions);
+  /// Refuses a request that has been taken from the queue because of the load, unless a slot that
+  /// may serve it is free: estimates may be wrong, and only responses renew them.
+  void GrantOrRefuse(const WaitingSlotRequest& aWaiting,
+                     SlotRefusalReason aReason,
+                     TimePoint aNow,
+                     SlotDecisions& aDecisions);
   /// Returns requests to the queue, or refuses those that would wait in vain.
   void PutBack(std::vector<WaitingSlotRequest> aSetAside,
                TimePoint aNow,
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -556,6 +556,9 @@
   "$PROCESS" "Stop: a response that the stop cuts*"
 mutate "queue: an id waits once" Libraries/LibPlacement/SlotQueue.cpp \
   's/\n  Remove\(request.m_request_id\);//' "$UNIT" "A request that is enqueued again*"
+mutate "overload: no request is refused beside a free slot" Libraries/LibPlacement/SlotScheduler.cpp \
+  's/  PutBack\(GrantSlots\(aNow, decisions\), aNow, decisions\);\n//' \
+  "$UNIT" "Overloaded by callers*"
 
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
