--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -14,6 +14,10 @@
 constexpr double kSlotTimeWeight = 0.05;
 // Lower bound of the number of slots while rate limits apply.
 constexpr double kMinLimitedSlots = 1e-3;
+// Most requests that wait for a better slot in one decision. With 16, the slots of slow endpoints
+// stayed unused near full load, and fewer requests were in time than without the rule.
+constexpr std::size_t kMaxAwaitedSlots = 4;
+
 double
 MsBetween(TimePoint aFrom, TimePoint aTo)
 {
@@ -424,15 +428,43 @@
            : MsBetween(*end, request.m_objective_at) < aWaiting.m_first_byte_bound_ms;
 }
 
-SlotEndpoint*
-SlotScheduler::Choose(const SlotRequest& aRequest, TimePoint aNow)
+EndpointChooser
+SlotScheduler::Chooser() const
 {
-  const EndpointChooser chooser(
+  return EndpointChooser(
     { *m_crash_suspects, m_doubted, m_slot_share, m_admission.Limits().m_learn_concurrency });
-  const auto may_serve = [&](const SlotEndpoint& aEndpoint) {
+}
+
+EndpointChooser::Filter
+SlotScheduler::MayServe(const SlotRequest& aRequest, TimePoint aNow) const
+{
+  return [this, &aRequest, aNow](const SlotEndpoint& aEndpoint) {
     return IsEligibleNow(aEndpoint, aRequest, aNow) && !RestEnd(aEndpoint, aRequest, aNow);
   };
-  return chooser.Choose(m_endpoints, aRequest, may_serve, aNow);
+}
+
+SlotEndpoint*
+SlotScheduler::Choose(const SlotRequest& aRequest, TimePoint aNow)
+{
+  return Chooser().Choose(m_endpoints, aRequest, MayServe(aRequest, aNow), aNow);
+}
+
+SlotEndpoint*
+SlotScheduler::ChooseOrAwait(const SlotRequest& aRequest, AwaitedSlots& aAwaited, TimePoint aNow)
+{
+  SlotEndpoint* chosen = Choose(aRequest, aNow);
+  if (chosen == nullptr || !m_admission.Limits().m_learn_concurrency ||
+      aAwaited.m_count >= kMaxAwaitedSlots || aRequest.m_required_version) {
+    return chosen;
+  }
+  const SlotEndpoint* better = Chooser().BetterSoon(
+    m_endpoints, aRequest, *chosen, aAwaited.m_slots, MayServe(aRequest, aNow), aNow);
+  if (better == nullptr) {
+    return chosen;
+  }
+  ++aAwaited.m_slots[better->Info().m_id];
+  ++aAwaited.m_count;
+  return nullptr;
 }
 
 void
@@ -475,6 +507,7 @@
 {
   std::vector<WaitingSlotRequest> set_aside;
   std::set<Incarnation> daemons_kept_by_rest;
+  AwaitedSlots awaited;
   while (const WaitingSlotRequest* front = m_queue.Front(aNow)) {
     const SlotRequest& request = front->m_request;
     const auto take = [&] { return *m_queue.Remove(SlotRequestId(request.m_request_id)); };
@@ -490,10 +523,17 @@
       set_aside.push_back(take());
       continue;
     }
-    if (SlotEndpoint* endpoint = Choose(request, aNow)) {
+    const std::size_t awaited_before = awaited.m_count;
+    if (SlotEndpoint* endpoint = ChooseOrAwait(request, awaited, aNow)) {
       Grant(*endpoint, m_queue.PopFront(aNow).m_request, aNow, aDecisions);
       continue;
     }
+    if (awaited.m_count > awaited_before) {
+      // It waits for a better slot, not for want of one, so it is not refused as new.
+      std::erase(m_undecided, request.m_request_id);
+      set_aside.push_back(take());
+      continue;
+    }
     if (!is_for_one_version && !IsKeptByRest(request, aNow)) {
       break;
     }
@@ -528,7 +568,7 @@
                              SlotDecisions& aDecisions)
 {
   const SlotRequest& request = aWaiting.m_request;
-  SlotEndpoint* endpoint = Choose(aWaiting, aNow);
+  SlotEndpoint* endpoint = Choose(request, aNow);
   const CrashSuspects::Admission admission = AdmissionOf(request, aNow);
   if (endpoint != nullptr && (admission == CrashSuspects::Admission::Admit ||
                               admission == CrashSuspects::Admission::Trial)) {
