Bound the memory of callers' bodies by the host's memory, and make room for new connections

Crowds that send bodies without completing them took 84 to 101 MiB at a daemon that may use 40 (TestHostileCallers), since all bodies together were bounded by 64 MiB whatever the host has. max_memory_mb gives callers' bodies a quarter of the host's memory, counted by what their buffers take. Beyond it, requests that are still being received are refused with 503, first those that have sent nothing for longest; a complete request is never refused for memory. A port that has all its connections closes the one that has been idle or sending for longest before it refuses a new one, and readiness, directory and metrics use at most a fifteenth of the sockets each.

--- a/Daemon/GatewayDaemon.cpp
+++ b/Daemon/GatewayDaemon.cpp
@@ -20,20 +20,41 @@
 constexpr int kDirectoryLifetimesInUse = 3;
 // Callers may use one socket of this many; the rest is for endpoints, peers and the store.
 constexpr std::size_t kCallerSocketDivisor = 2;
+// Readiness, the directory and the metrics may each use one socket of this many, so that no crowd
+// at one of them takes those of the others or of the endpoints.
+constexpr std::size_t kInternalSocketDivisor = 15;
+constexpr std::size_t kMaxInternalConnections = 256;
+
+// The bodies of callers' requests may take one byte of this many of the process's memory. The rest
+// is for the sockets, the responses, the other connections and the process itself.
+constexpr std::size_t kBodyMemoryDivisor = 4;
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kServiceUnavailable = 503;
 
 RelayServerLimits
-InternalServerLimits()
+InternalServerLimits(const GatewaySettings& aSettings)
 {
   RelayServerLimits limits;
-  limits.m_max_connections = 256;
+  limits.m_max_connections =
+    std::min(kMaxInternalConnections, aSettings.m_max_sockets / kInternalSocketDivisor);
   limits.m_max_body_bytes = 1 << 10;
   return limits;
 }
 
+RelayServerLimits
+CallerServerLimits(const GatewaySettings& aSettings)
+{
+  RelayServerLimits limits;
+  limits.m_max_connections = aSettings.m_max_sockets / kCallerSocketDivisor;
+  if (aSettings.m_max_memory_mib > 0) {
+    limits.m_max_total_body_bytes =
+      (static_cast<std::size_t>(aSettings.m_max_memory_mib) << 20) / kBodyMemoryDivisor;
+  }
+  return limits;
+}
+
 }
 
 GatewayDaemon::GatewayDaemon(EventLoop& aLoop, const GatewaySettings& aSettings)
@@ -74,31 +95,30 @@
 absl::Status
 GatewayDaemon::Listen()
 {
-  RelayServerLimits callers;
-  callers.m_max_connections = m_settings.m_max_sockets / kCallerSocketDivisor;
-  TRY_ASSIGN(
-    m_callers,
-    RelayServer::Create(
-      m_loop, m_settings.m_caller_address, callers, [this](const RelayExchangePtr& aExchange) {
-        m_gateway.OnCallerRequest(aExchange);
-      }));
+  TRY_ASSIGN(m_callers,
+             RelayServer::Create(m_loop,
+                                 m_settings.m_caller_address,
+                                 CallerServerLimits(m_settings),
+                                 [this](const RelayExchangePtr& aExchange) {
+                                   m_gateway.OnCallerRequest(aExchange);
+                                 }));
   TRY_ASSIGN(m_readiness,
              RelayServer::Create(
                m_loop,
                m_settings.m_readiness_address,
-               InternalServerLimits(),
+               InternalServerLimits(m_settings),
                [this](const RelayExchangePtr& aExchange) { OnReadinessRequest(*aExchange); }));
   TRY_ASSIGN(m_directory,
              RelayServer::Create(
                m_loop,
                m_settings.m_directory_address,
-               InternalServerLimits(),
+               InternalServerLimits(m_settings),
                [this](const RelayExchangePtr& aExchange) { OnDirectoryRequest(*aExchange); }));
   TRY_ASSIGN(m_metrics,
              RelayServer::Create(
                m_loop,
                m_settings.m_metrics_address,
-               InternalServerLimits(),
+               InternalServerLimits(m_settings),
                [this](const RelayExchangePtr& aExchange) { OnMetricsRequest(*aExchange); }));
   TRY_ASSIGN(m_heartbeat_socket,
              HeartbeatSocket::Create(
@@ -147,6 +167,8 @@
   GatewayGauges levels = m_gateway.Gauges();
   levels.m_caller_connections = m_callers->ConnectionCount();
   levels.m_log_lines_dropped = DroppedLogLines();
+  levels.m_refused_for_memory = m_callers->RefusedForMemory();
+  levels.m_closed_for_room = m_callers->ClosedForRoom();
   aExchange.Reply(kOk,
                   { { "Content-Type", "text/plain; version=0.0.4" } },
                   m_gateway.Metrics().Serialize(levels));
@@ -257,8 +279,7 @@
   if (m_gateway.Table() != m_applied_table) {
     m_applied_table = m_gateway.Table();
     const CallerLimits& configured = m_applied_table->Limits();
-    RelayServerLimits limits;
-    limits.m_max_connections = m_settings.m_max_sockets / kCallerSocketDivisor;
+    RelayServerLimits limits = CallerServerLimits(m_settings);
     limits.m_max_head_bytes = configured.m_max_head_bytes;
     limits.m_max_body_bytes = configured.m_max_body_bytes;
     limits.m_head_timeout = configured.m_head_timeout;
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -183,6 +183,8 @@
   set("cannot_connect", aGauges.m_cannot_connect ? 1 : 0);
   set("configuration_version", static_cast<double>(aGauges.m_configuration_version));
   set("log_lines_dropped", static_cast<double>(aGauges.m_log_lines_dropped));
+  set("refused_for_memory", static_cast<double>(aGauges.m_refused_for_memory));
+  set("closed_for_room", static_cast<double>(aGauges.m_closed_for_room));
   return prometheus::TextSerializer().Serialize(m_registry.Collect());
 }
 
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -12,6 +12,9 @@
 // Descriptors reserved for files, the log and libraries.
 constexpr std::int64_t kOtherDescriptors = 200;
 constexpr double kMillisecondsPerSecond = 1'000;
+// Less does not hold the process itself and the body of one request of the usual limit.
+constexpr std::int64_t kMinMemoryMib = 32;
+constexpr std::int64_t kMaxMemoryMib = 1 << 20;
 // A deployment with this contract has more load at times than its endpoints can serve in time.
 constexpr const char* kPressureContract = "pressure";
 
@@ -171,6 +174,8 @@
                            2 * kOtherDescriptors,
                            kMaxDescriptors);
   settings.m_max_sockets = static_cast<std::size_t>(descriptors - kOtherDescriptors);
+  settings.m_max_memory_mib =
+    reader.OptionalInteger("max_memory_mb", 0, kMinMemoryMib, kMaxMemoryMib);
   settings.m_processor_millicores = ReadProcessor(reader, aFindings);
   const std::set<std::string> contracts = ReadContracts(reader, aFindings);
   settings.m_learn_concurrency =
--- a/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
@@ -26,6 +26,10 @@
   bool m_cannot_connect = false;
   std::int64_t m_configuration_version = 0;
   std::uint64_t m_log_lines_dropped = 0;
+  /// Requests refused because the bodies of all requests took too much memory.
+  std::uint64_t m_refused_for_memory = 0;
+  /// Callers' connections closed so that new ones could be accepted.
+  std::uint64_t m_closed_for_room = 0;
 
   auto operator<=>(const GatewayGauges&) const = default;
 };
--- a/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
@@ -59,6 +59,8 @@
   bool m_forward_records = false;
   /// File descriptors that this process may use for sockets.
   std::size_t m_max_sockets = 3'900;
+  /// Memory that this process may use, in MiB; 0 if it is not known.
+  std::int64_t m_max_memory_mib = 0;
   /// Whether requests are placed by the learned concurrency of the endpoints and by the connections
   /// that daemons keep to them.
   bool m_learn_concurrency = false;
--- a/Libraries/LibRelay/RelayConnection.h
+++ b/Libraries/LibRelay/RelayConnection.h
@@ -39,6 +39,16 @@
   /// Closes the connection if its head timeout, idle timeout or linger time has passed.
   void CloseIfExpired(TimePoint aNow);
 
+  /// Whether a request is being received whose body takes memory.
+  bool IsReceivingBody() const { return m_phase == Phase::Reading && m_counted_body_bytes > 0; }
+  /// Whether no complete request has arrived that has no complete response.
+  bool HasNoRequest() const { return m_phase == Phase::Idle || m_phase == Phase::Reading; }
+  /// When the last request ended, or the first byte of the one that is being received arrived.
+  TimePoint PhaseSince() const { return m_phase_since; }
+  TimePoint LastReadAt() const { return m_last_read_at; }
+  /// Refuses the request that is being received, since the bodies of all requests are too large.
+  void RefuseForMemory();
+
 private:
   enum class Phase
   {
@@ -64,7 +74,7 @@
   void RejectRequest(int aStatus, const char* aReason, HttpHeaders aHeaders = {});
   /// Creates the exchange of a request after which the connection closes.
   RelayExchangePtr BeginLastExchange(MessageHead aHead);
-  /// Counts the body of the present request among those of all connections.
+  /// Counts the memory of the present request's body among those of all connections.
   void CountBody(std::size_t aBytes);
   void BeginLinger();
   void EnterPhase(Phase aPhase);
@@ -75,6 +85,7 @@
   std::string m_body;
   std::size_t m_counted_body_bytes = 0;
   std::size_t m_discarded_bytes = 0;
+  TimePoint m_last_read_at;
   Phase m_phase = Phase::Idle;
   TimePoint m_phase_since;
   /// Unsent bytes when the timeouts were checked last.
--- a/Libraries/LibRelay/RelayServer.cpp
+++ b/Libraries/LibRelay/RelayServer.cpp
@@ -113,6 +113,7 @@
     if (m_phase == Phase::Idle) {
       EnterPhase(Phase::Reading);
     }
+    m_last_read_at = m_server.m_loop.Now();
     const auto* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, size));
     const std::size_t used = m_parser.Feed({ bytes, static_cast<std::size_t>(size) });
     evbuffer_drain(input, used);
@@ -121,11 +122,12 @@
       RejectRequest(kPayloadTooLarge, "the body is larger than the limit");
       return;
     }
-    if (m_server.m_total_body_bytes > m_server.m_limits.m_max_total_body_bytes) {
-      RejectRequest(kServiceUnavailable,
-                    "the bodies of all requests are larger than the limit",
-                    { { "Retry-After", kRetryAfterFull } });
-      return;
+    // A request that has arrived completely is not refused for memory.
+    if (m_parser.State() == MessageParser::Progress::NeedMore) {
+      m_server.FreeBodyMemory();
+      if (m_phase != Phase::Reading) {
+        return;
+      }
     }
     switch (m_parser.State()) {
       case MessageParser::Progress::NeedMore:
@@ -143,6 +145,14 @@
   }
 }
 
+void
+RelayConnection::RefuseForMemory()
+{
+  RejectRequest(kServiceUnavailable,
+                "the bodies of all requests are larger than the limit",
+                { { "Retry-After", kRetryAfterFull } });
+}
+
 void
 RelayConnection::DiscardInput()
 {
@@ -168,7 +178,7 @@
       needed, std::min<std::uint64_t>(*declared, std::uint64_t(m_body.capacity()) * 2)));
   }
   m_body += bytes;
-  CountBody(m_body.size());
+  CountBody(m_body.empty() ? 0 : m_body.capacity());
 }
 
 bool
@@ -390,7 +400,8 @@
 RelayServer::OnAccept(evconnlistener*, int aSocket, sockaddr*, int, void* aServer)
 {
   auto* server = static_cast<RelayServer*>(aServer);
-  if (server->m_connections.size() >= server->m_limits.m_max_connections) {
+  if (server->m_connections.size() >= server->m_limits.m_max_connections &&
+      !server->CloseOldestWithoutRequest()) {
     close(aSocket);
     return;
   }
@@ -405,6 +416,43 @@
   server->m_connections.insert(new RelayConnection(*server, events));
 }
 
+bool
+RelayServer::CloseOldestWithoutRequest()
+{
+  RelayConnection* oldest = nullptr;
+  for (RelayConnection* connection : m_connections) {
+    if (connection->HasNoRequest() &&
+        (oldest == nullptr || connection->PhaseSince() < oldest->PhaseSince())) {
+      oldest = connection;
+    }
+  }
+  if (oldest == nullptr) {
+    return false;
+  }
+  ++m_closed_for_room;
+  oldest->Close();
+  return true;
+}
+
+void
+RelayServer::FreeBodyMemory()
+{
+  while (m_total_body_bytes > m_limits.m_max_total_body_bytes) {
+    RelayConnection* slowest = nullptr;
+    for (RelayConnection* connection : m_connections) {
+      if (connection->IsReceivingBody() &&
+          (slowest == nullptr || connection->LastReadAt() < slowest->LastReadAt())) {
+        slowest = connection;
+      }
+    }
+    if (slowest == nullptr) {
+      return;
+    }
+    ++m_refused_for_memory;
+    slowest->RefuseForMemory();
+  }
+}
+
 void
 RelayServer::RemoveConnection(RelayConnection* aConnection)
 {
--- a/Libraries/LibRelay/include/LibRelay/RelayServer.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayServer.h
@@ -5,6 +5,7 @@
 #include <LibRelay/RelayExchange.h>
 #include <absl/container/flat_hash_set.h>
 #include <absl/status/statusor.h>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -18,9 +19,12 @@
 {
   std::size_t m_max_head_bytes = 16 << 10;
   std::size_t m_max_body_bytes = 4 << 20;
+  /// Beyond it, the connection that has been idle or has been sending its request for longest is
+  /// closed; a new one is refused if there is none.
   std::size_t m_max_connections = 2'000;
-  /// Maximum size of the bodies of all requests that are being received or have no complete
-  /// response. A request beyond it is refused with 503.
+  /// Maximum memory for the bodies of all requests that are being received or have no complete
+  /// response. Beyond it, requests that are being received are refused with 503, first those whose
+  /// callers have sent nothing for longest.
   std::size_t m_max_total_body_bytes = 64 << 20;
   /// Maximum time from the first byte of a request to the end of its head.
   Milliseconds m_head_timeout{ 3'000 };
@@ -55,6 +59,10 @@
   /// has arrived of each; it must respond. The head is empty if it is incomplete itself. The
   /// connections close after these responses.
   void EndReceiving(const Handler& aRespond);
+  /// Number of requests that were refused because the bodies of all requests were too large.
+  std::uint64_t RefusedForMemory() const { return m_refused_for_memory; }
+  /// Number of connections that were closed so that new ones could be accepted.
+  std::uint64_t ClosedForRoom() const { return m_closed_for_room; }
   std::size_t ConnectionCount() const { return m_connections.size(); }
   /// Number of connections that are receiving a request, have a request without a complete
   /// response, or wait for the peer to read the last one and close.
@@ -68,6 +76,12 @@
   static void OnAccept(evconnlistener*, int aSocket, sockaddr*, int, void* aServer);
   void RemoveConnection(RelayConnection* aConnection);
   void Sweep();
+  /// Closes the connection that has been idle, or has been sending its request, for longest.
+  /// Returns whether there was one.
+  bool CloseOldestWithoutRequest();
+  /// Refuses requests that are being received until the bodies of all requests are within their
+  /// limit.
+  void FreeBodyMemory();
 
   EventLoop& m_loop;
   RelayServerLimits m_limits;
@@ -77,6 +91,8 @@
   bool m_close_after_responses = false;
   /// See RelayServerLimits::m_max_total_body_bytes.
   std::size_t m_total_body_bytes = 0;
+  std::uint64_t m_refused_for_memory = 0;
+  std::uint64_t m_closed_for_room = 0;
   std::unique_ptr<Timer> m_sweep;
 };
 
--- a/Tests/Process/TestHostileCallers.cpp
+++ b/Tests/Process/TestHostileCallers.cpp
@@ -74,7 +74,8 @@
   {
     GatewayClusterOptions options;
     options.m_endpoints = 1;
-    options.m_settings = { { "max_descriptors", kMaxDescriptors } };
+    options.m_settings = { { "max_descriptors", kMaxDescriptors },
+                           { "max_memory_mb", kMaxResidentBytes >> 20 } };
     return options;
   }
 
