--- a/Daemon/main.cpp
+++ b/Daemon/main.cpp
@@ -74,12 +74,9 @@
 ReturnFreedMemory()
 {
 #ifdef __GLIBC__
-  // The bodies of a crowd grow in steps of a few tens of KiB. Blocks of that size in the heap are
-  // not reused as a whole and kept twice the memory that the bodies took.
-  constexpr int kMappedBytes = 32 << 10;
-  constexpr int kTrimmedBytes = 128 << 10;
-  mallopt(M_MMAP_THRESHOLD, kMappedBytes);
-  mallopt(M_TRIM_THRESHOLD, kTrimmedBytes);
+  constexpr int kThresholdBytes = 128 << 10;
+  mallopt(M_MMAP_THRESHOLD, kThresholdBytes);
+  mallopt(M_TRIM_THRESHOLD, kThresholdBytes);
 #endif
 }
 
