Free the body of a refused request, which moving an empty string into it did not

Measured by a trial that printed the capacity of all bodies at each refusal: 31.9 MB held and 10.8 MB counted with 87 connections that lingered after their refusal.

Cause: the move assignment of a string without a heap buffer copies into the existing buffer and keeps its capacity. Ruled out: the threshold for mapped blocks (55,688 and 55,604 KiB), unread input (0 bytes) and unsent output (at most 5 KB).

--- a/Libraries/LibRelay/MessageParser.cpp
+++ b/Libraries/LibRelay/MessageParser.cpp
@@ -204,7 +204,7 @@
 MessageParser::Abandon()
 {
   m_head = MessageHead();
-  m_body = std::string();
+  std::string().swap(m_body);
   m_declared_body_bytes = std::nullopt;
   m_has_head = false;
   m_progress = Progress::Malformed;
--- a/Libraries/LibRelay/RelayServer.cpp
+++ b/Libraries/LibRelay/RelayServer.cpp
@@ -207,8 +207,9 @@
 void
 RelayConnection::RejectRequest(int aStatus, const char* aReason, HttpHeaders aHeaders)
 {
-  // clear() would keep the memory for as long as the connection lingers.
-  m_body = std::string();
+  // clear() and the assignment of an empty string would keep the memory for as long as the
+  // connection lingers.
+  std::string().swap(m_body);
   m_parser.Abandon();
   CountBody(0);
   const RelayExchangePtr exchange = BeginLastExchange(MessageHead());
