--- a/Libraries/LibRelay/RelayServer.cpp
+++ b/Libraries/LibRelay/RelayServer.cpp
@@ -32,9 +32,10 @@
 // is not larger than this and the socket buffers.
 constexpr std::size_t kMaxDiscardedBytes = 256 << 10;
 
-// Size of the kernel's buffers of a connection, each way; the kernel reserves twice as much. At a
-// round trip of 4.4 ms it lets a connection carry 116 Mbit/s.
-constexpr int kSocketBufferBytes = 64 << 10;
+// Size of the kernel's receive buffer of a connection; the kernel reserves twice as much. At a
+// round trip of 4.4 ms it lets a connection carry 116 Mbit/s. The send buffer is not limited: with
+// 64 KiB a slow caller lost the end of a response after which its connection closed.
+constexpr int kReceiveBufferBytes = 64 << 10;
 
 constexpr int kBadRequest = 400;
 constexpr int kPayloadTooLarge = 413;
@@ -376,11 +377,10 @@
   if (server->m_listener == nullptr) {
     return absl::UnavailableError("can't listen on " + aAddress.Value());
   }
-  // Accepted connections inherit both. The kernel would let them grow to several megabytes each.
-  const int buffer_bytes = kSocketBufferBytes;
+  // Accepted connections inherit it. The kernel would let it grow to several megabytes each.
+  const int buffer_bytes = kReceiveBufferBytes;
   const int listener = evconnlistener_get_fd(server->m_listener);
   setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof(buffer_bytes));
-  setsockopt(listener, SOL_SOCKET, SO_SNDBUF, &buffer_bytes, sizeof(buffer_bytes));
   server->m_sweep = std::make_unique<Timer>(
     aLoop, kSweepInterval, Timer::Repeat::Always, [raw = server.get()] { raw->Sweep(); });
   return server;
