--- a/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
@@ -14,7 +14,7 @@
 struct RolloutBounds
 {
   ExposureBounds m_exposure;
-  /// Time from the bad responses that convict a version until it must receive no more requests.
+  /// Maximum time from the 50th bad response of a version to its last request.
   Milliseconds m_rollback{ 0 };
 
   auto operator<=>(const RolloutBounds&) const = default;
@@ -61,8 +61,8 @@
   std::size_t m_max_sockets = 3'900;
   /// Memory that this process may use, in MiB; 0 if it is not known.
   std::int64_t m_max_memory_mib = 0;
-  /// Whether requests are placed by the learned concurrency of the endpoints and by the connections
-  /// that daemons keep to them.
+  /// Whether requests are placed by idle connections and by the slots that endpoints are expected
+  /// to have soon.
   bool m_learn_concurrency = false;
 
   /// Parses and validates settings. Returns nullopt and records a finding for each invalid member.
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -14,8 +14,8 @@
 constexpr double kSlotTimeWeight = 0.05;
 // Lower bound of the number of slots while rate limits apply.
 constexpr double kMinLimitedSlots = 1e-3;
-// Most requests that wait for a better slot in one decision. With 16, the slots of slow endpoints
-// stayed unused near full load, and fewer requests were in time than without the rule.
+// Maximum number of requests that wait for a better slot in one decision. With 16, fewer requests
+// were in time near full load than without the rule.
 constexpr std::size_t kMaxAwaitedSlots = 4;
 
 double
@@ -529,7 +529,7 @@
       continue;
     }
     if (awaited.m_count > awaited_before) {
-      // It waits for a better slot, not for want of one, so it is not refused as new.
+      // A new request that waits for a better slot is not refused for load.
       std::erase(m_undecided, request.m_request_id);
       set_aside.push_back(take());
       continue;
--- a/Libraries/LibPlacement/include/LibPlacement/EndpointChooser.h
+++ b/Libraries/LibPlacement/include/LibPlacement/EndpointChooser.h
@@ -44,11 +44,10 @@
   /// Slots that requests wait for, by endpoint.
   using AwaitedSlots = std::map<EndpointId, std::size_t>;
 
-  /// The endpoint for which a request waits rather than to use aChosen, which Choose() returned:
-  /// the request is late at aChosen, and this one is expected to have a slot, beyond those in
-  /// aAwaited, early enough for it to be in time. Null if there is none, or if a request has to
-  /// show whether aChosen is still as slow. Responds to long prompts beside endpoints several times
-  /// slower than others.
+  /// An endpoint that is expected to have a free slot early enough for the request to be in time,
+  /// beyond the slots in aAwaited. Null if there is none, if the request is in time at aChosen, or
+  /// if the estimate of aChosen is too old. Responds to long prompts and endpoints of uneven speed.
+  /// Precondition: Choose() returned aChosen.
   const SlotEndpoint* BetterSoon(Endpoints& aEndpoints,
                                  const SlotRequest& aRequest,
                                  const SlotEndpoint& aChosen,
--- a/Libraries/LibPlacement/include/LibPlacement/SlotAdmission.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotAdmission.h
@@ -12,7 +12,8 @@
   /// Bounds of the retry delay that is sent with a refusal.
   Milliseconds m_min_retry_after{ 100 };
   Milliseconds m_max_retry_after{ 10'000 };
-  /// Whether requests are placed by what is learned of the endpoints beyond their speed.
+  /// Whether requests are placed by idle connections and by the slots that endpoints are expected
+  /// to have soon.
   bool m_learn_concurrency = false;
 };
 
@@ -32,7 +33,8 @@
   /// Returns a request with the times that are expected of it at a service's endpoints.
   WaitingSlotRequest Estimate(const SlotRequest& aRequest,
                               const std::map<EndpointId, SlotEndpoint>& aEndpoints) const;
-  /// Records the ratio of a measured to an expected time to first byte.
+  /// Updates the margin that is kept above expected times to first byte. aRatio: measured to
+  /// expected time.
   void RecordFirstByteRatio(double aRatio, TimePoint aNow);
   /// What a refusal of a request for load is judged by.
   LoadJudgement JudgementOf(const WaitingSlotRequest& aWaiting,
--- a/Libraries/LibRollout/Rollout.cpp
+++ b/Libraries/LibRollout/Rollout.cpp
@@ -24,15 +24,15 @@
 constexpr double kGiveUpAt = 0.92;
 // Responses of the target without which a stage does not end before kDecideAt.
 constexpr std::uint64_t kMinResponsesOfStage = 20;
-// A stage does not end while a test is above this share of its threshold: more than one slow
-// endpoint alone may add, which otherwise holds a good version up until it is given up.
-constexpr double kQuietShare = 0.7;
-// Connections that an endpoint breaks off within this time count once: they have one cause.
-constexpr Milliseconds kOneBreak{ 1'000 };
-// Endpoints that are under load in the stage Load: enough that one slow endpoint is no verdict.
+// A stage does not end while a test is above this share of its threshold. One slow endpoint adds
+// less, so that it does not delay a good version.
+constexpr double kMaxSumShareOfStage = 0.7;
+// Broken connections of one endpoint within this time count as one bad response.
+constexpr Milliseconds kBreakWindow{ 1'000 };
+// Endpoints that are under load in the stage Load: one alone may be slow.
 constexpr std::size_t kLoadedEndpoints = 3;
-// Requests that are saved up and then sent at once in the stage Load, so that the endpoints under
-// load are as full as those of the other version: several for each slot of a few endpoints.
+// Requests that are sent at once in the stage Load, so that the endpoints under load are as full as
+// those of the other version.
 constexpr int kBurst = 16;
 const KindName kAllRoutes;
 
@@ -131,7 +131,7 @@
 {
   if (aResponse.m_is_broken) {
     const auto [last, is_first] = m_broken_at.try_emplace(aResponse.m_endpoint, aNow);
-    if (!is_first && aNow - last->second < kOneBreak) {
+    if (!is_first && aNow - last->second < kBreakWindow) {
       return;
     }
     last->second = aNow;
@@ -204,7 +204,7 @@
     return aEndpoints.m_running_at_others == 0 || is_late ? RolloutStage::Completed
                                                           : RolloutStage::Drain;
   }
-  const bool is_quiet = HighestSum() < kQuietShare * SequentialTest::kBadFrom;
+  const bool is_quiet = HighestSum() < kMaxSumShareOfStage * SequentialTest::kBadFrom;
   if (!is_quiet || aEndpoints.m_target.empty()) {
     return m_stage;
   }
--- a/Libraries/LibRollout/include/LibRollout/ReferenceVersion.h
+++ b/Libraries/LibRollout/include/LibRollout/ReferenceVersion.h
@@ -12,8 +12,8 @@
 class ReferenceVersion
 {
 public:
-  /// Ratio of a measured time to the expected one from which a response is slow; infinite until
-  /// enough responses are known.
+  /// A response is slow if its time exceeds the expected one by this factor; infinite until enough
+  /// responses are known.
   double SlowFrom(const KindName& aRoute) const;
   /// Records a response. aSlowness: ratio of its measured time to the expected one.
   void Record(const KindName& aRoute, bool aIsBad, double aSlowness);
--- a/Libraries/LibRollout/include/LibRollout/Rollout.h
+++ b/Libraries/LibRollout/include/LibRollout/Rollout.h
@@ -123,7 +123,7 @@
   std::set<EndpointId> m_target;
   /// The endpoints of the target that get requests in the stage Load.
   std::set<EndpointId> m_loaded;
-  /// Whether requests are sent in the stage Load, or saved up until they load the endpoints.
+  /// Whether requests are sent to the target in the stage Load, between the intervals without any.
   bool m_is_bursting = true;
   std::uint64_t m_responses = 0;
   std::uint64_t m_responses_of_stage = 0;
--- a/Tests/Process/TestEndpointCuts.cpp
+++ b/Tests/Process/TestEndpointCuts.cpp
@@ -371,8 +371,7 @@
   }
 }
 
-// Guards against requests that an older configuration sends to another service than the newer one
-// by which they were admitted.
+// Guards against requests that an older configuration sends to another service.
 TEST_CASE("Cut off: a daemon hands back a request that a newer configuration than its own admitted")
 {
   GatewayCluster cluster(1, 1);
--- a/Tests/Process/TestForwardedRecords.cpp
+++ b/Tests/Process/TestForwardedRecords.cpp
@@ -188,8 +188,7 @@
   drill.ChangeAndAwait(followers, 0);
 }
 
-// Guards against followers that wait for readers which are frozen, and against readers that return
-// and forward what has been applied.
+// Guards against followers that wait for frozen readers, and records that are applied twice.
 TEST_CASE("Forwarded records: changes are in force when readers are stopped and continue")
 {
   ForwardingDrill drill;
--- a/Tests/Unit/TestEndpointReach.cpp
+++ b/Tests/Unit/TestEndpointReach.cpp
@@ -214,8 +214,7 @@
   CHECK(choose({}, 5'000) == "none");
 }
 
-// Guards against requests that an older configuration sends to another service than the newer one
-// by which they were admitted.
+// Guards against requests that an older configuration sends to another service.
 TEST_CASE("A request is forwarded only to daemons whose configuration is at least as new")
 {
   Membership membership(Membership::Limits(), HostName("own"));
--- a/Tests/Unit/TestForwardedRecords.cpp
+++ b/Tests/Unit/TestForwardedRecords.cpp
@@ -88,8 +88,7 @@
   CHECK_FALSE(buffer.IsNextTooLarge(7));
 }
 
-// Guards against a missing record whose wait begins anew with each later announcement, and against
-// reads of the store for records that have arrived.
+// Guards against a missing record whose wait begins anew with each later announcement.
 TEST_CASE("Forwarded records: a record is missing since the announcement that first covered it")
 {
   const TimePoint start;
@@ -123,8 +122,7 @@
   CHECK_FALSE(buffer.MissingSince(5));
 }
 
-// Guards against records that are applied from a datagram and once more from a read that was under
-// way, at any order of arrival and loss.
+// Guards against records that are applied from a datagram and again from a read in progress.
 TEST_CASE("Forwarded records: reads and datagrams in any order apply each record once")
 {
   constexpr std::uint64_t kEnd = 60;
@@ -165,8 +163,7 @@
   }
 }
 
-// Guards against records that change on their way, such as deletions, empty values and bytes that
-// are no UTF-8, and against datagrams that are cut at the MTU.
+// Guards against records that change on their way, and datagrams that are cut at the MTU.
 TEST_CASE("Forwarded records: what is encoded is decoded, in datagrams of at most 1,400 bytes")
 {
   std::vector<ForwardedRecord> records{ KeyedRecord{ "a", "1" },
@@ -262,8 +259,7 @@
   }
 }
 
-// Guards against datagrams of records that take part as heartbeats, at this build or an earlier
-// one.
+// Guards against datagrams of records that are decoded as heartbeats.
 TEST_CASE("Forwarded records: a datagram of records is no heartbeat, nor the other way round")
 {
   const auto datagrams = EncodeRecords(MessageOf(RecordsBetween(0, 20)));
@@ -272,8 +268,7 @@
   CHECK_FALSE(DecodeRecords(EncodeHeartbeat(Heartbeat())));
 }
 
-// Guards against records that are sent to builds which cannot use them, and against a heartbeat
-// that earlier builds reject: they pass over an entry without a name whose number is negative.
+// Guards against a heartbeat that earlier builds reject, and records that they cannot use.
 TEST_CASE("Forwarded records: a heartbeat says whether its daemon accepts them")
 {
   Heartbeat heartbeat;
--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -131,8 +131,7 @@
   }
 }
 
-// Guards against requests that go to a service which another writer names for a server: its entries
-// lack what each server states.
+// Guards against requests that go to a service which another writer names for an endpoint.
 TEST_CASE("A registration that lacks a count which each server states is rejected")
 {
   for (const auto& change : std::vector<std::pair<std::string, std::string>>{
--- a/Tests/Unit/TestRefusedBesideFreeSlots.cpp
+++ b/Tests/Unit/TestRefusedBesideFreeSlots.cpp
@@ -33,9 +33,7 @@
 
 }
 
-// Guards against a service that refuses every request while its slots are free: its few responses
-// were slow, so that each new request was judged late and was removed before it could be granted a
-// slot, and no response renewed the estimate.
+// Guards against a service that refuses every request while its slots are free.
 TEST_CASE("Overloaded by callers that repeat at once, a service keeps its slots in use")
 {
   ForEachLoad([](const CallerLoad& aLoad, CallerLoadSimulation& aSimulation) {
--- a/Tests/Unit/TestRollout.cpp
+++ b/Tests/Unit/TestRollout.cpp
@@ -251,8 +251,7 @@
 
 }
 
-// Guards against rollbacks of good versions because of a slow endpoint, a burst, a noisy route or a
-// crash.
+// Guards against rollbacks of good versions for faults that are not theirs.
 TEST_CASE("Rollouts: at most 2 of 200 good versions are rolled back")
 {
   int rolled_back = 0;
@@ -298,7 +297,7 @@
   });
 }
 
-// Guards against a version with one endpoint that nothing can convict.
+// Guards against a bad version that is not rolled back because it has one endpoint.
 TEST_CASE("Rollouts: a version with one endpoint is judged by it")
 {
   const auto run = [](double aFailures) {
@@ -342,8 +341,7 @@
   CHECK(rollout.Stage() == RolloutStage::Completed);
 }
 
-// Guards against an order without endpoints, of a service that is gone, that runs past its
-// deadline.
+// Guards against an order of a service that is gone, which has no end.
 TEST_CASE("Rollouts: an order without endpoints is rolled back before its deadline")
 {
   Rollout rollout = MakeRollout();
--- a/Tests/Unit/TestRolloutRecords.cpp
+++ b/Tests/Unit/TestRolloutRecords.cpp
@@ -86,8 +86,7 @@
   CHECK(writer.End() == 3);
 }
 
-// Guards against a record that is written twice, or taken for another writer's, because the answer
-// to its append was lost.
+// Guards against a record that is written twice because the response to its append was lost.
 TEST_CASE("Conditional writes: a lost answer is resolved by reading")
 {
   FakeTopic topic;
