--- a/Libraries/LibRelay/RelayServer.cpp
+++ b/Libraries/LibRelay/RelayServer.cpp
@@ -34,7 +34,7 @@
 
 // Size of the kernel's receive buffer of a connection; the kernel reserves twice as much. At a
 // round trip of 4.4 ms it lets a connection carry 116 Mbit/s. The send buffer is not limited: with
-// 64 KiB a slow caller lost the end of a response after which its connection closed.
+// 64 KiB slow callers held the slots of their endpoint until callers behind them timed out.
 constexpr int kReceiveBufferBytes = 64 << 10;
 
 constexpr int kBadRequest = 400;
