--- a/Tests/Unit/TestSequentialTest.cpp
+++ b/Tests/Unit/TestSequentialTest.cpp
@@ -157,8 +157,10 @@
   for (const auto& [name, candidate] : candidates) {
     thresholds.push_back(Calibrate(candidate));
   }
-  for (const auto& [share, bad_from] : std::vector<std::pair<double, int>>{
+  for (const auto& shape : std::vector<std::pair<double, int>>{
          { 0.1, 0 }, { 0.3, 0 }, { 1, 0 }, { 0.1, 100 }, { 0.3, 100 }, { 1, 100 } }) {
+    const double share = shape.first;
+    const int bad_from = shape.second;
     std::vector<Delay> delays;
     delays.reserve(candidates.size());
     for (std::size_t i = 0; i < candidates.size(); ++i) {
