Declare the store of rollout states and the orders of a gateway

A state names the daemon that wrote it, so that a decider can tell its own write whose answer was lost from that of another one.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -571,4 +571,16 @@
   raw->Begin();
 }
 
+void
+Gateway::SetRolloutOrder(const RolloutOrder& aOrder)
+{
+  m_rollout_orders.insert_or_assign(aOrder.m_service, aOrder);
+}
+
+void
+Gateway::RemoveRolloutOrder(const ServiceName& aService)
+{
+  m_rollout_orders.erase(aService);
+}
+
 }
--- a/Libraries/LibGateway/include/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -4,6 +4,7 @@
 #include <LibGateway/ActiveRequest.h>
 #include <LibGateway/GatewaySettings.h>
 #include <LibRegistry/VersionHistory.h>
+#include <LibRollout/RolloutStore.h>
 #include <map>
 #include <memory>
 
@@ -34,6 +35,12 @@
   /// older than what is known here.
   void OnStoreWentBack();
 
+  /// Sets the order in force for a service; another order replaces it.
+  void SetRolloutOrder(const RolloutOrder& aOrder);
+  void RemoveRolloutOrder(const ServiceName& aService);
+  /// Precondition: the store outlives the gateway.
+  void SetRolloutStore(RolloutStore* aStore) { m_rollout_store = aStore; }
+
   // Updates about other daemons.
 
   void OnHeartbeat(const Heartbeat& aHeartbeat);
@@ -132,6 +139,8 @@
   std::map<ActiveRequest*, std::unique_ptr<ActiveRequest>> m_active_requests;
   std::vector<RelayExchangePtr> m_early_requests;
   std::size_t m_alive_count = 0;
+  RolloutStore* m_rollout_store = nullptr;
+  std::map<ServiceName, RolloutOrder> m_rollout_orders;
 };
 
 }
--- a/Tests/Unit/TestRolloutRecords.cpp
+++ b/Tests/Unit/TestRolloutRecords.cpp
@@ -140,7 +140,9 @@
          { RolloutStage::Drain, "running" },
          { RolloutStage::Completed, "completed" },
          { RolloutStage::RolledBack, "rolled_back" } }) {
-    const RolloutState state{ ServiceName("s"), "7", SoftwareVersion("2"), stage, 100, 20 };
+    const RolloutState state{
+      ServiceName("s"), "7", SoftwareVersion("2"), Incarnation("d"), stage, 100, 20
+    };
     const KeyedRecord record = EncodeRolloutState(state);
     Findings findings;
     CHECK(DecodeRolloutState(record.m_key, *record.m_value, findings) == state);
@@ -150,6 +152,6 @@
   Findings findings;
   CHECK_FALSE(DecodeRolloutState(
     kKey,
-    R"({"service":"s","order":"7","target":"2","stage":"odd","arrived":1,"sent":1})",
+    R"({"service":"s","order":"7","target":"2","decider":"d","stage":"odd","arrived":1,"sent":1})",
     findings));
 }
