--- a/Tests/Process/TestLimitPartitions.cpp
+++ b/Tests/Process/TestLimitPartitions.cpp
@@ -148,6 +148,12 @@
     }
   }
 
+  /// Holds back what one daemon sends on its link to another, without cutting heartbeats.
+  void SetLinkHeld(std::size_t aFrom, std::size_t aTo, bool aIsHeld)
+  {
+    m_links.at(std::pair(aFrom, aTo))->SetCut(aIsHeld);
+  }
+
   void HealAll()
   {
     for (const auto& [one, other] : std::set(m_cut)) {
@@ -170,6 +176,11 @@
 
   const StatedLimitChecker& Limit() const { return m_limit; }
   std::size_t ArrivalsOf(std::size_t aNode) const { return m_nodes[aNode]->m_arrivals; }
+  /// The daemons that have granted or refused slots to a daemon.
+  const std::set<HostName>& CoordinatorsOf(std::size_t aNode) const
+  {
+    return m_nodes[aNode]->m_coordinators;
+  }
 
 private:
   struct Node
@@ -240,8 +251,13 @@
       *number = m_broker.RequestSlot(
         kService,
         request,
-        SlotHandlers{ [this, number](const SlotGrant&, const HostName&) { Send(*number); },
-                      [](const SlotRefusal&, const HostName&) {} });
+        SlotHandlers{ [this, number](const SlotGrant&, const HostName& aCoordinator) {
+                       m_coordinators.insert(aCoordinator);
+                       Send(*number);
+                     },
+                      [this](const SlotRefusal&, const HostName& aCoordinator) {
+                        m_coordinators.insert(aCoordinator);
+                      } });
     }
 
     /// The endpoint responds at once, with its limit.
@@ -265,6 +281,7 @@
     SlotBroker m_broker;
     std::unique_ptr<PeerLinkListener> m_listener;
     std::size_t m_arrivals = 0;
+    std::set<HostName> m_coordinators;
     Timer m_tick;
   };
 
@@ -371,3 +388,22 @@
     CHECK(FirstViolation(fleet) == "none");
   }
 }
+
+// Guards against two coordinators that grant the same slots because a packet was lost.
+TEST_CASE("A link that waits for the retransmission of a packet does not change the coordinator")
+{
+  constexpr Milliseconds kRetransmissionTime{ 250 };
+  BrokerFleet fleet;
+  fleet.RunFor(kCalmTime);
+  const std::size_t coordinator = fleet.Coordinator();
+  const std::size_t daemon = (coordinator + 1) % kNodes;
+  const std::set<HostName> before = fleet.CoordinatorsOf(daemon);
+  for (int i = 0; i < 3; ++i) {
+    fleet.SetLinkHeld(daemon, coordinator, true);
+    fleet.RunFor(kRetransmissionTime);
+    fleet.SetLinkHeld(daemon, coordinator, false);
+    fleet.RunFor(kRetransmissionTime);
+  }
+  CHECK(before.size() == 1);
+  CHECK(fleet.CoordinatorsOf(daemon) == before);
+}
