Order and refuse by kind and workspace while callers compete for too little capacity

Cause, from the logs of grants: each combination of workspace and route priority had a floor of its own; expected waits came from estimates of service times that rise with the load; work of the lowest kind that could no longer be in time went before work in time of all other workspaces; refused callers returned during the same burst; and slots of work of 15 ms stood idle for as long again while messages were on their way. In force where the setting floors_by_kind is true, by default where the contracts name a pool.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -13,8 +13,6 @@
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
 // A daemon without a configuration receives one within a few hundred milliseconds.
 constexpr Milliseconds kRetryAfterWithoutConfiguration{ 300 };
-// Number of distinct route priorities within one workspace priority.
-constexpr int kRoutePriorities = 16;
 // Time reserved from the drain bound for reading the store's notice about an endpoint and for an
 // attempt that is already under way.
 constexpr Milliseconds kDrainMargin{ 500 };
@@ -54,21 +52,15 @@
   return limits;
 }
 
-/// Orders by the workspace's priority first; the route's priority orders the requests of workspaces
-/// of equal priority.
-int
-CombinedPriority(const RoutedWorkspace& aWorkspace, const Route& aRoute)
-{
-  return aWorkspace.m_priority.value_or(0) * kRoutePriorities +
-         std::min(aRoute.m_priority, kRoutePriorities - 1);
-}
-
 SlotBroker::Limits
 BrokerLimits(const GatewaySettings& aSettings)
 {
   SlotBroker::Limits limits;
   limits.m_scheduler.m_max_retry_after = aSettings.m_max_retry_after;
   limits.m_scheduler.m_learn_concurrency = aSettings.m_learn_concurrency;
+  if (aSettings.m_floors_by_kind) {
+    limits.m_scheduler.m_floors = ServedShares::Floors::KindsAndWorkspaces;
+  }
   return limits;
 }
 
@@ -545,7 +537,7 @@
       return;
     }
     request.m_workspace = workspace->m_name;
-    request.m_priority = CombinedPriority(*workspace, route);
+    request.m_priority = CombinedPriority(workspace->m_priority.value_or(0), route.m_priority);
     request.m_quota_tokens =
       workspace->m_counts_tokens ? aHead.m_quota_tokens.value_or(workspace->m_default_tokens) : 1;
   }
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -17,6 +17,8 @@
 constexpr std::int64_t kMaxMemoryMib = 1 << 20;
 // A deployment with this contract has more load at times than its endpoints can serve in time.
 constexpr const char* kPressureContract = "pressure";
+// Of deployments with pools of many endpoints.
+constexpr const char* kPoolContract = "pool";
 
 SocketAddress
 ReadAddress(JsonObjectReader& aReader, const char* aKey, Findings& aFindings)
@@ -180,6 +182,8 @@
   const std::set<std::string> contracts = ReadContracts(reader, aFindings);
   settings.m_learn_concurrency =
     reader.OptionalBool("learn_concurrency", contracts.contains(kPressureContract));
+  settings.m_floors_by_kind =
+    reader.OptionalBool("floors_by_kind", contracts.contains(kPoolContract));
   settings.m_forward_records = reader.OptionalBool("forward_records", settings.m_forward_records);
   if (const Json* bounds = reader.Member("bounds")) {
     ReadBounds(*bounds, settings, aFindings);
--- a/Libraries/LibPlacement/SlotAdmission.cpp
+++ b/Libraries/LibPlacement/SlotAdmission.cpp
@@ -98,10 +98,27 @@
                               double aSlots,
                               TimePoint aNow) const
 {
+  if (m_limits.m_floors == ServedShares::Floors::KindsAndWorkspaces) {
+    if (const auto wait_ms = aQueue.ExpectedWaitMs(aPriority, aNow)) {
+      return *wait_ms;
+    }
+  }
   const double left = std::max(kMinShareLeft, 1.0 - aQueue.LoadAbove(aPriority, aSlots, aNow));
   return aQueue.SlotTimeAheadMs(aPriority) / (aSlots * left);
 }
 
+double
+SlotAdmission::ReturnDelayMs(const SlotQueue& aQueue,
+                             const SlotRequest& aRequest,
+                             double aSlots,
+                             TimePoint aNow) const
+{
+  const double wait_ms = ExpectedWaitMs(aQueue, aRequest.m_priority, aSlots, aNow);
+  return m_limits.m_floors == ServedShares::Floors::KindsAndWorkspaces
+           ? std::max(wait_ms, aQueue.OverloadEndsInMs(aRequest.m_priority, aSlots, aNow))
+           : wait_ms;
+}
+
 bool
 SlotAdmission::ShouldRefuse(const SlotQueue& aQueue,
                             const WaitingSlotRequest& aWaiting,
--- a/Libraries/LibPlacement/SlotEndpoint.cpp
+++ b/Libraries/LibPlacement/SlotEndpoint.cpp
@@ -29,6 +29,13 @@
 // Endpoints turn slow for a second to some seconds at a time, so an older estimate is tried again.
 constexpr Milliseconds kEstimateLifetime{ 2'000 };
 
+// Time for which a slot stands idle between two requests while the report of the end, the grant and
+// the next request are on their way: four messages, most of them between data centres up to 4.4 ms
+// apart.
+constexpr double kIdleBetweenRequestsMs = 10;
+// EWMA weight of a new time for which a slot was held; averages about thirty responses.
+constexpr double kHeldWeight = 0.03;
+
 TimePoint
 After(TimePoint aFrom, double aMs)
 {
@@ -135,6 +142,7 @@
   switch (aOutcome) {
     case SlotOutcome::Complete:
       RecordAlive(aRequestId.m_daemon, held.m_granted_at, aNow);
+      RecordHeldFor(aNow - held.m_granted_at);
       if (held.m_started_at) {
         m_times.LearnRest(
           ServiceTimeModel::ReferenceRestMs(held.m_work),
@@ -226,11 +234,26 @@
   }
 }
 
+void
+SlotEndpoint::RecordHeldFor(Duration aTime)
+{
+  const double ms = std::chrono::duration<double, std::milli>(aTime).count();
+  m_mean_held_ms = m_mean_held_ms == 0 ? ms : m_mean_held_ms + kHeldWeight * (ms - m_mean_held_ms);
+}
+
+std::size_t
+SlotEndpoint::SlotsAhead() const
+{
+  return m_grants_ahead && m_mean_held_ms > kIdleBetweenRequestsMs
+           ? static_cast<std::size_t>(m_info.m_slots * kIdleBetweenRequestsMs / m_mean_held_ms)
+           : 0;
+}
+
 std::size_t
 SlotEndpoint::ConcurrencyLimit(double aSlotShare, TimePoint aNow) const
 {
   const auto own = static_cast<std::size_t>(std::ceil(m_info.m_slots * aSlotShare));
-  std::size_t slots = std::max<std::size_t>(own, 1);
+  std::size_t slots = std::max<std::size_t>(own, 1) + SlotsAhead();
   if (aNow < m_full_until) {
     slots = std::min(slots, m_held.size());
   }
--- a/Libraries/LibPlacement/SlotQueue.cpp
+++ b/Libraries/LibPlacement/SlotQueue.cpp
@@ -12,20 +12,20 @@
 constexpr double kNextPriorityValueRatio = 1.0 / 3;
 // Value of a late response relative to one in time; it is 0.3 to 0.5, depending on the load.
 constexpr double kLateValueRatio = 0.3;
+// Late work of a kind that is not the most urgent one is served after work in time of more urgent
+// kinds also where that is of workspaces of the next priority: it gets a value just below the least
+// urgent of these.
+constexpr double kLateBehindValue = 0.9;
 // Late work is served after work in time that is this many priorities lower, and before work of any
 // lower priority.
 constexpr int kLateWorkPriorityPenalty = 1;
 // Load from which arriving work counts as taking all slots. Above 1, because the estimate of the
 // momentary load has an error of about a tenth.
 constexpr double kOverloadThreshold = 1.1;
-// A priority of which less than this share of arrivals is granted a slot gets a value just below
-// that of work in time of the highest waiting priority. No request kind may be served less than a
-// quarter as often as all kinds together.
-constexpr double kMinServedShare = 0.3;
+// A priority that is served too seldom gets a value just below that of work in time of the highest
+// waiting priority.
 constexpr double kStarvedPriorityValue = 0.9;
-// The share that is served is not meaningful for fewer arrivals.
-constexpr double kMinArrivals = 4;
-// Time constant of the decaying counts of arrivals and grants; about the length of two bursts.
+// Time constant of the decaying sums of arriving work; about the length of two bursts.
 constexpr double kDecaySeconds = 5;
 constexpr double kMillisecondsPerSecond = 1'000;
 
@@ -46,8 +46,6 @@
     return;
   }
   const double factor = std::exp(-passed / kDecaySeconds);
-  aLevel.m_arrived *= factor;
-  aLevel.m_served *= factor;
   aLevel.m_arrived_ms *= factor;
   aLevel.m_decayed_at = aNow;
 }
@@ -58,7 +56,7 @@
   const SlotRequest& request = aWaiting.m_request;
   Level& level = m_levels[request.m_priority];
   Decay(level, aNow);
-  level.m_arrived += 1;
+  m_shares.RecordArrived(request.m_priority, aNow);
   level.m_arrived_ms += aWaiting.m_slot_time_ms;
   PutBack(std::move(aWaiting));
 }
@@ -122,15 +120,27 @@
   return aLevel.m_late.empty() ? nullptr : &aLevel.m_late.begin()->second;
 }
 
+int
+SlotQueue::PriorityOfLateWork(int aPriority) const
+{
+  return m_keeps_priorities_of_late_work || RoutePriorityOf(aPriority) == 0
+           ? aPriority
+           : aPriority - 1 + kRoutePriorities;
+}
+
 double
-SlotQueue::ValueOf(int aStepsBelowFirst, const Level& aLevel) const
+SlotQueue::ValueOf(int aPriority, int aFirst, const Level& aLevel, TimePoint aNow)
 {
-  const bool is_in_time = !aLevel.m_in_time.empty();
-  const bool is_starved =
-    aLevel.m_arrived >= kMinArrivals && aLevel.m_served < kMinServedShare * aLevel.m_arrived;
-  const double value =
-    std::pow(kNextPriorityValueRatio, aStepsBelowFirst) * (is_in_time ? 1.0 : kLateValueRatio);
-  return is_starved && is_in_time ? std::max(value, kStarvedPriorityValue) : value;
+  const auto value_of = [aFirst](int aOther) {
+    return std::pow(kNextPriorityValueRatio, aOther - aFirst);
+  };
+  if (!aLevel.m_in_time.empty()) {
+    const double value = value_of(aPriority);
+    return m_shares.IsStarved(aPriority, aNow) ? std::max(value, kStarvedPriorityValue) : value;
+  }
+  const int followed = PriorityOfLateWork(aPriority);
+  return followed == aPriority ? kLateValueRatio * value_of(aPriority)
+                               : kLateBehindValue * value_of(followed);
 }
 
 const WaitingSlotRequest*
@@ -147,7 +157,7 @@
       continue;
     }
     first = first.value_or(priority);
-    const double value = ValueOf(priority - *first, level);
+    const double value = ValueOf(priority, *first, level, aNow);
     if (value > best_value) {
       best_value = value;
       best = head;
@@ -160,7 +170,7 @@
 SlotQueue::PopFront(TimePoint aNow)
 {
   WaitingSlotRequest waiting = *Front(aNow);
-  m_levels[waiting.m_request.m_priority].m_served += 1;
+  RecordServed(waiting, aNow);
   Remove(waiting.m_request.m_request_id);
   return waiting;
 }
@@ -217,11 +227,12 @@
 }
 
 void
-SlotQueue::RecordServed(int aPriority, TimePoint aNow)
+SlotQueue::RecordServed(const WaitingSlotRequest& aWaiting, TimePoint aNow)
 {
-  Level& level = m_levels[aPriority];
-  Decay(level, aNow);
-  level.m_served += 1;
+  const SlotRequest& request = aWaiting.m_request;
+  m_shares.RecordServed(request.m_priority, aNow);
+  const bool is_late = After(aNow, aWaiting.m_first_byte_bound_ms) > request.m_objective_at;
+  m_grant_rates.Record(is_late ? PriorityOfLateWork(request.m_priority) : request.m_priority, aNow);
 }
 
 std::vector<WaitingSlotRequest>
@@ -284,4 +295,27 @@
   return arrived_ms / slots_ms;
 }
 
+double
+SlotQueue::OverloadEndsInMs(int aPriority, double aSlots, TimePoint aNow) const
+{
+  const double load = LoadAbove(aPriority + 1, aSlots, aNow);
+  return load > 1 ? kDecaySeconds * kMillisecondsPerSecond * std::log(load) : 0;
+}
+
+std::optional<double>
+SlotQueue::ExpectedWaitMs(int aPriority, TimePoint aNow) const
+{
+  double ahead = 0;
+  for (const auto& [priority, level] : m_levels) {
+    if (priority <= aPriority) {
+      ahead += static_cast<double>(level.m_in_time.size());
+    }
+    if (PriorityOfLateWork(priority) < aPriority) {
+      ahead += static_cast<double>(level.m_late.size());
+    }
+  }
+  const auto rate = m_grant_rates.RateFrom(aPriority, aNow);
+  return rate ? std::optional(ahead / *rate * kMillisecondsPerSecond) : std::nullopt;
+}
+
 }
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -113,6 +113,7 @@
     m_crash_suspects->RecordRestarted(info.m_id);
     SlotEndpoint fresh(info, aNow);
     fresh.SetRateShare(m_rate_share, aNow);
+    fresh.SetGrantsAhead(m_admission.Limits().m_floors == ServedShares::Floors::KindsAndWorkspaces);
     fresh.Times().SetPrior(median_first, median_rest);
     endpoints.emplace(info.m_id, std::move(fresh));
   }
@@ -335,8 +336,7 @@
     if (aReason == SlotRefusalReason::NoEndpointOfVersion) {
       return m_admission.RetryAfter(aRequest, kRestartTimeMs);
     }
-    const double wait_ms =
-      m_admission.ExpectedWaitMs(m_queue, aRequest.m_priority, SlotCount(aNow), aNow);
+    const double wait_ms = m_admission.ReturnDelayMs(m_queue, aRequest, SlotCount(aNow), aNow);
     const auto rest_end = RestEndOfAll(aRequest, aNow);
     return m_admission.RetryAfter(
       aRequest, rest_end ? std::max(wait_ms, MsBetween(aNow, *rest_end)) : wait_ms);
@@ -572,7 +572,7 @@
   const CrashSuspects::Admission admission = AdmissionOf(request, aNow);
   if (endpoint != nullptr && (admission == CrashSuspects::Admission::Admit ||
                               admission == CrashSuspects::Admission::Trial)) {
-    m_queue.RecordServed(request.m_priority, aNow);
+    m_queue.RecordServed(aWaiting, aNow);
     Grant(*endpoint, request, aNow, aDecisions);
     return;
   }
--- a/Libraries/LibPlacement/include/LibPlacement/SlotAdmission.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotAdmission.h
@@ -15,6 +15,7 @@
   /// Whether requests are placed by idle connections and by the slots that endpoints are expected
   /// to have soon.
   bool m_learn_concurrency = false;
+  ServedShares::Floors m_floors = ServedShares::Floors::Priorities;
 };
 
 /// Decides which waiting requests of a service are refused because more work arrives than its slots
@@ -46,6 +47,12 @@
                         int aPriority,
                         double aSlots,
                         TimePoint aNow) const;
+  /// After how long a refused request is expected to find a slot, in milliseconds: a caller that
+  /// returns while the overload lasts is refused again.
+  double ReturnDelayMs(const SlotQueue& aQueue,
+                       const SlotRequest& aRequest,
+                       double aSlots,
+                       TimePoint aNow) const;
   /// Whether to refuse a new request at once: the queue is full, its caller would stop waiting, or
   /// the service is overloaded and the request would probably miss its objective.
   bool ShouldRefuse(const SlotQueue& aQueue,
--- a/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
@@ -86,6 +86,9 @@
     return HeldCount() < ConcurrencyLimit(aSlotShare, aNow) && m_rate.Permits(aNow) &&
            !IsTryingAfterRest();
   }
+  /// Whether requests are granted slots that will be free when they arrive: where requests hold a
+  /// slot for little longer than messages take, slots would otherwise stand idle meanwhile.
+  void SetGrantsAhead(bool aGrantsAhead) { m_grants_ahead = aGrantsAhead; }
   /// Records that the endpoint has asked a daemon for rest. From then on it gets one request at a
   /// time until one of them begins to be answered, so that what has waited does not reach it at
   /// once.
@@ -148,6 +151,9 @@
   bool IsTryingAfterRest() const;
   void Insert(const SlotRequestId& aRequestId, const Held& aHeld);
   void RecordOutcome(bool aIsFailure);
+  void RecordHeldFor(Duration aTime);
+  /// How many requests may be granted beyond the slots; see SetGrantsAhead().
+  std::size_t SlotsAhead() const;
   void Suspect(const Incarnation& aDaemon, const Daemons& aDoubted, TimePoint aNow);
   /// Records that a request of a daemon that was granted at aGrantedAt is answered by the endpoint
   /// now.
@@ -162,6 +168,9 @@
   IdleConnections m_idle_connections;
   absl::flat_hash_map<SlotRequestId, Held> m_held;
   double m_prompt_tokens_ahead = 0;
+  bool m_grants_ahead = false;
+  /// EWMA of the time from a grant to the end of its complete response; 0 before the first.
+  double m_mean_held_ms = 0;
   TimePoint m_learned_at;
   double m_failure_rate = 0;
   int m_consecutive_failures = 0;
--- a/Libraries/LibPlacement/include/LibPlacement/SlotQueue.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotQueue.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibPlacement/GrantRates.h>
+#include <LibPlacement/ServedShares.h>
 #include <LibPlacement/SlotRequest.h>
 #include <absl/container/flat_hash_map.h>
 #include <map>
@@ -29,6 +31,12 @@
 class SlotQueue
 {
 public:
+  explicit SlotQueue(ServedShares::Floors aFloors = ServedShares::Floors::Priorities)
+    : m_keeps_priorities_of_late_work(aFloors == ServedShares::Floors::Priorities)
+    , m_shares(aFloors)
+  {
+  }
+
   /// Enqueues a new arrival. One that waits under the same id is replaced.
   void Push(WaitingSlotRequest aWaiting, TimePoint aNow);
   /// Returns a removed request to the queue without counting it as a new arrival.
@@ -38,8 +46,8 @@
   const WaitingSlotRequest* Front(TimePoint aNow);
   /// Removes the request that Front() returns and counts it as served. Precondition: Size() > 0.
   WaitingSlotRequest PopFront(TimePoint aNow);
-  /// Counts a request of a priority, taken from the queue before, as served.
-  void RecordServed(int aPriority, TimePoint aNow);
+  /// Counts a request, taken from the queue before, as served.
+  void RecordServed(const WaitingSlotRequest& aWaiting, TimePoint aNow);
   /// Removes the requests whose callers have stopped waiting.
   std::vector<WaitingSlotRequest> TakeAbandoned(TimePoint aNow);
   // aSlots, the number of usable slots, is positive in the calls below.
@@ -61,6 +69,12 @@
   double SlotTimeAheadMs(int aPriority) const;
   /// Load from arrivals of higher priorities, as a share of the capacity of all slots.
   double LoadAbove(int aPriority, double aSlots, TimePoint aNow) const;
+  /// How long the load from arrivals of this priority and higher ones stays above the capacity of
+  /// all slots if no more arrive.
+  double OverloadEndsInMs(int aPriority, double aSlots, TimePoint aNow) const;
+  /// How long a new request of this priority is expected to wait, by the rate at which requests of
+  /// this priority and lower ones were granted slots lately; nothing while too few were.
+  std::optional<double> ExpectedWaitMs(int aPriority, TimePoint aNow) const;
 
 private:
   using Key = std::pair<TimePoint, SlotRequestId>;
@@ -70,9 +84,6 @@
     std::set<Key> m_in_time;
     std::set<Key> m_late;
     double m_slot_time_ms = 0;
-    /// Exponentially decaying counts of requests that arrived and that were granted a slot.
-    double m_arrived = 0;
-    double m_served = 0;
     /// Exponentially decaying sum of the work that arrived, in milliseconds of one slot.
     double m_arrived_ms = 0;
     TimePoint m_decayed_at;
@@ -84,8 +95,14 @@
   void Erase(const WaitingSlotRequest& aWaiting);
   const SlotRequestId* HeadOf(const Level& aLevel) const;
   /// Value of serving the head of a level next, relative to the highest waiting priority.
-  double ValueOf(int aStepsBelowFirst, const Level& aLevel) const;
+  double ValueOf(int aPriority, int aFirst, const Level& aLevel, TimePoint aNow);
+
+  bool m_keeps_priorities_of_late_work;
+  /// The priority whose work in time a late request of a priority directly follows.
+  int PriorityOfLateWork(int aPriority) const;
 
+  ServedShares m_shares;
+  GrantRates m_grant_rates;
   std::map<int, Level> m_levels;
   absl::flat_hash_map<SlotRequestId, WaitingSlotRequest> m_index;
 };
--- a/Libraries/LibPlacement/include/LibPlacement/SlotRequest.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotRequest.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibPlacement/CrashTrait.h>
 #include <LibRegistry/EndpointRegistry.h>
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -35,6 +36,28 @@
   auto operator<=>(const RequestWork&) const = default;
 };
 
+/// Number of priorities of routes. The priority of a workspace precedes that of the route.
+constexpr int kRoutePriorities = 16;
+
+/// The priority of a request of a workspace on a route; see kRoutePriorities.
+constexpr int
+CombinedPriority(int aWorkspacePriority, int aRoutePriority)
+{
+  return aWorkspacePriority * kRoutePriorities + std::min(aRoutePriority, kRoutePriorities - 1);
+}
+
+constexpr int
+WorkspacePriorityOf(int aPriority)
+{
+  return aPriority / kRoutePriorities;
+}
+
+constexpr int
+RoutePriorityOf(int aPriority)
+{
+  return aPriority % kRoutePriorities;
+}
+
 /// A request for a slot.
 struct SlotRequest
 {
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -49,6 +49,7 @@
     : m_admission(aLimits)
     , m_crash_suspects(std::move(aSuspects))
     , m_rests(std::move(aRests))
+    , m_queue(aLimits.m_floors)
   {
   }
 
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -595,5 +595,31 @@
   platform/KeyedTopicConsumer.cpp 's/\*since \+ m_timing.m_forwarding_grace - m_loop.Now\(\)/Duration(Milliseconds(100'"'"'000))/' \
   "$PROCESS" "Forwarded records: followers read what*"
 
+mutate "order under contention: a kind has one floor over all workspaces" \
+  Libraries/LibPlacement/ServedShares.cpp \
+  's/if \(m_floors == Floors::Priorities\)/if (true)/' \
+  "$UNIT" "Served shares: a kind that other workspaces*"
+mutate "order under contention: no workspace priority is starved" \
+  Libraries/LibPlacement/ServedShares.cpp \
+  's/ \|\|\n         is_below\(m_workspaces[^;]*//' \
+  "$UNIT" "Served shares: a kind, or all kinds*"
+mutate "order under contention: late work follows more urgent kinds of the next workspace priority" \
+  Libraries/LibPlacement/SlotQueue.cpp \
+  's/return m_keeps_priorities_of_late_work \|\|/return true ||/' \
+  "$UNIT" "Late work follows*"
+mutate "order under contention: a wait counts only grants that a request can get" \
+  Libraries/LibPlacement/GrantRates.cpp \
+  's/priority >= aPriority \? granted : 0/granted/' \
+  "$UNIT" "Grant rates*"
+mutate "refusing: callers return after the overload" Libraries/LibPlacement/SlotQueue.cpp \
+  's/kMillisecondsPerSecond \* std::log\(load\)/0/' \
+  "$UNIT" "A refused caller returns*"
+mutate "slots of short work are granted ahead" Libraries/LibPlacement/SlotEndpoint.cpp \
+  's/std::max<std::size_t>\(own, 1\) \+ SlotsAhead\(\)/std::max<std::size_t>(own, 1)/' \
+  "$UNIT" "An endpoint with short work*"
+mutate "a lost packet does not change the coordinator" \
+  Libraries/LibBroker/include/LibBroker/SlotBroker.h \
+  's/m_acknowledgement_timeout\{ 450 \}/m_acknowledgement_timeout{ 150 }/' \
+  "$PROCESS" "A link that waits*"
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
--- a/Tests/Unit/TestPlacementLoad.cpp
+++ b/Tests/Unit/TestPlacementLoad.cpp
@@ -69,9 +69,12 @@
 class LoadSimulation
 {
 public:
-  explicit LoadSimulation(unsigned aSeed)
+  explicit LoadSimulation(unsigned aSeed,
+                          std::vector<Kind> aKinds = kKinds,
+                          SlotSchedulerLimits aLimits = {})
     : m_random(aSeed)
-    , m_scheduler(SlotSchedulerLimits())
+    , m_scheduler(aLimits)
+    , m_kinds(std::move(aKinds))
   {
     std::vector<SlotEndpointInfo> infos;
     for (int i = 0; i < kEndpoints; ++i) {
@@ -87,7 +90,7 @@
   /// Simulates the load, with the arrival rate scaled by a factor that depends on kind and time.
   void Run(const Factor& aFactor)
   {
-    for (std::size_t kind = 0; kind < kKinds.size(); ++kind) {
+    for (std::size_t kind = 0; kind < m_kinds.size(); ++kind) {
       ScheduleArrival(kind, 0, aFactor);
     }
     while (m_events.RunNext()) {
@@ -122,7 +125,7 @@
   void ScheduleArrival(std::size_t aKind, double aFrom, const Factor& aFactor)
   {
     const double per_second =
-      kKinds[aKind].m_per_second * aFactor(static_cast<int>(aKind), aFrom / 1'000);
+      m_kinds[aKind].m_per_second * aFactor(static_cast<int>(aKind), aFrom / 1'000);
     const double at = aFrom + std::exponential_distribution<double>(per_second)(m_random) * 1'000;
     if (at > kDurationSeconds * 1'000) {
       return;
@@ -140,7 +143,7 @@
 
   void Arrive(std::size_t aKind)
   {
-    const Kind& kind = kKinds[aKind];
+    const Kind& kind = m_kinds[aKind];
     const std::uint64_t number = ++m_last_number;
     SlotRequest request;
     request.m_request_id = SlotRequestId{ Incarnation("d"), number };
@@ -202,7 +205,7 @@
     const double first_byte_at = m_events.Now() + first;
     m_events.Schedule(first_byte_at, [this, aGrant, request, first_byte_at] {
       const bool is_in_time =
-        first_byte_at - request.m_arrived <= kKinds[request.m_kind].m_objective_ms;
+        first_byte_at - request.m_arrived <= m_kinds[request.m_kind].m_objective_ms;
       Served& served = m_served[request.m_kind];
       ++(is_in_time ? served.m_in_time : served.m_late);
       if (m_is_limit_known) {
@@ -221,6 +224,7 @@
 
   std::mt19937 m_random;
   SlotScheduler m_scheduler;
+  std::vector<Kind> m_kinds;
   std::uint64_t m_last_number = 0;
   EventQueue m_events;
   std::map<std::uint64_t, Request> m_requests;
@@ -312,3 +316,70 @@
     CHECK(heavy.Of(1).InTimeShare() >= 0.75);
   }
 }
+
+namespace {
+
+/// The kinds, each of workspaces of high priority and, as often, of low priority.
+std::vector<Kind>
+KindsOfTwoWorkspacePriorities()
+{
+  std::vector<Kind> kinds;
+  for (const int workspace_priority : { 0, 1 }) {
+    for (Kind kind : kKinds) {
+      kind.m_priority = CombinedPriority(workspace_priority, kind.m_priority);
+      kind.m_per_second /= 2;
+      kinds.push_back(kind);
+    }
+  }
+  return kinds;
+}
+
+SlotSchedulerLimits
+LimitsWith(ServedShares::Floors aFloors)
+{
+  SlotSchedulerLimits limits;
+  limits.m_floors = aFloors;
+  return limits;
+}
+
+double
+ResponseShareOf(LoadSimulation& aSimulation, const std::vector<std::size_t>& aKinds)
+{
+  Served all;
+  for (const std::size_t kind : aKinds) {
+    const Served& served = aSimulation.Of(kind);
+    all.m_arrived_count += served.m_arrived_count;
+    all.m_in_time += served.m_in_time;
+    all.m_late += served.m_late;
+  }
+  return all.ResponseShare();
+}
+
+}
+
+// Guards against kinds of low value that take the slots of those of high value because each
+// priority has a minimum share of its own.
+TEST_CASE("Under bursts, floors by kind serve more of the kind of highest value, and starve none")
+{
+  // No kind and no workspace may be served less than a quarter as often as all requests.
+  constexpr double kMinRatio = 0.25;
+  const LoadSimulation::Factor bursts = [](int, double aSecond) {
+    return aSecond > 5 && aSecond < 15 ? 3.0 : 1.5;
+  };
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    LoadSimulation by_priority(
+      seed, KindsOfTwoWorkspacePriorities(), LimitsWith(ServedShares::Floors::Priorities));
+    by_priority.Run(bursts);
+    LoadSimulation by_kind(
+      seed, KindsOfTwoWorkspacePriorities(), LimitsWith(ServedShares::Floors::KindsAndWorkspaces));
+    by_kind.Run(bursts);
+    CHECK(by_kind.Of(0).InTimeShare() >= 0.95);
+    CHECK(by_kind.Of(3).InTimeShare() > by_priority.Of(3).InTimeShare());
+    const double all = ResponseShareOf(by_kind, { 0, 1, 2, 3, 4, 5 });
+    for (const std::size_t kind : { 0, 1, 2 }) {
+      CHECK(ResponseShareOf(by_kind, { kind, kind + 3 }) >= kMinRatio * all);
+    }
+    CHECK(ResponseShareOf(by_kind, { 3, 4, 5 }) >= kMinRatio * all);
+  }
+}
