Share what a settings file decides with programs besides the daemon

The check of a configuration needs the decoder of settings files and the bounds that the memory and the descriptors of a host give, which only the daemon's start computed. Duplicating them in the check was weighed: the two would come to differ. Daemons behave as before.

--- a/Daemon/GatewayDaemon.cpp
+++ b/Daemon/GatewayDaemon.cpp
@@ -18,17 +18,11 @@
 constexpr std::size_t kMaxAddresses = 64;
 // Callers use a response of the directory for its lifetime, and some for three times as long.
 constexpr int kDirectoryLifetimesInUse = 3;
-// Callers may use one socket of this many; the rest is for endpoints, peers and the store.
-constexpr std::size_t kCallerSocketDivisor = 2;
 // Readiness, the directory and the metrics may each use one socket of this many, so that no crowd
 // at one of them takes those of the others or of the endpoints.
 constexpr std::size_t kInternalSocketDivisor = 15;
 constexpr std::size_t kMaxInternalConnections = 256;
 
-// The bodies of callers' requests may take one byte of this many of the process's memory. The rest
-// is for the sockets, the responses, the other connections and the process itself.
-constexpr std::size_t kBodyMemoryDivisor = 4;
-
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kServiceUnavailable = 503;
@@ -47,11 +41,8 @@
 CallerServerLimits(const GatewaySettings& aSettings)
 {
   RelayServerLimits limits;
-  limits.m_max_connections = aSettings.m_max_sockets / kCallerSocketDivisor;
-  if (aSettings.m_max_memory_mib > 0) {
-    limits.m_max_total_body_bytes =
-      (static_cast<std::size_t>(aSettings.m_max_memory_mib) << 20) / kBodyMemoryDivisor;
-  }
+  limits.m_max_connections = aSettings.MaxCallerConnections();
+  limits.m_max_total_body_bytes = aSettings.MaxTotalBodyBytes();
   return limits;
 }
 
--- a/Daemon/main.cpp
+++ b/Daemon/main.cpp
@@ -1,5 +1,6 @@
 #include "Daemon.h"
 #include "GatewayDaemon.h"
+#include "SettingsFile.h"
 
 #include <CLI/CLI.hpp>
 #include <LibCore/Log.h>
@@ -15,7 +16,6 @@
 #include <sstream>
 #include <sys/resource.h>
 #include <typeinfo>
-#include <variant>
 
 namespace auburnhitch {
 
@@ -24,20 +24,6 @@
 // Environment variable with the path of the settings file, for when --settings is absent.
 constexpr const char* kSettingsVariable = "AUBURNHITCH_BOOT";
 
-/// The settings of either kind of daemon: with its own interface, or as a gateway.
-using AnySettings = std::variant<Settings, GatewaySettings>;
-
-template<typename T>
-absl::StatusOr<AnySettings>
-CheckSettings(const Json& aJson, const std::string& aPath, Findings& aFindings)
-{
-  auto settings = T::FromJson(aJson, aFindings);
-  if (!settings) {
-    return aFindings.ToStatus(aPath);
-  }
-  return AnySettings(*std::move(settings));
-}
-
 absl::StatusOr<AnySettings>
 LoadSettings(const std::string& aPath)
 {
@@ -52,9 +38,11 @@
   if (!json) {
     return findings.ToStatus(aPath);
   }
-  const auto gateway = json->find("gateway");
-  return gateway != json->end() ? CheckSettings<GatewaySettings>(*gateway, aPath, findings)
-                                : CheckSettings<Settings>(*json, aPath, findings);
+  auto settings = DecodeSettings(*json, findings);
+  if (!settings) {
+    return findings.ToStatus(aPath);
+  }
+  return *std::move(settings);
 }
 
 // Callers keep their connections open, so the process needs as many descriptors as it is allowed.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -22,8 +22,6 @@
 // which takes about 20 ms when the store responds.
 constexpr Milliseconds kMaxWaitForReadiness{ 80 };
 constexpr Milliseconds kRetryAfterWhenLeaving{ 50 };
-// How long a caller waits that does not state it.
-constexpr Milliseconds kDefaultMaxWait{ 30'000 };
 // Once the store has been unreachable for this long, it may hold records that this daemon lacks,
 // and the daemon no longer counts as current.
 constexpr Milliseconds kMaxCurrentStoreSilence{ 1'500 };
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/GatewaySettings.h>
 
 #include <LibHttp/HttpServer.h>
+#include <LibRelay/RelayServer.h>
 #include <set>
 
 namespace auburnhitch {
@@ -15,6 +16,11 @@
 // Less does not hold the process itself and the body of one request of the usual limit.
 constexpr std::int64_t kMinMemoryMib = 32;
 constexpr std::int64_t kMaxMemoryMib = 1 << 20;
+// Callers may use one socket of this many; the rest is for endpoints, peers and the store.
+constexpr std::size_t kCallerSocketDivisor = 2;
+// The bodies of callers' requests may take one byte of this many of the process's memory. The rest
+// is for the sockets, the responses, the other connections and the process itself.
+constexpr std::size_t kBodyMemoryDivisor = 4;
 // A deployment with this contract has more load at times than its endpoints can serve in time.
 constexpr const char* kPressureContract = "pressure";
 
@@ -142,6 +148,20 @@
 
 }
 
+std::size_t
+GatewaySettings::MaxTotalBodyBytes() const
+{
+  return m_max_memory_mib > 0
+           ? (static_cast<std::size_t>(m_max_memory_mib) << 20) / kBodyMemoryDivisor
+           : RelayServerLimits().m_max_total_body_bytes;
+}
+
+std::size_t
+GatewaySettings::MaxCallerConnections() const
+{
+  return m_max_sockets / kCallerSocketDivisor;
+}
+
 std::optional<GatewaySettings>
 GatewaySettings::FromJson(const Json& aJson, Findings& aFindings)
 {
--- a/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
@@ -68,6 +68,11 @@
   /// Parses and validates settings. Returns nullopt and records a finding for each invalid member.
   static std::optional<GatewaySettings> FromJson(const Json& aJson, Findings& aFindings);
 
+  /// Bytes that the bodies of all callers' requests may take together.
+  std::size_t MaxTotalBodyBytes() const;
+  /// Connections that callers may have open together.
+  std::size_t MaxCallerConnections() const;
+
   bool operator==(const GatewaySettings&) const = default;
 };
 
--- a/Libraries/LibRouting/include/LibRouting/Route.h
+++ b/Libraries/LibRouting/include/LibRouting/Route.h
@@ -9,6 +9,9 @@
 
 namespace auburnhitch {
 
+/// Time for which a caller waits for a response if its request does not state one.
+constexpr Milliseconds kDefaultMaxWait{ 30'000 };
+
 /// Determines whether a request may run more than once and how its response arrives.
 enum class RequestKind
 {
