--- a/Libraries/LibRouting/include/LibRouting/RoutingTable.h
+++ b/Libraries/LibRouting/include/LibRouting/RoutingTable.h
@@ -23,6 +23,7 @@
   std::int64_t Version() const { return m_version; }
   const CallerLimits& Limits() const { return m_limits; }
   const std::vector<Route>& Routes() const { return m_routes; }
+  const std::vector<RoutedService>& Services() const { return m_services; }
   const std::vector<RoutedWorkspace>& Workspaces() const { return m_workspaces; }
 
   /// Returns the route of the host with the longest prefix of the path, or null. A port in aHost is
