Check configurations and settings files on the command line

auburnhitch check recognises a configuration of the platform, a settings file or a document. Findings go to standard output now, also those of documents, since they are the result.

A file that cannot be read gave 1, the status of a wrong document; TestCommand expected that. A script could not tell findings from a check that did not happen, so the status is 2 now and the test expects it.

--- a/Command/Commands.cpp
+++ b/Command/Commands.cpp
@@ -61,16 +61,18 @@
 }
 
 ExitCode
-Commands::Check(const std::string& aPath)
+Commands::Check(const FileCheckOptions& aOptions)
 {
-  const auto loaded = Load(aPath);
-  if (!loaded) {
-    return ExitCode::Refused;
+  const auto result = CheckFile(aOptions);
+  if (!result.ok()) {
+    return Fail(result.status(), ExitCode::CouldNotLook);
   }
-  const std::string service = loaded->m_document->m_service.Value();
-  Print(Json{ { "service", service }, { "correct", true } },
-        absl::StrCat(aPath, ": correct, service ", service));
-  return ExitCode::Success;
+  if (m_options.m_json) {
+    std::cout << result->ToJson().dump() << std::endl;
+  } else {
+    std::cout << result->ToText() << std::flush;
+  }
+  return result->m_findings.empty() ? ExitCode::Success : ExitCode::Refused;
 }
 
 absl::StatusOr<OperatorResponse>
--- a/Command/Commands.h
+++ b/Command/Commands.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "FileCheck.h"
 #include "OperatorClient.h"
 
 #include <LibDocument/ServiceDocument.h>
@@ -17,6 +18,8 @@
   Refused = 1,
   /// The command line is wrong.
   Usage = 2,
+  /// A file that is to be checked, or that the check needs, cannot be read.
+  CouldNotLook = Usage,
   /// The verdict on the publication, or whether all daemons have it in force, is not known yet.
   NotKnownYet = 3,
   /// No daemon responded.
@@ -37,8 +40,8 @@
 public:
   explicit Commands(CommandOptions aOptions);
 
-  /// Checks a document locally, without contacting a daemon.
-  ExitCode Check(const std::string& aPath);
+  /// Checks a document, a configuration or a settings file locally, without contacting a daemon.
+  ExitCode Check(const FileCheckOptions& aOptions);
   /// Publishes a document on top of revision aBase, or of the revision in force if there is no
   /// aBase. With aWait, also waits until all given daemons have the new revision in force.
   ExitCode Publish(const std::string& aPath, std::optional<std::int64_t> aBase, bool aWait);
--- a/Command/main.cpp
+++ b/Command/main.cpp
@@ -11,7 +11,8 @@
 main(int aArgumentCount, char** aArguments)
 {
   CLI::App app("auburnhitch: checks, publishes and explains service documents");
-  app.footer("Exit status: 0 done, 1 wrong input or refused, 2 wrong command line, "
+  app.footer("Exit status: 0 done, 1 wrong input, findings or refused, "
+             "2 wrong command line or unreadable file, "
              "3 not known yet, 4 no daemon responded.");
   app.require_subcommand(1);
   std::vector<std::string> operators;
@@ -37,9 +38,18 @@
     command->callback([&chosen, aAction] { chosen = aAction; });
     return command;
   };
-  add("check", "Check a document and report all findings", "file", [&](Commands& aCommands) {
-    return aCommands.Check(argument);
-  });
+  FileCheckOptions check_options;
+  CLI::App* check = add("check",
+                        "Check a document, a configuration or a settings file; report all findings",
+                        "file",
+                        [&](Commands& aCommands) {
+                          check_options.m_path = argument;
+                          return aCommands.Check(check_options);
+                        });
+  check->add_option(
+    "--against", check_options.m_against, "The configuration in force, to compare with");
+  check->add_option(
+    "--settings", check_options.m_settings, "The settings of a gateway that serves by it");
   CLI::App* publish =
     add("publish", "Publish the first document of a service", "file", [&](Commands& aCommands) {
       return aCommands.Publish(argument, base < 0 ? 0 : base, wait);
