--- a/Meta/auburnhitch.sh
+++ b/Meta/auburnhitch.sh
@@ -135,7 +135,7 @@
   install_packages "${PACKAGES[@]}" "${FUZZ_PACKAGES[@]}"
   local directory="$BUILD-fuzz"
   CC=clang CXX=clang++ configure_and_build "$directory" -DAUBURNHITCH_FUZZ=ON
-  for pair in FuzzCallerRequest:request FuzzDocument:document FuzzGateway:gateway; do
+  for pair in FuzzCallerRequest:request FuzzCheck:check FuzzDocument:document FuzzGateway:gateway; do
     say "fuzzing ${pair%%:*}"
     # libFuzzer writes new inputs to its first directory, so the committed corpus is not changed.
     local scratch
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -594,6 +594,63 @@
 mutate "forwarded records: the store is read if they do not arrive" \
   platform/KeyedTopicConsumer.cpp 's/\*since \+ m_timing.m_forwarding_grace - m_loop.Now\(\)/Duration(Milliseconds(100'"'"'000))/' \
   "$PROCESS" "Forwarded records: followers read what*"
+mutate "check of a configuration: a host with a port never matches" \
+  Libraries/LibCheck/ConfigurationRules.cpp 's/absl::StrContains\(host, ':'\) \|\| //' \
+  "$UNIT" "Check: *contradiction*"
+mutate "check of a configuration: a prefix without a slash at its end never matches" \
+  Libraries/LibCheck/ConfigurationRules.cpp 's/ \|\| !absl::EndsWith\(prefix, "\/"\)//' \
+  "$UNIT" "Check: *contradiction*"
+mutate "check of a configuration: hosts are compared without their case" \
+  Libraries/LibCheck/ConfigurationRules.cpp 's/absl::AsciiStrToLower\(route.m_host\)/route.m_host/' \
+  "$UNIT" "Check: *contradiction*"
+mutate "check of a configuration: a service without weight gets nothing" \
+  Libraries/LibCheck/ConfigurationRules.cpp 's/if \(shares\[j\].m_weight == 0\)/if (false)/' \
+  "$UNIT" "Check: *contradiction*"
+mutate "check of a configuration: a key of two workspaces" \
+  Libraries/LibCheck/ConfigurationRules.cpp 's/if \(holder != i\)/if (false)/' \
+  "$UNIT" "Check: *contradiction*"
+mutate "check of a configuration: a configuration that admits everyone" \
+  Libraries/LibCheck/ConfigurationRules.cpp 's/needs_keys \&\& !aTable.HasWorkspaces\(\)/false \&\& needs_keys/' \
+  "$UNIT" "Check: *contradiction*"
+mutate "check of a configuration: an objective may equal the timeout" \
+  Libraries/LibCheck/ConfigurationRules.cpp 's/route.m_objective > route.m_timeout/route.m_objective >= route.m_timeout/' \
+  "$UNIT" "Check: *contradiction*"
+mutate "check of a configuration: a quota of requests counts one for each" \
+  Libraries/LibCheck/ConfigurationRules.cpp 's/aWorkspace.m_counts_tokens \? aWorkspace.m_default_tokens : 1/aWorkspace.m_default_tokens/' \
+  "$UNIT" "Check: *contradiction*"
+mutate "check of a configuration: the memory bounds one body" \
+  Libraries/LibCheck/ConfigurationRules.cpp 's/if \(body > budget\)/if (false)/' \
+  "$UNIT" "Check: *over a host*"
+mutate "check of a configuration: a version that is in force is ignored" \
+  Libraries/LibCheck/ConfigurationChanges.cpp 's/after <= before/after < before/' \
+  "$UNIT" "Check: *takes from callers*"
+mutate "check of a configuration: shares in other numbers do not move a route" \
+  Libraries/LibCheck/ConfigurationChanges.cpp 's/weight \/= divisor;/weight \/= 1;/' \
+  "$UNIT" "Check: *takes from callers*"
+mutate "check of a configuration: a new route may take requests" \
+  Libraries/LibCheck/ConfigurationChanges.cpp 's/for \(const RoutingTable\* table : \{ \&aBefore, \&aAfter \}\)/for (const RoutingTable* table : { \&aBefore })/' \
+  "$UNIT" "Check: *takes from callers*"
+mutate "check of a configuration: a lost key" \
+  Libraries/LibCheck/ConfigurationChanges.cpp 's/holders_after.contains\(digest\) \? 0 : 1/0/' \
+  "$UNIT" "Check: *takes from callers*"
+mutate "check of a configuration: a rate of 0 is no limit" \
+  Libraries/LibCheck/ConfigurationChanges.cpp 's/const bool is_unlimited = aZeroIsUnlimited/const bool is_unlimited = false/' \
+  "$UNIT" "Check: *takes from callers*"
+mutate "check of a configuration: an opened route" \
+  Libraries/LibCheck/ConfigurationChanges.cpp 's/if \(path.m_after != nullptr \&\& !NeedsKey/if (false \&\& !NeedsKey/' \
+  "$UNIT" "Check: *lose or get access*"
+mutate "check of a configuration: keys are not printed" \
+  platform/ConfigurationSource.cpp 's/return false;\n  \}\n  return std::none_of/return false;\n  }\n  return !std::none_of/' \
+  "$UNIT" "Check: *secret*"
+mutate "check of a configuration: a fraction of a rate is misread" \
+  platform/ConfigurationDecoder.cpp 's/ \|\| \(number > 0 \&\& number < 1\)//' \
+  "$UNIT" "Check: *otherwise*"
+mutate "check of a configuration: colliding addresses" \
+  Libraries/LibCheck/SettingsRules.cpp 's/left->first == right->first \|\| left->first == kAnyAddress \|\| right->first == kAnyAddress/left->first == right->first/' \
+  "$UNIT" "Check: *settings of a gateway*"
+mutate "check of a configuration: a check that could not look has an exit status of its own" \
+  Command/Commands.cpp 's/return Fail\(result.status\(\), ExitCode::CouldNotLook\)/return Fail(result.status(), ExitCode::Refused)/' \
+  "$PROCESS" "The command checks a configuration*"
 
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
