--- a/Command/Commands.cpp
+++ b/Command/Commands.cpp
@@ -16,6 +16,13 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 
+/// JSON text of values that may hold a path, which need not be UTF-8.
+std::string
+DumpOf(const Json& aJson)
+{
+  return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 }
 
 Commands::Commands(CommandOptions aOptions)
@@ -33,7 +40,7 @@
 Commands::Fail(const absl::Status& aStatus, ExitCode aCode)
 {
   if (m_options.m_json) {
-    std::cout << Json{ { "error", std::string(aStatus.message()) } }.dump() << std::endl;
+    std::cout << DumpOf(Json{ { "error", std::string(aStatus.message()) } }) << std::endl;
   } else {
     std::cerr << aStatus.message() << std::endl;
   }
@@ -61,16 +68,18 @@
 }
 
 ExitCode
-Commands::Check(const std::string& aPath)
+Commands::Check(const FileCheckOptions& aOptions)
 {
-  const auto loaded = Load(aPath);
-  if (!loaded) {
-    return ExitCode::Refused;
+  const auto result = CheckFile(aOptions);
+  if (!result.ok()) {
+    return Fail(result.status(), ExitCode::CouldNotLook);
   }
-  const std::string service = loaded->m_document->m_service.Value();
-  Print(Json{ { "service", service }, { "correct", true } },
-        absl::StrCat(aPath, ": correct, service ", service));
-  return ExitCode::Success;
+  if (m_options.m_json) {
+    std::cout << DumpOf(result->ToJson()) << std::endl;
+  } else {
+    std::cout << result->ToText() << std::flush;
+  }
+  return result->m_findings.empty() ? ExitCode::Success : ExitCode::Refused;
 }
 
 absl::StatusOr<OperatorResponse>
