Learn the time to first byte against the slowness at the grant

RecordStarted() divided the time expected at the grant by the slowness of now. When several requests ran at once, the rise that the first one caused made the others look slower still: four requests that each take 4 times as long as expected gave a slowness of 10.8. With learn_concurrency the slowness at the grant is used (the result is below 4); without it nothing changes, so that earlier deployments are served as before.

Test: "Requests that run at once are not learned as slower than they are" fails without the change (10.8013 <= 4). Two mutations; they were not run.

--- a/Libraries/LibPlacement/SlotEndpoint.cpp
+++ b/Libraries/LibPlacement/SlotEndpoint.cpp
@@ -46,8 +46,9 @@
 
 }
 
-SlotEndpoint::SlotEndpoint(SlotEndpointInfo aInfo, TimePoint aNow)
+SlotEndpoint::SlotEndpoint(SlotEndpointInfo aInfo, TimePoint aNow, bool aIsLearning)
   : m_info(std::move(aInfo))
+  , m_is_learning(aIsLearning)
   , m_learned_at(aNow)
   , m_suspect_until(aNow)
   , m_full_until(aNow)
@@ -60,13 +61,19 @@
 {
   m_rate.RecordSent(aNow);
   m_idle_connections.RecordUsed(aRequestId.m_daemon, aNow);
-  Insert(aRequestId, Held{ aWork, aNow, false, ExpectedFirstByteMs(aWork), std::nullopt });
+  Insert(
+    aRequestId,
+    Held{
+      aWork, aNow, false, ExpectedFirstByteMs(aWork), m_times.FirstByteSlowness(), std::nullopt });
 }
 
 void
 SlotEndpoint::Adopt(const SlotRequestId& aRequestId, const RequestWork& aWork, TimePoint aNow)
 {
-  Insert(aRequestId, Held{ aWork, aNow, true, ExpectedFirstByteMs(aWork), std::nullopt });
+  Insert(
+    aRequestId,
+    Held{
+      aWork, aNow, true, ExpectedFirstByteMs(aWork), m_times.FirstByteSlowness(), std::nullopt });
 }
 
 void
@@ -106,7 +113,11 @@
   RecordAlive(aRequestId.m_daemon, held.m_granted_at, aNow);
   const double took = std::chrono::duration<double, std::milli>(aNow - held.m_granted_at).count();
   // The expectation at the time of the grant included the prompts ahead of this one.
-  m_times.LearnFirstByte(held.m_expected_first_byte_ms / m_times.FirstByteSlowness(), took);
+  // Dividing by the present slowness makes a rise between grant and first byte feed itself. It
+  // stays so where `learn_concurrency` is not set, so that earlier deployments are served as
+  // before.
+  const double slowness = m_is_learning ? held.m_first_byte_slowness : m_times.FirstByteSlowness();
+  m_times.LearnFirstByte(held.m_expected_first_byte_ms / slowness, took);
   m_learned_at = aNow;
   m_consecutive_failures = 0;
   m_suspect_until = aNow;
--- a/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
@@ -33,7 +33,8 @@
 public:
   using Daemons = std::set<Incarnation>;
 
-  SlotEndpoint(SlotEndpointInfo aInfo, TimePoint aNow);
+  /// aIsLearning: whether `learn_concurrency` is set.
+  SlotEndpoint(SlotEndpointInfo aInfo, TimePoint aNow, bool aIsLearning = false);
 
   const SlotEndpointInfo& Info() const { return m_info; }
   void SetInfo(const SlotEndpointInfo& aInfo) { m_info = aInfo; }
@@ -133,6 +134,8 @@
     TimePoint m_granted_at;
     bool m_is_adopted = false;
     double m_expected_first_byte_ms = 0;
+    /// The slowness that m_expected_first_byte_ms includes.
+    double m_first_byte_slowness = 1;
     std::optional<TimePoint> m_started_at;
   };
 
@@ -157,6 +160,7 @@
   void ForgetOldEvidence(TimePoint aNow);
 
   SlotEndpointInfo m_info;
+  bool m_is_learning = false;
   ServiceTimeModel m_times;
   EndpointRateLimit m_rate;
   IdleConnections m_idle_connections;
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -191,6 +191,13 @@
   Libraries/LibPlacement/SlotEndpoint.cpp \
   's/if \(LeavesConnection\(aOutcome\)\)/if (true)/' \
   "$UNIT" "Daemons have idle connections only*"
+mutate "placing: a rise of the learned slowness does not feed itself" \
+  Libraries/LibPlacement/SlotEndpoint.cpp \
+  's/m_is_learning \? held.m_first_byte_slowness : //' \
+  "$UNIT" "Requests that run at once are not learned as slower*"
+mutate "placing: the setting reaches the endpoints" Libraries/LibPlacement/SlotScheduler.cpp \
+  's/fresh\(info, aNow, [^)]*\(\).m_learn_concurrency\)/fresh(info, aNow)/' \
+  "$UNIT" "Requests that run at once are not learned as slower*"
 mutate "placing: an awaited slot is awaited by one request" Libraries/LibPlacement/EndpointChooser.cpp \
   's/awaited == aAwaited.end\(\) \? 0 : awaited->second/awaited == aAwaited.end() ? 0 : 0/' \
   "$UNIT" "A request waits beside a free slot only*"
--- a/Tests/Unit/TestEndpointChoice.cpp
+++ b/Tests/Unit/TestEndpointChoice.cpp
@@ -283,6 +283,37 @@
   CHECK(learning.Decide(At(100)).m_grants.at(0).m_endpoint == EndpointId("b"));
 }
 
+TEST_CASE("Requests that run at once are not learned as slower than they are")
+{
+  // Guards against a slowness that rises beyond each measured one, because a rise between the grant
+  // and the first byte of a request counts again in what that request measures.
+  const auto learn = [](bool aLearns) {
+    constexpr std::uint64_t kRequests = 4;
+    SlotSchedulerLimits limits;
+    limits.m_learn_concurrency = aLearns;
+    SlotScheduler scheduler(limits);
+    const EndpointId id("a");
+    scheduler.SetEndpoints({ { id, DataCenterName("dc"), kRequests, 1 } }, kStart);
+    for (std::uint64_t number = 1; number <= kRequests; ++number) {
+      SlotRequest request;
+      request.m_request_id = { Incarnation("d"), number };
+      request.m_objective_at = At(500);
+      request.m_abandoned_at = At(5'000);
+      scheduler.RequestSlot(request, kStart);
+    }
+    REQUIRE(scheduler.Decide(kStart).m_grants.size() == kRequests);
+    const double took_ms = 4 * ServiceTimeModel::ReferenceFirstByteMs({}, 0);
+    for (std::uint64_t number = 1; number <= kRequests; ++number) {
+      scheduler.RecordStarted({ Incarnation("d"), number }, id, At(took_ms));
+    }
+    return scheduler.View(At(took_ms)).at(0).m_first_byte_slowness;
+  };
+  CHECK(learn(true) <= 4);
+  CHECK(learn(true) > 2);
+  // Deployments without the setting are served as before.
+  CHECK(learn(false) > 4);
+}
+
 TEST_CASE("Daemons have idle connections only for a while after a complete response")
 {
   // Guards against a bonus for connections that a daemon no longer has.
