Place requests by a learned concurrency limit of each endpoint

ConcurrencyLimit learns from complete responses how many requests at a time an endpoint takes well. With learn_concurrency, an endpoint at its limit is the last choice; no request waits beside a free slot because of it, and slots are counted as before. Without the setting nothing is learned or changed.

A new coordinator learns limits anew; weighed: a message with the sums of each endpoint. The home: lines show learned_limit.

--- a/Libraries/LibBroker/SlotCoordinator.cpp
+++ b/Libraries/LibBroker/SlotCoordinator.cpp
@@ -244,17 +244,19 @@
       } else {
         m_suspects.erase(view.m_id);
       }
-      LogOf("home").info("event={} endpoint={} service={} held={} first_slowness={:.2f} "
-                         "rest_slowness={:.2f} failure_rate={:.2f} waiting={} places={:.1f}",
-                         view.m_is_suspect ? "suspected" : "trusted",
-                         view.m_id.Value(),
-                         service.Value(),
-                         view.m_held,
-                         view.m_first_byte_slowness,
-                         view.m_rest_slowness,
-                         view.m_failure_rate,
-                         scheduler.WaitingCount(),
-                         scheduler.SlotCount(aNow));
+      LogOf("home").info(
+        "event={} endpoint={} service={} held={} first_slowness={:.2f} "
+        "rest_slowness={:.2f} failure_rate={:.2f} waiting={} places={:.1f} learned_limit={}",
+        view.m_is_suspect ? "suspected" : "trusted",
+        view.m_id.Value(),
+        service.Value(),
+        view.m_held,
+        view.m_first_byte_slowness,
+        view.m_rest_slowness,
+        view.m_failure_rate,
+        scheduler.WaitingCount(),
+        scheduler.SlotCount(aNow),
+        view.m_learned_limit);
     }
   }
 }
--- a/Libraries/LibPlacement/EndpointChooser.cpp
+++ b/Libraries/LibPlacement/EndpointChooser.cpp
@@ -71,7 +71,7 @@
 {
   const bool is_suspected = m_state.m_crash_suspects.HasSuspectedRequest(aRequest.m_crash_traits);
   SlotEndpoint* best = nullptr;
-  std::tuple<std::size_t, bool, bool, double> best_cost;
+  std::tuple<std::size_t, bool, bool, bool, double> best_cost;
   for (SlotEndpoint* endpoint : CandidatesFor(aEndpoints, aRequest, aMayServe, aNow)) {
     if (!endpoint->HasFreeSlot(m_state.m_slot_share, aNow)) {
       continue;
@@ -81,9 +81,11 @@
                             aRequest.m_avoided.end();
     // If a suspected request crashes its endpoint, those that run there break off with it.
     const std::size_t at_risk = is_suspected ? m_state.m_crash_suspects.CountAtRisk(id, aNow) : 0;
+    const bool is_beyond_limit = m_state.m_is_learning && endpoint->IsAtLearnedLimit();
     const bool is_late = m_state.m_is_learning &&
                          !IsInTime(aRequest, aNow, endpoint->ExpectedFirstByteMs(aRequest.m_work));
-    const std::tuple cost(at_risk, is_avoided, is_late, CostOf(*endpoint, aRequest, aNow));
+    const std::tuple cost(
+      at_risk, is_avoided, is_beyond_limit, is_late, CostOf(*endpoint, aRequest, aNow));
     if (best == nullptr || cost < best_cost) {
       best = endpoint;
       best_cost = cost;
--- a/Libraries/LibPlacement/SlotEndpoint.cpp
+++ b/Libraries/LibPlacement/SlotEndpoint.cpp
@@ -49,6 +49,8 @@
 SlotEndpoint::SlotEndpoint(SlotEndpointInfo aInfo, TimePoint aNow, bool aIsLearning)
   : m_info(std::move(aInfo))
   , m_is_learning(aIsLearning)
+  , m_learned_limit(std::max(m_info.m_slots, 1))
+  , m_busy_until(aNow)
   , m_learned_at(aNow)
   , m_suspect_until(aNow)
   , m_full_until(aNow)
@@ -56,31 +58,51 @@
   m_rate.Apply(m_info.m_limit, std::nullopt, aNow);
 }
 
+void
+SlotEndpoint::SetInfo(const SlotEndpointInfo& aInfo)
+{
+  if (aInfo.m_slots != m_info.m_slots) {
+    m_learned_limit = auburnhitch::ConcurrencyLimit(std::max(aInfo.m_slots, 1));
+  }
+  m_info = aInfo;
+}
+
 void
 SlotEndpoint::Hold(const SlotRequestId& aRequestId, const RequestWork& aWork, TimePoint aNow)
 {
   m_rate.RecordSent(aNow);
   m_idle_connections.RecordUsed(aRequestId.m_daemon, aNow);
-  Insert(
-    aRequestId,
-    Held{
-      aWork, aNow, false, ExpectedFirstByteMs(aWork), m_times.FirstByteSlowness(), std::nullopt });
+  Insert(aRequestId,
+         Held{ aWork,
+               aNow,
+               false,
+               ExpectedFirstByteMs(aWork),
+               m_times.FirstByteSlowness(),
+               0,
+               std::nullopt });
 }
 
 void
 SlotEndpoint::Adopt(const SlotRequestId& aRequestId, const RequestWork& aWork, TimePoint aNow)
 {
-  Insert(
-    aRequestId,
-    Held{
-      aWork, aNow, true, ExpectedFirstByteMs(aWork), m_times.FirstByteSlowness(), std::nullopt });
+  Insert(aRequestId,
+         Held{ aWork,
+               aNow,
+               true,
+               ExpectedFirstByteMs(aWork),
+               m_times.FirstByteSlowness(),
+               0,
+               std::nullopt });
 }
 
 void
 SlotEndpoint::Insert(const SlotRequestId& aRequestId, const Held& aHeld)
 {
   const double prompt_tokens = aHeld.m_work.m_prompt_tokens;
-  if (m_held.emplace(aRequestId, aHeld).second) {
+  CountBusyTime(aHeld.m_granted_at);
+  const auto [held, is_new] = m_held.emplace(aRequestId, aHeld);
+  if (is_new) {
+    held->second.m_busy_before_ms = m_busy_ms;
     m_prompt_tokens_ahead += prompt_tokens;
   }
 }
@@ -139,6 +161,7 @@
   if (!held.m_started_at) {
     m_prompt_tokens_ahead -= held.m_work.m_prompt_tokens;
   }
+  CountBusyTime(aNow);
   m_held.erase(found);
   if (LeavesConnection(aOutcome)) {
     m_idle_connections.RecordIdle(aRequestId.m_daemon, aNow);
@@ -150,6 +173,7 @@
         m_times.LearnRest(
           ServiceTimeModel::ReferenceRestMs(held.m_work),
           std::chrono::duration<double, std::milli>(aNow - *held.m_started_at).count());
+        LearnLimit(held, aNow);
       }
       RecordOutcome(false);
       break;
@@ -378,6 +402,28 @@
   return m_held.empty() && aNow - m_learned_at > kEstimateLifetime;
 }
 
+void
+SlotEndpoint::CountBusyTime(TimePoint aNow)
+{
+  const auto elapsed = std::chrono::duration<double, std::milli>(aNow - m_busy_until);
+  m_busy_ms += static_cast<double>(m_held.size()) * std::max(0.0, elapsed.count());
+  m_busy_until = std::max(m_busy_until, aNow);
+}
+
+void
+SlotEndpoint::LearnLimit(const Held& aHeld, TimePoint aNow)
+{
+  const double took = std::chrono::duration<double, std::milli>(aNow - aHeld.m_granted_at).count();
+  // When an adopted request was sent is not known.
+  if (!m_is_learning || aHeld.m_is_adopted || took <= 0) {
+    return;
+  }
+  const double reference_ms = aHeld.m_expected_first_byte_ms / aHeld.m_first_byte_slowness +
+                              ServiceTimeModel::ReferenceRestMs(aHeld.m_work);
+  m_learned_limit.Record({ took / reference_ms, (m_busy_ms - aHeld.m_busy_before_ms) / took },
+                         aNow);
+}
+
 void
 SlotEndpoint::RecordOutcome(bool aIsFailure)
 {
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -310,11 +310,11 @@
 SlotScheduler::View(TimePoint aNow) const
 {
   std::vector<SlotEndpointView> views;
-  views.reserve(m_endpoints.size());
   for (const auto& [id, endpoint] : m_endpoints) {
     views.push_back({ id,
                       endpoint.IsSuspect(m_doubted, aNow),
                       endpoint.HeldCount(),
+                      endpoint.LearnedLimit(),
                       endpoint.Times().FirstByteSlowness(),
                       endpoint.Times().RestSlowness(),
                       endpoint.FailureRate() });
--- a/Libraries/LibPlacement/include/LibPlacement/EndpointChooser.h
+++ b/Libraries/LibPlacement/include/LibPlacement/EndpointChooser.h
@@ -25,8 +25,8 @@
     const SlotEndpoint::Daemons& m_doubted;
     /// Share of each endpoint's slots that may be granted.
     double m_slot_share = 1.0;
-    /// Whether a new connection of the daemon counts as a cost, and endpoints at which the request
-    /// is in time are preferred.
+    /// Whether a new connection of the daemon counts as a cost, endpoints at which the request is
+    /// in time are preferred, and those at their learned limit come last.
     bool m_is_learning = false;
   };
 
--- a/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotEndpoint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibPlacement/ConcurrencyLimit.h>
 #include <LibPlacement/EndpointRateLimit.h>
 #include <LibPlacement/IdleConnections.h>
 #include <LibPlacement/ServiceTimeModel.h>
@@ -37,7 +38,7 @@
   SlotEndpoint(SlotEndpointInfo aInfo, TimePoint aNow, bool aIsLearning = false);
 
   const SlotEndpointInfo& Info() const { return m_info; }
-  void SetInfo(const SlotEndpointInfo& aInfo) { m_info = aInfo; }
+  void SetInfo(const SlotEndpointInfo& aInfo);
   ServiceTimeModel& Times() { return m_times; }
   const ServiceTimeModel& Times() const { return m_times; }
 
@@ -78,6 +79,11 @@
   void ReleaseDaemon(const Incarnation& aDaemon);
 
   std::size_t HeldCount() const { return m_held.size(); }
+  /// How many requests at a time the endpoint takes well, by its responses; the number of its slots
+  /// if the endpoint is not learning. A request beyond it is sent here only if no other endpoint
+  /// that may serve it has a slot within its limit.
+  std::size_t LearnedLimit() const { return m_learned_limit.Limit(); }
+  bool IsAtLearnedLimit() const { return HeldCount() >= LearnedLimit(); }
   /// Number of slots that this scheduler may use now, held ones included. aSlotShare is its share
   /// of the endpoint's slots.
   std::size_t ConcurrencyLimit(double aSlotShare, TimePoint aNow) const;
@@ -136,6 +142,8 @@
     double m_expected_first_byte_ms = 0;
     /// The slowness that m_expected_first_byte_ms includes.
     double m_first_byte_slowness = 1;
+    /// See m_busy_ms, at the grant.
+    double m_busy_before_ms = 0;
     std::optional<TimePoint> m_started_at;
   };
 
@@ -150,6 +158,10 @@
   /// answered since.
   bool IsTryingAfterRest() const;
   void Insert(const SlotRequestId& aRequestId, const Held& aHeld);
+  /// Updates m_busy_ms. Called before the number of held slots changes, except when a daemon stops.
+  void CountBusyTime(TimePoint aNow);
+  /// Learns from the end of a complete response. Precondition: the busy time has been counted.
+  void LearnLimit(const Held& aHeld, TimePoint aNow);
   void RecordOutcome(bool aIsFailure);
   void Suspect(const Incarnation& aDaemon, const Daemons& aDoubted, TimePoint aNow);
   /// Records that a request of a daemon that was granted at aGrantedAt is answered by the endpoint
@@ -164,7 +176,11 @@
   ServiceTimeModel m_times;
   EndpointRateLimit m_rate;
   IdleConnections m_idle_connections;
+  auburnhitch::ConcurrencyLimit m_learned_limit;
   absl::flat_hash_map<SlotRequestId, Held> m_held;
+  /// Integral of the number of held slots over time, until a moment.
+  double m_busy_ms = 0;
+  TimePoint m_busy_until;
   double m_prompt_tokens_ahead = 0;
   TimePoint m_learned_at;
   double m_failure_rate = 0;
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -29,6 +29,8 @@
   EndpointId m_id;
   bool m_is_suspect = false;
   std::size_t m_held = 0;
+  /// See SlotEndpoint::LearnedLimit().
+  std::size_t m_learned_limit = 0;
   double m_first_byte_slowness = 1;
   double m_rest_slowness = 1;
   double m_failure_rate = 0;
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -198,6 +198,19 @@
 mutate "placing: the setting reaches the endpoints" Libraries/LibPlacement/SlotScheduler.cpp \
   's/fresh\(info, aNow, [^)]*\(\).m_learn_concurrency\)/fresh(info, aNow)/' \
   "$UNIT" "Requests that run at once are not learned as slower*"
+mutate "placing: an endpoint at its learned limit is the last choice" \
+  Libraries/LibPlacement/EndpointChooser.cpp \
+  's/is_beyond_limit = m_state.m_is_learning &&/is_beyond_limit = false \&\&/' \
+  "$UNIT" "An endpoint beyond its learned limit*"
+mutate "placing: a learned limit keeps no slot free" Libraries/LibPlacement/EndpointChooser.cpp \
+  's/if \(!endpoint->HasFreeSlot/if (endpoint->IsAtLearnedLimit() || !endpoint->HasFreeSlot/' \
+  "$UNIT" "An endpoint beyond its learned limit*"
+mutate "placing: old samples of a limit lose weight" Libraries/LibPlacement/ConcurrencyLimit.cpp \
+  's/cell.m_weight \*= kept;/cell.m_weight *= 1;/' \
+  "$UNIT" "A concurrency limit follows*"
+mutate "placing: limits are learned only with the setting" Libraries/LibPlacement/SlotEndpoint.cpp \
+  's/!m_is_learning \|\| aHeld.m_is_adopted/aHeld.m_is_adopted/' \
+  "$UNIT" "An endpoint beyond its learned limit*"
 mutate "placing: an awaited slot is awaited by one request" Libraries/LibPlacement/EndpointChooser.cpp \
   's/awaited == aAwaited.end\(\) \? 0 : awaited->second/awaited == aAwaited.end() ? 0 : 0/' \
   "$UNIT" "A request waits beside a free slot only*"
--- a/Tests/Unit/BatchEngineLoad.cpp
+++ b/Tests/Unit/BatchEngineLoad.cpp
@@ -45,8 +45,8 @@
 {
   for (std::size_t i = 0; i < aLoad.m_slowness.size(); ++i) {
     const EndpointId id("e" + std::to_string(i));
-    m_endpoints.emplace(id,
-                        SlotEndpoint({ id, DataCenterName("dc"), aLoad.m_slots, 1 }, At(0), true));
+    m_endpoints.emplace(
+      id, SlotEndpoint({ id, DataCenterName("dc"), aLoad.m_slots, 1 }, At(0), aLoad.m_is_wired));
     Engine& engine = m_engines[id];
     engine.m_id = id;
     engine.m_slowness = aLoad.m_slowness[i];
@@ -172,7 +172,7 @@
     reading == aEngine.m_running.end() ? 0 : std::min(kChunkTokens, reading->m_prompt_left);
   const double over = static_cast<double>(aEngine.m_running.size()) / aEngine.m_knee;
   // Beyond its knee an endpoint serves less with each further request.
-  const double knee_factor = over > 1 ? std::pow(over, 1.5) : 1;
+  const double knee_factor = over > 1 ? std::pow(over, m_load.m_knee_steepness) : 1;
   const double took = aEngine.m_slowness * knee_factor * (aEngine.m_is_slow_now ? kSlowFactor : 1) *
                       (kStepMs + kStepMsPerRequest * static_cast<double>(aEngine.m_running.size()) +
                        read / kPromptTokensPerMs);
--- a/Tests/Unit/BatchEngineLoad.h
+++ b/Tests/Unit/BatchEngineLoad.h
@@ -19,7 +19,11 @@
   int m_slots = 4;
   /// Every third endpoint has its knee at half its slots; after half the time, every next one.
   bool m_has_knees = true;
+  /// Beyond its knee an endpoint takes (requests / knee) to the power of this as long.
+  double m_knee_steepness = 1.5;
   double m_duration_ms = 40'000;
+  /// Whether endpoints learn their limits themselves, as with `learn_concurrency`.
+  bool m_is_wired = false;
   /// Whether a request waits while only slots beyond the limit are free. For comparison only.
   bool m_is_strict = false;
   /// Whether each limit is that of the endpoint's present knee, instead of a candidate's.
--- a/Tests/Unit/ConcurrencyCandidates.h
+++ b/Tests/Unit/ConcurrencyCandidates.h
@@ -39,7 +39,7 @@
 /// Follows the ratio of the slowness at low concurrency to that of now.
 MakeCandidate
 GradientLimit();
-/// Fits the time of a step over the batch size, and limits to the batch that serves most.
+/// The limit that is wired: it fits the slowness over the number of requests.
 MakeCandidate
 FittedLimit();
 
