--- a/Libraries/LibPlacement/SlotEndpoint.cpp
+++ b/Libraries/LibPlacement/SlotEndpoint.cpp
@@ -53,8 +53,11 @@
 
 }
 
-SlotEndpoint::SlotEndpoint(SlotEndpointInfo aInfo, TimePoint aNow)
+SlotEndpoint::SlotEndpoint(SlotEndpointInfo aInfo, TimePoint aNow, bool aIsLearning)
   : m_info(std::move(aInfo))
+  , m_is_learning(aIsLearning)
+  , m_learned_limit(std::max(m_info.m_slots, 1))
+  , m_busy_until(aNow)
   , m_learned_at(aNow)
   , m_suspect_until(aNow)
   , m_full_until(aNow)
@@ -62,25 +65,51 @@
   m_rate.Apply(m_info.m_limit, std::nullopt, aNow);
 }
 
+void
+SlotEndpoint::SetInfo(const SlotEndpointInfo& aInfo)
+{
+  if (aInfo.m_slots != m_info.m_slots) {
+    m_learned_limit = auburnhitch::ConcurrencyLimit(std::max(aInfo.m_slots, 1));
+  }
+  m_info = aInfo;
+}
+
 void
 SlotEndpoint::Hold(const SlotRequestId& aRequestId, const RequestWork& aWork, TimePoint aNow)
 {
   m_rate.RecordSent(aNow);
   m_idle_connections.RecordUsed(aRequestId.m_daemon, aNow);
-  Insert(aRequestId, Held{ aWork, aNow, false, ExpectedFirstByteMs(aWork), std::nullopt });
+  Insert(aRequestId,
+         Held{ aWork,
+               aNow,
+               false,
+               ExpectedFirstByteMs(aWork),
+               m_times.FirstByteSlowness(),
+               0,
+               std::nullopt });
 }
 
 void
 SlotEndpoint::Adopt(const SlotRequestId& aRequestId, const RequestWork& aWork, TimePoint aNow)
 {
-  Insert(aRequestId, Held{ aWork, aNow, true, ExpectedFirstByteMs(aWork), std::nullopt });
+  Insert(aRequestId,
+         Held{ aWork,
+               aNow,
+               true,
+               ExpectedFirstByteMs(aWork),
+               m_times.FirstByteSlowness(),
+               0,
+               std::nullopt });
 }
 
 void
 SlotEndpoint::Insert(const SlotRequestId& aRequestId, const Held& aHeld)
 {
   const double prompt_tokens = aHeld.m_work.m_prompt_tokens;
-  if (m_held.emplace(aRequestId, aHeld).second) {
+  CountBusyTime(aHeld.m_granted_at);
+  const auto [held, is_new] = m_held.emplace(aRequestId, aHeld);
+  if (is_new) {
+    held->second.m_busy_before_ms = m_busy_ms;
     m_prompt_tokens_ahead += prompt_tokens;
   }
 }
@@ -113,7 +142,11 @@
   RecordAlive(aRequestId.m_daemon, held.m_granted_at, aNow);
   const double took = std::chrono::duration<double, std::milli>(aNow - held.m_granted_at).count();
   // The expectation at the time of the grant included the prompts ahead of this one.
-  m_times.LearnFirstByte(held.m_expected_first_byte_ms / m_times.FirstByteSlowness(), took);
+  // Dividing by the present slowness makes a rise between grant and first byte feed itself. It
+  // stays so where `learn_concurrency` is not set, so that earlier deployments are served as
+  // before.
+  const double slowness = m_is_learning ? held.m_first_byte_slowness : m_times.FirstByteSlowness();
+  m_times.LearnFirstByte(held.m_expected_first_byte_ms / slowness, took);
   m_learned_at = aNow;
   m_consecutive_failures = 0;
   m_suspect_until = aNow;
@@ -135,6 +168,7 @@
   if (!held.m_started_at) {
     m_prompt_tokens_ahead -= held.m_work.m_prompt_tokens;
   }
+  CountBusyTime(aNow);
   m_held.erase(found);
   if (LeavesConnection(aOutcome)) {
     m_idle_connections.RecordIdle(aRequestId.m_daemon, aNow);
@@ -147,6 +181,7 @@
         m_times.LearnRest(
           ServiceTimeModel::ReferenceRestMs(held.m_work),
           std::chrono::duration<double, std::milli>(aNow - *held.m_started_at).count());
+        LearnLimit(held, aNow);
       }
       RecordOutcome(false);
       break;
@@ -390,6 +425,28 @@
   return m_held.empty() && aNow - m_learned_at > kEstimateLifetime;
 }
 
+void
+SlotEndpoint::CountBusyTime(TimePoint aNow)
+{
+  const auto elapsed = std::chrono::duration<double, std::milli>(aNow - m_busy_until);
+  m_busy_ms += static_cast<double>(m_held.size()) * std::max(0.0, elapsed.count());
+  m_busy_until = std::max(m_busy_until, aNow);
+}
+
+void
+SlotEndpoint::LearnLimit(const Held& aHeld, TimePoint aNow)
+{
+  const double took = std::chrono::duration<double, std::milli>(aNow - aHeld.m_granted_at).count();
+  // When an adopted request was sent is not known.
+  if (!m_is_learning || aHeld.m_is_adopted || took <= 0) {
+    return;
+  }
+  const double reference_ms = aHeld.m_expected_first_byte_ms / aHeld.m_first_byte_slowness +
+                              ServiceTimeModel::ReferenceRestMs(aHeld.m_work);
+  m_learned_limit.Record({ took / reference_ms, (m_busy_ms - aHeld.m_busy_before_ms) / took },
+                         aNow);
+}
+
 void
 SlotEndpoint::RecordOutcome(bool aIsFailure)
 {
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -111,7 +111,7 @@
       continue;
     }
     m_crash_suspects->RecordRestarted(info.m_id);
-    SlotEndpoint fresh(info, aNow);
+    SlotEndpoint fresh(info, aNow, m_admission.Limits().m_learn_concurrency);
     fresh.SetRateShare(m_rate_share, aNow);
     fresh.SetGrantsAhead(m_admission.Limits().m_floors == ServedShares::Floors::KindsAndWorkspaces);
     fresh.Times().SetPrior(median_first, median_rest);
@@ -311,11 +311,11 @@
 SlotScheduler::View(TimePoint aNow) const
 {
   std::vector<SlotEndpointView> views;
-  views.reserve(m_endpoints.size());
   for (const auto& [id, endpoint] : m_endpoints) {
     views.push_back({ id,
                       endpoint.IsSuspect(m_doubted, aNow),
                       endpoint.HeldCount(),
+                      endpoint.LearnedLimit(),
                       endpoint.Times().FirstByteSlowness(),
                       endpoint.Times().RestSlowness(),
                       endpoint.FailureRate() });
