Put rollouts in force in the coordinator of slots

The coordinator of a service becomes the decider of its rollout: it loads the state, saves itself as the decider, reserves blocks of requests to the target before they are granted, and judges the target by the starts and ends of the requests that it has granted. SlotScheduler asks ExposurePolicy before it considers an endpoint. Daemons that do not decide withhold the target of an order unless no other version serves.

RolloutState gets the field m_elapsed, and keyed.rollouts the optional field elapsed_ms: a decider that has started since the order was read does not know how much of its duration has passed.

A version that drains is completed only when no request runs at others, and the stage begins earlier where the duration is short, so that requests end before the deadline; before, it was completed at 0.92 in any case, and the requests at its endpoints would break. Slowness counts against a version only if most of its endpoints that have responded are slow, since hosts of uneven speed make up a third of the endpoints of any version.

The routes of requests of other daemons arrive in a message of a new type, which earlier builds ignore. SlotBroker and SlotScheduler lose the handling of inbound links and the names of outcomes to files of their own.

Run: TestRollout, TestSequentialTest, TestSlotCoordinator.

--- a/Libraries/LibBroker/SlotCoordinator.cpp
+++ b/Libraries/LibBroker/SlotCoordinator.cpp
@@ -24,10 +24,28 @@
   if (is_new) {
     found->second.SetEndpoints(m_endpoints(aService), aNow);
     found->second.SetSlotShare(m_slot_share);
+    found->second.SetExposurePolicy(m_rollouts != nullptr ? &m_rollouts->PolicyOf(aService)
+                                                          : nullptr);
   }
   return found->second;
 }
 
+std::size_t
+SlotCoordinator::HeldAtOthers(const ServiceName& aService,
+                              const SoftwareVersion& aVersion,
+                              TimePoint aNow) const
+{
+  const auto found = m_schedulers.find(aService);
+  if (found == m_schedulers.end()) {
+    return 0;
+  }
+  std::size_t held = 0;
+  for (const SlotEndpointView& view : found->second.View(aNow)) {
+    held += view.m_software_version == aVersion ? 0 : view.m_held;
+  }
+  return held;
+}
+
 void
 SlotCoordinator::RequestSlot(const ServiceName& aService,
                              const SlotRequest& aRequest,
--- a/Libraries/LibBroker/SlotMessages.cpp
+++ b/Libraries/LibBroker/SlotMessages.cpp
@@ -450,6 +450,13 @@
   aVisit(aMessage.m_number);
 }
 
+void
+Visit(auto& aVisit, Is<RequestRouteMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_number);
+  aVisit(aMessage.m_route);
+}
+
 template<typename Message>
 std::optional<SlotMessage>
 Decode(const Json& aJson)
--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -55,6 +55,8 @@
     /// Called when this daemon learns that an endpoint wants no further requests of it: it leaves
     /// or rests.
     NoticeExchange::UnavailableHandler m_on_unavailable;
+    /// Null if no rollouts are in force; otherwise outlives the broker.
+    RolloutDirector* m_rollouts = nullptr;
   };
 
   SlotBroker(Limits aLimits, Dependencies aDependencies);
@@ -115,6 +117,16 @@
   /// The software versions that sent the first events of streams.
   StreamTracker& Streams() { return m_streams; }
 
+  /// Whether this daemon coordinates a service, as far as it knows.
+  bool Coordinates(const ServiceName& aService);
+  /// The endpoints of a service whose slots may be granted.
+  std::vector<SlotEndpointInfo> UsableEndpoints(const ServiceName& aService) const;
+  /// See SlotCoordinator::HeldAtOthers().
+  std::size_t HeldAtOthers(const ServiceName& aService, const SoftwareVersion& aVersion) const
+  {
+    return m_coordinator.HeldAtOthers(aService, aVersion, Now());
+  }
+
   /// Takes ownership of a link that another daemon opened.
   void OnLink(std::unique_ptr<PeerLink> aLink);
   /// Handles the registration of an incarnation of an endpoint. aReadableSince: since when the
@@ -174,6 +186,8 @@
     std::optional<RequiredVersionMessage> m_required_version;
     /// Belongs to the next slot request or held slot if that has its number.
     std::optional<CrashTraitsMessage> m_crash_traits;
+    /// Belongs to the next slot request if that has its number.
+    std::optional<RequestRouteMessage> m_route;
 
     std::vector<CrashTrait> TakeCrashTraits(std::uint64_t aNumber);
   };
@@ -182,8 +196,6 @@
   /// Returns the coordinator of a service. Calls ChangeCoordinator() if it was another one before.
   Member CoordinatorFor(const ServiceName& aService);
   StreamTracker::Dependencies StreamDependencies();
-  /// The endpoints of a service whose slots may be granted.
-  std::vector<SlotEndpointInfo> UsableEndpoints(const ServiceName& aService) const;
   PeerLink& LinkTo(const Member& aCoordinator);
   void SendToCoordinator(const HostName& aCoordinator, const SlotMessage& aMessage);
   void RequestFromCoordinator(std::uint64_t aNumber,
--- a/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotCoordinator.h
@@ -3,6 +3,7 @@
 #include <LibAllowance/QuotaLedger.h>
 #include <LibBroker/CrashSuspectTable.h>
 #include <LibBroker/LoadRefusalLog.h>
+#include <LibBroker/RolloutDirector.h>
 #include <LibPlacement/SlotScheduler.h>
 #include <functional>
 #include <map>
@@ -28,6 +29,13 @@
                   EndpointSource aEndpoints,
                   DecisionHandler aHandler);
 
+  /// Sets what decides on rollouts; null, as initially, if none are in force. To be called before
+  /// the first use. Precondition: the director outlives the coordinator.
+  void SetRollouts(RolloutDirector* aRollouts) { m_rollouts = aRollouts; }
+  /// Slots held at endpoints of versions other than aVersion.
+  std::size_t HeldAtOthers(const ServiceName& aService,
+                           const SoftwareVersion& aVersion,
+                           TimePoint aNow) const;
   /// Returns the scheduler of a service, creating it on first use. Call Decide() after changing it.
   SlotScheduler& SchedulerOf(const ServiceName& aService, TimePoint aNow);
   /// What this daemon knows of requests that crash endpoints.
@@ -105,6 +113,7 @@
   QuotaLedger& m_quotas;
   EndpointSource m_endpoints;
   DecisionHandler m_handler;
+  RolloutDirector* m_rollouts = nullptr;
   double m_slot_share = 1.0;
   std::map<ServiceName, LoadRefusalLog> m_load_refusals;
   CrashSuspectTable m_crash_suspects;
--- a/Libraries/LibBroker/include/LibBroker/SlotMessages.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotMessages.h
@@ -213,6 +213,16 @@
   auto operator<=>(const UncertainGrantMessage&) const = default;
 };
 
+/// The route of the slot request with this number, which follows on the same link. Sent only while
+/// an order of a rollout is in force for the service.
+struct RequestRouteMessage
+{
+  std::uint64_t m_number = 0;
+  KindName m_route;
+
+  auto operator<=>(const RequestRouteMessage&) const = default;
+};
+
 using SlotMessage = std::variant<HelloMessage,
                                  SlotRequestMessage,
                                  WithdrawMessage,
@@ -231,7 +241,8 @@
                                  CrashTraitsMessage,
                                  UnprovenEndMessage,
                                  TraitSuspicionsMessage,
-                                 UncertainGrantMessage>;
+                                 UncertainGrantMessage,
+                                 RequestRouteMessage>;
 
 /// Encodes a message as an array. Its first element is the index of the message's type in
 /// SlotMessage; the fields follow in order. A daemon of an earlier version ignores types that it
--- a/Libraries/LibCluster/Membership.cpp
+++ b/Libraries/LibCluster/Membership.cpp
@@ -103,6 +103,12 @@
   return alive;
 }
 
+bool
+Membership::HearsHalf(TimePoint aNow) const
+{
+  return 2 * (AliveMembers(aNow).size() + 1) >= m_members.size() + 1;
+}
+
 std::vector<Member>
 Membership::KnownMembers() const
 {
--- a/Libraries/LibCluster/include/LibCluster/Membership.h
+++ b/Libraries/LibCluster/include/LibCluster/Membership.h
@@ -83,6 +83,9 @@
   }
   /// The other daemons whose last heartbeat is at most aMaxSilence old.
   std::vector<Member> MembersAliveWithin(Duration aMaxSilence, TimePoint aNow) const;
+  /// Whether at least half of the known daemons, this one included, are alive. Fewer are heard by a
+  /// daemon that is cut off with a minority.
+  bool HearsHalf(TimePoint aNow) const;
   /// All other daemons, alive or not.
   std::vector<Member> KnownMembers() const;
   std::optional<Member> Find(const HostName& aHost) const;
--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -49,12 +49,6 @@
                     aRoute.m_target_gap * kTargetGapMultiple });
 }
 
-const char*
-OrNone(const std::string& aText)
-{
-  return aText.empty() ? "none" : aText.c_str();
-}
-
 }
 
 ActiveRequest::ActiveRequest(const ActiveRequestDependencies& aDependencies,
@@ -170,6 +164,7 @@
   request.m_data_center = m_dependencies.m_data_center;
   request.m_avoided = m_tried_endpoints;
   request.m_required_version = m_required_version;
+  request.m_route = KindName(route.m_name);
   for (const PromptPart& part : m_request.m_head.m_prompt_parts) {
     request.m_crash_traits.push_back(TraitOfPart(part));
   }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -87,6 +87,7 @@
   , m_retry_budget(aSettings.m_retry_budget)
   , m_targets(m_membership, aSettings.m_data_center)
   , m_client(aLoop, kIdleConnectionLifetime, kMaxIdlePerEndpoint)
+  , m_rollouts(MakeRollouts())
   , m_broker(BrokerLimits(aSettings),
              SlotBroker::Dependencies{
                &aLoop,
@@ -95,7 +96,8 @@
                [this] { return Self(); },
                [this](const ServiceName& aService) { return EndpointsOf(aService); },
                [this](const ServiceName& aService) { return OnlyVersionOf(aService); },
-               [this](const EndpointIncarnation& aEndpoint) { OnEndpointUnavailable(aEndpoint); } })
+               [this](const EndpointIncarnation& aEndpoint) { OnEndpointUnavailable(aEndpoint); },
+               m_rollouts.get() })
   , m_dependencies{
     &aLoop,   &m_client,  &m_broker, &m_registry, &m_retry_budget,         &m_refused,
     &m_reach, &m_targets, &aDialect, &m_metrics,  aSettings.m_data_center, &m_stop
@@ -201,6 +203,9 @@
         change.m_entry.m_service, change.m_entry.Run(), StoreReadableSince());
     }
   }
+  if (m_rollouts != nullptr) {
+    m_rollouts->OnEndpointsChanged();
+  }
   m_broker.OnEndpointsChanged();
 }
 
@@ -363,6 +368,7 @@
   UpdateReader();
   m_membership.RemoveStale(now);
   OnRegistryChanges(m_registry.Expire(now));
+  TickRollouts();
   m_broker.Tick();
 }
 
@@ -571,16 +577,4 @@
   raw->Begin();
 }
 
-void
-Gateway::SetRolloutOrder(const RolloutOrder& aOrder)
-{
-  m_rollout_orders.insert_or_assign(aOrder.m_service, aOrder);
-}
-
-void
-Gateway::RemoveRolloutOrder(const ServiceName& aService)
-{
-  m_rollout_orders.erase(aService);
-}
-
 }
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -58,6 +58,21 @@
                           .Name("auburnhitch_forwarded_records_total")
                           .Help("Records forwarded by store readers, by topic and outcome.")
                           .Register(m_registry))
+  , m_rollout_stage(
+      prometheus::BuildGauge()
+        .Name("auburnhitch_rollout_stage")
+        .Help("Stage of a rollout, by service: 0 waiting, 1 probe, 2 share, 3 load, 4 "
+              "drain, 5 completed, 6 rolled back.")
+        .Register(m_registry))
+  , m_rollout_requests(
+      prometheus::BuildCounter()
+        .Name("auburnhitch_rollout_requests_total")
+        .Help("Requests during rollouts, by service: arrived, or sent to the target.")
+        .Register(m_registry))
+  , m_rollout_bad(prometheus::BuildCounter()
+                    .Name("auburnhitch_rollout_bad_responses_total")
+                    .Help("Bad responses of targets of rollouts, by service.")
+                    .Register(m_registry))
   , m_latency(prometheus::BuildHistogram()
                 .Name("auburnhitch_attempt_seconds")
                 .Help("Time from a request's arrival to its last byte.")
@@ -166,6 +181,30 @@
   }
 }
 
+void
+GatewayMetrics::OnRollout(const RolloutView& aRollout)
+{
+  const std::string& service = aRollout.m_service.Value();
+  RolloutView& counted = m_rollouts[aRollout.m_service];
+  if (counted == aRollout) {
+    return;
+  }
+  m_rollout_stage.Add({ { "service", service } }).Set(static_cast<double>(aRollout.m_stage));
+  // A rollout that begins, or whose count another daemon continues, may count from less than
+  // before.
+  const auto add = [](prometheus::Counter& aCounter, std::uint64_t aNow, std::uint64_t aBefore) {
+    aCounter.Increment(aNow > aBefore ? static_cast<double>(aNow - aBefore) : 0);
+  };
+  add(m_rollout_requests.Add({ { "service", service }, { "kind", "arrived" } }),
+      aRollout.m_arrived,
+      counted.m_arrived);
+  add(m_rollout_requests.Add({ { "service", service }, { "kind", "sent" } }),
+      aRollout.m_sent,
+      counted.m_sent);
+  add(m_rollout_bad.Add({ { "service", service } }), aRollout.m_bad, counted.m_bad);
+  counted = aRollout;
+}
+
 std::string
 GatewayMetrics::Serialize(const GatewayGauges& aGauges)
 {
--- a/Libraries/LibGateway/LogText.cpp
+++ b/Libraries/LibGateway/LogText.cpp
@@ -5,6 +5,12 @@
 
 namespace auburnhitch {
 
+const char*
+OrNone(const std::string& aText)
+{
+  return aText.empty() ? "none" : aText.c_str();
+}
+
 std::string
 DescribeLimit(const EndpointNotice& aNotice)
 {
--- a/Libraries/LibGateway/LogText.h
+++ b/Libraries/LibGateway/LogText.h
@@ -21,6 +21,10 @@
 std::string
 DescribeRest(const EndpointNotice& aNotice);
 
+/// The text, or "none" if it is empty.
+const char*
+OrNone(const std::string& aText);
+
 /// The first parts of a prompt.
 std::string
 DescribeParts(const std::vector<PromptPart>& aParts);
--- a/Libraries/LibGateway/include/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -35,11 +35,12 @@
   /// older than what is known here.
   void OnStoreWentBack();
 
-  /// Sets the order in force for a service; another order replaces it.
+  /// Sets the order in force for a service; another order replaces it. Without effect unless
+  /// GatewaySettings::m_rollout_bounds is set, as the two below.
   void SetRolloutOrder(const RolloutOrder& aOrder);
   void RemoveRolloutOrder(const ServiceName& aService);
-  /// Precondition: the store outlives the gateway.
-  void SetRolloutStore(RolloutStore* aStore) { m_rollout_store = aStore; }
+  /// Precondition: the store outlives the gateway, and calls each handler once.
+  void SetRolloutStore(RolloutStore* aStore);
 
   // Updates about other daemons.
 
@@ -84,6 +85,8 @@
   Milliseconds HeartbeatInterval() const;
 
 private:
+  std::unique_ptr<RolloutDirector> MakeRollouts();
+  void TickRollouts();
   Milliseconds BaseHeartbeatInterval() const;
   void UpdateReader();
   void Refuse(RelayExchange& aExchange,
@@ -134,13 +137,13 @@
   bool m_cannot_connect = false;
   ForwardTargets m_targets;
   RelayClient m_client;
+  /// Null unless rollouts are in force.
+  std::unique_ptr<RolloutDirector> m_rollouts;
   SlotBroker m_broker;
   ActiveRequestDependencies m_dependencies;
   std::map<ActiveRequest*, std::unique_ptr<ActiveRequest>> m_active_requests;
   std::vector<RelayExchangePtr> m_early_requests;
   std::size_t m_alive_count = 0;
-  RolloutStore* m_rollout_store = nullptr;
-  std::map<ServiceName, RolloutOrder> m_rollout_orders;
 };
 
 }
--- a/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBroker/ServiceRollout.h>
 #include <LibCore/StrongString.h>
 #include <LibCore/Time.h>
 #include <absl/container/flat_hash_map.h>
@@ -61,6 +62,9 @@
   /// one of a small fixed set, since they become labels.
   void OnForwardedRecords(const std::string& aTopic, const char* aOutcome, std::size_t aCount);
 
+  /// Sets the metrics of a rollout that this daemon decides or whose verdict it knows.
+  void OnRollout(const RolloutView& aRollout);
+
   /// All metrics in the Prometheus text format.
   std::string Serialize(const GatewayGauges& aGauges);
 
@@ -80,9 +84,14 @@
   prometheus::Family<prometheus::Counter>& m_forwarded;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Family<prometheus::Counter>& m_forwarded_records;
+  prometheus::Family<prometheus::Gauge>& m_rollout_stage;
+  prometheus::Family<prometheus::Counter>& m_rollout_requests;
+  prometheus::Family<prometheus::Counter>& m_rollout_bad;
   prometheus::Family<prometheus::Histogram>& m_latency;
   prometheus::Family<prometheus::Histogram>& m_time_to_first_byte;
   prometheus::Family<prometheus::Gauge>& m_gauges;
+  /// What the counters of rollouts contain already.
+  std::map<ServiceName, RolloutView> m_rollouts;
   Cache<prometheus::Counter> m_requests_ended_cache;
   Cache<prometheus::Counter> m_slots_refused_cache;
   Cache<prometheus::Counter> m_attempts_sent_cache;
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -26,46 +26,6 @@
 
 }
 
-const char*
-NameOf(SlotOutcome aOutcome)
-{
-  switch (aOutcome) {
-    case SlotOutcome::Complete:
-      return "complete";
-    case SlotOutcome::Failed:
-      return "failed";
-    case SlotOutcome::Refused:
-      return "refused";
-    case SlotOutcome::Unreachable:
-      return "unreachable";
-    case SlotOutcome::Broken:
-      return "broken";
-    case SlotOutcome::Cancelled:
-      return "cancelled";
-  }
-  return "unknown";
-}
-
-const char*
-NameOf(SlotRefusalReason aReason)
-{
-  switch (aReason) {
-    case SlotRefusalReason::Overloaded:
-      return "overloaded";
-    case SlotRefusalReason::WaitedTooLong:
-      return "waited-too-long";
-    case SlotRefusalReason::NoEndpoint:
-      return "no-endpoint";
-    case SlotRefusalReason::OverQuota:
-      return "over-quota";
-    case SlotRefusalReason::NoEndpointOfVersion:
-      return "no-endpoint-of-version";
-    case SlotRefusalReason::Harmful:
-      return "harmful-prompt";
-  }
-  return "unknown";
-}
-
 void
 SlotScheduler::RecordVersions(const std::vector<SlotEndpointInfo>& aEndpoints, TimePoint aNow)
 {
@@ -220,6 +180,9 @@
   if (found != m_endpoints.end()) {
     found->second.Adopt(aRequestId, aWork, aNow);
     m_crash_suspects->Begin(aRequestId, aEndpoint, aCrashTraits, aNow);
+    if (m_exposure != nullptr) {
+      m_exposure->OnHeld(aRequestId, found->second.Info(), aNow);
+    }
   }
 }
 
@@ -229,6 +192,9 @@
                              TimePoint aNow)
 {
   m_crash_suspects->RecordStarted(aRequestId, aNow);
+  if (m_exposure != nullptr) {
+    m_exposure->OnStarted(aRequestId, aNow);
+  }
   const auto found = m_endpoints.find(aEndpoint);
   if (found == m_endpoints.end()) {
     return;
@@ -247,16 +213,28 @@
   const auto found = m_endpoints.find(aEndpoint);
   const bool is_usable = found != m_endpoints.end();
   m_crash_suspects->RecordEnded(aRequestId, aOutcome, !is_usable, aNow);
+  RecordEndedExposure(aRequestId, aOutcome, aNow);
   if (is_usable) {
     UpdateDoubted(aNow);
     found->second.RecordEnded(aRequestId, aOutcome, m_doubted, aNow);
   }
 }
 
+void
+SlotScheduler::RecordEndedExposure(const SlotRequestId& aRequestId,
+                                   SlotOutcome aOutcome,
+                                   TimePoint aNow)
+{
+  if (m_exposure != nullptr) {
+    m_exposure->OnEnded(aRequestId, aOutcome, aNow);
+  }
+}
+
 void
 SlotScheduler::ReleaseSlot(const SlotRequestId& aRequestId, TimePoint aNow)
 {
   m_crash_suspects->RecordEnded(aRequestId, SlotOutcome::Cancelled, true, aNow);
+  RecordEndedExposure(aRequestId, SlotOutcome::Cancelled, aNow);
   for (auto& [id, endpoint] : m_endpoints) {
     if (endpoint.RecordEnded(aRequestId, SlotOutcome::Cancelled, m_doubted, aNow)) {
       return;
@@ -268,6 +246,9 @@
 SlotScheduler::ForgetDaemon(const Incarnation& aDaemon)
 {
   m_crash_suspects->ForgetDaemon(aDaemon);
+  if (m_exposure != nullptr) {
+    m_exposure->OnDaemonForgotten(aDaemon);
+  }
   for (auto& [id, endpoint] : m_endpoints) {
     endpoint.ReleaseDaemon(aDaemon);
   }
@@ -297,7 +278,8 @@
   double slots = 0;
   bool is_limited = false;
   for (const auto& [id, endpoint] : m_endpoints) {
-    if (!endpoint.IsSuspect(m_doubted, aNow)) {
+    const bool is_in_service = m_exposure == nullptr || m_exposure->IsInService(endpoint.Info());
+    if (is_in_service && !endpoint.IsSuspect(m_doubted, aNow)) {
       slots += endpoint.UsableSlots(m_slot_share, m_mean_slot_time_ms, aNow);
       is_limited = is_limited || endpoint.StatedLimit().has_value();
     }
@@ -317,7 +299,8 @@
                       endpoint.HeldCount(),
                       endpoint.Times().FirstByteSlowness(),
                       endpoint.Times().RestSlowness(),
-                      endpoint.FailureRate() });
+                      endpoint.FailureRate(),
+                      endpoint.Info().m_software_version });
   }
   return views;
 }
@@ -370,7 +353,8 @@
 SlotScheduler::HasEligibleEndpoint(const SlotRequest& aRequest) const
 {
   return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& aEntry) {
-    return IsEligible(aEntry.second, aRequest);
+    return IsEligible(aEntry.second, aRequest) &&
+           (m_exposure == nullptr || !m_exposure->IsRejected(aEntry.second.Info()));
   });
 }
 
@@ -439,7 +423,8 @@
 SlotScheduler::MayServe(const SlotRequest& aRequest, TimePoint aNow) const
 {
   return [this, &aRequest, aNow](const SlotEndpoint& aEndpoint) {
-    return IsEligibleNow(aEndpoint, aRequest, aNow) && !RestEnd(aEndpoint, aRequest, aNow);
+    return IsEligibleNow(aEndpoint, aRequest, aNow) && !RestEnd(aEndpoint, aRequest, aNow) &&
+           (m_exposure == nullptr || m_exposure->Permits(aRequest, aEndpoint.Info(), aNow));
   };
 }
 
@@ -552,6 +537,9 @@
                      SlotDecisions& aDecisions)
 {
   const double expected_ms = aEndpoint.ExpectedFirstByteMs(aRequest.m_work);
+  if (m_exposure != nullptr) {
+    m_exposure->OnGranted(aRequest, aEndpoint.Info(), aNow);
+  }
   aEndpoint.Hold(aRequest.m_request_id, aRequest.m_work, aNow);
   m_crash_suspects->Begin(
     aRequest.m_request_id, aEndpoint.Info().m_id, aRequest.m_crash_traits, aNow);
--- a/Libraries/LibPlacement/include/LibPlacement/SlotRequest.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotRequest.h
@@ -57,6 +57,8 @@
   WorkspaceName m_workspace;
   /// Tokens to charge to the quota; 0 once they have been charged.
   std::int64_t m_quota_tokens = 0;
+  /// The route of the request, if it is known: evidence of a rollout is kept by route.
+  KindName m_route;
   /// What may crash the endpoints that run it.
   std::vector<CrashTrait> m_crash_traits;
 
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -3,6 +3,7 @@
 #include <LibPlacement/CrashSuspects.h>
 #include <LibPlacement/EndpointChooser.h>
 #include <LibPlacement/EndpointRests.h>
+#include <LibPlacement/ExposurePolicy.h>
 #include <LibPlacement/SlotAdmission.h>
 #include <map>
 #include <memory>
@@ -32,6 +33,7 @@
   double m_first_byte_slowness = 1;
   double m_rest_slowness = 1;
   double m_failure_rate = 0;
+  SoftwareVersion m_software_version;
 };
 
 /// Decides for one service which request gets a slot at which endpoint, and which is refused. One
@@ -58,6 +60,10 @@
   /// Sets the share of each endpoint's slots that this scheduler may grant.
   void SetSlotShare(double aSlotShare) { m_slot_share = aSlotShare; }
 
+  /// Sets what decides on endpoints during a rollout; null, as initially, permits all.
+  /// Precondition: the policy outlives the scheduler.
+  void SetExposurePolicy(ExposurePolicy* aPolicy) { m_exposure = aPolicy; }
+
   /// Sets the share of the rate limits of endpoints that this scheduler may use.
   void SetRateShare(double aShare, TimePoint aNow);
   /// Applies what a response stated; see SlotEndpoint::RecordStatedLimit(). Returns whether the
@@ -175,6 +181,7 @@
   /// Whether a request may be granted a slot, by what is known of its traits. A trial may not take
   /// the last endpoint.
   CrashSuspects::Admission AdmissionOf(const SlotRequest& aRequest, TimePoint aNow) const;
+  void RecordEndedExposure(const SlotRequestId& aRequestId, SlotOutcome aOutcome, TimePoint aNow);
   /// Informs the suspects when endpoints of another software version serve.
   void RecordVersions(const std::vector<SlotEndpointInfo>& aEndpoints, TimePoint aNow);
 
@@ -183,6 +190,7 @@
   std::shared_ptr<EndpointRests> m_rests;
   /// The software versions that have served.
   std::set<SoftwareVersion> m_versions;
+  ExposurePolicy* m_exposure = nullptr;
   double m_slot_share = 1.0;
   double m_rate_share = 1.0;
   /// EWMA of the time for which requests are expected to hold a slot.
--- a/Libraries/LibRollout/Rollout.cpp
+++ b/Libraries/LibRollout/Rollout.cpp
@@ -18,10 +18,20 @@
 constexpr double kLoadEnd = 0.5;
 // From this share of the duration on, a version without a verdict is judged by what is known.
 constexpr double kDecideAt = 0.75;
+// A short rollout decides no earlier than this, since a version may turn bad seconds after its
+// start.
+constexpr double kMinDecideAt = 0.6;
 // From this share on, a version whose evidence is still in doubt, or that has no usable endpoint,
-// is rolled back, and one with good evidence is completed although old requests still run: the
-// rest is time to write the verdict before the deadline.
+// is rolled back: the rest is time to write the verdict before the deadline.
 constexpr double kGiveUpAt = 0.92;
+// From this share on, a version is rolled back if requests still run at others: completing it would
+// break them.
+constexpr double kEndDrainAt = 0.97;
+// Longest time for which a request runs. The stage Drain begins this long before kGiveUpAt if the
+// duration permits, so that the requests at other versions end in time.
+constexpr Milliseconds kMaxRequestTime{ 12'000 };
+// From this share on, streams do not continue at other versions.
+constexpr double kStreamsEndAt = 0.85;
 // Responses of the target without which a stage does not end before kDecideAt.
 constexpr std::uint64_t kMinResponsesOfStage = 20;
 // A stage does not end while a test is above this share of its threshold. One slow endpoint adds
@@ -76,6 +86,42 @@
   m_ordered_at = std::min(m_ordered_at, aNow);
 }
 
+void
+Rollout::Abandon()
+{
+  if (!HasEnded()) {
+    m_stage = RolloutStage::RolledBack;
+  }
+}
+
+double
+Rollout::PartOfStage() const
+{
+  switch (m_stage) {
+    case RolloutStage::Probe:
+      return kProbePart;
+    case RolloutStage::Share:
+      return kSharePart;
+    case RolloutStage::Load:
+      return kLoadPart;
+    default:
+      return 0;
+  }
+}
+
+int
+Rollout::CountPermitted(int aMax) const
+{
+  if (m_stage == RolloutStage::Drain || m_stage == RolloutStage::Completed) {
+    return aMax;
+  }
+  int count = 0;
+  while (count < aMax && m_budget.Permits(PartOfStage(), count + 1)) {
+    ++count;
+  }
+  return count;
+}
+
 bool
 Rollout::PermitsTarget(const EndpointId& aEndpoint) const
 {
@@ -84,11 +130,10 @@
     case RolloutStage::RolledBack:
       return false;
     case RolloutStage::Probe:
-      return m_budget.Permits(kProbePart);
     case RolloutStage::Share:
-      return m_budget.Permits(kSharePart);
+      return m_budget.Permits(PartOfStage());
     case RolloutStage::Load:
-      return m_is_bursting && m_budget.Permits(kLoadPart) && m_loaded.contains(aEndpoint);
+      return m_is_bursting && m_budget.Permits(PartOfStage()) && m_loaded.contains(aEndpoint);
     case RolloutStage::Drain:
     case RolloutStage::Completed:
       return true;
@@ -102,6 +147,12 @@
   return m_stage != RolloutStage::Drain && m_stage != RolloutStage::Completed;
 }
 
+bool
+Rollout::PermitsStreamsAtOthers(TimePoint aNow) const
+{
+  return PermitsOthers() || (m_stage == RolloutStage::Drain && ShareOfTime(aNow) < kStreamsEndAt);
+}
+
 void
 Rollout::UpdateBurst()
 {
@@ -136,8 +187,7 @@
     }
     last->second = aNow;
   }
-  const bool is_bad = aResponse.m_is_failure || aResponse.m_is_broken ||
-                      IsOverdue(aResponse.m_route, aResponse.m_slowness);
+  const bool is_bad = IsBadResponse(aResponse);
   if (!aResponse.m_is_target) {
     m_reference.Record(aResponse.m_route, is_bad, aResponse.m_slowness);
     return;
@@ -148,7 +198,24 @@
   const bool is_only = m_target.size() < 2;
   const double expected = m_reference.BadShare(aResponse.m_route);
   m_tests[kAllRoutes].Record(aResponse.m_endpoint, is_bad, expected, is_only);
-  m_tests[aResponse.m_route].Record(aResponse.m_endpoint, is_bad, expected, is_only);
+  if (aResponse.m_route != kAllRoutes) {
+    m_tests[aResponse.m_route].Record(aResponse.m_endpoint, is_bad, expected, is_only);
+  }
+}
+
+bool
+Rollout::IsBadResponse(const RolloutResponse& aResponse)
+{
+  if (aResponse.m_is_failure || aResponse.m_is_broken) {
+    return true;
+  }
+  const bool is_slow = IsOverdue(aResponse.m_route, aResponse.m_slowness);
+  if (!aResponse.m_is_target) {
+    return m_slow_others.Record(aResponse.m_endpoint, is_slow, m_other_count);
+  }
+  return m_slow_targets.Record(aResponse.m_endpoint,
+                               is_slow,
+                               m_stage == RolloutStage::Load ? m_loaded.size() : m_target.size());
 }
 
 bool
@@ -182,6 +249,14 @@
   return std::chrono::duration<double>(aNow - m_ordered_at).count() / std::max(duration, 1e-3);
 }
 
+double
+Rollout::DecideAt() const
+{
+  const double duration = std::max(std::chrono::duration<double>(m_order.m_duration).count(), 1e-3);
+  const double drain = std::chrono::duration<double>(kMaxRequestTime).count() / duration;
+  return std::clamp(kGiveUpAt - drain, kMinDecideAt, kDecideAt);
+}
+
 RolloutStage
 Rollout::NextStage(const RolloutEndpoints& aEndpoints, TimePoint aNow) const
 {
@@ -201,14 +276,17 @@
     if (aEndpoints.m_target.empty()) {
       return is_late ? RolloutStage::RolledBack : RolloutStage::Drain;
     }
-    return aEndpoints.m_running_at_others == 0 || is_late ? RolloutStage::Completed
-                                                          : RolloutStage::Drain;
+    if (aEndpoints.m_running_at_others == 0 &&
+        (is_late || aEndpoints.m_possibly_running_at_others == 0)) {
+      return RolloutStage::Completed;
+    }
+    return time >= kEndDrainAt ? RolloutStage::RolledBack : RolloutStage::Drain;
   }
   const bool is_quiet = HighestSum() < kMaxSumShareOfStage * SequentialTest::kBadFrom;
   if (!is_quiet || aEndpoints.m_target.empty()) {
     return m_stage;
   }
-  if (time >= kDecideAt && m_responses > 0) {
+  if (time >= DecideAt() && m_responses > 0) {
     return RolloutStage::Drain;
   }
   if (m_responses_of_stage < kMinResponsesOfStage) {
@@ -227,11 +305,9 @@
 Rollout::Advance(const RolloutEndpoints& aEndpoints, TimePoint aNow)
 {
   m_target = aEndpoints.m_target;
+  m_other_count = aEndpoints.m_others.size();
   std::erase_if(m_loaded, [&](const EndpointId& aId) { return !m_target.contains(aId); });
-  for (auto next = m_target.begin(); next != m_target.end() && m_loaded.size() < kLoadedEndpoints;
-       ++next) {
-    m_loaded.insert(*next);
-  }
+  ChooseLoaded();
   if (HasEnded()) {
     return false;
   }
@@ -239,9 +315,28 @@
   if (next == m_stage) {
     return false;
   }
+  if (next == RolloutStage::Load || next == RolloutStage::Drain) {
+    // Endpoints that get no requests in this stage say nothing about the version under load, and
+    // those that are slow already would hide its slowness.
+    m_loaded.clear();
+    ChooseLoaded();
+    m_slow_targets.Reset();
+  }
   m_stage = next;
   m_responses_of_stage = 0;
   return true;
 }
 
+void
+Rollout::ChooseLoaded()
+{
+  for (const bool is_slow : { false, true }) {
+    for (const EndpointId& id : m_target) {
+      if (m_loaded.size() < kLoadedEndpoints && m_slow_targets.IsSlow(id) == is_slow) {
+        m_loaded.insert(id);
+      }
+    }
+  }
+}
+
 }
--- a/Libraries/LibRollout/include/LibRollout/Rollout.h
+++ b/Libraries/LibRollout/include/LibRollout/Rollout.h
@@ -3,6 +3,7 @@
 #include <LibRollout/ExposureBudget.h>
 #include <LibRollout/ReferenceVersion.h>
 #include <LibRollout/SequentialTest.h>
+#include <LibRollout/SlowEndpoints.h>
 #include <optional>
 #include <set>
 #include <string>
@@ -47,6 +48,8 @@
   std::set<EndpointId> m_others;
   /// Requests that run at endpoints of other versions, over all daemons.
   std::size_t m_running_at_others = 0;
+  /// The same for daemons that have left the decider: their requests may have ended.
+  std::size_t m_possibly_running_at_others = 0;
 };
 
 /// How a response to a request ended, or that it is overdue.
@@ -73,6 +76,8 @@
 
   /// Continues a rollout that another daemon has decided so far.
   void Restore(RolloutStage aStage, std::uint64_t aArrived, std::uint64_t aSent, TimePoint aNow);
+  /// Rolls back a rollout that has not ended, because its order is withdrawn.
+  void Abandon();
 
   const RolloutOrder& Order() const { return m_order; }
   RolloutStage Stage() const { return m_stage; }
@@ -84,6 +89,12 @@
   bool PermitsTarget(const EndpointId& aEndpoint) const;
   /// Whether it may go to an endpoint of another version now.
   bool PermitsOthers() const;
+  /// Whether a stream that began at another version may continue there. It may in the stage Drain,
+  /// except towards its end, so that the stage ends before the deadline.
+  bool PermitsStreamsAtOthers(TimePoint aNow) const;
+  /// How many requests may be sent to the target in this stage beyond those that have been, at most
+  /// aMax.
+  int CountPermitted(int aMax) const;
   /// Whether a request that still runs has taken so long that it counts as slow.
   bool IsOverdue(const KindName& aRoute, double aSlowness) const
   {
@@ -107,8 +118,14 @@
   KindName WorstRoute() const;
 
 private:
+  double PartOfStage() const;
+  double DecideAt() const;
+  /// Whether a response counts as bad; slowness counts only if it is that of the version.
+  bool IsBadResponse(const RolloutResponse& aResponse);
   bool IsBad() const;
   void UpdateBurst();
+  /// Completes the endpoints under load, those that are not slow first.
+  void ChooseLoaded();
   RolloutStage NextStage(const RolloutEndpoints& aEndpoints, TimePoint aNow) const;
   double ShareOfTime(TimePoint aNow) const;
 
@@ -117,6 +134,9 @@
   RolloutStage m_stage = RolloutStage::Waiting;
   ExposureBudget m_budget;
   ReferenceVersion m_reference;
+  SlowEndpoints m_slow_targets;
+  SlowEndpoints m_slow_others;
+  std::size_t m_other_count = 0;
   /// By route; the empty name is of all routes together.
   std::map<KindName, SequentialTest> m_tests;
   std::map<EndpointId, TimePoint> m_broken_at;
--- a/Libraries/LibRollout/include/LibRollout/RolloutState.h
+++ b/Libraries/LibRollout/include/LibRollout/RolloutState.h
@@ -17,6 +17,9 @@
   std::uint64_t m_arrived = 0;
   /// Requests that may have been sent to the target: written before they are sent.
   std::uint64_t m_sent = 0;
+  /// Time between the order and the writing of this state: a successor that has started since does
+  /// not know when the order was read first.
+  Milliseconds m_elapsed{ 0 };
 
   auto operator<=>(const RolloutState&) const = default;
 };
--- a/Tests/Unit/TestRolloutRecords.cpp
+++ b/Tests/Unit/TestRolloutRecords.cpp
@@ -141,7 +141,7 @@
          { RolloutStage::Completed, "completed" },
          { RolloutStage::RolledBack, "rolled_back" } }) {
     const RolloutState state{
-      ServiceName("s"), "7", SoftwareVersion("2"), Incarnation("d"), stage, 100, 20
+      ServiceName("s"), "7", SoftwareVersion("2"), Incarnation("d"), stage, 100, 20, Milliseconds(7)
     };
     const KeyedRecord record = EncodeRolloutState(state);
     Findings findings;
