--- a/Libraries/LibBroker/ServiceRollout.cpp
+++ b/Libraries/LibBroker/ServiceRollout.cpp
@@ -189,7 +189,7 @@
   if (!IsFresh(aNow)) {
     return false;
   }
-  if (m_rollout->Stage() == RolloutStage::Drain) {
+  if (IsDraining()) {
     return true;
   }
   if (m_rollout->Budget().Sent() >= m_reserved) {
@@ -227,15 +227,26 @@
   if (!IsFresh(aNow)) {
     return true;
   }
+  if (m_rollout->Stage() == RolloutStage::Drain && !IsDraining()) {
+    return true;
+  }
   return aRequest.m_required_version ? m_rollout->PermitsStreamsAtOthers(aNow)
                                      : m_rollout->PermitsOthers();
 }
 
+bool
+ServiceRollout::Prefers(const SlotEndpointInfo& aEndpoint) const
+{
+  return (IsInStage(RolloutStage::Probe) || IsInStage(RolloutStage::Share) ||
+          IsInStage(RolloutStage::Load)) &&
+         KindOf(aEndpoint.m_software_version) == Kind::Target;
+}
+
 bool
 ServiceRollout::IsInService(const SlotEndpointInfo& aEndpoint) const
 {
-  const bool is_moved = m_verdict == RolloutStage::Completed || IsInStage(RolloutStage::Drain) ||
-                        IsInStage(RolloutStage::Completed);
+  const bool is_moved =
+    m_verdict == RolloutStage::Completed || IsDraining() || IsInStage(RolloutStage::Completed);
   switch (KindOf(aEndpoint.m_software_version)) {
     case Kind::Target:
       return is_moved || m_other_endpoints.empty();
@@ -428,7 +439,8 @@
   const TimePoint now = m_dependencies.m_now();
   if (m_is_decider && m_rollout && !m_verdict) {
     RecordOverdue(now);
-    if (m_rollout->Advance(EndpointsNow(now), now)) {
+    const bool waits_for_save = m_rollout->Stage() == RolloutStage::Drain && !IsDraining();
+    if (!waits_for_save && m_rollout->Advance(EndpointsNow(now), now)) {
       LogStage("stage");
     }
   }
--- a/Libraries/LibBroker/ServiceRolloutStore.cpp
+++ b/Libraries/LibBroker/ServiceRolloutStore.cpp
@@ -131,6 +131,7 @@
     m_rollout->Restore(loaded->m_stage, loaded->m_arrived, loaded->m_sent, now);
   }
   m_sent_at_save = m_reserved;
+  m_saved_stage = RolloutStage::Waiting;
   if (m_is_withdrawn) {
     m_rollout->Abandon();
   }
--- a/Libraries/LibBroker/include/LibBroker/ServiceRollout.h
+++ b/Libraries/LibBroker/include/LibBroker/ServiceRollout.h
@@ -66,6 +66,7 @@
   bool Permits(const SlotRequest& aRequest,
                const SlotEndpointInfo& aEndpoint,
                TimePoint aNow) const override;
+  bool Prefers(const SlotEndpointInfo& aEndpoint) const override;
   bool IsInService(const SlotEndpointInfo& aEndpoint) const override;
   bool IsRejected(const SlotEndpointInfo& aEndpoint) const override;
   void OnGranted(const SlotRequest& aRequest,
@@ -114,6 +115,12 @@
   {
     return m_is_decider && m_rollout && m_rollout->Stage() == aStage;
   }
+  /// Whether all new requests go to the target. They do once that is saved: a successor would not
+  /// know otherwise that the target has received more than was reserved.
+  bool IsDraining() const
+  {
+    return IsInStage(RolloutStage::Drain) && m_saved_stage == RolloutStage::Drain;
+  }
   /// Whether the state in the store was written so lately that no other daemon can have decided
   /// otherwise long ago.
   bool IsFresh(TimePoint aNow) const;
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -431,14 +431,25 @@
 SlotEndpoint*
 SlotScheduler::Choose(const SlotRequest& aRequest, TimePoint aNow)
 {
-  return Chooser().Choose(m_endpoints, aRequest, MayServe(aRequest, aNow), aNow);
+  const EndpointChooser::Filter may_serve = MayServe(aRequest, aNow);
+  if (m_exposure != nullptr) {
+    const auto is_preferred = [&](const SlotEndpoint& aEndpoint) {
+      return m_exposure->Prefers(aEndpoint.Info()) && may_serve(aEndpoint);
+    };
+    if (SlotEndpoint* endpoint = Chooser().Choose(m_endpoints, aRequest, is_preferred, aNow)) {
+      return endpoint;
+    }
+  }
+  return Chooser().Choose(m_endpoints, aRequest, may_serve, aNow);
 }
 
 SlotEndpoint*
 SlotScheduler::ChooseOrAwait(const SlotRequest& aRequest, AwaitedSlots& aAwaited, TimePoint aNow)
 {
   SlotEndpoint* chosen = Choose(aRequest, aNow);
-  if (chosen == nullptr || !m_admission.Limits().m_learn_concurrency ||
+  const bool is_preferred =
+    chosen != nullptr && m_exposure != nullptr && m_exposure->Prefers(chosen->Info());
+  if (chosen == nullptr || is_preferred || !m_admission.Limits().m_learn_concurrency ||
       aAwaited.m_count >= kMaxAwaitedSlots || aRequest.m_required_version) {
     return chosen;
   }
--- a/Libraries/LibPlacement/include/LibPlacement/ExposurePolicy.h
+++ b/Libraries/LibPlacement/include/LibPlacement/ExposurePolicy.h
@@ -19,6 +19,10 @@
   virtual bool Permits(const SlotRequest& aRequest,
                        const SlotEndpointInfo& aEndpoint,
                        TimePoint aNow) const = 0;
+  /// Whether a request goes to an endpoint that is permitted before others are considered. Costs
+  /// and failures would otherwise keep requests away from a bad version, whose faults then stay
+  /// unknown.
+  virtual bool Prefers(const SlotEndpointInfo& aEndpoint) const = 0;
   /// Whether the slots of an endpoint are part of the capacity of the service, for estimates of
   /// waiting times.
   virtual bool IsInService(const SlotEndpointInfo& aEndpoint) const = 0;
--- a/Libraries/LibRollout/SlowEndpoints.cpp
+++ b/Libraries/LibRollout/SlowEndpoints.cpp
@@ -21,7 +21,7 @@
     aIsSlow ? ++m_slow_count : --m_slow_count;
   }
   const std::size_t least = std::min(kMinSlowEndpoints, (aEndpointCount + 1) / 2);
-  return aIsSlow && m_slow_count >= least && 2 * m_slow_count > m_is_slow.size();
+  return aIsSlow && m_slow_count >= least && AreMostSlow();
 }
 
 bool
--- a/Libraries/LibRollout/include/LibRollout/SlowEndpoints.h
+++ b/Libraries/LibRollout/include/LibRollout/SlowEndpoints.h
@@ -15,6 +15,8 @@
   /// against the version: most of its endpoints that have responded are slow, and at least six of
   /// aEndpointCount, or half of them if they are fewer.
   bool Record(const EndpointId& aEndpoint, bool aIsSlow, std::size_t aEndpointCount);
+  /// Whether most endpoints that have responded are slow, however few they are.
+  bool AreMostSlow() const { return 2 * m_slow_count > m_is_slow.size(); }
   bool IsSlow(const EndpointId& aEndpoint) const;
   /// Forgets all responses.
   void Reset();
