--- a/Libraries/LibBroker/RolloutDirector.cpp
+++ b/Libraries/LibBroker/RolloutDirector.cpp
@@ -2,8 +2,8 @@
 
 namespace auburnhitch {
 
-RolloutDirector::RolloutDirector(ExposureBounds aBounds, Dependencies aDependencies)
-  : m_bounds(aBounds)
+RolloutDirector::RolloutDirector(ServiceRollout::Limits aLimits, Dependencies aDependencies)
+  : m_limits(aLimits)
   , m_dependencies(std::move(aDependencies))
 {
 }
@@ -19,7 +19,7 @@
     m_rollouts
       .try_emplace(aService,
                    aService,
-                   m_bounds,
+                   m_limits,
                    ServiceRollout::Dependencies{
                      m_dependencies.m_self,
                      m_dependencies.m_now,
--- a/Libraries/LibBroker/ServiceRollout.cpp
+++ b/Libraries/LibBroker/ServiceRollout.cpp
@@ -10,9 +10,6 @@
 
 // Longest time for which a request runs; the deadlines of callers are shorter.
 constexpr Milliseconds kMaxRequestTime{ 12'000 };
-// Age from which the saved state no longer permits requests to the target. It bounds for how long a
-// decider that has been replaced without knowing it sends requests; well below the rollback bound.
-constexpr Milliseconds kMaxStateAge{ 3'000 };
 // Time within which the daemons report the slots that they hold to a new coordinator.
 constexpr Milliseconds kSettleTime{ 2'000 };
 // The old endpoints stop when a version is completed, and their registrations are removed within
@@ -21,11 +18,9 @@
 
 }
 
-ServiceRollout::ServiceRollout(ServiceName aService,
-                               ExposureBounds aBounds,
-                               Dependencies aDependencies)
+ServiceRollout::ServiceRollout(ServiceName aService, Limits aLimits, Dependencies aDependencies)
   : m_service(std::move(aService))
-  , m_bounds(aBounds)
+  , m_limits(aLimits)
   , m_dependencies(std::move(aDependencies))
 {
 }
@@ -150,7 +145,7 @@
 bool
 ServiceRollout::IsFresh(TimePoint aNow) const
 {
-  return aNow - m_saved_at <= kMaxStateAge;
+  return aNow - m_saved_at <= m_limits.m_max_state_age;
 }
 
 bool
--- a/Libraries/LibBroker/ServiceRolloutStore.cpp
+++ b/Libraries/LibBroker/ServiceRolloutStore.cpp
@@ -125,7 +125,7 @@
     m_withheld.insert(loaded->m_target);
     UpdateEndpoints();
   }
-  m_rollout.emplace(*m_order, m_bounds, m_ordered_at);
+  m_rollout.emplace(*m_order, m_limits.m_exposure, m_ordered_at);
   m_reserved = continues ? loaded->m_sent : 0;
   if (continues) {
     m_rollout->Restore(loaded->m_stage, loaded->m_arrived, loaded->m_sent, now);
--- a/Libraries/LibBroker/include/LibBroker/RolloutDirector.h
+++ b/Libraries/LibBroker/include/LibBroker/RolloutDirector.h
@@ -21,7 +21,7 @@
       m_held_at_others;
   };
 
-  RolloutDirector(ExposureBounds aBounds, Dependencies aDependencies);
+  RolloutDirector(ServiceRollout::Limits aLimits, Dependencies aDependencies);
   RolloutDirector(const RolloutDirector&) = delete;
   RolloutDirector& operator=(const RolloutDirector&) = delete;
 
@@ -45,7 +45,7 @@
 private:
   ServiceRollout& Of(const ServiceName& aService);
 
-  ExposureBounds m_bounds;
+  ServiceRollout::Limits m_limits;
   Dependencies m_dependencies;
   RolloutStore* m_store = nullptr;
   std::map<ServiceName, ServiceRollout> m_rollouts;
--- a/Libraries/LibBroker/include/LibBroker/ServiceRollout.h
+++ b/Libraries/LibBroker/include/LibBroker/ServiceRollout.h
@@ -30,6 +30,15 @@
 class ServiceRollout : public ExposurePolicy
 {
 public:
+  struct Limits
+  {
+    ExposureBounds m_exposure;
+    /// Age from which the saved state no longer permits requests to the target: how long a decider
+    /// that has been replaced without knowing it may send them. To be well below the time within
+    /// which the requests to a bad version must end.
+    Milliseconds m_max_state_age{ 3'000 };
+  };
+
   struct Dependencies
   {
     Incarnation m_self;
@@ -42,7 +51,7 @@
     std::function<std::size_t(const SoftwareVersion& aTarget)> m_held_at_others;
   };
 
-  ServiceRollout(ServiceName aService, ExposureBounds aBounds, Dependencies aDependencies);
+  ServiceRollout(ServiceName aService, Limits aLimits, Dependencies aDependencies);
 
   /// Sets the order in force; another order replaces it. Its target is withheld from then on.
   void SetOrder(const RolloutOrder& aOrder);
@@ -153,7 +162,7 @@
   std::function<void(Result)> Guarded(std::function<void(Result)> aHandler);
 
   ServiceName m_service;
-  ExposureBounds m_bounds;
+  Limits m_limits;
   Dependencies m_dependencies;
   RolloutStore* m_store = nullptr;
 
--- a/Libraries/LibGateway/GatewayRollouts.cpp
+++ b/Libraries/LibGateway/GatewayRollouts.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/Gateway.h>
 
+#include <algorithm>
+
 namespace auburnhitch {
 
 std::unique_ptr<RolloutDirector>
@@ -8,8 +10,12 @@
   if (!m_settings.m_rollout_bounds) {
     return nullptr;
   }
+  const RolloutBounds& bounds = *m_settings.m_rollout_bounds;
+  ServiceRollout::Limits limits;
+  limits.m_exposure = bounds.m_exposure;
+  limits.m_max_state_age = std::min(limits.m_max_state_age, bounds.m_rollback / 2);
   return std::make_unique<RolloutDirector>(
-    m_settings.m_rollout_bounds->m_exposure,
+    limits,
     RolloutDirector::Dependencies{
       m_incarnation,
       [this] { return Now(); },
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -595,5 +595,37 @@
   platform/KeyedTopicConsumer.cpp 's/\*since \+ m_timing.m_forwarding_grace - m_loop.Now\(\)/Duration(Milliseconds(100'"'"'000))/' \
   "$PROCESS" "Forwarded records: followers read what*"
 
+mutate "rollout: the target is withheld by daemons that do not decide" Libraries/LibBroker/ServiceRollout.cpp \
+  's/m_verdict \|\| !m_is_decider \|\| !m_rollout\) \{\n    return false;/m_verdict || !m_is_decider || !m_rollout) {\n    return true;/' \
+  "$UNIT" "Rollout director: *"
+mutate "rollout: requests to the target are reserved before they are sent" \
+  Libraries/LibBroker/ServiceRollout.cpp \
+  's/m_rollout->Budget\(\).Sent\(\) >= m_reserved/false/' \
+  "$UNIT" "Rollout director: without the store*"
+mutate "rollout: an old state permits no requests to the target" Libraries/LibBroker/ServiceRollout.cpp \
+  's/return aNow - m_saved_at <= m_limits.m_max_state_age;/return aNow >= m_saved_at;/' \
+  "$UNIT" "Rollout director: *"
+mutate "rollout: a request that failed at the target is retried elsewhere" \
+  Libraries/LibBroker/ServiceRollout.cpp 's/return !has_failed_there \&\& /return /' \
+  "$UNIT" "Rollout director: *"
+mutate "rollout: a version is completed only when no request runs at others" \
+  Libraries/LibRollout/Rollout.cpp 's/aEndpoints.m_running_at_others == 0 \&\&/true \&\&/' \
+  "$UNIT" "Rollout*"
+mutate "rollout: slow hosts are no fault of a version" Libraries/LibRollout/SlowEndpoints.cpp \
+  's/return aIsSlow \&\& [^;]*;/return aIsSlow \&\& aEndpointCount > 0;/' \
+  "$UNIT" "Rollout director: a third*"
+mutate "rollout: the target is preferred while it is tested" Libraries/LibPlacement/SlotScheduler.cpp \
+  's/m_exposure->Prefers\(aEndpoint.Info\(\)\) \&\& may_serve\(aEndpoint\)/false/' \
+  "$UNIT" "Rollout director: a third*"
+mutate "rollout: the target of a replaced or withdrawn order stays withheld" \
+  Libraries/LibBroker/ServiceRollout.cpp 's/m_withheld.insert\(aVersion\);/;/' \
+  "$UNIT" "Rollout director: a target that was not completed*"
+mutate "rollout: a daemon that lets go does not become the decider" \
+  Libraries/LibBroker/ServiceRolloutStore.cpp 's/if \(tenure == m_tenure\)/if (tenure <= m_tenure)/' \
+  "$UNIT" "Rollout director: a daemon that stops*"
+mutate "rollout: a successor keeps to the deadline of the order" \
+  Libraries/LibBroker/ServiceRolloutStore.cpp 's/m_ordered_at = std::min\(m_ordered_at, now - loaded->m_elapsed\);//' \
+  "$UNIT" "Rollout director: a successor that reads*"
+
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
--- a/Tests/Unit/TestCluster.cpp
+++ b/Tests/Unit/TestCluster.cpp
@@ -84,6 +84,20 @@
   CHECK(coordinator(2'200) == self.m_host);
 }
 
+// Guards against a daemon that is cut off with a minority and decides on a rollout.
+TEST_CASE("A daemon hears half of the known daemons, itself included, or fewer")
+{
+  Membership membership(Membership::Limits(), MemberOf(0).m_host);
+  CHECK(membership.HearsHalf(kStart));
+  for (int other = 1; other < 4; ++other) {
+    membership.RecordListed(MemberOf(other));
+  }
+  CHECK_FALSE(membership.HearsHalf(kStart));
+  membership.RecordHeartbeat(MemberOf(1), kStart);
+  CHECK(membership.HearsHalf(kStart));
+  CHECK_FALSE(membership.HearsHalf(kStart + Milliseconds(10'000)));
+}
+
 TEST_CASE("Daemons are known from the list or from heartbeats, and removed when neither is left")
 {
   Membership membership(Membership::Limits(), HostName("host-0"));
--- a/Tests/Unit/TestRolloutDirector.cpp
+++ b/Tests/Unit/TestRolloutDirector.cpp
@@ -135,7 +135,7 @@
     Daemon(World& aWorld, int aNumber)
       : m_id("d" + std::to_string(aNumber))
       , m_store(aWorld.m_log, aWorld.m_now)
-      , m_director(kBounds,
+      , m_director({ kBounds },
                    { m_id,
                      [&aWorld] { return aWorld.m_now; },
                      [this](const ServiceName&) { return m_coordinates; },
