--- a/Daemon/GatewayDaemon.cpp
+++ b/Daemon/GatewayDaemon.cpp
@@ -60,10 +60,18 @@
 GatewayDaemon::GatewayDaemon(EventLoop& aLoop, const GatewaySettings& aSettings)
   : m_loop(aLoop)
   , m_settings(aSettings)
+  , m_rollout_client(aLoop,
+                     aSettings.m_store_address,
+                     { [this](const char* aCall, const char* aOutcome) {
+                        m_gateway.Metrics().OnStoreCall(aCall, aOutcome);
+                      },
+                       [this](StoreEra /*aEra*/) { m_rollouts.OnStoreWentBack(); } })
+  , m_rollouts(RolloutRecordStore::CallsOf(aLoop, m_rollout_client))
   , m_gateway(aLoop, aSettings, m_dialect)
   , m_adapter(aLoop,
               m_gateway,
               aSettings.m_store_address,
+              m_rollouts,
               aSettings.m_forward_records
                 ? [this](const RecordsMessage& aMessage) { SendRecords(aMessage); }
                 : PlatformAdapter::RecordsSender())
@@ -71,6 +79,7 @@
   , m_logs_flushed_at(aLoop.Now())
   , m_tick(aLoop, kTickInterval, Timer::Repeat::Always, [this] { OnTick(); })
 {
+  m_gateway.SetRolloutStore(&m_rollouts);
 }
 
 GatewayDaemon::~GatewayDaemon() = default;
--- a/Daemon/GatewayDaemon.h
+++ b/Daemon/GatewayDaemon.h
@@ -53,6 +53,9 @@
   EventLoop& m_loop;
   GatewaySettings m_settings;
   PlatformDialect m_dialect;
+  /// Makes the calls about rollouts: while there is no order, it has no connection.
+  StoreClient m_rollout_client;
+  RolloutRecordStore m_rollouts;
   Gateway m_gateway;
   PlatformAdapter m_adapter;
   std::unique_ptr<RelayServer> m_callers;
--- a/Libraries/LibCluster/include/LibCluster/KeyedRecord.h
+++ b/Libraries/LibCluster/include/LibCluster/KeyedRecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -15,6 +16,8 @@
   std::string m_key;
   /// Nothing when the record deletes its key.
   std::optional<std::string> m_value;
+  /// Where it stands in its topic, if it was read and the store has stated that.
+  std::optional<std::uint64_t> m_offset;
 
   auto operator<=>(const KeyedRecord&) const = default;
 };
--- a/Libraries/LibRollout/include/LibRollout/RolloutStore.h
+++ b/Libraries/LibRollout/include/LibRollout/RolloutStore.h
@@ -26,7 +26,7 @@
   /// another error the state may have been written, and the same call may be made again.
   /// Precondition: no other call for the service is in progress.
   virtual void Save(const RolloutState& aState, StatusHandler aHandler) = 0;
-  /// Writes the status that operators read. May be repeated.
+  /// Writes the status that operators read. Fails with Aborted as Save() does. May be repeated.
   virtual void Publish(const RolloutState& aState, StatusHandler aHandler) = 0;
 };
 
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -589,7 +589,7 @@
   Libraries/LibCluster/RecordsMessage.cpp 's/datagrams.size\(\) == kMaxRecordsDatagrams/false/' \
   "$UNIT" "Forwarded records: a long backlog*"
 mutate "forwarded records: what follows is applied without a call" \
-  platform/KeyedTopicConsumer.cpp 's/m_next_offset \+= records.size\(\);/return;/' \
+  platform/KeyedTopicConsumer.cpp 's/record.m_offset = m_next_offset\+\+;/record.m_offset = 0; return;/' \
   "$PROCESS" "Forwarded records: followers follow*"
 mutate "forwarded records: the store is read if they do not arrive" \
   platform/KeyedTopicConsumer.cpp 's/\*since \+ m_timing.m_forwarding_grace - m_loop.Now\(\)/Duration(Milliseconds(100'"'"'000))/' \
@@ -626,6 +626,31 @@
 mutate "rollout: a successor keeps to the deadline of the order" \
   Libraries/LibBroker/ServiceRolloutStore.cpp 's/m_ordered_at = std::min\(m_ordered_at, now - loaded->m_elapsed\);//' \
   "$UNIT" "Rollout director: a successor that reads*"
+mutate "rollout orders: those at the same offset are told apart" platform/RolloutOrderReader.cpp \
+  's/Sha256Hex\(\*aRecord.m_value\).substr\(0, kDigestDigits\)/kDigestDigits/' \
+  "$UNIT" "Rollout orders: orders of the same content*"
+mutate "rollout orders: those of the same content are told apart" platform/RolloutOrderReader.cpp \
+  's/\*aRecord.m_offset, "-"/"-"/' "$UNIT" "Rollout orders: orders of the same content*"
+mutate "rollout orders: one that is not in the snapshot is withdrawn" \
+  platform/RolloutOrderReader.cpp 's/if \(!went_back\)/if (went_back \&\& !went_back)/' \
+  "$UNIT" "Rollout orders: a withdrawal*"
+mutate "rollout orders: one that the store has lost stays" platform/RolloutOrderReader.cpp \
+  's/if \(!went_back\)/if (went_back || !went_back)/' \
+  "$UNIT" "Rollout orders: a store that goes back*"
+mutate "rollout orders: one that has ended is not revived" platform/RolloutOrderReader.cpp \
+  's/aIsAfterGoingBack && has_ended/aIsAfterGoingBack \&\& has_ended \&\& aRecord.m_key.empty()/' \
+  "$UNIT" "Rollout orders: a store that goes back*"
+mutate "rollout store: a decider that was replaced writes nothing" \
+  platform/RolloutRecordStore.cpp 's/written.m_is_outdated = true;/written.m_is_outdated = false;/' \
+  "$UNIT" "Rollout store: after another decider*"
+mutate "rollout store: nothing is written at offsets of another era" \
+  platform/RolloutRecordStore.cpp 's/entry.m_is_outdated = true;/entry.m_is_outdated = false;/' \
+  "$UNIT" "Rollout store: after the store has gone back*"
+mutate "rollout store: a write of another era is not confirmed" \
+  platform/RolloutRecordStore.cpp 's/written.m_is_outdated \? absl/false ? absl/' \
+  "$UNIT" "Rollout store: a save during which*"
+mutate "rollout store: a status is written once" platform/RolloutRecordStore.cpp \
+  's/column.m_value == aRecord.m_value/!aRecord.m_value/' "$UNIT" "Rollout store: a status is written once*"
 
 printf '%d noticed, %d missed\n' "$noticed" "$missed"
 [ "$missed" -eq 0 ]
--- a/Tests/Support/StoreStandIn.cpp
+++ b/Tests/Support/StoreStandIn.cpp
@@ -153,7 +153,7 @@
   Topic& topic = m_topics[aTopic];
   topic.m_records.push_back(static_cast<char>(aKey.size()) + aKey + aValue.value_or(""));
   if (aValue) {
-    topic.m_newest[aKey] = *aValue;
+    topic.m_newest[aKey] = { *aValue, topic.End() - 1 };
   } else {
     topic.m_newest.erase(aKey);
   }
@@ -194,13 +194,17 @@
   if (topic == m_topics.end() || !topic->second.m_newest.contains(aKey)) {
     return std::nullopt;
   }
-  return topic->second.m_newest.at(aKey);
+  return topic->second.m_newest.at(aKey).m_value;
 }
 
 void
 StoreStandIn::Serve(RawConnection& aConnection, const Replacements& aReplacements)
 {
   while (const auto request = aConnection.ReadRequest()) {
+    {
+      const std::lock_guard lock(m_mutex);
+      ++m_calls[request->Query("topic")];
+    }
     if (Hold(aConnection, *request)) {
       return;
     }
@@ -211,6 +215,10 @@
       response = ReplyToNewest(*request, aReplacements);
     } else {
       response = ReplyToAppend(*request);
+      if (LosesAnswer(*request)) {
+        aConnection.Reset();
+        return;
+      }
     }
     Mode mode = Mode::Normal;
     std::string busy;
@@ -285,12 +293,12 @@
   }
   const Topic& topic = m_topics[aRequest.Query("topic")];
   std::vector<std::string> items;
-  for (const auto& [key, value] : topic.m_newest) {
+  for (const auto& [key, item] : topic.m_newest) {
     items.push_back(nlohmann::json{
       { "key", key },
-      { "value", absl::Base64Escape(absl::StrReplaceAll(value, aReplacements)) },
-      { "offset",
-        0 } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+      { "value", absl::Base64Escape(absl::StrReplaceAll(item.m_value, aReplacements)) },
+      { "offset", item.m_offset } }
+                      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
   }
   if (!topic.m_odd_item.empty()) {
     items.push_back(topic.m_odd_item);
@@ -322,18 +330,66 @@
 StoreStandIn::ReplyToAppend(const RawRequest& aRequest)
 {
   const std::lock_guard lock(m_mutex);
+  const std::string name = aRequest.Query("topic");
+  if (name == "keyed.op" || name == "keyed.servers") {
+    return MakeResponse(403, "{}");
+  }
   const std::string at = aRequest.Query("at");
-  if (!at.empty() && std::stoull(at) != m_topics[aRequest.Query("topic")].End()) {
-    return MakeResponse(412, "{}");
+  const std::uint64_t end = m_topics[name].End();
+  if (!at.empty() && std::stoull(at) != end) {
+    return MakeResponse(412, nlohmann::json{ { "end_offset", end } }.dump());
   }
   constexpr std::size_t kLengthBytes = 4;
   const std::string record = aRequest.m_body.substr(kLengthBytes);
   const auto key_bytes = static_cast<std::size_t>(static_cast<unsigned char>(record.front()));
   const std::string value = record.substr(1 + key_bytes);
-  PutLocked(aRequest.Query("topic"),
-            record.substr(1, key_bytes),
-            value.empty() ? std::nullopt : std::optional(value));
-  return MakeResponse(200, "{}");
+  PutLocked(name, record.substr(1, key_bytes), value.empty() ? std::nullopt : std::optional(value));
+  return MakeResponse(200, nlohmann::json{ { "offset", end }, { "end_offset", end + 1 } }.dump());
+}
+
+bool
+StoreStandIn::LosesAnswer(const RawRequest& aRequest)
+{
+  const std::lock_guard lock(m_mutex);
+  int& count = m_answers_to_lose[aRequest.Query("topic")];
+  if (count == 0) {
+    return false;
+  }
+  --count;
+  return true;
+}
+
+void
+StoreStandIn::LoseAnswers(const std::string& aTopic, int aCount)
+{
+  const std::lock_guard lock(m_mutex);
+  m_answers_to_lose[aTopic] = aCount;
+}
+
+int
+StoreStandIn::Calls(const std::string& aTopic) const
+{
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_calls.find(aTopic);
+  return found == m_calls.end() ? 0 : found->second;
+}
+
+std::vector<std::string>
+StoreStandIn::Values(const std::string& aTopic, const std::string& aKey) const
+{
+  const std::lock_guard lock(m_mutex);
+  std::vector<std::string> values;
+  const auto topic = m_topics.find(aTopic);
+  if (topic == m_topics.end()) {
+    return values;
+  }
+  const std::string prefix = static_cast<char>(aKey.size()) + aKey;
+  for (const std::string& record : topic->second.m_records) {
+    if (record.compare(0, prefix.size(), prefix) == 0) {
+      values.push_back(record.substr(prefix.size()));
+    }
+  }
+  return values;
 }
 
 }
--- a/Tests/Support/StoreStandIn.h
+++ b/Tests/Support/StoreStandIn.h
@@ -13,11 +13,17 @@
 class StoreStandIn
 {
 private:
+  struct Item
+  {
+    std::string m_value;
+    std::uint64_t m_offset = 0;
+  };
+
   struct Topic
   {
     std::uint64_t m_first = 0;
     std::vector<std::string> m_records;
-    std::map<std::string, std::string> m_newest;
+    std::map<std::string, Item> m_newest;
     std::string m_odd_item;
 
     std::uint64_t End() const { return m_first + m_records.size(); }
@@ -60,6 +66,12 @@
   int HeldCalls(const std::string& aTopic) const;
   /// Number of reads of a topic that did not wait for records, as followers make them.
   int ReadsWithoutWait(const std::string& aTopic) const;
+  /// Executes the next appends of callers to a topic without responding to them.
+  void LoseAnswers(const std::string& aTopic, int aCount);
+  /// Number of calls for a topic that have been received.
+  int Calls(const std::string& aTopic) const;
+  /// All values of a key that were appended and not lost, in order.
+  std::vector<std::string> Values(const std::string& aTopic, const std::string& aKey) const;
   /// Appends a record. Without a value it deletes the key.
   void Put(const std::string& aTopic,
            const std::string& aKey,
@@ -90,6 +102,7 @@
   /// A page with one large record whose key follows the one after which the call continues.
   std::string ReplyWithPage(const RawRequest& aRequest) const;
   std::string ReplyToAppend(const RawRequest& aRequest);
+  bool LosesAnswer(const RawRequest& aRequest);
   void PutLocked(const std::string& aTopic,
                  const std::string& aKey,
                  const std::optional<std::string>& aValue);
@@ -101,6 +114,8 @@
   std::set<std::string> m_silent_topics;
   std::set<std::string> m_endless_topics;
   std::map<std::string, int> m_held_calls;
+  std::map<std::string, int> m_calls;
+  std::map<std::string, int> m_answers_to_lose;
   std::map<std::string, int> m_reads_without_wait;
   std::map<std::string, Topic> m_topics;
   std::uint64_t m_era = 1;
