--- a/Command/Commands.cpp
+++ b/Command/Commands.cpp
@@ -1,5 +1,7 @@
 #include "Commands.h"
 
+#include "RolloutList.h"
+
 #include <LibCore/Digest.h>
 #include <LibCore/Try.h>
 #include <absl/strings/str_cat.h>
@@ -337,4 +339,16 @@
   return ExitCode::Success;
 }
 
+ExitCode
+Commands::Rollouts(const std::string& aStore)
+{
+  const auto topics = ReadRolloutTopics(SocketAddress(aStore));
+  if (!topics.ok()) {
+    return Fail(topics.status(), ExitCode::Unreachable);
+  }
+  const std::vector<ListedRollout> rollouts = ListRollouts(*topics);
+  Print(ToJson(rollouts), Describe(rollouts));
+  return ExitCode::Success;
+}
+
 }
--- a/Command/Commands.h
+++ b/Command/Commands.h
@@ -49,6 +49,8 @@
   ExitCode Status();
   ExitCode Explain(const std::string& aIdentity);
   ExitCode Drain();
+  /// Prints the rollouts whose orders are in the platform's store.
+  ExitCode Rollouts(const std::string& aStore);
 
 private:
   struct LoadedDocument
--- a/Command/main.cpp
+++ b/Command/main.cpp
@@ -72,6 +72,10 @@
   add("drain", "Let one daemon finish its work and stop", nullptr, [](Commands& aCommands) {
     return aCommands.Drain();
   });
+  add("rollouts",
+      "Show the rollouts that operators have ordered, from the platform's store, IP:PORT",
+      "store",
+      [&](Commands& aCommands) { return aCommands.Rollouts(argument); });
   try {
     app.parse(aArgumentCount, aArguments);
   } catch (const CLI::ParseError& error) {
