--- a/Libraries/LibBroker/RolloutDirector.cpp
+++ b/Libraries/LibBroker/RolloutDirector.cpp
@@ -56,6 +56,14 @@
   }
 }
 
+void
+RolloutDirector::OnStoreWentBack()
+{
+  for (auto& [service, rollout] : m_rollouts) {
+    rollout.OnStoreWentBack();
+  }
+}
+
 void
 RolloutDirector::OnEndpointsChanged()
 {
--- a/Libraries/LibBroker/ServiceRollout.cpp
+++ b/Libraries/LibBroker/ServiceRollout.cpp
@@ -84,6 +84,8 @@
   m_verdict = std::nullopt;
   m_retired.clear();
   m_is_published = false;
+  m_must_check_verdict = false;
+  m_reserved = 0;
   m_past_target_endpoints.clear();
   m_running.clear();
   m_rollout = std::nullopt;
--- a/Libraries/LibBroker/ServiceRolloutStore.cpp
+++ b/Libraries/LibBroker/ServiceRolloutStore.cpp
@@ -50,7 +50,9 @@
     return;
   }
   if (m_verdict) {
-    if (!m_is_published) {
+    if (m_must_check_verdict) {
+      StartVerdictCheck();
+    } else if (!m_is_published) {
       StartPublish(MakeState(aNow));
     } else if (m_is_withdrawn) {
       Forget();
@@ -126,9 +128,13 @@
     UpdateEndpoints();
   }
   m_rollout.emplace(*m_order, m_limits.m_exposure, m_ordered_at);
-  m_reserved = continues ? loaded->m_sent : 0;
-  if (continues) {
-    m_rollout->Restore(loaded->m_stage, loaded->m_arrived, loaded->m_sent, now);
+  // A store that has come back from an older copy knows less than this daemon may have sent.
+  m_reserved = std::max(m_reserved, continues ? loaded->m_sent : 0);
+  if (continues || m_reserved > 0) {
+    m_rollout->Restore(continues ? loaded->m_stage : RolloutStage::Waiting,
+                       continues ? loaded->m_arrived : 0,
+                       m_reserved,
+                       now);
   }
   m_sent_at_save = m_reserved;
   m_saved_stage = RolloutStage::Waiting;
@@ -138,6 +144,53 @@
   StartSave(MakeState(now));
 }
 
+void
+ServiceRollout::OnStoreWentBack()
+{
+  m_must_check_verdict = m_verdict.has_value();
+  m_is_published = false;
+}
+
+void
+ServiceRollout::StartVerdictCheck()
+{
+  m_store->Load(m_service,
+                Guarded<absl::StatusOr<std::optional<RolloutState>>>(
+                  [this](const absl::StatusOr<std::optional<RolloutState>>& aResult) {
+                    OnVerdictChecked(aResult);
+                  }));
+}
+
+void
+ServiceRollout::OnVerdictChecked(const absl::StatusOr<std::optional<RolloutState>>& aResult)
+{
+  const TimePoint now = m_dependencies.m_now();
+  if (!aResult.ok()) {
+    BackOff();
+    return;
+  }
+  m_back_off = Milliseconds(0);
+  const std::optional<RolloutState>& loaded = *aResult;
+  if (loaded && m_known_orders.insert(loaded->m_order_id).second) {
+    // The state belongs to an order that this daemon has not read yet.
+    m_next_call_at = now + kOrderLag;
+    return;
+  }
+  if (loaded && loaded->m_order_id == m_order->m_id && HasEnded(loaded->m_stage)) {
+    m_must_check_verdict = false;
+    SetVerdict(loaded->m_stage, now);
+    return;
+  }
+  m_store->Save(MakeState(now), Guarded<absl::Status>([this](const absl::Status& aStatus) {
+                  if (!aStatus.ok()) {
+                    BackOff();
+                    return;
+                  }
+                  m_back_off = Milliseconds(0);
+                  m_must_check_verdict = false;
+                }));
+}
+
 RolloutState
 ServiceRollout::MakeState(TimePoint aNow) const
 {
@@ -239,6 +292,7 @@
 {
   m_store->Publish(aState, Guarded<absl::Status>([this, aState](const absl::Status& aStatus) {
                      if (!aStatus.ok()) {
+                       m_must_check_verdict = m_verdict && absl::IsAborted(aStatus);
                        BackOff();
                        return;
                      }
--- a/Libraries/LibBroker/include/LibBroker/RolloutDirector.h
+++ b/Libraries/LibBroker/include/LibBroker/RolloutDirector.h
@@ -30,6 +30,8 @@
   void RemoveOrder(const ServiceName& aService);
   /// Precondition: the store outlives the director, and calls each handler once.
   void SetStore(RolloutStore* aStore);
+  /// Call when the store has come back from an older copy.
+  void OnStoreWentBack();
   /// Call when the endpoints that may get requests have changed, before slots are granted.
   void OnEndpointsChanged();
   /// Call every few tens of milliseconds.
--- a/Libraries/LibBroker/include/LibBroker/ServiceRollout.h
+++ b/Libraries/LibBroker/include/LibBroker/ServiceRollout.h
@@ -60,6 +60,9 @@
   void RemoveOrder();
   /// Precondition: the store outlives this object, and calls each handler once.
   void SetStore(RolloutStore* aStore) { m_store = aStore; }
+  /// Call when the store has come back from an older copy. What was saved and published may be
+  /// lost.
+  void OnStoreWentBack();
   /// Call when the endpoints that may get requests have changed.
   void UpdateEndpoints();
   /// Judges the responses and calls the store where that is due. Call every few tens of
@@ -145,6 +148,9 @@
   void CallStore(TimePoint aNow);
   void StartLoad();
   void OnLoaded(const absl::StatusOr<std::optional<RolloutState>>& aResult);
+  /// Loads the state again although the verdict is known, and saves the verdict if it is lost.
+  void StartVerdictCheck();
+  void OnVerdictChecked(const absl::StatusOr<std::optional<RolloutState>>& aResult);
   /// Whether another daemon decides, or a newer order may exist, so that this one has to wait.
   bool MustWait(const RolloutState& aLoaded, TimePoint aNow);
   void StartSave(const RolloutState& aState);
@@ -179,6 +185,8 @@
   /// The versions that served besides the target when it was completed.
   std::set<SoftwareVersion> m_retired;
   bool m_is_published = false;
+  /// Whether the saved verdict may have been lost or replaced.
+  bool m_must_check_verdict = false;
 
   std::set<EndpointId> m_target_endpoints;
   std::set<EndpointId> m_other_endpoints;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -275,6 +275,9 @@
 {
   m_store_reachable_since = Now();
   m_registry.OnStoreWentBack(Now());
+  if (m_rollouts != nullptr) {
+    m_rollouts->OnStoreWentBack();
+  }
 }
 
 void
