--- a/Libraries/LibBroker/ServiceRollout.cpp
+++ b/Libraries/LibBroker/ServiceRollout.cpp
@@ -68,13 +68,6 @@
   UpdateEndpoints();
 }
 
-void
-ServiceRollout::OnStoreWentBack()
-{
-  // The status may be lost.
-  m_is_published = false;
-}
-
 void
 ServiceRollout::Withhold(const SoftwareVersion& aVersion)
 {
@@ -91,11 +84,12 @@
   m_verdict = std::nullopt;
   m_retired.clear();
   m_is_published = false;
+  m_must_check_verdict = false;
+  m_reserved = 0;
   m_past_target_endpoints.clear();
   m_running.clear();
   m_rollout = std::nullopt;
   m_is_decider = false;
-  m_reserved = 0;
   m_last_own = std::nullopt;
   m_unsure = std::nullopt;
   m_was_replaced = false;
