--- a/Libraries/LibRollout/Rollout.cpp
+++ b/Libraries/LibRollout/Rollout.cpp
@@ -282,8 +282,8 @@
     }
     return time >= kEndDrainAt ? RolloutStage::RolledBack : RolloutStage::Drain;
   }
-  const bool is_quiet = HighestSum() < kMaxSumShareOfStage * SequentialTest::kBadFrom &&
-                        !m_slow_targets.AreMostSlow();
+  const bool is_quiet =
+    HighestSum() < kMaxSumShareOfStage * SequentialTest::kBadFrom && !m_slow_targets.AreMostSlow();
   if (!is_quiet || aEndpoints.m_target.empty()) {
     return m_stage;
   }
