--- a/Tests/Process/TestRollouts.cpp
+++ b/Tests/Process/TestRollouts.cpp
@@ -27,7 +27,7 @@
 /// What is wrong with the target version.
 struct VersionFault
 {
-  const char* m_name = "none";
+  std::string m_name = "none";
   /// Of ten requests, so many fail.
   int m_failures_of_ten = 0;
   int m_slowness = 1;
@@ -300,6 +300,8 @@
 {
   RolloutDrill drill({});
   drill.Begin(kDuration);
+  // A malformed record does not end the rollout.
+  drill.Cluster().Store().Put("keyed.op", kKey, "{");
   REQUIRE(drill.AwaitStatus("completed"));
   const Counts completed = drill.Count();
   drill.StopOldEndpoints();
@@ -375,6 +377,16 @@
   drill.CheckRolledBack();
 }
 
+// Guards against a version that goes on to get requests after its order was withdrawn.
+TEST_CASE("Rollouts: a rollout whose order is withdrawn ends as rolled back")
+{
+  RolloutDrill drill({});
+  drill.Begin(kDuration);
+  REQUIRE(drill.AwaitAtTarget(10));
+  drill.Cluster().Store().Put("keyed.op", kKey, std::nullopt);
+  drill.CheckRolledBack();
+}
+
 // Guards against an operator who is told for good that a rollout is in progress, and against a bad
 // version that is tried once more.
 TEST_CASE("Rollouts: a verdict that the store has lost is saved and published again")
