--- a/Tests/Process/TestRollouts.cpp
+++ b/Tests/Process/TestRollouts.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <doctest.h>
 #include <fstream>
+#include <sstream>
 #include <thread>
 #include <unistd.h>
 
@@ -23,6 +24,9 @@
 constexpr const char* kKey = "rollout/s";
 constexpr std::array kRoutes = { "safe", "unsafe", "third", "fourth" };
 constexpr std::chrono::milliseconds kWorkTime{ 10 };
+/// The route of requests that run long, of either version.
+constexpr const char* kLongRoute = "long";
+constexpr int kLongWork = 50;
 
 /// What is wrong with the target version.
 struct VersionFault
@@ -62,7 +66,7 @@
     , m_cluster(OptionsOf(aHasProxies))
   {
     m_cluster.Configure([](nlohmann::json& aConfiguration) {
-      for (const char* name : { "third", "fourth" }) {
+      for (const char* name : { "third", "fourth", kLongRoute }) {
         nlohmann::json route = aConfiguration["routes"][0];
         route["name"] = name;
         route["path_prefix"] = absl::StrCat("/", name, "/");
@@ -94,7 +98,8 @@
   GatewayCluster& Cluster() { return m_cluster; }
 
   /// The operator orders the target, and callers begin once that is known to be in progress.
-  void Begin(double aDurationSeconds)
+  /// aLongCallers: how many others have a request that runs long at all times.
+  void Begin(double aDurationSeconds, std::size_t aLongCallers = 0)
   {
     m_cluster.Store().Put(
       "keyed.op",
@@ -102,7 +107,7 @@
       nlohmann::json{ { "service", "s" }, { "target", "v2" }, { "duration_s", aDurationSeconds } }
         .dump());
     REQUIRE(AwaitStatus("running"));
-    for (std::size_t i = 0; i < kCallers; ++i) {
+    for (std::size_t i = 0; i < kCallers + aLongCallers; ++i) {
       m_callers.emplace_back([this, i] { CallAllTheTime(i); });
     }
   }
@@ -135,6 +140,21 @@
     return Status();
   }
 
+  /// What the daemons have logged of the rollout.
+  std::string LogOfRollout() const
+  {
+    std::string lines;
+    for (std::size_t i = 0; i < kDaemons; ++i) {
+      std::istringstream log(m_cluster.LogOfDaemon(i));
+      for (std::string line; std::getline(log, line);) {
+        if (line.find("rollout: ") != std::string::npos) {
+          absl::StrAppend(&lines, "\n", line);
+        }
+      }
+    }
+    return lines;
+  }
+
   Counts Count() const
   {
     const std::lock_guard lock(m_mutex);
@@ -238,7 +258,9 @@
     bool is_open = false;
     if (is_target || !m_are_old_stopped) {
       const bool is_bad = is_target && IsBad(number, aRequest);
-      std::this_thread::sleep_for(kWorkTime * (is_bad ? m_fault.m_slowness : 1));
+      const bool is_long = aRequest.Path() == absl::StrCat("/", kLongRoute, "/x");
+      std::this_thread::sleep_for(kWorkTime * (is_long ? kLongWork : 1) *
+                                  (is_bad ? m_fault.m_slowness : 1));
       // The failures are spread evenly over the requests.
       constexpr int kStride = 7;
       is_open = is_bad && number * kStride % 10 < m_fault.m_failures_of_ten
@@ -268,7 +290,9 @@
       if (!m_is_called.at(daemon)) {
         continue;
       }
-      const char* const route = kRoutes.at(static_cast<std::size_t>(number) % kRoutes.size());
+      const char* const route = aCaller >= kCallers
+                                  ? kLongRoute
+                                  : kRoutes.at(static_cast<std::size_t>(number) % kRoutes.size());
       const CallerResponse response = m_cluster.Call(
         absl::StrCat("/", route, "/x"), absl::StrCat("c-", aCaller, "-", number), "", daemon);
       const bool is_refusal = response.m_status == 503 || response.m_status == 429;
@@ -299,10 +323,10 @@
 TEST_CASE("Rollouts: a good version is completed, with no request at the old endpoints then")
 {
   RolloutDrill drill({});
-  drill.Begin(kDuration);
+  drill.Begin(kDuration, 3);
   // A malformed record does not end the rollout.
   drill.Cluster().Store().Put("keyed.op", kKey, "{");
-  REQUIRE(drill.AwaitStatus("completed"));
+  REQUIRE_MESSAGE(drill.AwaitEnd() == "completed", drill.LogOfRollout());
   const Counts completed = drill.Count();
   drill.StopOldEndpoints();
   CHECK(completed.m_running_at_old == 0);
