--- a/Libraries/LibBroker/ServiceRollout.cpp
+++ b/Libraries/LibBroker/ServiceRollout.cpp
@@ -56,13 +56,13 @@
   }
   LogOf("rollout").info("event=withdrawn service={} order={}", m_service.Value(), m_order->m_id);
   Withhold(m_order->m_target);
-  if (m_verdict || m_store == nullptr) {
+  if ((m_verdict && m_is_published) || m_store == nullptr) {
     Forget();
     UpdateEndpoints();
     return;
   }
   m_is_withdrawn = true;
-  if (m_rollout) {
+  if (m_rollout && !m_verdict) {
     m_rollout->Abandon();
   }
   UpdateEndpoints();
@@ -90,6 +90,7 @@
   m_running.clear();
   m_rollout = std::nullopt;
   m_is_decider = false;
+  m_last_own = std::nullopt;
   m_unsure = std::nullopt;
   m_was_replaced = false;
   m_last_loaded = std::nullopt;
@@ -424,7 +425,6 @@
 void
 ServiceRollout::Tick()
 {
-  UpdateEndpoints();
   if (!m_order || m_store == nullptr) {
     return;
   }
@@ -435,6 +435,8 @@
   }
   const TimePoint now = m_dependencies.m_now();
   if (m_is_decider && m_rollout && !m_verdict) {
+    // Endpoints that say that they leave are not reported as changes.
+    UpdateEndpoints();
     RecordOverdue(now);
     const bool waits_for_save = m_rollout->Stage() == RolloutStage::Drain && !IsDraining();
     if (!waits_for_save && m_rollout->Advance(EndpointsNow(now), now)) {
--- a/Libraries/LibBroker/include/LibBroker/ServiceRollout.h
+++ b/Libraries/LibBroker/include/LibBroker/ServiceRollout.h
@@ -209,6 +209,8 @@
   Milliseconds m_back_off{ 0 };
   /// The state that may have been written.
   std::optional<RolloutState> m_unsure;
+  /// The state of this order when this daemon let go last.
+  std::optional<RolloutState> m_last_own;
   /// Set once another daemon has become the decider.
   bool m_was_replaced = false;
   std::optional<RolloutState> m_last_loaded;
