Bound what all ports hold for callers by one memory budget, and links that wait for a first message

MemoryBudget replaces the bound on callers' bodies alone. All four ports of a daemon share it; it counts heads, bodies, input read ahead, unsent responses and (not yet reported by anybody) pending responses. Beyond the limit the holder with the largest product of bytes and time gives up first: a request that is being received gets 503, a connection whose caller has taken no byte for 1 s is closed. Complete requests keep theirs. Weighed: oldest read first, as before, which a caller evades with a byte now and then; largest first, which hits an ordinary large body before a small one that has stalled.

A next request of a connection is not parsed while more than 256 KiB of earlier responses is unsent. A connection that is idle while its caller still reads a response no longer counts as idle.

Connections at the peers' address become links when their first message has arrived; at most as many wait as readiness may have connections, each for 1 s. Before, each was a link at once.

The test of the bound on all bodies gives its limit to the budget; its checks are as they were.

--- a/Daemon/GatewayDaemon.cpp
+++ b/Daemon/GatewayDaemon.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/Log.h>
 #include <LibCore/Try.h>
 #include <algorithm>
+#include <utility>
 
 namespace auburnhitch {
 
@@ -20,14 +21,19 @@
 constexpr int kDirectoryLifetimesInUse = 3;
 // Callers may use one socket of this many; the rest is for endpoints, peers and the store.
 constexpr std::size_t kCallerSocketDivisor = 2;
-// Readiness, the directory and the metrics may each use one socket of this many, so that no crowd
-// at one of them takes those of the others or of the endpoints.
+// Readiness, the directory, the metrics and connections of other daemons that have sent nothing yet
+// may each use one socket of this many, so that no crowd at one of them takes those of the others
+// or of the endpoints.
 constexpr std::size_t kInternalSocketDivisor = 15;
 constexpr std::size_t kMaxInternalConnections = 256;
 
-// The bodies of callers' requests may take one byte of this many of the process's memory. The rest
-// is for the sockets, the responses, the other connections and the process itself.
-constexpr std::size_t kBodyMemoryDivisor = 4;
+// Callers' requests and their responses may take one byte of this many of the process's memory. The
+// rest is for the sockets, copies of bodies that are being sent, other connections and the process
+// itself.
+constexpr std::size_t kCallerMemoryDivisor = 4;
+// Without a stated memory of the host.
+constexpr std::size_t kDefaultCallerMemoryBytes = 64 << 20;
+constexpr Milliseconds kMinMemoryLogInterval{ 1'000 };
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
@@ -48,13 +54,17 @@
 {
   RelayServerLimits limits;
   limits.m_max_connections = aSettings.m_max_sockets / kCallerSocketDivisor;
-  if (aSettings.m_max_memory_mib > 0) {
-    limits.m_max_total_body_bytes =
-      (static_cast<std::size_t>(aSettings.m_max_memory_mib) << 20) / kBodyMemoryDivisor;
-  }
   return limits;
 }
 
+std::size_t
+CallerMemoryBytes(const GatewaySettings& aSettings)
+{
+  return aSettings.m_max_memory_mib > 0
+           ? (static_cast<std::size_t>(aSettings.m_max_memory_mib) << 20) / kCallerMemoryDivisor
+           : kDefaultCallerMemoryBytes;
+}
+
 }
 
 GatewayDaemon::GatewayDaemon(EventLoop& aLoop, const GatewaySettings& aSettings)
@@ -67,6 +77,7 @@
               aSettings.m_forward_records
                 ? [this](const RecordsMessage& aMessage) { SendRecords(aMessage); }
                 : PlatformAdapter::RecordsSender())
+  , m_memory(CallerMemoryBytes(aSettings))
   , m_heartbeats_sent_at(aLoop.Now())
   , m_logs_flushed_at(aLoop.Now())
   , m_tick(aLoop, kTickInterval, Timer::Repeat::Always, [this] { OnTick(); })
@@ -99,6 +110,7 @@
              RelayServer::Create(m_loop,
                                  m_settings.m_caller_address,
                                  CallerServerLimits(m_settings),
+                                 m_memory,
                                  [this](const RelayExchangePtr& aExchange) {
                                    m_gateway.OnCallerRequest(aExchange);
                                  }));
@@ -107,18 +119,21 @@
                m_loop,
                m_settings.m_readiness_address,
                InternalServerLimits(m_settings),
+               m_memory,
                [this](const RelayExchangePtr& aExchange) { OnReadinessRequest(*aExchange); }));
   TRY_ASSIGN(m_directory,
              RelayServer::Create(
                m_loop,
                m_settings.m_directory_address,
                InternalServerLimits(m_settings),
+               m_memory,
                [this](const RelayExchangePtr& aExchange) { OnDirectoryRequest(*aExchange); }));
   TRY_ASSIGN(m_metrics,
              RelayServer::Create(
                m_loop,
                m_settings.m_metrics_address,
                InternalServerLimits(m_settings),
+               m_memory,
                [this](const RelayExchangePtr& aExchange) { OnMetricsRequest(*aExchange); }));
   TRY_ASSIGN(m_heartbeat_socket,
              HeartbeatSocket::Create(
@@ -128,9 +143,10 @@
                [this](const RecordsMessage& aMessage) { OnForwardedRecords(aMessage); }));
   TRY_ASSIGN(m_link_listener,
              PeerLinkListener::Create(
-               m_loop, m_settings.m_peer_address, [this](std::unique_ptr<PeerLink> aLink) {
-                 m_gateway.OnLink(std::move(aLink));
-               }));
+               m_loop,
+               m_settings.m_peer_address,
+               [this](std::unique_ptr<PeerLink> aLink) { m_gateway.OnLink(std::move(aLink)); },
+               PendingLinks::Limits{ InternalServerLimits(m_settings).m_max_connections }));
   return absl::OkStatus();
 }
 
@@ -169,6 +185,12 @@
   levels.m_log_lines_dropped = DroppedLogLines();
   levels.m_refused_for_memory = m_callers->RefusedForMemory();
   levels.m_closed_for_room = m_callers->ClosedForRoom();
+  levels.m_closed_for_memory = m_callers->ClosedForMemory();
+  levels.m_memory_limit = m_memory.Limit();
+  for (std::size_t account = 0; account < kMemoryAccounts; ++account) {
+    const auto named = static_cast<MemoryAccount>(account);
+    levels.m_memory_bytes.emplace(NameOf(named), m_memory.BytesOf(named));
+  }
   aExchange.Reply(kOk,
                   { { "Content-Type", "text/plain; version=0.0.4" } },
                   m_gateway.Metrics().Serialize(levels));
@@ -295,6 +317,7 @@
   if (now - m_heartbeats_sent_at >= m_gateway.HeartbeatInterval()) {
     SendHeartbeats();
   }
+  LogMemoryShortage();
   if (now - m_logs_flushed_at >= kLogFlushInterval) {
     m_logs_flushed_at = now;
     FlushLogs();
@@ -304,6 +327,22 @@
   }
 }
 
+void
+GatewayDaemon::LogMemoryShortage()
+{
+  const TimePoint now = m_loop.Now();
+  const std::uint64_t reclaimed = m_memory.ReclaimedCount();
+  if (reclaimed == m_logged_reclaimed || now - m_memory_logged_at < kMinMemoryLogInterval) {
+    return;
+  }
+  m_memory_logged_at = now;
+  LogOf("memory").warn("event=short limit={} held={} reclaimed={} since_last_line={}",
+                       m_memory.Limit(),
+                       m_memory.Total(),
+                       reclaimed,
+                       reclaimed - std::exchange(m_logged_reclaimed, reclaimed));
+}
+
 void
 GatewayDaemon::BeginStop()
 {
--- a/Daemon/GatewayDaemon.h
+++ b/Daemon/GatewayDaemon.h
@@ -49,12 +49,16 @@
   void SendNewPositions();
   void OnTick();
   void StopWhenIdle();
+  /// Logs, at most once in an interval, that callers were refused or closed for memory.
+  void LogMemoryShortage();
 
   EventLoop& m_loop;
   GatewaySettings m_settings;
   PlatformDialect m_dialect;
   Gateway m_gateway;
   PlatformAdapter m_adapter;
+  /// What all ports hold for their callers.
+  MemoryBudget m_memory;
   std::unique_ptr<RelayServer> m_callers;
   std::unique_ptr<RelayServer> m_readiness;
   std::unique_ptr<RelayServer> m_directory;
@@ -65,6 +69,8 @@
   TimePoint m_heartbeats_sent_at;
   TopicPositions m_sent_positions;
   TimePoint m_logs_flushed_at;
+  TimePoint m_memory_logged_at;
+  std::uint64_t m_logged_reclaimed = 0;
   bool m_was_ready = false;
   Timer m_tick;
 };
--- a/Libraries/LibCluster/PeerLink.cpp
+++ b/Libraries/LibCluster/PeerLink.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-// Each message is preceded by its length in this many bytes, most significant byte first.
-constexpr std::size_t kLengthBytes = 4;
 constexpr unsigned kBitsPerByte = 8;
 constexpr int kListenBacklog = 256;
 // Daemons of one region respond within a few milliseconds.
@@ -131,18 +129,28 @@
   self->Fail((aWhat & BEV_EVENT_ERROR) != 0 ? "connection reset" : "connection closed");
 }
 
+std::optional<std::size_t>
+PeerLink::LengthOfFirstMessage(evbuffer* aInput)
+{
+  std::array<unsigned char, kLengthBytes> length_bytes{};
+  if (evbuffer_copyout(aInput, length_bytes.data(), length_bytes.size()) !=
+      static_cast<ev_ssize_t>(kLengthBytes)) {
+    return std::nullopt;
+  }
+  std::size_t length = 0;
+  for (const unsigned char byte : length_bytes) {
+    length = (length << kBitsPerByte) | byte;
+  }
+  return length;
+}
+
 void
 PeerLink::Read()
 {
   const auto alive = m_is_alive;
   evbuffer* input = bufferevent_get_input(m_events);
   while (*alive && !m_is_over && evbuffer_get_length(input) >= kLengthBytes) {
-    std::array<unsigned char, kLengthBytes> length_bytes{};
-    evbuffer_copyout(input, length_bytes.data(), length_bytes.size());
-    std::size_t length = 0;
-    for (const unsigned char byte : length_bytes) {
-      length = (length << kBitsPerByte) | byte;
-    }
+    const std::size_t length = *LengthOfFirstMessage(input);
     if (length > kMaxMessageBytes) {
       Fail("the peer sent an oversized message");
       return;
@@ -177,17 +185,24 @@
   }
 }
 
-PeerLinkListener::PeerLinkListener(EventLoop& aLoop, Handler aHandler)
-  : m_loop(aLoop)
-  , m_handler(std::move(aHandler))
+PeerLinkListener::PeerLinkListener(EventLoop& aLoop,
+                                   Handler aHandler,
+                                   const PendingLinks::Limits& aLimits)
+  : m_pending(aLoop, aLimits, [&aLoop, handler = std::move(aHandler)](bufferevent* aEvents) {
+    handler(std::make_unique<PeerLink>(aLoop, aEvents));
+  })
 {
 }
 
 absl::StatusOr<std::unique_ptr<PeerLinkListener>>
-PeerLinkListener::Create(EventLoop& aLoop, const SocketAddress& aAddress, Handler aHandler)
+PeerLinkListener::Create(EventLoop& aLoop,
+                         const SocketAddress& aAddress,
+                         Handler aHandler,
+                         const PendingLinks::Limits& aLimits)
 {
   TRY_ASSIGN(const sockaddr_in name, ToSockaddr(aAddress));
-  std::unique_ptr<PeerLinkListener> listener(new PeerLinkListener(aLoop, std::move(aHandler)));
+  std::unique_ptr<PeerLinkListener> listener(
+    new PeerLinkListener(aLoop, std::move(aHandler), aLimits));
   listener->m_listener =
     evconnlistener_new_bind(aLoop.Base(),
                             OnAccept,
@@ -214,8 +229,7 @@
 {
   auto* self = static_cast<PeerLinkListener*>(aSelf);
   SetSocketOptions(aSocket);
-  bufferevent* events = bufferevent_socket_new(self->m_loop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE);
-  self->m_handler(std::make_unique<PeerLink>(self->m_loop, events));
+  self->m_pending.Add(aSocket);
 }
 
 }
--- a/Libraries/LibCluster/include/LibCluster/PeerLink.h
+++ b/Libraries/LibCluster/include/LibCluster/PeerLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCluster/PendingLinks.h>
 #include <LibCore/StrongString.h>
 #include <LibHttp/EventLoop.h>
 #include <absl/container/flat_hash_set.h>
@@ -7,8 +8,10 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 struct bufferevent;
+struct evbuffer;
 struct evconnlistener;
 struct sockaddr;
 
@@ -44,6 +47,10 @@
   std::size_t UnsentBytes() const;
 
   static constexpr std::size_t kMaxMessageBytes = 64 << 10;
+  /// Each message is preceded by its length in this many bytes, most significant byte first.
+  static constexpr std::size_t kLengthBytes = 4;
+  /// The stated length of the first message in a buffer; nothing while it is incomplete.
+  static std::optional<std::size_t> LengthOfFirstMessage(evbuffer* aInput);
 
 private:
   static void OnReadable(bufferevent*, void* aLink);
@@ -59,26 +66,28 @@
   bool m_is_over = false;
 };
 
-/// Accepts peer links from other daemons. Not thread-safe.
+/// Accepts peer links from other daemons. The handler is called when the first message of a link
+/// has arrived, which the link then delivers. Not thread-safe.
 class PeerLinkListener
 {
 public:
   using Handler = std::function<void(std::unique_ptr<PeerLink>)>;
 
   /// Fails with Unavailable when it cannot listen on the address.
-  static absl::StatusOr<std::unique_ptr<PeerLinkListener>> Create(EventLoop& aLoop,
-                                                                  const SocketAddress& aAddress,
-                                                                  Handler aHandler);
+  static absl::StatusOr<std::unique_ptr<PeerLinkListener>> Create(
+    EventLoop& aLoop,
+    const SocketAddress& aAddress,
+    Handler aHandler,
+    const PendingLinks::Limits& aLimits = {});
   ~PeerLinkListener();
   PeerLinkListener(const PeerLinkListener&) = delete;
   PeerLinkListener& operator=(const PeerLinkListener&) = delete;
 
 private:
-  PeerLinkListener(EventLoop& aLoop, Handler aHandler);
+  PeerLinkListener(EventLoop& aLoop, Handler aHandler, const PendingLinks::Limits& aLimits);
   static void OnAccept(evconnlistener*, int aSocket, sockaddr*, int, void* aSelf);
 
-  EventLoop& m_loop;
-  Handler m_handler;
+  PendingLinks m_pending;
   evconnlistener* m_listener = nullptr;
 };
 
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -185,6 +185,12 @@
   set("log_lines_dropped", static_cast<double>(aGauges.m_log_lines_dropped));
   set("refused_for_memory", static_cast<double>(aGauges.m_refused_for_memory));
   set("closed_for_room", static_cast<double>(aGauges.m_closed_for_room));
+  set("closed_for_memory", static_cast<double>(aGauges.m_closed_for_memory));
+  set("memory_limit_bytes", static_cast<double>(aGauges.m_memory_limit));
+  for (const auto& [account, bytes] : aGauges.m_memory_bytes) {
+    const std::string name = absl::StrCat("memory_", account, "_bytes");
+    set(name.c_str(), static_cast<double>(bytes));
+  }
   return prometheus::TextSerializer().Serialize(m_registry.Collect());
 }
 
--- a/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
@@ -3,6 +3,7 @@
 #include <LibCore/StrongString.h>
 #include <LibCore/Time.h>
 #include <absl/container/flat_hash_map.h>
+#include <map>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -26,10 +27,15 @@
   bool m_cannot_connect = false;
   std::int64_t m_configuration_version = 0;
   std::uint64_t m_log_lines_dropped = 0;
-  /// Requests refused because the bodies of all requests took too much memory.
+  /// Requests refused while they were received because the memory budget was exceeded.
   std::uint64_t m_refused_for_memory = 0;
   /// Callers' connections closed so that new ones could be accepted.
   std::uint64_t m_closed_for_room = 0;
+  /// Callers' connections closed for the memory budget because their callers read nothing.
+  std::uint64_t m_closed_for_memory = 0;
+  /// The memory budget, and what is held on each of its accounts.
+  std::size_t m_memory_limit = 0;
+  std::map<std::string, std::size_t> m_memory_bytes;
 
   auto operator<=>(const GatewayGauges&) const = default;
 };
--- a/Libraries/LibRelay/RelayConnection.h
+++ b/Libraries/LibRelay/RelayConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibHttp/EventLoop.h>
+#include <LibRelay/MemoryBudget.h>
 #include <LibRelay/MessageParser.h>
 #include <LibRelay/RelayExchange.h>
 #include <memory>
@@ -39,17 +40,19 @@
   /// Closes the connection if its head timeout, idle timeout or linger time has passed.
   void CloseIfExpired(TimePoint aNow);
 
-  /// Whether a request is being received whose body takes memory.
-  bool IsReceivingBody() const { return m_phase == Phase::Reading && m_counted_body_bytes > 0; }
   /// Whether no complete request has arrived that has no complete response.
   bool HasNoRequest() const { return m_phase == Phase::Idle || m_phase == Phase::Reading; }
   /// When the last request ended, or the first byte of the one that is being received arrived.
   TimePoint PhaseSince() const { return m_phase_since; }
-  TimePoint LastReadAt() const { return m_last_read_at; }
-  /// Refuses the request that is being received, since the bodies of all requests are too large.
-  void RefuseForMemory();
+  /// See RelayExchange::CountPending().
+  void CountPending(std::size_t aBytes) { m_memory.Set(MemoryAccount::PendingResponses, aBytes); }
 
 private:
+  /// Maximum number of bytes that are read and discarded after the last response of a connection. A
+  /// caller that writes its whole request before it reads gets the response if the rest of the
+  /// request is not larger than this and the socket buffers.
+  static constexpr std::size_t kMaxDiscardedBytes = 256 << 10;
+
   enum class Phase
   {
     Idle,
@@ -65,6 +68,17 @@
   static void OnEvent(bufferevent*, short aWhat, void* aConnection);
 
   void Read();
+  /// Whether bytes of a request may be taken from the input now.
+  bool MayParse() const;
+  /// Parses what the input holds in one piece. Returns whether the connection still exists and
+  /// receives a request.
+  bool ParseInput();
+  /// Refuses the request that is being received if its head decides that.
+  void RefuseByHead();
+  /// Frees memory on request of the budget. May delete this object.
+  void GiveMemoryBack();
+  /// Refuses the request that is being received, since the memory of all requests is in use.
+  void RefuseForMemory();
   /// Discards input of a connection that lingers, up to a limit; then stops reading.
   void DiscardInput();
   /// Moves the body bytes that have been parsed to the body of the request.
@@ -74,8 +88,12 @@
   void RejectRequest(int aStatus, const char* aReason, HttpHeaders aHeaders = {});
   /// Creates the exchange of a request after which the connection closes.
   RelayExchangePtr BeginLastExchange(MessageHead aHead);
-  /// Counts the memory of the present request's body among those of all connections.
-  void CountBody(std::size_t aBytes);
+  /// Frees what has been received of a request that is refused.
+  void DropRequest();
+  /// Counts the memory of the present request as freed.
+  void CountNoRequest();
+  void CountReadAhead();
+  void CountUnsent();
   void BeginLinger();
   void EnterPhase(Phase aPhase);
 
@@ -83,15 +101,19 @@
   bufferevent* m_events;
   MessageParser m_parser;
   std::string m_body;
-  std::size_t m_counted_body_bytes = 0;
+  /// Whether the server's head check has seen the request that is being received.
+  bool m_is_head_checked = false;
   std::size_t m_discarded_bytes = 0;
-  TimePoint m_last_read_at;
+  std::size_t m_max_discarded_bytes = kMaxDiscardedBytes;
+  /// When the socket last accepted bytes of a response, or the oldest unsent byte was written.
+  TimePoint m_taken_at;
   Phase m_phase = Phase::Idle;
   TimePoint m_phase_since;
   /// Unsent bytes when the timeouts were checked last.
   std::size_t m_last_unsent_bytes = 0;
   bool m_must_close = false;
   RelayExchangePtr m_exchange;
+  MemoryHolder m_memory;
 };
 
 }
--- a/Libraries/LibRelay/RelayExchange.cpp
+++ b/Libraries/LibRelay/RelayExchange.cpp
@@ -147,4 +147,12 @@
   return m_connection == nullptr ? 0 : m_connection->UnsentBytes();
 }
 
+void
+RelayExchange::CountPending(std::size_t aBytes) const
+{
+  if (m_connection != nullptr) {
+    m_connection->CountPending(aBytes);
+  }
+}
+
 }
--- a/Libraries/LibRelay/include/LibRelay/MessageParser.h
+++ b/Libraries/LibRelay/include/LibRelay/MessageParser.h
@@ -82,6 +82,11 @@
   bool HasHead() const { return m_has_head; }
   /// Precondition: HasHead().
   const MessageHead& Head() const { return m_head; }
+  /// Memory that the start line and the fields take. Short names and values lie inside the strings.
+  std::size_t HeadMemoryBytes() const
+  {
+    return m_head.m_headers.capacity() * sizeof(HttpHeaders::value_type) + m_head_bytes;
+  }
   /// The length of the body as the head states it; nothing with another framing or before the end
   /// of the head.
   std::optional<std::uint64_t> DeclaredBodyBytes() const { return m_declared_body_bytes; }
--- a/Libraries/LibRelay/include/LibRelay/RelayServer.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayServer.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/StrongString.h>
 #include <LibHttp/EventLoop.h>
+#include <LibRelay/MemoryBudget.h>
 #include <LibRelay/RelayExchange.h>
 #include <absl/container/flat_hash_set.h>
 #include <absl/status/statusor.h>
@@ -22,10 +23,6 @@
   /// Beyond it, the connection that has been idle or has been sending its request for longest is
   /// closed; a new one is refused if there is none.
   std::size_t m_max_connections = 2'000;
-  /// Maximum memory for the bodies of all requests that are being received or have no complete
-  /// response. Beyond it, requests that are being received are refused with 503, first those whose
-  /// callers have sent nothing for longest.
-  std::size_t m_max_total_body_bytes = 64 << 20;
   /// Maximum time from the first byte of a request to the end of its head.
   Milliseconds m_head_timeout{ 3'000 };
   /// Maximum time for which a connection may stay open without a request.
@@ -40,17 +37,27 @@
 {
 public:
   using Handler = std::function<void(const RelayExchangePtr&)>;
+  /// Decides by the head of a request whether it is refused. Returns what responds to the request,
+  /// or nothing if its body is to be received.
+  using HeadCheck = std::function<Handler(const MessageHead&)>;
 
-  /// Binds and listens. Fails with Unavailable when the socket cannot be bound to the address.
-  /// Precondition: the loop outlives the server.
+  /// Binds and listens. Fails with Unavailable when the socket cannot be bound to the address. The
+  /// budget may be shared with other servers; requests that are being received are refused with
+  /// 503, and connections whose peers read nothing closed, while it is exceeded. Precondition: the
+  /// loop and the budget outlive the server.
   static absl::StatusOr<std::unique_ptr<RelayServer>> Create(EventLoop& aLoop,
                                                              const SocketAddress& aAddress,
                                                              const RelayServerLimits& aLimits,
+                                                             MemoryBudget& aMemory,
                                                              Handler aHandler);
   ~RelayServer();
   RelayServer(const RelayServer&) = delete;
   RelayServer& operator=(const RelayServer&) = delete;
 
+  /// Sets the check for requests whose head has arrived and whose body has not. It must respond at
+  /// once if it refuses. The rest of the body is discarded, up to the limit of a body, then not
+  /// read; the connection closes.
+  void SetHeadCheck(HeadCheck aCheck) { m_head_check = std::move(aCheck); }
   void SetLimits(const RelayServerLimits& aLimits) { m_limits = aLimits; }
   /// Closes each connection after its response in progress or its next one. Responses that start
   /// from now on carry "Connection: close".
@@ -59,8 +66,11 @@
   /// has arrived of each; it must respond. The head is empty if it is incomplete itself. The
   /// connections close after these responses.
   void EndReceiving(const Handler& aRespond);
-  /// Number of requests that were refused because the bodies of all requests were too large.
+  /// Number of requests that were refused while they were received because the memory budget was
+  /// exceeded.
   std::uint64_t RefusedForMemory() const { return m_refused_for_memory; }
+  /// Number of connections that were closed for the memory budget because their peers read nothing.
+  std::uint64_t ClosedForMemory() const { return m_closed_for_memory; }
   /// Number of connections that were closed so that new ones could be accepted.
   std::uint64_t ClosedForRoom() const { return m_closed_for_room; }
   std::size_t ConnectionCount() const { return m_connections.size(); }
@@ -71,7 +81,10 @@
 private:
   friend class RelayConnection;
 
-  RelayServer(EventLoop& aLoop, const RelayServerLimits& aLimits, Handler aHandler);
+  RelayServer(EventLoop& aLoop,
+              const RelayServerLimits& aLimits,
+              MemoryBudget& aMemory,
+              Handler aHandler);
 
   static void OnAccept(evconnlistener*, int aSocket, sockaddr*, int, void* aServer);
   void RemoveConnection(RelayConnection* aConnection);
@@ -79,19 +92,17 @@
   /// Closes the connection that has been idle, or has been sending its request, for longest.
   /// Returns whether there was one.
   bool CloseOldestWithoutRequest();
-  /// Refuses requests that are being received until the bodies of all requests are within their
-  /// limit.
-  void FreeBodyMemory();
 
   EventLoop& m_loop;
   RelayServerLimits m_limits;
+  MemoryBudget& m_memory;
   Handler m_handler;
+  HeadCheck m_head_check;
   evconnlistener* m_listener = nullptr;
   absl::flat_hash_set<RelayConnection*> m_connections;
   bool m_close_after_responses = false;
-  /// See RelayServerLimits::m_max_total_body_bytes.
-  std::size_t m_total_body_bytes = 0;
   std::uint64_t m_refused_for_memory = 0;
+  std::uint64_t m_closed_for_memory = 0;
   std::uint64_t m_closed_for_room = 0;
   std::unique_ptr<Timer> m_sweep;
 };
--- a/Tests/Process/TestReaderBounds.cpp
+++ b/Tests/Process/TestReaderBounds.cpp
@@ -151,7 +151,7 @@
   EventLoop loop;
   RelayServerLimits limits;
   limits.m_max_body_bytes = 80'000;
-  limits.m_max_total_body_bytes = 100'000;
+  MemoryBudget memory(100'000);
   const SocketAddress address = Cluster::UnusedAddress();
   RelayClient client(loop, Milliseconds(100), 0);
   std::vector<std::unique_ptr<RelayCall>> calls;
@@ -170,7 +170,7 @@
   };
   RelayExchangePtr first;
   const auto server =
-    RelayServer::Create(loop, address, limits, [&](const RelayExchangePtr& aExchange) {
+    RelayServer::Create(loop, address, limits, memory, [&](const RelayExchangePtr& aExchange) {
       if (first != nullptr) {
         aExchange->Reply(200, {}, "");
         return;
