Refuse by the head before the body comes, give up callers that read nothing, share connections by address

A request whose head has arrived and whose body has not is refused at once without a route (404), without a known key (401), while the daemon stops or lacks a configuration (503). The rest of the body is discarded up to the limit of a body, so that a caller that writes first still reads the refusal; stopping to read at once would reset its connection. A quota is not decided here, since its charge cannot be taken back. Requests that other daemons forward take the way they took.

A caller that takes no byte of a response in progress for 4 s is given up, not the slot of the endpoint. When a port has all its connections, the one that is closed comes from the address with most idle or incomplete ones.

Refuse() and its reasons move from Gateway.cpp to GatewayRefusals.cpp.

--- a/Daemon/GatewayDaemon.cpp
+++ b/Daemon/GatewayDaemon.cpp
@@ -114,6 +114,7 @@
                                  [this](const RelayExchangePtr& aExchange) {
                                    m_gateway.OnCallerRequest(aExchange);
                                  }));
+  m_callers->SetHeadCheck([this](const MessageHead& aHead) { return m_gateway.CheckHead(aHead); });
   TRY_ASSIGN(m_readiness,
              RelayServer::Create(
                m_loop,
@@ -186,6 +187,7 @@
   levels.m_refused_for_memory = m_callers->RefusedForMemory();
   levels.m_closed_for_room = m_callers->ClosedForRoom();
   levels.m_closed_for_memory = m_callers->ClosedForMemory();
+  levels.m_closed_unread = m_callers->ClosedUnread();
   levels.m_memory_limit = m_memory.Limit();
   for (std::size_t account = 0; account < kMemoryAccounts; ++account) {
     const auto named = static_cast<MemoryAccount>(account);
--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -25,7 +25,6 @@
 // Connecting takes a few milliseconds within a region. The short timeout keeps the time lost to an
 // unreachable endpoint negligible compared with an objective.
 constexpr Milliseconds kConnectTimeout{ 250 };
-
 // Retry-After for a stream whose version is unknown here. A daemon that knows it may be back by
 // then.
 constexpr Milliseconds kRetryAfterUnknownVersion{ 1'000 };
@@ -451,6 +450,7 @@
 ActiveRequest::BufferResponse(absl::string_view aBytes)
 {
   m_buffered_body.append(aBytes.data(), aBytes.size());
+  m_exchange->CountPending(m_buffered_body.size());
   if (m_exchange->HasStarted()) {
     Forward(std::exchange(m_buffered_body, std::string()));
     return;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -11,17 +11,11 @@
 namespace {
 
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
-// A daemon without a configuration receives one within a few hundred milliseconds.
-constexpr Milliseconds kRetryAfterWithoutConfiguration{ 300 };
 // Number of distinct route priorities within one workspace priority.
 constexpr int kRoutePriorities = 16;
 // Time reserved from the drain bound for reading the store's notice about an endpoint and for an
 // attempt that is already under way.
 constexpr Milliseconds kDrainMargin{ 500 };
-// A request that arrives while the daemon starts waits this long for the daemon to become ready,
-// which takes about 20 ms when the store responds.
-constexpr Milliseconds kMaxWaitForReadiness{ 80 };
-constexpr Milliseconds kRetryAfterWhenLeaving{ 50 };
 // How long a caller waits that does not state it.
 constexpr Milliseconds kDefaultMaxWait{ 30'000 };
 // Once the store has been unreachable for this long, it may hold records that this daemon lacks,
@@ -42,9 +36,6 @@
 constexpr Milliseconds kMaxStreamAge = StreamVersions::Limits().m_retention;
 
 constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kServiceUnavailable = 503;
 
 EndpointRegistry::Limits
 RegistryLimits(const GatewaySettings& aSettings)
@@ -79,6 +70,7 @@
   , m_settings(aSettings)
   , m_dialect(aDialect)
   , m_incarnation(RandomName())
+  , m_created_at(aLoop.Now())
   , m_registry(RegistryLimits(aSettings))
   , m_versions(kMaxStreamAge)
   , m_membership(Membership::Limits(), aSettings.m_host)
@@ -436,45 +428,22 @@
   gauges.m_peers_alive = m_alive_count;
   gauges.m_endpoints = m_registry.Size();
   gauges.m_cannot_connect = m_cannot_connect;
+  gauges.m_refused_by_head = m_refused_by_head;
   gauges.m_configuration_version = m_table ? m_table->Version() : 0;
   return gauges;
 }
 
-void
-Gateway::Refuse(RelayExchange& aExchange,
-                int aStatus,
-                const std::string& aRequestId,
-                const char* aReason,
-                std::optional<Milliseconds> aRetryAfter)
-{
-  LogOf("request").info("event=refused request={} status={} reason={} retry_after_ms={} config={}",
-                        aRequestId.empty() ? "none" : aRequestId,
-                        aStatus,
-                        aReason,
-                        aRetryAfter ? aRetryAfter->count() : -1,
-                        m_table ? m_table->Version() : 0);
-  m_metrics.OnRefusedBeforeAdmission(aReason);
-  HttpHeaders headers = m_dialect.GatewayResponseHeaders(aRequestId, aRetryAfter);
-  if (ParseForwardedRequest(aExchange.Head().m_headers)) {
-    const bool may_another = aStatus == kServiceUnavailable;
-    AppendForwardedReply(
-      { may_another ? ForwardedOutcome::TryAnother : ForwardedOutcome::NotRun, aRetryAfter },
-      headers);
-  }
-  aExchange.Reply(aStatus, std::move(headers), "");
-}
-
 void
 Gateway::OnCallerRequest(const RelayExchangePtr& aExchange)
 {
   auto head = m_dialect.Decode(aExchange->Head());
   if (!head.ok()) {
     LogOf("request").info("event=malformed why=\"{}\"", std::string(head.status().message()));
-    Refuse(*aExchange, kBadRequest, "", "malformed", std::nullopt);
+    Refuse(*aExchange, "", { kBadRequest, "malformed", std::nullopt });
     return;
   }
   if (m_stop && Now() > m_stop->AcceptsUntil()) {
-    Refuse(*aExchange, kServiceUnavailable, head->m_request_id, "leaving", kRetryAfterWhenLeaving);
+    Refuse(*aExchange, head->m_request_id, RequestRefusal::Leaving());
     return;
   }
   if (!IsReady() && Now() - aExchange->ReceivedAt() < kMaxWaitForReadiness) {
@@ -482,27 +451,12 @@
     return;
   }
   if (m_table == nullptr) {
-    Refuse(*aExchange,
-           kServiceUnavailable,
-           head->m_request_id,
-           "no-configuration",
-           kRetryAfterWithoutConfiguration);
+    Refuse(*aExchange, head->m_request_id, RequestRefusal::WithoutConfiguration());
     return;
   }
   Admit(aExchange, *std::move(head));
 }
 
-void
-Gateway::RefuseIncomplete(const RelayExchangePtr& aExchange)
-{
-  const auto head = m_dialect.Decode(aExchange->Head());
-  Refuse(*aExchange,
-         kServiceUnavailable,
-         head.ok() ? head->m_request_id : "",
-         "leaving",
-         kRetryAfterWhenLeaving);
-}
-
 void
 Gateway::ServeEarlyRequests()
 {
@@ -524,26 +478,18 @@
     aHead.m_resumed_stream = request.m_forwarded->m_stream;
   }
   if (request.m_forwarded && request.m_forwarded->m_configuration_version > m_table->Version()) {
-    Refuse(*aExchange,
-           kServiceUnavailable,
-           aHead.m_request_id,
-           "older-configuration",
-           kRetryAfterWithoutConfiguration);
+    Refuse(*aExchange, aHead.m_request_id, RequestRefusal::OlderConfiguration());
     return;
   }
-  request.m_route = m_table->Match(aHead.m_host, aHead.m_path);
-  if (request.m_route == nullptr) {
-    Refuse(*aExchange, kNotFound, aHead.m_request_id, "no-route", std::nullopt);
+  if (const auto refusal = FindAccessRefusal(*m_table, aHead)) {
+    Refuse(*aExchange, aHead.m_request_id, *refusal);
     return;
   }
+  request.m_route = m_table->Match(aHead.m_host, aHead.m_path);
   const Route& route = *request.m_route;
   request.m_priority = route.m_priority;
   const RoutedWorkspace* workspace = m_table->FindByKey(aHead.m_key);
   if (m_table->HasWorkspaces() && !route.m_is_public) {
-    if (workspace == nullptr) {
-      Refuse(*aExchange, kUnauthorized, aHead.m_request_id, "unknown-key", std::nullopt);
-      return;
-    }
     request.m_workspace = workspace->m_name;
     request.m_priority = CombinedPriority(*workspace, route);
     request.m_quota_tokens =
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -186,6 +186,8 @@
   set("refused_for_memory", static_cast<double>(aGauges.m_refused_for_memory));
   set("closed_for_room", static_cast<double>(aGauges.m_closed_for_room));
   set("closed_for_memory", static_cast<double>(aGauges.m_closed_for_memory));
+  set("refused_by_head", static_cast<double>(aGauges.m_refused_by_head));
+  set("closed_unread", static_cast<double>(aGauges.m_closed_unread));
   set("memory_limit_bytes", static_cast<double>(aGauges.m_memory_limit));
   for (const auto& [account, bytes] : aGauges.m_memory_bytes) {
     const std::string name = absl::StrCat("memory_", account, "_bytes");
--- a/Libraries/LibGateway/include/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -3,8 +3,10 @@
 #include <LibCluster/Heartbeat.h>
 #include <LibGateway/ActiveRequest.h>
 #include <LibGateway/GatewaySettings.h>
+#include <LibGateway/RequestRefusal.h>
 #include <LibRegistry/VersionHistory.h>
 #include <LibRollout/RolloutStore.h>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -51,6 +53,10 @@
   // Callers.
 
   void OnCallerRequest(const RelayExchangePtr& aExchange);
+  /// Decides by the head of a request whose body has not arrived whether it is refused. Returns
+  /// what responds to it, or nothing if the body is to be received. A request of another daemon is
+  /// never refused so.
+  std::function<void(const RelayExchangePtr&)> CheckHead(const MessageHead& aHead);
   /// Refuses a request that has not arrived completely, because this daemon stops.
   void RefuseIncomplete(const RelayExchangePtr& aExchange);
 
@@ -84,13 +90,17 @@
   Milliseconds HeartbeatInterval() const;
 
 private:
+  /// A request that arrives while the daemon starts waits this long for the daemon to become ready,
+  /// which takes about 20 ms when the store responds.
+  static constexpr Milliseconds kMaxWaitForReadiness{ 80 };
+
   Milliseconds BaseHeartbeatInterval() const;
   void UpdateReader();
   void Refuse(RelayExchange& aExchange,
-              int aStatus,
               const std::string& aRequestId,
-              const char* aReason,
-              std::optional<Milliseconds> aRetryAfter);
+              const RequestRefusal& aRefusal);
+  /// Why this daemon serves no request at present.
+  std::optional<RequestRefusal> FindStateRefusal() const;
   /// Serves or refuses the requests that arrived before this daemon was ready.
   void ServeEarlyRequests();
   void Admit(const RelayExchangePtr& aExchange, CallerRequestHead aHead);
@@ -114,6 +124,8 @@
   GatewaySettings m_settings;
   const Dialect& m_dialect;
   Incarnation m_incarnation;
+  TimePoint m_created_at;
+  std::uint64_t m_refused_by_head = 0;
   std::optional<StopSchedule> m_stop;
   bool m_is_store_reachable = false;
   std::optional<TimePoint> m_store_lost_at;
--- a/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
@@ -33,6 +33,10 @@
   std::uint64_t m_closed_for_room = 0;
   /// Callers' connections closed for the memory budget because their callers read nothing.
   std::uint64_t m_closed_for_memory = 0;
+  /// Requests refused by their heads, before their bodies were received.
+  std::uint64_t m_refused_by_head = 0;
+  /// Callers' connections closed because their callers read nothing of a response in progress.
+  std::uint64_t m_closed_unread = 0;
   /// The memory budget, and what is held on each of its accounts.
   std::size_t m_memory_limit = 0;
   std::map<std::string, std::size_t> m_memory_bytes;
--- a/Libraries/LibRelay/RelayConnection.cpp
+++ b/Libraries/LibRelay/RelayConnection.cpp
@@ -33,9 +33,10 @@
 
 }
 
-RelayConnection::RelayConnection(RelayServer& aServer, bufferevent* aEvents)
+RelayConnection::RelayConnection(RelayServer& aServer, bufferevent* aEvents, std::uint32_t aPeer)
   : m_server(aServer)
   , m_events(aEvents)
+  , m_peer(aPeer)
   , m_parser(MessageParser::Kind::Request, aServer.m_limits.m_max_head_bytes)
   , m_phase_since(aServer.m_loop.Now())
   , m_memory(aServer.m_memory, [this] { GiveMemoryBack(); })
@@ -160,6 +161,7 @@
     return;
   }
   // A caller that writes its whole request before it reads still gets the refusal.
+  m_is_refused_by_head = true;
   m_max_discarded_bytes = std::max(kMaxDiscardedBytes, m_server.m_limits.m_max_body_bytes);
   MessageHead head = m_parser.Head();
   DropRequest();
@@ -193,6 +195,11 @@
   const std::size_t size = evbuffer_get_length(input);
   evbuffer_drain(input, size);
   m_discarded_bytes += size;
+  const TimePoint now = m_server.m_loop.Now();
+  if (m_is_refused_by_head && size > 0 && now - m_linger_since < m_server.m_limits.m_idle_timeout) {
+    // The caller still sends the body; it reads the refusal after that.
+    m_phase_since = now;
+  }
   if (m_discarded_bytes > m_max_discarded_bytes) {
     // The socket buffers fill up and hold the peer back until the linger time is over.
     bufferevent_disable(m_events, EV_READ);
@@ -358,6 +365,7 @@
 RelayConnection::BeginLinger()
 {
   EnterPhase(Phase::Lingering);
+  m_linger_since = m_phase_since;
   if (UnsentBytes() == 0) {
     shutdown(bufferevent_getfd(m_events), SHUT_WR);
   }
@@ -401,8 +409,8 @@
   }
   CountUnsent();
   if (m_phase != Phase::Reading) {
-    const bool is_unread = unsent > 0 && aNow - m_taken_at >= kMinUnreadTime;
-    m_memory.SetReclaimableSince(is_unread ? std::optional(m_taken_at) : std::nullopt);
+    const bool is_stalled = unsent > 0 && aNow - m_taken_at >= kMinUnreadTime;
+    m_memory.SetReclaimableSince(is_stalled ? std::optional(m_taken_at) : std::nullopt);
   }
   const Duration age = aNow - m_phase_since;
   const RelayServerLimits& limits = m_server.m_limits;
@@ -413,7 +421,10 @@
   const Duration linger_time =
     unsent > 0 ? std::max(kLingerTime, limits.m_idle_timeout) : kLingerTime;
   const bool is_over = m_phase == Phase::Lingering && age > linger_time;
-  if (is_slow || is_unused || is_over) {
+  const bool is_unread =
+    m_phase == Phase::Responding && unsent > 0 && aNow - m_taken_at > limits.m_max_unread_time;
+  m_server.m_closed_unread += is_unread ? 1 : 0;
+  if (is_slow || is_unused || is_over || is_unread) {
     Close();
   }
 }
--- a/Libraries/LibRelay/RelayConnection.h
+++ b/Libraries/LibRelay/RelayConnection.h
@@ -16,7 +16,7 @@
 class RelayConnection
 {
 public:
-  RelayConnection(RelayServer& aServer, bufferevent* aEvents);
+  RelayConnection(RelayServer& aServer, bufferevent* aEvents, std::uint32_t aPeer);
   ~RelayConnection();
   RelayConnection(const RelayConnection&) = delete;
   RelayConnection& operator=(const RelayConnection&) = delete;
@@ -37,11 +37,14 @@
   bool IsBusy() const;
   /// See RelayServer::EndReceiving().
   void EndReceiving(const std::function<void(const RelayExchangePtr&)>& aRespond);
-  /// Closes the connection if its head timeout, idle timeout or linger time has passed.
+  /// Closes the connection if its head timeout, idle timeout or linger time has passed, or if its
+  /// peer reads nothing of the response in progress.
   void CloseIfExpired(TimePoint aNow);
 
   /// Whether no complete request has arrived that has no complete response.
   bool HasNoRequest() const { return m_phase == Phase::Idle || m_phase == Phase::Reading; }
+  /// The peer's IPv4 address, without its port.
+  std::uint32_t Peer() const { return m_peer; }
   /// When the last request ended, or the first byte of the one that is being received arrived.
   TimePoint PhaseSince() const { return m_phase_since; }
   /// See RelayExchange::CountPending().
@@ -99,10 +102,13 @@
 
   RelayServer& m_server;
   bufferevent* m_events;
+  std::uint32_t m_peer;
   MessageParser m_parser;
   std::string m_body;
   /// Whether the server's head check has seen the request that is being received.
   bool m_is_head_checked = false;
+  bool m_is_refused_by_head = false;
+  TimePoint m_linger_since;
   std::size_t m_discarded_bytes = 0;
   std::size_t m_max_discarded_bytes = kMaxDiscardedBytes;
   /// When the socket last accepted bytes of a response, or the oldest unsent byte was written.
--- a/Libraries/LibRelay/RelayExchange.cpp
+++ b/Libraries/LibRelay/RelayExchange.cpp
@@ -106,6 +106,7 @@
   if (m_connection == nullptr || aBytes.empty()) {
     return;
   }
+  m_connection->CountPending(0);
   if (m_framing != BodyFraming::Chunked) {
     m_connection->Send(aBytes);
     return;
--- a/Libraries/LibRelay/RelayServer.cpp
+++ b/Libraries/LibRelay/RelayServer.cpp
@@ -4,6 +4,7 @@
 
 #include <LibCore/Try.h>
 #include <LibHttp/HttpServer.h>
+#include <LibRelay/ConnectionRoom.h>
 #include <algorithm>
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -26,6 +27,14 @@
 // 64 KiB slow callers held the slots of their endpoint until callers behind them timed out.
 constexpr int kReceiveBufferBytes = 64 << 10;
 
+std::uint32_t
+AddressOf(const sockaddr* aPeer)
+{
+  return aPeer != nullptr && aPeer->sa_family == AF_INET
+           ? reinterpret_cast<const sockaddr_in*>(aPeer)->sin_addr.s_addr
+           : 0;
+}
+
 }
 
 RelayServer::RelayServer(EventLoop& aLoop,
@@ -81,11 +90,11 @@
 }
 
 void
-RelayServer::OnAccept(evconnlistener*, int aSocket, sockaddr*, int, void* aServer)
+RelayServer::OnAccept(evconnlistener*, int aSocket, sockaddr* aPeer, int, void* aServer)
 {
   auto* server = static_cast<RelayServer*>(aServer);
   if (server->m_connections.size() >= server->m_limits.m_max_connections &&
-      !server->CloseOldestWithoutRequest()) {
+      !server->CloseOneWithoutRequest()) {
     close(aSocket);
     return;
   }
@@ -97,24 +106,26 @@
     close(aSocket);
     return;
   }
-  server->m_connections.insert(new RelayConnection(*server, events));
+  server->m_connections.insert(new RelayConnection(*server, events, AddressOf(aPeer)));
 }
 
 bool
-RelayServer::CloseOldestWithoutRequest()
+RelayServer::CloseOneWithoutRequest()
 {
-  RelayConnection* oldest = nullptr;
+  std::vector<RelayConnection*> candidates;
+  std::vector<ConnectionWithoutRequest> described;
   for (RelayConnection* connection : m_connections) {
-    if (connection->HasNoRequest() &&
-        (oldest == nullptr || connection->PhaseSince() < oldest->PhaseSince())) {
-      oldest = connection;
+    if (connection->HasNoRequest()) {
+      candidates.push_back(connection);
+      described.push_back({ connection->Peer(), connection->PhaseSince() });
     }
   }
-  if (oldest == nullptr) {
+  const auto index = ConnectionToClose(described);
+  if (!index) {
     return false;
   }
   ++m_closed_for_room;
-  oldest->Close();
+  candidates[*index]->Close();
   return true;
 }
 
--- a/Libraries/LibRelay/include/LibRelay/RelayExchange.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayExchange.h
@@ -51,8 +51,8 @@
   /// Bytes that have been written but not yet accepted by the socket.
   std::size_t UnsentBytes() const;
 
-  /// Counts bytes of the response that its sender keeps before they are written, in the memory
-  /// budget of the server.
+  /// Counts bytes of the response that its sender keeps, until the next call of Write(), in the
+  /// memory budget of the server.
   void CountPending(std::size_t aBytes) const;
 
   /// Sets a callback that runs once if the caller's connection closes before the response is
--- a/Libraries/LibRelay/include/LibRelay/RelayServer.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayServer.h
@@ -20,13 +20,17 @@
 {
   std::size_t m_max_head_bytes = 16 << 10;
   std::size_t m_max_body_bytes = 4 << 20;
-  /// Beyond it, the connection that has been idle or has been sending its request for longest is
-  /// closed; a new one is refused if there is none.
+  /// Beyond it, a connection that is idle or sending its request is closed, see
+  /// ConnectionToClose(); a new one is refused if there is none.
   std::size_t m_max_connections = 2'000;
   /// Maximum time from the first byte of a request to the end of its head.
   Milliseconds m_head_timeout{ 3'000 };
   /// Maximum time for which a connection may stay open without a request.
   Milliseconds m_idle_timeout{ 15'000 };
+  /// Maximum time for which a caller may take no byte of a response in progress while there are
+  /// some for it. Then its connection is closed, so that the response does not hold a slot of its
+  /// endpoint. Endpoints cut a response that stays unread for some seconds.
+  Milliseconds m_max_unread_time{ 4'000 };
 
   bool operator==(const RelayServerLimits&) const = default;
 };
@@ -55,8 +59,8 @@
   RelayServer& operator=(const RelayServer&) = delete;
 
   /// Sets the check for requests whose head has arrived and whose body has not. It must respond at
-  /// once if it refuses. The rest of the body is discarded, up to the limit of a body, then not
-  /// read; the connection closes.
+  /// once if it refuses. The rest of the body is discarded, up to the limit of a body and for the
+  /// idle timeout at most, then not read; the connection closes.
   void SetHeadCheck(HeadCheck aCheck) { m_head_check = std::move(aCheck); }
   void SetLimits(const RelayServerLimits& aLimits) { m_limits = aLimits; }
   /// Closes each connection after its response in progress or its next one. Responses that start
@@ -73,6 +77,9 @@
   std::uint64_t ClosedForMemory() const { return m_closed_for_memory; }
   /// Number of connections that were closed so that new ones could be accepted.
   std::uint64_t ClosedForRoom() const { return m_closed_for_room; }
+  /// Number of connections that were closed because their peers read nothing of a response in
+  /// progress.
+  std::uint64_t ClosedUnread() const { return m_closed_unread; }
   std::size_t ConnectionCount() const { return m_connections.size(); }
   /// Number of connections that are receiving a request, have a request without a complete
   /// response, or wait for the peer to read the last one and close.
@@ -86,12 +93,11 @@
               MemoryBudget& aMemory,
               Handler aHandler);
 
-  static void OnAccept(evconnlistener*, int aSocket, sockaddr*, int, void* aServer);
+  static void OnAccept(evconnlistener*, int aSocket, sockaddr* aPeer, int, void* aServer);
   void RemoveConnection(RelayConnection* aConnection);
   void Sweep();
-  /// Closes the connection that has been idle, or has been sending its request, for longest.
-  /// Returns whether there was one.
-  bool CloseOldestWithoutRequest();
+  /// Closes a connection that is idle or sending its request. Returns whether there was one.
+  bool CloseOneWithoutRequest();
 
   EventLoop& m_loop;
   RelayServerLimits m_limits;
@@ -104,6 +110,7 @@
   std::uint64_t m_refused_for_memory = 0;
   std::uint64_t m_closed_for_memory = 0;
   std::uint64_t m_closed_for_room = 0;
+  std::uint64_t m_closed_unread = 0;
   std::unique_ptr<Timer> m_sweep;
 };
 
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -529,7 +529,7 @@
   Libraries/LibGateway/ActiveRequestEnd.cpp 's/ForwardedOutcome::TryAnother/ForwardedOutcome::NotRun/' \
   "$PROCESS" "Stop: a request that was forwarded*"
 mutate "stop: a slow caller gets the whole response" \
-  Libraries/LibRelay/RelayServer.cpp 's/unsent > 0 \? std::max/false ? std::max/' \
+  Libraries/LibRelay/RelayConnection.cpp 's/unsent > 0 \? std::max/false ? std::max/' \
   "$PROCESS" "Stop: a slow caller*"
 mutate "era: a later era is noticed" \
   platform/StoreClient.cpp 's/m_observers.m_on_went_back\(\*aEra\);//' \
@@ -559,8 +559,41 @@
   platform/KeyedTopicConsumer.cpp 's/m_page_bytes <= kMaxSnapshotBytes/true/' \
   "$PROCESS" "Bytes without end: the pages of a snapshot*"
 mutate "endless requests: the bodies of all callers are bounded" \
-  Libraries/LibRelay/RelayServer.cpp 's/m_server.m_total_body_bytes > m_server.m_limits.m_max_total_body_bytes/false/' \
+  Libraries/LibRelay/MemoryBudget.cpp 's/while \(m_total > m_limit\)/while (false)/' \
   "$PROCESS" "Bytes without end: the bodies of all requests*"
+mutate "memory: complete requests keep theirs" \
+  Libraries/LibRelay/MemoryBudget.cpp 's/holder->m_reclaimable_since \&\& holder->m_total/holder->m_total/' \
+  "$UNIT" "Memory budget: complete requests*"
+mutate "memory: the slowest and largest go first" \
+  Libraries/LibRelay/MemoryBudget.cpp 's/seconds \* static_cast<double>\(m_total\)/seconds/' \
+  "$UNIT" "Memory budget: the slowest and largest*"
+mutate "memory: a holder is asked once" \
+  Libraries/LibRelay/MemoryBudget.cpp 's/holder->m_reclaimable_since = std::nullopt;\s+\/\/ A copy/if (m_reclaimed > 1000) return;\n    \/\/ A copy/' \
+  "$UNIT" "Memory budget: a holder that frees nothing*"
+mutate "memory: heads are counted" \
+  Libraries/LibRelay/RelayConnection.cpp 's/MemoryAccount::Heads, m_parser.HeadMemoryBytes\(\)/MemoryAccount::Heads, 0/' \
+  "$PROCESS" "Hostile callers: heads of as many short fields as the limit allows\\, without a body"
+mutate "memory: no next request while responses are unread" \
+  Libraries/LibRelay/RelayConnection.cpp 's/ \&\& UnsentBytes\(\) <= kMaxUnsentBeforeNextRequest//' \
+  "$PROCESS" "Hostile callers: served requests sent ahead*"
+mutate "memory: links begin with a message" \
+  Libraries/LibCluster/PendingLinks.cpp 's/m_connections.size\(\) >= m_limits.m_max_count/false/' \
+  "$PROCESS" "Hostile callers: a crowd at the peers*"
+mutate "early refusals: the head decides" \
+  Daemon/GatewayDaemon.cpp 's/return m_gateway.CheckHead\(aHead\);/static_cast<void>(aHead); return RelayServer::Handler();/' \
+  "$PROCESS" "Early refusals: a head decides*"
+mutate "early refusals: they are not lost" \
+  Libraries/LibRelay/RelayConnection.cpp 's/std::max\(kMaxDiscardedBytes, m_server.m_limits.m_max_body_bytes\)/kMaxDiscardedBytes/' \
+  "$PROCESS" "Early refusals: a caller that writes*"
+mutate "slow readers: one that reads nothing is given up" \
+  Libraries/LibRelay/RelayConnection.cpp 's/ \|\| is_unread\)/)/' \
+  "$PROCESS" "Slow readers: a caller that reads nothing*"
+mutate "slow readers: one that reads is not" \
+  Libraries/LibRelay/RelayConnection.cpp 's/if \(is_peer_reading\) \{\s+m_taken_at = aNow;/if (is_peer_reading) {/' \
+  "$PROCESS" "Slow readers: a caller that reads slowly*"
+mutate "connections: the share of an address" \
+  Libraries/LibRelay/ConnectionRoom.cpp 's/std::pair\(counts\[connection.m_peer\]/std::pair(counts.size()/' \
+  "$UNIT" "Connection room: the address*"
 mutate "stop: a response that the stop cuts looks incomplete" \
   Libraries/LibGateway/ActiveRequestEnd.cpp 's/return aStop.EndsAt\(\);/return TimePoint::max();/' \
   "$PROCESS" "Stop: a response that the stop cuts*"
