Give the request of a stop test a key, since one without is refused by its head

'Stop: a request that is still being received is answered before the daemon ends' sent no key, and the head of such a request is now refused with 401 before the stop. Its checks are unchanged.

--- a/Tests/Process/TestStop.cpp
+++ b/Tests/Process/TestStop.cpp
@@ -334,7 +334,7 @@
   BusyService service(DaemonsBefore(1, 1));
   const int socket = ConnectTo(service.Cluster().CallerAddress(0));
   const std::string part = "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: part\r\n"
-                           "Content-Length: 10\r\n\r\nbody";
+                           "Authorization: Bearer key-1\r\nContent-Length: 10\r\n\r\nbody";
   REQUIRE(send(socket, part.data(), part.size(), MSG_NOSIGNAL) ==
           static_cast<ssize_t>(part.size()));
   service.Occupy(0);
