--- a/Libraries/LibRelay/RelayConnection.cpp
+++ b/Libraries/LibRelay/RelayConnection.cpp
@@ -315,6 +315,7 @@
     m_taken_at = m_server.m_loop.Now();
   }
   bufferevent_write(m_events, aBytes.data(), aBytes.size());
+  m_written_bytes += aBytes.size();
   CountUnsent();
 }
 
@@ -400,7 +401,9 @@
 RelayConnection::CloseIfExpired(TimePoint aNow)
 {
   const std::size_t unsent = UnsentBytes();
-  const bool is_peer_reading = unsent < std::exchange(m_last_unsent_bytes, unsent);
+  // Unsent bytes may grow while the peer reads.
+  const std::uint64_t taken = m_written_bytes - unsent;
+  const bool is_peer_reading = taken > std::exchange(m_taken_bytes, taken);
   if (is_peer_reading) {
     m_taken_at = aNow;
   }
--- a/Libraries/LibRelay/RelayConnection.h
+++ b/Libraries/LibRelay/RelayConnection.h
@@ -115,8 +115,10 @@
   TimePoint m_taken_at;
   Phase m_phase = Phase::Idle;
   TimePoint m_phase_since;
-  /// Unsent bytes when the timeouts were checked last.
-  std::size_t m_last_unsent_bytes = 0;
+  /// Bytes of all responses.
+  std::uint64_t m_written_bytes = 0;
+  /// How many of them the socket had accepted when the timeouts were checked last.
+  std::uint64_t m_taken_bytes = 0;
   bool m_must_close = false;
   RelayExchangePtr m_exchange;
   MemoryHolder m_memory;
--- a/Tests/Process/TestEarlyRefusals.cpp
+++ b/Tests/Process/TestEarlyRefusals.cpp
@@ -52,7 +52,7 @@
 }
 
 // Guards against a refusal that is lost because the connection closes while a caller, which writes
-// its whole request before it reads, still sends a body of legal size.
+// its whole request before it reads, still sends a body of legal size: its write then fails.
 TEST_CASE("Early refusals: a caller that writes its whole body first reads the refusal")
 {
   GatewayCluster cluster(1, 1);
@@ -64,6 +64,15 @@
     [&] { return cluster.LogOfDaemon(0).find("event=in-force version=2") != std::string::npos; }));
   constexpr int kCallers = 5;
   for (int caller = 0; caller < kCallers; ++caller) {
-    CHECK(ParseResponse(Exchange(cluster.CallerAddress(0), request)).m_status == 404);
+    const int socket = ConnectTo(cluster.CallerAddress(0));
+    CHECK(send(socket, request.data(), request.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(request.size()));
+    std::string received;
+    char buffer[4096];
+    for (ssize_t size = 0; (size = recv(socket, buffer, sizeof(buffer), 0)) > 0;) {
+      received.append(buffer, static_cast<std::size_t>(size));
+    }
+    close(socket);
+    CHECK(ParseResponse(received).m_status == 404);
   }
 }
--- a/Tests/Process/TestSlowReaders.cpp
+++ b/Tests/Process/TestSlowReaders.cpp
@@ -14,7 +14,13 @@
 namespace {
 
 // More than the buffers of the sockets hold.
-constexpr std::size_t kResponseBytes = 16 << 20;
+constexpr std::size_t kFirstBytes = 8 << 20;
+// The rest comes a little faster than a slow caller reads, so that ever more of it is unsent.
+constexpr std::size_t kPartBytes = 256 << 10;
+constexpr std::size_t kParts = 30;
+constexpr Milliseconds kPartInterval{ 100 };
+constexpr Milliseconds kReadInterval{ 120 };
+constexpr std::size_t kResponseBytes = kFirstBytes + kParts * kPartBytes;
 
 /// A server that sends a long response and completes it when its socket has accepted all bytes.
 class LongResponseServer
@@ -32,12 +38,16 @@
                                    [this](const RelayExchangePtr& aRequest) {
                                      m_exchange = aRequest;
                                      m_exchange->SetOnClosed([this] { End(true); });
-                                     m_exchange->SetOnDrained([this] { End(false); });
+                                     m_exchange->SetOnDrained([this] {
+                                       if (m_parts == kParts) {
+                                         End(false);
+                                       }
+                                     });
                                      m_exchange->Start(
                                        200,
                                        { { "Content-Length", std::to_string(kResponseBytes) } },
                                        BodyFraming::Length);
-                                     m_exchange->Write(std::string(kResponseBytes, 'x'));
+                                     m_exchange->Write(std::string(kFirstBytes, 'x'));
                                    })
                  .value();
     m_socket = ConnectTo(m_address);
@@ -51,6 +61,12 @@
   {
     const Timer safeguard(
       m_loop, std::chrono::seconds(20), Timer::Repeat::Once, [this] { m_loop.Stop(); });
+    const Timer parts(m_loop, kPartInterval, Timer::Repeat::Always, [this] {
+      if (m_exchange != nullptr && m_parts < kParts) {
+        ++m_parts;
+        m_exchange->Write(std::string(kPartBytes, 'x'));
+      }
+    });
     m_loop.Run();
   }
 
@@ -75,6 +91,7 @@
   SocketAddress m_address;
   std::unique_ptr<RelayServer> m_server;
   RelayExchangePtr m_exchange;
+  std::size_t m_parts = 0;
   int m_socket = -1;
   bool m_was_given_up = false;
   bool m_is_complete = false;
@@ -91,18 +108,18 @@
   CHECK(server.Server().ClosedUnread() == 1);
 }
 
-// Guards against a caller that is given up although it reads, a little at a time.
+// Guards against a caller that is given up although it reads, more slowly than the response comes.
 TEST_CASE("Slow readers: a caller that reads slowly gets the whole response")
 {
   LongResponseServer server;
   std::size_t received = 0;
   std::thread caller([&] {
-    std::vector<char> bytes(256 << 10);
+    std::vector<char> bytes(kPartBytes);
     ssize_t size = 0;
     while (received < kResponseBytes &&
            (size = recv(server.Socket(), bytes.data(), bytes.size(), 0)) > 0) {
       received += static_cast<std::size_t>(size);
-      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      std::this_thread::sleep_for(kReadInterval);
     }
     shutdown(server.Socket(), SHUT_RDWR);
   });
