Give up a caller by what its host acknowledges, and no daemon that forwards

A kernel's send buffer shows progress only when a third of it is free; with megabytes in it, a caller of a few hundred KB/s looked as if it read nothing for 4 s. TIOCOUTQ shows what its host has acknowledged. Unsent bytes may also grow while the caller reads. A daemon that forwarded a request pauses while its own caller reads slowly, so it is not given up.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -505,7 +505,9 @@
   request.m_arrived_at = now;
   request.m_deadline = now + std::min(route.m_timeout, aHead.m_max_wait.value_or(kDefaultMaxWait));
   request.m_head = std::move(aHead);
-  if (!request.m_forwarded) {
+  if (request.m_forwarded) {
+    aExchange->MayStayUnread();
+  } else {
     m_retry_budget.RecordRequest(request.m_service, now);
   }
   auto active_request = std::make_unique<ActiveRequest>(
--- a/Libraries/LibRelay/RelayConnection.cpp
+++ b/Libraries/LibRelay/RelayConnection.cpp
@@ -5,6 +5,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace auburnhitch {
@@ -325,6 +326,20 @@
   return evbuffer_get_length(bufferevent_get_output(m_events));
 }
 
+std::uint64_t
+RelayConnection::BytesTaken() const
+{
+  // The kernel accepts no more bytes before a third of its buffer, which may have megabytes, is
+  // free. What it still holds shows slower progress of the peer too.
+  int queued = 0;
+  if (m_taken_bytes == m_written_bytes ||
+      ioctl(bufferevent_getfd(m_events), TIOCOUTQ, &queued) != 0) {
+    queued = 0;
+  }
+  const std::uint64_t left = UnsentBytes() + static_cast<std::uint64_t>(std::max(0, queued));
+  return m_written_bytes - std::min(m_written_bytes, left);
+}
+
 bool
 RelayConnection::MustCloseAfterResponse() const
 {
@@ -402,12 +417,14 @@
 {
   const std::size_t unsent = UnsentBytes();
   // Unsent bytes may grow while the peer reads.
-  const std::uint64_t taken = m_written_bytes - unsent;
+  const std::uint64_t taken = BytesTaken();
   const bool is_peer_reading = taken > std::exchange(m_taken_bytes, taken);
   if (is_peer_reading) {
     m_taken_at = aNow;
   }
-  if ((m_phase == Phase::Lingering || m_phase == Phase::Idle) && is_peer_reading) {
+  const bool was_unsent = std::exchange(m_last_unsent_bytes, unsent) > 0;
+  if ((m_phase == Phase::Lingering || m_phase == Phase::Idle) && is_peer_reading &&
+      (unsent > 0 || was_unsent)) {
     m_phase_since = aNow;
   }
   CountUnsent();
@@ -424,8 +441,9 @@
   const Duration linger_time =
     unsent > 0 ? std::max(kLingerTime, limits.m_idle_timeout) : kLingerTime;
   const bool is_over = m_phase == Phase::Lingering && age > linger_time;
-  const bool is_unread =
-    m_phase == Phase::Responding && unsent > 0 && aNow - m_taken_at > limits.m_max_unread_time;
+  const bool is_unread = m_phase == Phase::Responding && unsent > 0 &&
+                         !m_exchange->m_may_stay_unread &&
+                         aNow - m_taken_at > limits.m_max_unread_time;
   m_server.m_closed_unread += is_unread ? 1 : 0;
   if (is_slow || is_unused || is_over || is_unread) {
     Close();
--- a/Libraries/LibRelay/RelayConnection.h
+++ b/Libraries/LibRelay/RelayConnection.h
@@ -95,6 +95,8 @@
   void DropRequest();
   /// Counts the memory of the present request as freed.
   void CountNoRequest();
+  /// How many bytes of all responses the peer's host has acknowledged.
+  std::uint64_t BytesTaken() const;
   void CountReadAhead();
   void CountUnsent();
   void BeginLinger();
@@ -111,14 +113,16 @@
   TimePoint m_linger_since;
   std::size_t m_discarded_bytes = 0;
   std::size_t m_max_discarded_bytes = kMaxDiscardedBytes;
-  /// When the socket last accepted bytes of a response, or the oldest unsent byte was written.
+  /// When the peer last took bytes of a response, or the oldest unsent byte was written.
   TimePoint m_taken_at;
   Phase m_phase = Phase::Idle;
   TimePoint m_phase_since;
   /// Bytes of all responses.
   std::uint64_t m_written_bytes = 0;
-  /// How many of them the socket had accepted when the timeouts were checked last.
+  /// How many of them the peer had taken when the timeouts were checked last.
   std::uint64_t m_taken_bytes = 0;
+  /// Unsent bytes at that time.
+  std::size_t m_last_unsent_bytes = 0;
   bool m_must_close = false;
   RelayExchangePtr m_exchange;
   MemoryHolder m_memory;
--- a/Libraries/LibRelay/include/LibRelay/RelayExchange.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayExchange.h
@@ -55,6 +55,10 @@
   /// memory budget of the server.
   void CountPending(std::size_t aBytes) const;
 
+  /// Lets the caller read nothing for any time, as another daemon does whose own caller reads
+  /// slowly.
+  void MayStayUnread() { m_may_stay_unread = true; }
+
   /// Sets a callback that runs once if the caller's connection closes before the response is
   /// complete.
   void SetOnClosed(std::function<void()> aCallback) { m_on_closed = std::move(aCallback); }
@@ -70,6 +74,7 @@
   TimePoint m_received_at;
   BodyFraming m_framing = BodyFraming::None;
   bool m_has_started = false;
+  bool m_may_stay_unread = false;
   std::function<void()> m_on_closed;
   std::function<void()> m_on_drained;
 };
--- a/Meta/mutate.sh
+++ b/Meta/mutate.sh
@@ -591,6 +591,9 @@
 mutate "slow readers: one that reads is not" \
   Libraries/LibRelay/RelayConnection.cpp 's/if \(is_peer_reading\) \{\s+m_taken_at = aNow;/if (is_peer_reading) {/' \
   "$PROCESS" "Slow readers: a caller that reads slowly*"
+mutate "slow readers: unsent bytes may grow" \
+  Libraries/LibRelay/RelayConnection.cpp 's/return m_written_bytes - std::min\(m_written_bytes, left\)/return (std::uint64_t(1) << 62) - left/' \
+  "$PROCESS" "Slow readers: a caller that reads slowly*"
 mutate "connections: the share of an address" \
   Libraries/LibRelay/ConnectionRoom.cpp 's/std::pair\(counts\[connection.m_peer\]/std::pair(counts.size()/' \
   "$UNIT" "Connection room: the address*"
