Make the tests of lost refusals and slow readers notice their mutations

The kernel took the whole request on behalf of the caller, so that a connection closed early went unnoticed; the response grew too slowly to look as if its caller read nothing.

--- a/Tests/Process/TestEarlyRefusals.cpp
+++ b/Tests/Process/TestEarlyRefusals.cpp
@@ -65,6 +65,9 @@
   constexpr int kCallers = 5;
   for (int caller = 0; caller < kCallers; ++caller) {
     const int socket = ConnectTo(cluster.CallerAddress(0));
+    // The kernel does not take the whole request on behalf of the caller.
+    const int buffer_bytes = 64 << 10;
+    setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &buffer_bytes, sizeof(buffer_bytes));
     CHECK(send(socket, request.data(), request.size(), MSG_NOSIGNAL) ==
           static_cast<ssize_t>(request.size()));
     std::string received;
--- a/Tests/Process/TestSlowReaders.cpp
+++ b/Tests/Process/TestSlowReaders.cpp
@@ -14,9 +14,9 @@
 namespace {
 
 // More than the buffers of the sockets hold.
-constexpr std::size_t kFirstBytes = 8 << 20;
-// The rest comes a little faster than a slow caller reads, so that ever more of it is unsent.
-constexpr std::size_t kPartBytes = 256 << 10;
+constexpr std::size_t kFirstBytes = 4 << 20;
+// The rest comes faster than a slow caller reads, so that ever more of it is unsent.
+constexpr std::size_t kPartBytes = 512 << 10;
 constexpr std::size_t kParts = 30;
 constexpr Milliseconds kPartInterval{ 100 };
 constexpr Milliseconds kReadInterval{ 120 };
@@ -114,7 +114,7 @@
   LongResponseServer server;
   std::size_t received = 0;
   std::thread caller([&] {
-    std::vector<char> bytes(kPartBytes);
+    std::vector<char> bytes(kPartBytes / 2);
     ssize_t size = 0;
     while (received < kResponseBytes &&
            (size = recv(server.Socket(), bytes.data(), bytes.size(), 0)) > 0) {
