--- a/Libraries/LibCheck/ConfigurationRules.cpp
+++ b/Libraries/LibCheck/ConfigurationRules.cpp
@@ -342,7 +342,7 @@
                      RuleReport& aReport)
 {
   const std::size_t body = aTable.Limits().m_max_body_bytes;
-  const std::size_t budget = aSettings.MaxTotalBodyBytes();
+  const std::size_t budget = aSettings.MaxCallerMemoryBytes();
   if (body > budget) {
     aReport.Add({ Part::Limits, std::nullopt, Field::MaxBodyBytes },
                 absl::StrCat("must be at most ", budget, " bytes, which all bodies may take"),
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -18,9 +18,12 @@
 constexpr std::int64_t kMaxMemoryMib = 1 << 20;
 // Callers may use one socket of this many; the rest is for endpoints, peers and the store.
 constexpr std::size_t kCallerSocketDivisor = 2;
-// The bodies of callers' requests may take one byte of this many of the process's memory. The rest
-// is for the sockets, the responses, the other connections and the process itself.
-constexpr std::size_t kBodyMemoryDivisor = 4;
+// Callers' requests and their responses may take one byte of this many of the process's memory. The
+// rest is for the sockets, copies of bodies that are being sent, other connections and the process
+// itself.
+constexpr std::size_t kCallerMemoryDivisor = 4;
+// Without a stated memory of the host.
+constexpr std::size_t kDefaultCallerMemoryBytes = 64 << 20;
 // A deployment with this contract has more load at times than its endpoints can serve in time.
 constexpr const char* kPressureContract = "pressure";
 // Of deployments with pools of many endpoints.
@@ -151,11 +154,11 @@
 }
 
 std::size_t
-GatewaySettings::MaxTotalBodyBytes() const
+GatewaySettings::MaxCallerMemoryBytes() const
 {
   return m_max_memory_mib > 0
-           ? (static_cast<std::size_t>(m_max_memory_mib) << 20) / kBodyMemoryDivisor
-           : RelayServerLimits().m_max_total_body_bytes;
+           ? (static_cast<std::size_t>(m_max_memory_mib) << 20) / kCallerMemoryDivisor
+           : kDefaultCallerMemoryBytes;
 }
 
 std::size_t
--- a/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
@@ -71,7 +71,7 @@
   static std::optional<GatewaySettings> FromJson(const Json& aJson, Findings& aFindings);
 
   /// Bytes that the bodies of all callers' requests may take together.
-  std::size_t MaxTotalBodyBytes() const;
+  std::size_t MaxCallerMemoryBytes() const;
   /// Connections that callers may have open together.
   std::size_t MaxCallerConnections() const;
 
--- a/Libraries/LibRelay/RelayExchange.cpp
+++ b/Libraries/LibRelay/RelayExchange.cpp
@@ -106,6 +106,7 @@
   if (m_connection == nullptr || aBytes.empty()) {
     return;
   }
+  m_connection->CountPending(0);
   if (m_framing != BodyFraming::Chunked) {
     m_connection->Send(aBytes);
     return;
@@ -147,4 +148,12 @@
   return m_connection == nullptr ? 0 : m_connection->UnsentBytes();
 }
 
+void
+RelayExchange::CountPending(std::size_t aBytes) const
+{
+  if (m_connection != nullptr) {
+    m_connection->CountPending(aBytes);
+  }
+}
+
 }
--- a/Libraries/LibRelay/include/LibRelay/RelayExchange.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayExchange.h
@@ -51,6 +51,14 @@
   /// Bytes that have been written but not yet accepted by the socket.
   std::size_t UnsentBytes() const;
 
+  /// Counts bytes of the response that its sender keeps, until the next call of Write(), in the
+  /// memory budget of the server.
+  void CountPending(std::size_t aBytes) const;
+
+  /// Lets the caller read nothing for any time, as another daemon does whose own caller reads
+  /// slowly.
+  void MayStayUnread() { m_may_stay_unread = true; }
+
   /// Sets a callback that runs once if the caller's connection closes before the response is
   /// complete.
   void SetOnClosed(std::function<void()> aCallback) { m_on_closed = std::move(aCallback); }
@@ -66,6 +74,7 @@
   TimePoint m_received_at;
   BodyFraming m_framing = BodyFraming::None;
   bool m_has_started = false;
+  bool m_may_stay_unread = false;
   std::function<void()> m_on_closed;
   std::function<void()> m_on_drained;
 };
