--- a/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
@@ -70,7 +70,7 @@
   /// Parses and validates settings. Returns nullopt and records a finding for each invalid member.
   static std::optional<GatewaySettings> FromJson(const Json& aJson, Findings& aFindings);
 
-  /// Bytes that the bodies of all callers' requests may take together.
+  /// Bytes that callers' requests and their responses may take together.
   std::size_t MaxCallerMemoryBytes() const;
   /// Connections that callers may have open together.
   std::size_t MaxCallerConnections() const;
