--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -47,9 +47,7 @@
   SlotBroker::Limits limits;
   limits.m_scheduler.m_max_retry_after = aSettings.m_max_retry_after;
   limits.m_scheduler.m_learn_concurrency = aSettings.m_learn_concurrency;
-  if (aSettings.m_floors_by_kind) {
-    limits.m_scheduler.m_floors = ServedShares::Floors::KindsAndWorkspaces;
-  }
+  limits.m_scheduler.m_is_contended = aSettings.m_is_contended;
   return limits;
 }
 
--- a/Libraries/LibGateway/GatewaySettings.cpp
+++ b/Libraries/LibGateway/GatewaySettings.cpp
@@ -205,8 +205,7 @@
   const std::set<std::string> contracts = ReadContracts(reader, aFindings);
   settings.m_learn_concurrency =
     reader.OptionalBool("learn_concurrency", contracts.contains(kPressureContract));
-  settings.m_floors_by_kind =
-    reader.OptionalBool("floors_by_kind", contracts.contains(kPoolContract));
+  settings.m_is_contended = reader.OptionalBool("contended", contracts.contains(kPoolContract));
   settings.m_forward_records = reader.OptionalBool("forward_records", settings.m_forward_records);
   if (const Json* bounds = reader.Member("bounds")) {
     ReadBounds(*bounds, settings, aFindings);
--- a/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewaySettings.h
@@ -64,8 +64,8 @@
   /// Whether requests are placed by idle connections and by the slots that endpoints are expected
   /// to have soon.
   bool m_learn_concurrency = false;
-  /// See ServedShares::Floors::KindsAndWorkspaces.
-  bool m_floors_by_kind = false;
+  /// See SlotSchedulerLimits::m_is_contended.
+  bool m_is_contended = false;
 
   /// Parses and validates settings. Returns nullopt and records a finding for each invalid member.
   static std::optional<GatewaySettings> FromJson(const Json& aJson, Findings& aFindings);
--- a/Libraries/LibPlacement/SlotAdmission.cpp
+++ b/Libraries/LibPlacement/SlotAdmission.cpp
@@ -98,7 +98,7 @@
                               double aSlots,
                               TimePoint aNow) const
 {
-  if (m_limits.m_floors == ServedShares::Floors::KindsAndWorkspaces) {
+  if (m_limits.m_is_contended) {
     if (const auto wait_ms = aQueue.ExpectedWaitMs(aPriority, aNow)) {
       return *wait_ms;
     }
@@ -114,7 +114,7 @@
                              TimePoint aNow) const
 {
   const double wait_ms = ExpectedWaitMs(aQueue, aRequest.m_priority, aSlots, aNow);
-  return m_limits.m_floors == ServedShares::Floors::KindsAndWorkspaces
+  return m_limits.m_is_contended
            ? std::max(wait_ms, aQueue.OverloadEndsInMs(aRequest.m_priority, aSlots, aNow))
            : wait_ms;
 }
--- a/Libraries/LibPlacement/SlotScheduler.cpp
+++ b/Libraries/LibPlacement/SlotScheduler.cpp
@@ -73,7 +73,7 @@
     m_crash_suspects->RecordRestarted(info.m_id);
     SlotEndpoint fresh(info, aNow, m_admission.Limits().m_learn_concurrency);
     fresh.SetRateShare(m_rate_share, aNow);
-    fresh.SetGrantsAhead(m_admission.Limits().m_floors == ServedShares::Floors::KindsAndWorkspaces);
+    fresh.SetGrantsAhead(m_admission.Limits().m_is_contended);
     fresh.Times().SetPrior(median_first, median_rest);
     endpoints.emplace(info.m_id, std::move(fresh));
   }
--- a/Libraries/LibPlacement/include/LibPlacement/SlotAdmission.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotAdmission.h
@@ -15,7 +15,9 @@
   /// Whether requests are placed by idle connections and by the slots that endpoints are expected
   /// to have soon.
   bool m_learn_concurrency = false;
-  ServedShares::Floors m_floors = ServedShares::Floors::Priorities;
+  /// Whether callers compete for too little capacity at times: orders, refuses and grants as
+  /// docs/design/contention.md says.
+  bool m_is_contended = false;
 };
 
 /// Decides which waiting requests of a service are refused because more work arrives than its slots
--- a/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
+++ b/Libraries/LibPlacement/include/LibPlacement/SlotScheduler.h
@@ -53,7 +53,8 @@
     : m_admission(aLimits)
     , m_crash_suspects(std::move(aSuspects))
     , m_rests(std::move(aRests))
-    , m_queue(aLimits.m_floors)
+    , m_queue(aLimits.m_is_contended ? ServedShares::Floors::KindsAndWorkspaces
+                                     : ServedShares::Floors::Priorities)
   {
   }
 
--- a/Tests/Unit/TestPlacementLoad.cpp
+++ b/Tests/Unit/TestPlacementLoad.cpp
@@ -335,10 +335,10 @@
 }
 
 SlotSchedulerLimits
-LimitsWith(ServedShares::Floors aFloors)
+LimitsWith(bool aIsContended)
 {
   SlotSchedulerLimits limits;
-  limits.m_floors = aFloors;
+  limits.m_is_contended = aIsContended;
   return limits;
 }
 
@@ -368,11 +368,9 @@
   };
   for (unsigned seed = 1; seed <= kSeeds; ++seed) {
     CAPTURE(seed);
-    LoadSimulation by_priority(
-      seed, KindsOfTwoWorkspacePriorities(), LimitsWith(ServedShares::Floors::Priorities));
+    LoadSimulation by_priority(seed, KindsOfTwoWorkspacePriorities(), LimitsWith(false));
     by_priority.Run(bursts);
-    LoadSimulation by_kind(
-      seed, KindsOfTwoWorkspacePriorities(), LimitsWith(ServedShares::Floors::KindsAndWorkspaces));
+    LoadSimulation by_kind(seed, KindsOfTwoWorkspacePriorities(), LimitsWith(true));
     by_kind.Run(bursts);
     CHECK(by_kind.Of(0).InTimeShare() >= 0.95);
     CHECK(by_kind.Of(3).InTimeShare() > by_priority.Of(3).InTimeShare());
