--- a/Libraries/LibBroker/include/LibBroker/SlotBroker.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotBroker.h
@@ -33,9 +33,9 @@
   {
     SlotSchedulerLimits m_scheduler;
     /// Time within which a coordinator must acknowledge a slot request before another one is
-    /// chosen. A round trip within a region takes a few milliseconds, and a packet that is lost is sent
-    /// again after 200 ms or more: a shorter time takes each lost packet for a lost coordinator, and two
-    /// coordinators then grant the same slots.
+    /// chosen. A round trip within a region takes a few milliseconds, and a packet that is lost is
+    /// sent again after 200 ms or more: a shorter time takes each lost packet for a lost
+    /// coordinator, and two coordinators then grant the same slots.
     Milliseconds m_acknowledgement_timeout{ 450 };
     /// Age from which a link is closed when its daemon is not alive.
     Milliseconds m_heartbeat_grace{ 1'000 };
