--- a/Tests/Process/TestEarlyRefusals.cpp
+++ b/Tests/Process/TestEarlyRefusals.cpp
@@ -24,7 +24,7 @@
 
 }
 
-// Guards against bodies that are received although their heads show that nobody wants them.
+// Guards against bodies that are received although their heads already decide the refusal.
 TEST_CASE("Early refusals: a head decides before the body comes")
 {
   GatewayCluster cluster(1, 1);
--- a/Tests/Unit/TestConcurrencyLimits.cpp
+++ b/Tests/Unit/TestConcurrencyLimits.cpp
@@ -26,7 +26,7 @@
   return load;
 }
 
-/// Share in time over seeds on which nothing was tuned.
+/// Mean share of requests in time over all seeds.
 double
 InTimeShare(const BatchLoad& aLoad, const MakeCandidate& aMake)
 {
