--- a/review/stand-in-2/MemoryCrowd.cpp
+++ b/review/stand-in-2/MemoryCrowd.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t kCallers = 12;
 constexpr std::size_t kEndpoints = 9;
 constexpr std::size_t kDescriptors = 2'400;
+constexpr std::size_t kAttacked = 1;
 // A head of fewer than 4 KiB, with names of one byte and empty values.
 constexpr int kShortFields = 980;
 // The body of the request that each client of the crowd sends ahead.
@@ -32,10 +33,11 @@
 // The link of a machine carries 1,000 Mbit/s.
 constexpr double kLinkBytesPerSecond = 125e6;
 constexpr double kMaxBurst = 5e6;
-// The sheet of the small deployment: 60 ms on average, 450 ms at most.
-constexpr std::chrono::milliseconds kWork{ 60 };
-constexpr std::chrono::milliseconds kWorkForCrowd{ 400 };
-constexpr std::chrono::milliseconds kSample{ 5 };
+// Within the sheet of the small deployment, whose plain requests take 60 ms on average, 450 ms at
+// most.
+constexpr std::chrono::milliseconds kWork{ 30 };
+constexpr std::chrono::milliseconds kWorkForCrowd{ 450 };
+constexpr std::chrono::milliseconds kSample{ 10 };
 constexpr std::chrono::milliseconds kPause{ 60 };
 constexpr std::chrono::seconds kCalm{ 2 };
 constexpr std::chrono::seconds kCrowdTime{ 8 };
@@ -216,6 +218,7 @@
       fcntl(socket, F_SETFL, O_NONBLOCK);
       std::string bytes =
         HeadOf("GET", "/safe/x", absl::StrCat("crowd-", client)) + fields + "\r\n";
+      const std::size_t first_bytes = bytes.size();
       if (HasTrouble()) {
         bytes += absl::StrCat(HeadOf("POST", "/safe/x", absl::StrCat("ahead-", client)),
                               "Content-Length: ",
@@ -223,7 +226,7 @@
                               "\r\n\r\n",
                               std::string(kBodySentAhead, 'x'));
       }
-      m_clients.push_back({ socket, std::move(bytes), 0 });
+      m_clients.push_back({ socket, std::move(bytes), first_bytes, 0 });
     }
   }
 
@@ -262,11 +265,20 @@
     }
   }
 
+  /// Whether all clients have sent their first request.
+  bool HasSentFirstRequests() const
+  {
+    return std::all_of(m_clients.begin(), m_clients.end(), [](const Client& aClient) {
+      return aClient.m_sent >= aClient.m_first_bytes;
+    });
+  }
+
 private:
   struct Client
   {
     int m_socket = -1;
     std::string m_bytes;
+    std::size_t m_first_bytes = 0;
     std::size_t m_sent = 0;
   };
 
@@ -307,8 +319,8 @@
         return running.Serve(aConnection, aRequest);
       });
   }
-  const SocketAddress address = cluster.CallerAddress(0);
-  ChildProcess& daemon = cluster.Daemon(0);
+  const SocketAddress address = cluster.CallerAddress(kAttacked);
+  ChildProcess& daemon = cluster.Daemon(kAttacked);
   Callers callers(address, aRecord);
   std::this_thread::sleep_for(kCalm);
   const Memory calm = MemoryOf(daemon, address);
@@ -324,6 +336,11 @@
   std::set<std::string> lost;
   bool is_killed = false;
   const auto end = std::chrono::steady_clock::now() + kCrowdTime;
+  while (std::chrono::steady_clock::now() < end && !crowd.HasSentFirstRequests()) {
+    crowd.Send();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  aRecord.Add("the crowd has sent its first requests");
   while (std::chrono::steady_clock::now() < end && !is_killed && !daemon.ExitStatus().has_value()) {
     crowd.Send();
     const Memory memory = MemoryOf(daemon, address);
