--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -28,7 +28,7 @@
 libraries=(-levhtp -lhttp_parser -ljsonrpccpp-server -ljsonrpccpp-common -lspdlog -lfmt -lssl -lcrypto -lpthread)
 read -r -a packaged <<<"$(pkg-config --libs libevent jsoncpp absl_status absl_statusor absl_strings \
   absl_flat_hash_map absl_hash absl_raw_hash_set absl_str_format)"
-for program in memory-crowd:MemoryCrowd spoiled-answers:SpoiledAnswers; do
+for program in memory-crowd:MemoryCrowd spoiled-answers:SpoiledAnswers entry-without-born:EntryWithoutBorn; do
   g++ "${flags[@]}" "review/stand-in-2/${program##*:}.cpp" "${objects[@]}" \
     -Wl,--start-group "${archives[@]}" -Wl,--end-group "${packaged[@]}" "${libraries[@]}" \
     -o "$output/${program%%:*}"
