--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # the disruption out. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
 [ -x target/review-2/spoiled-answers ] || { echo "run review/build-2.sh first" >&2; exit 2; }
-exec timeout --kill-after=5 115 target/review-2/spoiled-answers review/6/record.txt
+exec timeout --kill-after=5 115 target/review-2/spoiled-answers review/6/record.txt refusal
--- a/review/stand-in-2/SpoiledAnswers.cpp
+++ b/review/stand-in-2/SpoiledAnswers.cpp
@@ -1,6 +1,8 @@
 #include "CaseSupport.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <iostream>
 #include <thread>
@@ -18,43 +20,61 @@
 // Garble, at its largest dose: one of the three servers spoils 5 of 100 answers.
 constexpr std::size_t kFaultyEndpoint = 0;
 constexpr int kSpoiledOneOf = 20;
+// As on the sheet of the small deployment.
+constexpr std::chrono::milliseconds kWork{ 60 };
 // Longer than a daemon keeps an idle connection to an endpoint.
 constexpr std::chrono::milliseconds kPause{ 1'000 };
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstFailure = 300;
 
-/// Serves requests, and spoils some of its answers: what it writes then is no answer of a server,
-/// since it neither names the request nor has a seal.
+// What a faulty server writes in place of an answer to a request that it has run. It is no answer
+// of a server: it neither names the request nor has a seal.
+constexpr const char* kForeignSuccess =
+  "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 9\r\n\r\nIt works!";
+constexpr const char* kForeignRefusal =
+  "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nbusy";
+
+/// Serves requests, and spoils some of its answers.
 class FaultyService
 {
 public:
-  explicit FaultyService(Record& aRecord)
+  FaultyService(Record& aRecord, const char* aSpoiledAnswer)
     : m_record(aRecord)
+    , m_spoiled_answer(aSpoiledAnswer)
   {
   }
 
   bool Serve(RawConnection& aConnection, const RawRequest& aRequest, bool aIsFaulty)
   {
+    std::this_thread::sleep_for(kWork);
     const bool is_spoiled = HasTrouble() && aIsFaulty && ++m_count % kSpoiledOneOf == 0;
     if (!is_spoiled) {
       return RespondWithSuccess(aConnection, aRequest);
     }
     m_record.Add(
       absl::StrCat("an endpoint spoils its answer to ", aRequest.Header("x-request-id")));
-    aConnection.Write("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 9\r\n\r\n"
-                      "It works!");
+    aConnection.Write(m_spoiled_answer);
     return false;
   }
 
 private:
   Record& m_record;
+  const char* m_spoiled_answer;
   std::atomic<int> m_count = 0;
 };
 
+/// Whether callers take a status as a promise that the request has not run.
+bool
+PromisesNotRun(int aStatus)
+{
+  constexpr std::array kPromises{ 408, 421, 429, 503 };
+  return std::find(kPromises.begin(), kPromises.end(), aStatus) != kPromises.end();
+}
+
 int
-Run(Record& aRecord)
+Run(Record& aRecord, bool aIsRefusal)
 {
-  FaultyService service(aRecord);
+  FaultyService service(aRecord, aIsRefusal ? kForeignRefusal : kForeignSuccess);
   GatewayClusterOptions options;
   options.m_daemons = kDaemons;
   options.m_endpoints = kEndpoints;
@@ -68,13 +88,15 @@
       });
   }
   std::atomic<int> broken = 0;
+  std::atomic<int> broken_promises = 0;
   for (int round = 0; round < kRounds; ++round) {
     std::vector<std::thread> callers;
     callers.reserve(kCallers);
     for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([&, round, caller] {
         const std::string id = absl::StrCat("request-", round, "-", caller);
-        const char* path = caller % 2 == 0 ? "/safe/x" : "/unsafe/x";
+        const bool is_unsafe = aIsRefusal || caller % 2 != 0;
+        const char* path = is_unsafe ? "/unsafe/x" : "/safe/x";
         const CallerResponse response =
           cluster.Call(path, id, "", static_cast<std::size_t>(caller) % kDaemons);
         const bool is_success =
@@ -82,6 +104,8 @@
         const std::string seal = response.Header("x-response-seal");
         const bool is_answer = !seal.empty() && response.m_body == "answer to " + id;
         broken += is_success && !is_answer ? 1 : 0;
+        broken_promises +=
+          is_unsafe && PromisesNotRun(response.m_status) && cluster.RunsOf(id) > 0 ? 1 : 0;
         if (!is_success || !is_answer) {
           aRecord.Add(absl::StrCat(path,
                                    " ",
@@ -105,7 +129,9 @@
   aRecord.Add(absl::StrCat(kRounds * kCallers,
                            " requests, successes without a seal or with another body: ",
                            broken.load()));
-  return broken > 0 ? kBroken : kHeld;
+  aRecord.Add(absl::StrCat("unsafe requests that ran and were answered as not run: ",
+                           broken_promises.load()));
+  return broken > 0 || broken_promises > 0 ? kBroken : kHeld;
 }
 
 }
@@ -114,12 +140,12 @@
 main(int aCount, char** aArguments)
 {
   if (aCount < 2) {
-    std::cerr << "usage: spoiled-answers RECORD\n";
+    std::cerr << "usage: spoiled-answers RECORD [refusal]\n";
     return kCouldNotRun;
   }
   Record record(aArguments[1]);
   try {
-    const int status = Run(record);
+    const int status = Run(record, aCount > 2 && std::string(aArguments[2]) == "refusal");
     record.Add(absl::StrCat("exit status ", status));
     return status;
   } catch (const std::exception& error) {
