Believe only an endpoint's statement that a request has not run

Cause: PlatformDialect::ClassifyResponse took 421 for "not run" by its status alone, and passed on any other error, also 503, 429 and 408, which promise callers what an endpoint states with X-Not-Executed only. On a new connection it asked for no id. Ruled out: a wrong count of runs (the log of such a request says that the endpoint responded), and refusals of other requests (the play writes on new connections).

Change: "not run" needs X-Not-Executed, or a 421 that names another endpoint than the expected one. A refusal need not name its request on a new connection; any other response must. A status that promises "not run" without the statement, and a success with it, prove nothing: such responses are refused as unsealed successes are, and what they state about the endpoint (rest, leaving, limit) binds nothing. NamesRequest() has no use left.

The stand-ins that wrote 421 without the statement, or 500 and 413 without the id, now write what sound endpoints do; their cases check the same as before. The unit test "Only 421 or X-Not-Executed proves ..." stated the fault; the one in its place checks each status with and without id, statement and reuse.

--- a/Libraries/LibGateway/ActiveRequestResponseHead.cpp
+++ b/Libraries/LibGateway/ActiveRequestResponseHead.cpp
@@ -19,12 +19,7 @@
   RecordHeard();
   m_attempt->m_response_head = aHead;
   m_attempt->m_completeness.emplace(aHead, IsStream());
-  const Dialect& dialect = *m_dependencies.m_dialect;
-  const ResponseMeaning meaning = dialect.ClassifyResponse(aHead, Expected());
-  if (!dialect.NamesRequest(aHead)) {
-    // The response to the next request could not be told from one that is written again.
-    m_call->CloseAfterResponse();
-  }
+  const ResponseMeaning meaning = m_dependencies.m_dialect->ClassifyResponse(aHead, Expected());
   if (ConcernsEndpoint(meaning) && !m_attempt->m_forwarded_to) {
     RecordNotice(meaning, aHead);
   }
@@ -41,6 +36,7 @@
     case ResponseMeaning::Mismatched:
     case ResponseMeaning::Unnamed:
     case ResponseMeaning::Unsealed:
+    case ResponseMeaning::Contradictory:
       RefuseResponse(meaning);
       return;
   }
--- a/Libraries/LibGateway/ResponseMeaning.cpp
+++ b/Libraries/LibGateway/ResponseMeaning.cpp
@@ -18,6 +18,8 @@
       return "unnamed";
     case ResponseMeaning::Unsealed:
       return "unsealed";
+    case ResponseMeaning::Contradictory:
+      return "contradictory";
   }
   return "unknown";
 }
@@ -33,6 +35,7 @@
       return true;
     case ResponseMeaning::Unnamed:
     case ResponseMeaning::Unsealed:
+    case ResponseMeaning::Contradictory:
       return false;
   }
   return false;
--- a/Libraries/LibGateway/include/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/include/LibGateway/Dialect.h
@@ -71,8 +71,6 @@
   /// bytes that belong to no request.
   virtual ResponseMeaning ClassifyResponse(const MessageHead& aResponse,
                                            const ExpectedResponse& aExpected) const = 0;
-  /// Whether a response names the request to which it belongs.
-  virtual bool NamesRequest(const MessageHead& aResponse) const = 0;
   /// What the endpoint states about itself in the head of a response.
   virtual EndpointNotice DecodeNotice(const MessageHead& aResponse) const = 0;
   /// The header fields of a response that the gateway itself generates.
--- a/Libraries/LibGateway/include/LibGateway/ResponseMeaning.h
+++ b/Libraries/LibGateway/include/LibGateway/ResponseMeaning.h
@@ -34,6 +34,9 @@
   Unnamed,
   /// A success without the endpoint's seal. No sound endpoint writes it.
   Unsealed,
+  /// The status says that the request has not run and the endpoint does not, or the other way
+  /// round. No sound endpoint writes it.
+  Contradictory,
 };
 
 /// The name of a meaning, for logs and metrics.
--- a/Tests/Process/TestForeignResponses.cpp
+++ b/Tests/Process/TestForeignResponses.cpp
@@ -146,6 +146,84 @@
     { "200 OK", absl::StrCat("X-Response-Seal: foreign\r\n", kNineBytes), "It works!" });
 }
 
+// Guards against a status that promises callers "not run" for a request that has run, and against
+// a second run of a request on the word of foreign bytes.
+TEST_CASE("Foreign responses: a failure or refusal without an id or a statement proves nothing")
+{
+  for (const ForeignResponse& response : WithAndWithoutId(
+         { { "503 Service Unavailable", kNineBytes, "It works!" },
+           { "429 Too Many", absl::StrCat("Retry-After: 1\r\n", kNineBytes), "slow down" },
+           { "421 Misdirected Request", kNineBytes, "It works!" },
+           { "408 Request Timeout", "Content-Length: 0\r\n", "" } })) {
+    CheckNothingIsPassedOn(response);
+  }
+  for (const char* status : { "500 Oops", "504 Late", "404 Not Found", "302 Found" }) {
+    CheckNothingIsPassedOn({ status, kNineBytes, "It works!" });
+  }
+}
+
+// Guards against a rest, or a leaving, that foreign bytes state: it would take a sound endpoint out
+// of use.
+TEST_CASE("Foreign responses: what they state about the endpoint binds nothing")
+{
+  GatewayCluster cluster(1, 1);
+  std::atomic<int> foreign = 0;
+  cluster.Endpoint(0).SetBehaviour([&](RawConnection& aConnection, const RawRequest& aRequest) {
+    if (aRequest.Path() != "/unsafe/foreign") {
+      return RespondWithSuccess(aConnection, aRequest);
+    }
+    aConnection.Write(ForeignResponse{
+      "503 X",
+      "Server-Leaving: 1\r\nRetry-After: 60\r\nServer-Limit: 0.001\r\nContent-Length: 0\r\n",
+      "",
+      ++foreign % 2 == 0 }
+                        .To(aRequest));
+    return true;
+  });
+  for (int number = 0; number < 4; ++number) {
+    CHECK(cluster.Call("/unsafe/foreign", absl::StrCat("f-", number)).m_status == 502);
+    CHECK(cluster.Call("/unsafe/x", absl::StrCat("sound-", number)).m_status == 200);
+  }
+}
+
+// Guards against a daemon that believes another one's word for foreign bytes: the one that forwards
+// a request, or the one that runs it.
+TEST_CASE("Foreign responses: one to a forwarded request proves nothing")
+{
+  GatewayClusterOptions options;
+  options.m_daemons = 2;
+  options.m_endpoints = 2;
+  options.m_has_endpoint_paths = true;
+  GatewayCluster cluster(options);
+  cluster.CutFromEndpoints(0, EndpointCut::RefuseNew);
+  int number = 0;
+  REQUIRE(WaitFor([&] {
+    return cluster.Call("/safe/x", absl::StrCat("warm-", ++number)).m_status == 200 &&
+           cluster.LogOfDaemon(0).find("event=forwarded request=warm") != std::string::npos;
+  }));
+  for (const ForeignResponse& response :
+       WithAndWithoutId({ { "200 OK", kNineBytes, "It works!" },
+                          { "503 Service Unavailable", kNineBytes, "It works!" },
+                          { "421 Misdirected Request", kNineBytes, "It works!" } })) {
+    CAPTURE(response.m_status_line);
+    CAPTURE(response.m_names_request);
+    for (std::size_t i = 0; i < 2; ++i) {
+      cluster.Endpoint(i).SetBehaviour([&](RawConnection& aConnection, const RawRequest& aRequest) {
+        aConnection.Write(response.To(aRequest));
+        return true;
+      });
+    }
+    for (const char* path : { "/unsafe/x", "/stream/x", "/safe/x" }) {
+      const std::string id = absl::StrCat("forwarded-", ++number);
+      const CallerResponse answer = cluster.Call(path, id);
+      CHECK(answer.m_status == 502);
+      CHECK(answer.m_body.empty());
+      CHECK(cluster.RunsOf(id) >= 1);
+      CHECK((cluster.RunsOf(id) == 1 || std::string(path) == "/safe/x"));
+    }
+  }
+}
+
 // Guards against a resumed stream that foreign bytes end, so that it looks whole.
 TEST_CASE("Foreign responses: one to a resumed stream neither continues nor ends it")
 {
--- a/Tests/Process/TestGatewayFaults.cpp
+++ b/Tests/Process/TestGatewayFaults.cpp
@@ -191,7 +191,7 @@
   RawServer early([&](RawConnection& aConnection) {
     while (const auto head = aConnection.ReadHead()) {
       misread += head->m_method == "POST" && head->m_target.find("/unsafe/") == 0 ? 0 : 1;
-      aConnection.Write("HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n");
+      aConnection.Write(WithIdOf(*head, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n"));
       // Reads the body after responding: the next bytes must belong to this request.
       misread +=
         aConnection.ReadBytes(std::stoul(head->Header("content-length"))) == "body" ? 0 : 1;
@@ -209,9 +209,9 @@
 TEST_CASE("An error response of the endpoint reaches the caller unchanged")
 {
   GatewayCluster cluster(1, 1);
-  cluster.Endpoint(0).SetBehaviour([](RawConnection& aConnection, const RawRequest&) {
-    aConnection.Write(
-      "HTTP/1.1 500 Oops\r\nX-Response-Seal: failed\r\nContent-Length: 3\r\n\r\nbad");
+  cluster.Endpoint(0).SetBehaviour([](RawConnection& aConnection, const RawRequest& aRequest) {
+    aConnection.Write(WithIdOf(
+      aRequest, "HTTP/1.1 500 Oops\r\nX-Response-Seal: failed\r\nContent-Length: 3\r\n\r\nbad"));
     return true;
   });
   const CallerResponse response = cluster.Call("/unsafe/x", "failed");
--- a/Tests/Process/TestRepeatedRefusals.cpp
+++ b/Tests/Process/TestRepeatedRefusals.cpp
@@ -316,8 +316,9 @@
     {
       const std::lock_guard lock(mutex);
       if (aRequest.Header("x-expect-instance") != cluster.IdOf(1)) {
-        refusals[id] =
-          absl::StrCat("HTTP/1.1 421 X\r\nX-Request-Id: ", id, "\r\nContent-Length: 0\r\n\r\n");
+        refusals[id] = absl::StrCat("HTTP/1.1 421 X\r\nX-Not-Executed: 1\r\nX-Request-Id: ",
+                                    id,
+                                    "\r\nContent-Length: 0\r\n\r\n");
         repeated = refusals[id];
       } else {
         ++runs[id];
--- a/Tests/Support/CrashingCluster.cpp
+++ b/Tests/Support/CrashingCluster.cpp
@@ -161,8 +161,9 @@
   {
     const std::lock_guard lock(m_mutex);
     if (aRequest.Header("x-expect-instance") != m_ids[aEndpoint]) {
-      aConnection.Write(
-        absl::StrCat("HTTP/1.1 421 X\r\nX-Request-Id: ", id, "\r\nContent-Length: 0\r\n\r\n"));
+      aConnection.Write(absl::StrCat("HTTP/1.1 421 X\r\nX-Not-Executed: 1\r\nX-Request-Id: ",
+                                     id,
+                                     "\r\nContent-Length: 0\r\n\r\n"));
       return true;
     }
   }
--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -275,23 +275,42 @@
   }
 }
 
-TEST_CASE("Only 421 or X-Not-Executed proves that an endpoint did not run a request")
+TEST_CASE("Only an endpoint's own statement proves that it did not run a request")
 {
   const PlatformDialect dialect;
   const auto meaning = [&](int aStatus, HttpHeaders aHeaders, bool aIsReused = false) {
     return dialect.ClassifyResponse(AnswerOf(aStatus, std::move(aHeaders)),
                                     { "id-1", EndpointId("i-1"), aIsReused });
   };
-  CHECK(meaning(200, { { "X-Request-Id", "id-2" } }) == ResponseMeaning::Mismatched);
-  CHECK(meaning(503, { { "X-Not-Executed", "1" } }) == ResponseMeaning::NotRun);
-  CHECK(meaning(421, {}) == ResponseMeaning::NotRun);
-  CHECK(meaning(503, {}) == ResponseMeaning::Failure);
-  CHECK(meaning(500, {}) == ResponseMeaning::Failure);
-  for (const int status : { 200, 421, 429, 500, 503 }) {
+  for (const int status : { 400, 408, 421, 429, 500, 503 }) {
+    CAPTURE(status);
+    const bool is_promise = status != 400 && status != 500;
+    CHECK(meaning(status, { { "X-Request-Id", "id-1" } }) ==
+          (is_promise ? ResponseMeaning::Contradictory : ResponseMeaning::Failure));
+    CHECK(meaning(status, {}) == ResponseMeaning::Unnamed);
+    CHECK(meaning(status, {}, true) == ResponseMeaning::Unnamed);
+    CHECK(meaning(status, { { "X-Not-Executed", "1" } }) == ResponseMeaning::NotRun);
     CHECK(meaning(status, { { "X-Not-Executed", "1" } }, true) == ResponseMeaning::Mismatched);
+    CHECK(meaning(status, { { "X-Not-Executed", "1" }, { "X-Request-Id", "id-1" } }, true) ==
+          ResponseMeaning::NotRun);
+    CHECK(meaning(status, { { "X-Not-Executed", "1" }, { "X-Request-Id", "id-2" } }) ==
+          ResponseMeaning::Mismatched);
+    CHECK(meaning(status, { { "X-Request-Id", "id-1" }, { "X-Instance-Id", "i-1" } }) ==
+          meaning(status, { { "X-Request-Id", "id-1" } }));
   }
-  CHECK(meaning(503, { { "X-Not-Executed", "1" }, { "X-Request-Id", "id-1" } }, true) ==
+  CHECK(meaning(421, { { "X-Request-Id", "id-1" }, { "X-Instance-Id", "i-2" } }) ==
         ResponseMeaning::NotRun);
+  CHECK(meaning(421, { { "X-Instance-Id", "i-2" } }) == ResponseMeaning::NotRun);
+  CHECK(meaning(421, { { "X-Instance-Id", "i-2" } }, true) == ResponseMeaning::Mismatched);
+  CHECK(meaning(503, { { "X-Request-Id", "id-1" }, { "X-Instance-Id", "i-2" } }) ==
+        ResponseMeaning::Contradictory);
+  for (const HttpHeaders& also : { HttpHeaders{}, HttpHeaders{ { "X-Response-Seal", "s" } } }) {
+    HttpHeaders headers = also;
+    headers.emplace_back("X-Not-Executed", "1");
+    CHECK(meaning(200, headers, true) == ResponseMeaning::Unnamed);
+    headers.emplace_back("X-Request-Id", "id-1");
+    CHECK(meaning(200, headers) == ResponseMeaning::Contradictory);
+  }
   CHECK(FindHeader(dialect.GatewayResponseHeaders("id-1", Milliseconds(250)), "Retry-After") ==
         "0.250");
 }
