Take no response without a length as whole while its upload is unwritten

Cause: RelayCall::State::OnEvent took each orderly end of the connection for the end of such a response. While the peer has not taken the whole request, the reset that follows is no longer read. Ruled out: resets taken for an end; those gave 502 in each of the uploads.

Change: an orderly end completes a response without a length only if the whole request has left this process; else the call is broken: 502, or another endpoint.

--- a/Libraries/LibRelay/RelayClient.cpp
+++ b/Libraries/LibRelay/RelayClient.cpp
@@ -209,10 +209,9 @@
     idle->m_pool->Drop(idle);
   }
 
-  static void OnIdleEvent(bufferevent*, short, void* aIdle)
+  static void OnIdleEvent(bufferevent* aEvents, short, void* aIdle)
   {
-    auto* idle = static_cast<Idle*>(aIdle);
-    idle->m_pool->Drop(idle);
+    OnIdleReadable(aEvents, aIdle);
   }
 
   // Take() never returns an expired connection; the sweep only limits how long it stays open.
@@ -324,8 +323,7 @@
 
   static void OnReadable(bufferevent*, void* aState)
   {
-    const auto self = static_cast<State*>(aState)->shared_from_this();
-    self->Read();
+    static_cast<State*>(aState)->shared_from_this()->Read();
   }
 
   static void OnEvent(bufferevent*, short aWhat, void* aState)
@@ -347,12 +345,15 @@
       return;
     }
     if ((aWhat & BEV_EVENT_ERROR) == 0) {
-      // After an error a response without a length is truncated; see RelayCallEnd::Closed.
       self->Read();
       if (self->m_is_over) {
         return;
       }
-      self->m_parser.FeedEnd();
+      // A response without a length is truncated after an error, or while the peer has not taken
+      // the whole request; see RelayCallEnd::Closed.
+      if (evbuffer_get_length(bufferevent_get_output(self->m_events)) == 0) {
+        self->m_parser.FeedEnd();
+      }
       if (self->m_parser.State() == MessageParser::Progress::Complete) {
         self->Deliver();
         return;
@@ -465,8 +466,7 @@
     m_is_over = true;
     StopTimers();
     ReleaseConnection(aEnd);
-    auto handlers = std::move(m_handlers);
-    m_handlers = {};
+    const RelayCallHandlers handlers = std::exchange(m_handlers, {});
     if (handlers.m_on_end) {
       handlers.m_on_end(RelayResult{ aEnd, m_is_reused, m_is_established, std::move(aReason) });
     }
--- a/Tests/Support/RawServer.cpp
+++ b/Tests/Support/RawServer.cpp
@@ -160,6 +160,12 @@
   }
 }
 
+void
+RawConnection::FinishWriting()
+{
+  shutdown(m_socket, SHUT_WR);
+}
+
 void
 RawConnection::Reset()
 {
--- a/Tests/Support/RawServer.h
+++ b/Tests/Support/RawServer.h
@@ -53,6 +53,8 @@
   /// Discards what arrives until the peer closes.
   void WaitForClose();
   void Close();
+  /// Closes the sending direction only.
+  void FinishWriting();
   /// Closes the connection with a TCP reset.
   void Reset();
 
