Refuse a response whose status is not between 100 and 599

What callers saw: 600 and 999 passed on. A status of 000 reached no caller, but counted as informational, as 099 did, so that the bytes behind it became the response. On the own interface such responses were complete.

Cause: MessageParser and HttpClient took any number that their library had read for a status (RFC 9110, section 15, knows 100 to 599). Ruled out by the cases: that the libraries refuse them all; they refuse -200 and 2000.

Change: IsStatus(), checked where a head is complete. The response is then malformed, and the request one that may have run.

--- a/Libraries/LibHttp/HttpMessage.cpp
+++ b/Libraries/LibHttp/HttpMessage.cpp
@@ -17,6 +17,14 @@
   return {};
 }
 
+bool
+IsStatus(int aNumber)
+{
+  constexpr int kFirst = 100;
+  constexpr int kLast = 599;
+  return aNumber >= kFirst && aNumber <= kLast;
+}
+
 const char*
 FindFramingError(const HttpHeaders& aHeaders)
 {
--- a/Libraries/LibRelay/MessageParser.cpp
+++ b/Libraries/LibRelay/MessageParser.cpp
@@ -69,9 +69,15 @@
   {
     MessageParser& self = Self(aParser);
     MessageHead& head = self.m_head;
-    // The packaged library accepts spaces in header names, and codings that nobody decodes.
-    self.m_head_error = aParser->http_major != 1 ? "the protocol version is not HTTP/1"
-                                                 : FindFramingError(head.m_headers);
+    // The packaged library accepts any status below 1000, spaces in header names, and codings that
+    // nobody decodes.
+    if (aParser->http_major != 1) {
+      self.m_head_error = "the protocol version is not HTTP/1";
+    } else if (self.m_kind == Kind::Response && !IsStatus(static_cast<int>(aParser->status_code))) {
+      self.m_head_error = "the status is not between 100 and 599";
+    } else {
+      self.m_head_error = FindFramingError(head.m_headers);
+    }
     if (self.m_head_error != nullptr) {
       constexpr int kError = -1;
       return kError;
--- a/Tests/Process/TestForeignResponses.cpp
+++ b/Tests/Process/TestForeignResponses.cpp
@@ -303,3 +303,39 @@
   CHECK(metrics.find("auburnhitch_endpoint_responses_refused_total{service=\"s\","
                      "why=\"unsealed\"} 1") != std::string::npos);
 }
+
+// Guards against a status that is none, taken for a response or for an informational one.
+TEST_CASE("A response whose status is no status reaches no caller")
+{
+  GatewayCluster cluster;
+  std::atomic<int> arrivals = 0;
+  for (const std::string status : { "000", "0", "099", "20", "-200", "2000", "600", "999" }) {
+    CAPTURE(status);
+    for (const std::string follows : { "", "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n" }) {
+      for (std::size_t i = 0; i < 2; ++i) {
+        cluster.Endpoint(i).SetBehaviour(
+          [&](RawConnection& aConnection, const RawRequest& aRequest) {
+            if (arrivals++ > 0) {
+              return RespondWithSuccess(aConnection, aRequest);
+            }
+            const std::string fields = "X-Response-Seal: s\r\nContent-Length: 0\r\n\r\n";
+            aConnection.Write(
+              WithIdOf(aRequest, absl::StrCat("HTTP/1.1 ", status, " X\r\n", fields)));
+            if (!follows.empty()) {
+              aConnection.Write(WithIdOf(aRequest, follows + "Content-Length: 2\r\n\r\nno"));
+            }
+            return true;
+          });
+      }
+      for (const char* path : { "/safe/x", "/unsafe/x", "/stream/x", "/resumable/x" }) {
+        arrivals = 0;
+        const std::string id = absl::StrCat(status, follows.size(), path);
+        const CallerResponse response = cluster.Call(path, id);
+        const bool may_repeat =
+          std::string(path) == "/safe/x" || std::string(path) == "/resumable/x";
+        CHECK(response.m_status == (may_repeat ? 200 : 502));
+        CHECK(response.m_body == (may_repeat ? "answer to " + id : ""));
+      }
+    }
+  }
+}
--- a/Tests/Process/TestResponseEnd.cpp
+++ b/Tests/Process/TestResponseEnd.cpp
@@ -213,3 +213,20 @@
     CHECK_FALSE(is_complete(rest));
   }
 }
+
+// Guards against a status that is none, taken for a response of an endpoint.
+TEST_CASE("A response whose status is no status is unusable on the own interface")
+{
+  TestCaller caller;
+  for (const char* status : { "000", "0", "099", "20", "-200", "2000", "600", "999" }) {
+    CAPTURE(status);
+    RawServer server([&](RawConnection& aConnection) {
+      if (aConnection.ReadRequest()) {
+        aConnection.Write(absl::StrCat("HTTP/1.1 ", status, " X\r\nContent-Length: 3\r\n\r\nabc"));
+      }
+    });
+    const TestCallPtr call = caller.Call(server.Address(), HttpRequest{ "GET", "/", {}, "" });
+    CHECK_FALSE(call->IsComplete());
+    CHECK(call->m_body.empty());
+  }
+}
