--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -79,8 +79,9 @@
                std::size_t aIndex,
                std::string aId,
                unsigned aSeed,
-               bool aRepeatsRefusals)
-    : m_repeats_refusals(aRepeatsRefusals)
+               const SoakOptions& aOptions)
+    : m_repeats_refusals(aOptions.m_has_odd_bytes)
+    , m_has_foreign_responses(aOptions.m_has_foreign_responses)
     , m_checker(aChecker)
     , m_index(aIndex)
     , m_id(std::move(aId))
@@ -202,6 +203,9 @@
     if (is_kept && m_repeats_refusals && RepeatRefusal(aConnection)) {
       return true;
     }
+    if (m_has_foreign_responses && WriteForeignResponse(aConnection, id)) {
+      return true;
+    }
     return kind.m_is_stream ? WriteStream(aConnection, id, kind, events, fault)
                             : WriteResponse(aConnection, id, fault);
   }
@@ -236,6 +240,24 @@
     return DrawNumber() % 2 == 0;
   }
 
+  /// Now and then writes what no sound endpoint writes, with or without the id of the request.
+  /// Returns whether it did.
+  bool WriteForeignResponse(RawConnection& aConnection, const std::string& aId)
+  {
+    constexpr unsigned kOneIn = 20;
+    constexpr std::array kStatuses{ "200 OK", "204 X", "421 X", "429 X", "503 X", "000 X" };
+    if (DrawNumber() % kOneIn != 0) {
+      return false;
+    }
+    const char* status = kStatuses[DrawNumber() % kStatuses.size()];
+    aConnection.Write(
+      absl::StrCat("HTTP/1.1 ",
+                   status,
+                   DrawNumber() % 2 == 0 ? "" : absl::StrCat("\r\nX-Request-Id: ", aId),
+                   "\r\nContent-Length: 7\r\nRetry-After: 60\r\n\r\nforeign"));
+    return true;
+  }
+
   std::pair<std::string, std::string> Identity()
   {
     const std::lock_guard lock(m_mutex);
@@ -348,6 +370,7 @@
   }
 
   bool m_repeats_refusals;
+  bool m_has_foreign_responses;
   SoakChecker& m_checker;
   std::size_t m_index;
   std::mutex m_mutex;
@@ -388,12 +411,8 @@
     , m_start(Clock::now())
   {
     for (std::size_t i = 0; i < aOptions.m_endpoints; ++i) {
-      m_endpoints.push_back(
-        std::make_unique<SoakEndpoint>(m_checker,
-                                       i,
-                                       m_cluster.IdOf(i),
-                                       aOptions.m_seed + static_cast<unsigned>(i),
-                                       aOptions.m_has_odd_bytes));
+      m_endpoints.push_back(std::make_unique<SoakEndpoint>(
+        m_checker, i, m_cluster.IdOf(i), aOptions.m_seed + static_cast<unsigned>(i), aOptions));
       m_cluster.Endpoint(i).SetBehaviour([endpoint = m_endpoints.back().get()](
                                            RawConnection& aConnection, const RawRequest& aRequest) {
         return endpoint->Serve(aConnection, aRequest);
