Refuse a response with a content coding

What callers saw: a sealed success, or a failure, whose body something had encoded, passed on as the endpoint's.

Cause: nothing looked at Content-Encoding. By the platform's pages callers ask for no coding, and a response that has one is not the endpoint's body.

Change: such a response proves nothing and is refused like an unsealed one; a refusal before the request has run keeps its meaning, as nothing of it is passed on.

--- a/Libraries/LibGateway/ActiveRequestResponseHead.cpp
+++ b/Libraries/LibGateway/ActiveRequestResponseHead.cpp
@@ -37,6 +37,7 @@
     case ResponseMeaning::Unnamed:
     case ResponseMeaning::Unsealed:
     case ResponseMeaning::Contradictory:
+    case ResponseMeaning::Encoded:
       RefuseResponse(meaning);
       return;
   }
--- a/Libraries/LibGateway/ResponseMeaning.cpp
+++ b/Libraries/LibGateway/ResponseMeaning.cpp
@@ -20,6 +20,8 @@
       return "unsealed";
     case ResponseMeaning::Contradictory:
       return "contradictory";
+    case ResponseMeaning::Encoded:
+      return "encoded";
   }
   return "unknown";
 }
@@ -36,6 +38,7 @@
     case ResponseMeaning::Unnamed:
     case ResponseMeaning::Unsealed:
     case ResponseMeaning::Contradictory:
+    case ResponseMeaning::Encoded:
       return false;
   }
   return false;
--- a/Libraries/LibGateway/include/LibGateway/ResponseMeaning.h
+++ b/Libraries/LibGateway/include/LibGateway/ResponseMeaning.h
@@ -37,6 +37,8 @@
   /// The status says that the request has not run and the endpoint does not, or the other way
   /// round. No sound endpoint writes it.
   Contradictory,
+  /// The body has a content coding, so that it is not the endpoint's. No sound endpoint writes it.
+  Encoded,
 };
 
 /// The name of a meaning, for logs and metrics.
--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -265,6 +265,10 @@
   for (const int status : { 200, 201, 204, 206 }) {
     CHECK(meaning(status, { { "X-Request-Id", "id-1" }, { "X-Response-Seal", "s" } }) ==
           ResponseMeaning::Success);
+    CHECK(meaning(status,
+                  { { "X-Request-Id", "id-1" },
+                    { "X-Response-Seal", "s" },
+                    { "Content-Encoding", "gzip" } }) == ResponseMeaning::Encoded);
     CHECK(meaning(status, { { "X-Request-Id", "id-1" } }) == ResponseMeaning::Unsealed);
     CHECK(meaning(status, { { "X-Request-Id", "id-1" }, { "X-Response-Seal", "" } }, true) ==
           ResponseMeaning::Unsealed);
