Test the content coding, and load both endpoints where responses are spoiled

The case "one in twenty from each endpoint does not empty the service" sent one request at a time and asked that each endpoint get a quarter of them. Now eight callers need all slots of both endpoints, so that one that is left out shows; the checks are the same.

--- a/Tests/Process/TestForeignResponses.cpp
+++ b/Tests/Process/TestForeignResponses.cpp
@@ -1,9 +1,12 @@
 #include "GatewayCluster.h"
 
 #include <absl/strings/str_cat.h>
+#include <atomic>
+#include <chrono>
 #include <doctest.h>
 #include <mutex>
 #include <set>
+#include <thread>
 
 using namespace auburnhitch;
 using namespace auburnhitch::tests;
@@ -224,6 +227,16 @@
   }
 }
 
+// Guards against a body that something on the way has encoded, passed on as the endpoint's.
+TEST_CASE("Foreign responses: one with a content coding reaches no caller, sealed or not")
+{
+  const std::string fields = absl::StrCat("Content-Encoding: gzip\r\n", kNineBytes);
+  for (const char* status : { "200 OK", "404 Not Found", "500 Oops" }) {
+    CheckNothingIsPassedOn(
+      { status, absl::StrCat("X-Response-Seal: s\r\n", fields), "It works!", true });
+  }
+}
+
 // Guards against a resumed stream that foreign bytes end, so that it looks whole.
 TEST_CASE("Foreign responses: one to a resumed stream neither continues nor ends it")
 {
@@ -256,12 +269,16 @@
 // and then.
 TEST_CASE("Foreign responses: one in twenty from each endpoint does not empty the service")
 {
-  constexpr int kRequests = 400;
+  // As many as the endpoints have slots, so that requests wait unless both are in use.
+  constexpr int kCallers = 8;
+  constexpr int kRequestsOfCaller = 50;
+  constexpr int kRequests = kCallers * kRequestsOfCaller;
   constexpr int kSpoiledOneIn = 20;
   GatewayCluster cluster;
   std::atomic<int> arrivals = 0;
   for (std::size_t i = 0; i < 2; ++i) {
     cluster.Endpoint(i).SetBehaviour([&](RawConnection& aConnection, const RawRequest& aRequest) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
       if (++arrivals % kSpoiledOneIn != 0) {
         return RespondWithSuccess(aConnection, aRequest);
       }
@@ -269,14 +286,22 @@
       return true;
     });
   }
-  int served = 0;
-  int open = 0;
-  for (int number = 0; number < kRequests; ++number) {
-    const bool may_repeat = number % 2 == 0;
-    const CallerResponse response =
-      cluster.Call(may_repeat ? "/safe/x" : "/unsafe/x", absl::StrCat("s-", number));
-    served += response.m_status == 200 ? 1 : 0;
-    open += response.m_status == 502 ? 1 : 0;
+  std::atomic<int> served = 0;
+  std::atomic<int> open = 0;
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&, caller] {
+      for (int number = 0; number < kRequestsOfCaller; ++number) {
+        const CallerResponse response = cluster.Call(number % 2 == 0 ? "/safe/x" : "/unsafe/x",
+                                                     absl::StrCat("s-", caller, "-", number));
+        served += response.m_status == 200 ? 1 : 0;
+        open += response.m_status == 502 ? 1 : 0;
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
   }
   CHECK(served + open == kRequests);
   CHECK(open <= arrivals / kSpoiledOneIn);
