--- a/Tests/Process/TestSoak.cpp
+++ b/Tests/Process/TestSoak.cpp
@@ -58,6 +58,32 @@
     true }
 };
 
+/// Runs a seed for 8 s.
+void
+CheckSoak(SoakOptions aOptions)
+{
+  aOptions.m_length = std::chrono::milliseconds(8'000);
+  const SoakResult result = RunSoak(aOptions);
+  std::string text = result.m_summary;
+  for (const auto* lines : { &result.m_violations, &result.m_faults }) {
+    for (const std::string& line : *lines) {
+      text += "\n  " + line;
+    }
+  }
+  INFO("seed ", aOptions.m_seed, ": ", text);
+  CHECK(result.m_violations.empty());
+  CHECK(result.m_served > 0);
+}
+
+}
+
+TEST_CASE("Soak: spurious responses beside other faults violate no guarantee")
+{
+  SoakOptions options;
+  options.m_seed = 63'001;
+  options.m_repeats_crashes = false;
+  options.m_has_spurious_responses = true;
+  CheckSoak(options);
 }
 
 TEST_CASE("Soak: overlapping faults in series violate no guarantee")
@@ -65,22 +91,12 @@
   for (const SoakCase& entry : kCases) {
     SoakOptions options;
     options.m_seed = entry.m_seed;
-    options.m_length = std::chrono::milliseconds(8'000);
     options.m_cuts_paths = entry.m_cuts_paths;
     options.m_has_rests = entry.m_has_rests;
     options.m_repeats_crashes = entry.m_repeats_crashes;
     options.m_has_odd_bytes = entry.m_has_odd_bytes;
     options.m_kills_all = entry.m_kills_all;
     options.m_cuts_endpoints = entry.m_cuts_endpoints;
-    const SoakResult result = RunSoak(options);
-    std::string text = result.m_summary;
-    for (const auto* lines : { &result.m_violations, &result.m_faults }) {
-      for (const std::string& line : *lines) {
-        text += "\n  " + line;
-      }
-    }
-    INFO("seed ", entry.m_seed, ": ", text);
-    CHECK(result.m_violations.empty());
-    CHECK(result.m_served > 0);
+    CheckSoak(options);
   }
 }
