Take a response without a length as whole only if its request was acknowledged

Cause: took a request as sent once it had left the buffer of this process. The socket's own buffer holds megabytes, so that an upload of less counted as sent while the endpoint's host had taken some 64 KiB of it. Ruled out: the buffer of this process, which is empty in these cases; uploads of 4 MB, which do not fit, passed before.

Change: an orderly end completes such a response only if the host of the endpoint has acknowledged the whole request (TIOCOUTQ) and no reset has arrived behind the end (SO_ERROR; an orderly end hides it from reads). An endpoint that has read the request has acknowledged it with its response, so that no sound response is affected. The queries are in ClientSocket, with the options that were in RelayClient; RelayConnection, which asked for the same, uses it.

--- a/Libraries/LibRelay/RelayClient.cpp
+++ b/Libraries/LibRelay/RelayClient.cpp
@@ -1,5 +1,7 @@
 #include <LibRelay/RelayClient.h>
 
+#include "ClientSocket.h"
+
 #include <LibHttp/HttpServer.h>
 #include <absl/container/flat_hash_set.h>
 #include <absl/strings/match.h>
@@ -12,7 +14,6 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/util.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace auburnhitch {
@@ -22,9 +23,6 @@
 // Share of the Keep-Alive timeout announced by the peer for which an idle connection is kept. A
 // peer may close the connection a little before that timeout.
 constexpr double kShareOfPeerLifetime = 0.7;
-// Maximum time for which written bytes may stay unacknowledged (TCP_USER_TIMEOUT); long enough for
-// a few retransmissions.
-constexpr int kMaxUnacknowledgedMs = 6'000;
 // A peer sends a few informational (1xx) responses at most.
 constexpr int kMaxInformationalResponses = 8;
 // Time for a response that crosses the cancellation of its call; a peer that does not notice the
@@ -32,9 +30,6 @@
 constexpr Milliseconds kLateHeadTimeout{ 250 };
 // Bounds the descriptors in use by cancelled calls.
 constexpr std::size_t kMaxCancelledCalls = 512;
-constexpr int kKeepAliveIdleSeconds = 2;
-constexpr int kKeepAliveIntervalSeconds = 1;
-constexpr int kKeepAliveProbes = 3;
 
 Milliseconds
 AdvertisedIdleLifetime(const MessageHead& aHead, Milliseconds aDefault)
@@ -54,20 +49,6 @@
     static_cast<std::int64_t>(seconds * kMillisecondsPerSecond * kShareOfPeerLifetime));
 }
 
-void
-SetSocketOptions(int aSocket)
-{
-  const auto set = [aSocket](int aLevel, int aName, int aValue) {
-    setsockopt(aSocket, aLevel, aName, &aValue, sizeof(aValue));
-  };
-  set(IPPROTO_TCP, TCP_NODELAY, 1);
-  set(SOL_SOCKET, SO_KEEPALIVE, 1);
-  set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
-  set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
-  set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kMaxUnacknowledgedMs);
-}
-
 std::string
 Serialize(const RelayRequest& aRequest)
 {
@@ -332,7 +313,7 @@
     if ((aWhat & BEV_EVENT_CONNECTED) != 0) {
       self->m_connect_timer = nullptr;
       self->m_is_established = true;
-      SetSocketOptions(bufferevent_getfd(self->m_events));
+      SetClientSocketOptions(bufferevent_getfd(self->m_events));
       self->WriteRequest();
       return;
     }
@@ -351,7 +332,7 @@
       }
       // A response without a length is truncated after an error, or while the peer has not taken
       // the whole request; see RelayCallEnd::Closed.
-      if (evbuffer_get_length(bufferevent_get_output(self->m_events)) == 0) {
+      if (self->HasPeerTakenRequest()) {
         self->m_parser.FeedEnd();
       }
       if (self->m_parser.State() == MessageParser::Progress::Complete) {
@@ -365,6 +346,14 @@
                    : "connection closed before the end of the response");
   }
 
+  // A peer may end its direction of the connection in order and reset it afterwards.
+  bool HasPeerTakenRequest() const
+  {
+    const int socket = bufferevent_getfd(m_events);
+    return evbuffer_get_length(bufferevent_get_output(m_events)) == 0 &&
+           UnacknowledgedBytes(socket) == 0 && TakeError(socket) == 0;
+  }
+
   void Read()
   {
     evbuffer* input = bufferevent_get_input(m_events);
--- a/Libraries/LibRelay/RelayConnection.cpp
+++ b/Libraries/LibRelay/RelayConnection.cpp
@@ -1,11 +1,12 @@
 #include "RelayConnection.h"
 
+#include "ClientSocket.h"
+
 #include <LibRelay/RelayServer.h>
 #include <algorithm>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace auburnhitch {
@@ -331,12 +332,9 @@
 {
   // The kernel accepts no more bytes before a third of its buffer, which may have megabytes, is
   // free. What it still holds shows slower progress of the peer too.
-  int queued = 0;
-  if (m_taken_bytes == m_written_bytes ||
-      ioctl(bufferevent_getfd(m_events), TIOCOUTQ, &queued) != 0) {
-    queued = 0;
-  }
-  const std::uint64_t left = UnsentBytes() + static_cast<std::uint64_t>(std::max(0, queued));
+  const std::uint64_t queued =
+    m_taken_bytes == m_written_bytes ? 0 : UnacknowledgedBytes(bufferevent_getfd(m_events));
+  const std::uint64_t left = UnsentBytes() + queued;
   return m_written_bytes - std::min(m_written_bytes, left);
 }
 
--- a/Tests/Process/TestEarlyResponses.cpp
+++ b/Tests/Process/TestEarlyResponses.cpp
@@ -1,6 +1,7 @@
 #include "GatewayCluster.h"
 
 #include <absl/strings/str_cat.h>
+#include <array>
 #include <chrono>
 #include <doctest.h>
 #include <thread>
@@ -12,7 +13,9 @@
 
 using Ms = std::chrono::milliseconds;
 
-constexpr std::size_t kUploadBytes = 4 << 20;
+/// One upload that the sockets of both sides hold, as far as the endpoint's host takes it, and one
+/// that they do not.
+constexpr std::array<std::size_t, 2> kUploadBytes{ 768 << 10, 4 << 20 };
 constexpr int kEventsOfPart = 1'000;
 
 /// How an endpoint ends the connection on which it has responded to an upload that it does not
@@ -60,7 +63,10 @@
 }
 
 CallerResponse
-Upload(const GatewayCluster& aCluster, const std::string& aPath, const std::string& aRequestId)
+Upload(const GatewayCluster& aCluster,
+       const std::string& aPath,
+       const std::string& aRequestId,
+       std::size_t aBytes)
 {
   return ParseResponse(Exchange(aCluster.CallerAddress(0),
                                 absl::StrCat("POST ",
@@ -70,9 +76,9 @@
                                              "\r\nAuthorization: Bearer key-1\r\n"
                                              "X-Deadline-Ms: 4000\r\nConnection: close\r\n"
                                              "Content-Length: ",
-                                             kUploadBytes,
+                                             aBytes,
                                              "\r\n\r\n",
-                                             std::string(kUploadBytes, 'u'))));
+                                             std::string(aBytes, 'u'))));
 }
 
 }
@@ -82,7 +88,7 @@
 {
   GatewayCluster cluster(1, 1);
   cluster.Configure([](nlohmann::json& aConfiguration) {
-    aConfiguration["limits"]["max_body_bytes"] = kUploadBytes;
+    aConfiguration["limits"]["max_body_bytes"] = kUploadBytes.back();
   });
   REQUIRE(WaitFor(
     [&] { return cluster.LogOfDaemon(0).find("event=in-force version=2") != std::string::npos; }));
@@ -106,15 +112,19 @@
          { EarlyEnd::Reset, EarlyEnd::Close, EarlyEnd::FinishAndReset }) {
       for (const Ms early_pause : { Ms(0), Ms(100) }) {
         for (const std::string path : { "/unsafe/x", "/stream/x" }) {
-          head = fields;
-          end = early_end;
-          pause = early_pause;
-          CAPTURE(fields);
-          CAPTURE(static_cast<int>(early_end));
-          CAPTURE(early_pause.count());
-          CAPTURE(path);
-          const CallerResponse response = Upload(cluster, path, absl::StrCat("early-", ++number));
-          CHECK((response.m_status == 502 || !response.m_is_complete));
+          for (const std::size_t bytes : kUploadBytes) {
+            head = fields;
+            end = early_end;
+            pause = early_pause;
+            CAPTURE(fields);
+            CAPTURE(static_cast<int>(early_end));
+            CAPTURE(early_pause.count());
+            CAPTURE(path);
+            CAPTURE(bytes);
+            const CallerResponse response =
+              Upload(cluster, path, absl::StrCat("early-", ++number), bytes);
+            CHECK((response.m_status == 502 || !response.m_is_complete));
+          }
         }
       }
     }
