--- a/Tests/Process/TestStaleKnowledge.cpp
+++ b/Tests/Process/TestStaleKnowledge.cpp
@@ -113,3 +113,23 @@
     CHECK(cluster.RunsOf(absl::StrCat("late-", i)) == 0);
   }
 }
+
+// Guards against a withdrawn key that is accepted long after the store is back: a long poll that
+// was sent while the store was silent is given up later than a read that does not wait.
+TEST_CASE("After a read that the store left without a response, the next does not wait for records")
+{
+  constexpr const char* kConfiguration = "keyed.op";
+  GatewayCluster cluster(1, 1);
+  StoreStandIn& store = cluster.Store();
+  store.SetSilent(kConfiguration, true);
+  cluster.Configure(
+    [](nlohmann::json& aConfiguration) { aConfiguration["tenants"][0]["api_keys"] = { "key-2" }; });
+  REQUIRE(WaitFor([&] { return store.HeldCalls(kConfiguration) > 0; }));
+  const int calls = store.Calls(kConfiguration);
+  REQUIRE(WaitFor([&] { return store.Calls(kConfiguration) > calls; }));
+  CHECK(store.ReadsWithoutWait(kConfiguration) == 0);
+  store.SetSilent(kConfiguration, false);
+  CHECK(WaitFor([&] { return store.ReadsWithoutWait(kConfiguration) > 0; }));
+  CHECK(WaitFor(
+    [&] { return cluster.LogOfDaemon(0).find("event=in-force version=2") != std::string::npos; }));
+}
