Believe a refusal only if it names the request and states that it has not run

Callers of unsafe requests that had run were told "not run", or the request ran twice.

By the platform's page servers echo the id, and no response without X-Not-Executed states that a request has not run.

Change: any response without the id is unnamed, on used connections too; "not run" needs X-Not-Executed. ExpectedResponse has no use left.

Tests: TestSpuriousResponses has both shapes, and spurious responses behind an informational one, which pass before and after. The 421 of TestGatewayFaults and the unit test "Only an endpoint's own statement ..." stated the exceptions; the first now writes the statement, the second asks for the id in each case.

--- a/Libraries/LibGateway/ActiveRequestNotices.cpp
+++ b/Libraries/LibGateway/ActiveRequestNotices.cpp
@@ -49,14 +49,14 @@
     return;
   }
   m_call->Cancel([dependencies = m_dependencies,
-                  expected = Expected(),
+                  request_id = m_request.m_head.m_request_id,
                   service = m_request.m_service,
                   endpoint = m_attempt->m_endpoint.Run()](const MessageHead& aHead) {
-    const ResponseMeaning meaning = dependencies.m_dialect->ClassifyResponse(aHead, expected);
+    const ResponseMeaning meaning = dependencies.m_dialect->ClassifyResponse(aHead, request_id);
     const EndpointNotice notice = dependencies.m_dialect->DecodeNotice(aHead);
     LogOf("send").info("event=late-response request={} service={} endpoint={} status={} "
                        "meaning={} stated_leaving={} stated_rest_ms={}",
-                       expected.m_request_id,
+                       request_id,
                        service.Value(),
                        endpoint.m_id.Value(),
                        aHead.m_status,
--- a/Libraries/LibGateway/ActiveRequestResponseHead.cpp
+++ b/Libraries/LibGateway/ActiveRequestResponseHead.cpp
@@ -19,7 +19,8 @@
   RecordHeard();
   m_attempt->m_response_head = aHead;
   m_attempt->m_completeness.emplace(aHead, IsStream());
-  const ResponseMeaning meaning = m_dependencies.m_dialect->ClassifyResponse(aHead, Expected());
+  const ResponseMeaning meaning =
+    m_dependencies.m_dialect->ClassifyResponse(aHead, m_request.m_head.m_request_id);
   if (IsFromEndpoint(meaning) && !m_attempt->m_forwarded_to) {
     RecordNotice(meaning, aHead);
   }
@@ -43,12 +44,6 @@
   }
 }
 
-ExpectedResponse
-ActiveRequest::Expected() const
-{
-  return { m_request.m_head.m_request_id, m_attempt->m_endpoint.m_id, m_call->IsReused() };
-}
-
 void
 ActiveRequest::OnNotRun()
 {
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -152,8 +152,6 @@
   void StartAttempt(const EndpointEntry& aEndpoint, bool aMayHaveRestarted);
   void OnRequestWritten();
   void OnResponseHead(const MessageHead& aHead);
-  /// What the response to the present attempt has to show. Precondition: the call runs.
-  ExpectedResponse Expected() const;
   /// Handle the head of a response by its meaning.
   void OnNotRun();
   void OnFailure();
--- a/Libraries/LibGateway/include/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/include/LibGateway/Dialect.h
@@ -70,7 +70,7 @@
   /// What the head of a response proves. Its status alone proves nothing: a faulty endpoint may
   /// write bytes that are no response to the request.
   virtual ResponseMeaning ClassifyResponse(const MessageHead& aResponse,
-                                           const ExpectedResponse& aExpected) const = 0;
+                                           const std::string& aRequestId) const = 0;
   /// What the endpoint states about itself in the head of a response.
   virtual EndpointNotice DecodeNotice(const MessageHead& aResponse) const = 0;
   /// The header fields of a response that the gateway itself generates.
--- a/Libraries/LibGateway/include/LibGateway/ResponseMeaning.h
+++ b/Libraries/LibGateway/include/LibGateway/ResponseMeaning.h
@@ -1,24 +1,7 @@
 #pragma once
 
-#include <LibRegistry/EndpointRegistry.h>
-#include <string>
-
 namespace auburnhitch {
 
-/// The request to which a response is expected, and the connection on which it is. Immutable.
-struct ExpectedResponse
-{
-  std::string m_request_id;
-  /// The endpoint that the request names; empty if another daemon sends it to one.
-  EndpointId m_endpoint;
-  /// Whether the connection has carried other requests before. A refusal that names no request
-  /// belongs to the only one that a new connection has carried; on a reused one it may belong to
-  /// any of them.
-  bool m_is_reused = false;
-
-  auto operator<=>(const ExpectedResponse&) const = default;
-};
-
 /// What the head of an endpoint's response proves.
 enum class ResponseMeaning
 {
@@ -27,8 +10,7 @@
   Failure,
   /// The endpoint did not run the request and never will.
   NotRun,
-  /// The response belongs to another request, or is a refusal of which nothing shows that it
-  /// belongs to this one.
+  /// The response belongs to another request.
   Mismatched,
   /// The response names no request. Endpoints that keep to the protocol never write this, nor any
   /// of the following.
--- a/Tests/Process/TestGatewayFaults.cpp
+++ b/Tests/Process/TestGatewayFaults.cpp
@@ -115,8 +115,9 @@
     };
   };
   int number = 0;
-  for (const char* head : { "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n",
-                            "HTTP/1.1 421 Misdirected\r\nX-Instance-Id: i-9\r\n" }) {
+  for (const char* head :
+       { "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n",
+         "HTTP/1.1 421 Misdirected\r\nX-Not-Executed: 1\r\nX-Instance-Id: i-9\r\n" }) {
     cluster.Endpoint(0).SetBehaviour(refuse(head));
     cluster.Endpoint(1).SetBehaviour(RespondWithSuccess);
     for (int i = 0; i < 3; ++i) {
--- a/Tests/Process/TestSpuriousResponses.cpp
+++ b/Tests/Process/TestSpuriousResponses.cpp
@@ -32,6 +32,9 @@
 
 constexpr const char* kNineBytes = "Content-Type: text/plain\r\nContent-Length: 9\r\n";
 constexpr const char* kChunked = "Transfer-Encoding: chunked\r\n";
+/// A response before the final one, with fields that count only in that.
+constexpr const char* kInformational =
+  "103 Early Hints\r\nX-Response-Seal: s\r\nX-Not-Executed: 1\r\n\r\nHTTP/1.1 ";
 constexpr const char* kEvents = "Content-Type: text/event-stream\r\nConnection: close\r\n";
 
 std::vector<SpuriousResponse>
@@ -137,7 +140,8 @@
                           { "204 No Content", "", "" },
                           { "206 Partial Content", kNineBytes, "It works!" },
                           { "200 OK", kChunked, "9\r\nIt works!\r\n0\r\n\r\n" },
-                          { "200 OK", kEvents, "id: 1\ndata: a\n\n" } })) {
+                          { "200 OK", kEvents, "id: 1\ndata: a\n\n" },
+                          { absl::StrCat(kInformational, "200 OK"), kNineBytes, "It works!" } })) {
     CheckIsDiscarded(response);
   }
   CheckIsDiscarded(
@@ -151,9 +155,16 @@
          { { "503 Service Unavailable", kNineBytes, "It works!" },
            { "429 Too Many", absl::StrCat("Retry-After: 1\r\n", kNineBytes), "slow down" },
            { "421 Misdirected Request", kNineBytes, "It works!" },
+           { "421 Misdirected Request",
+             absl::StrCat("X-Instance-Id: i-9\r\n", kNineBytes),
+             "It works!" },
+           { absl::StrCat(kInformational, "503 Service Unavailable"), kNineBytes, "It works!" },
            { "408 Request Timeout", "Content-Length: 0\r\n", "" } })) {
     CheckIsDiscarded(response);
   }
+  for (const std::string status : { "503 Service Unavailable", "421 Misdirected Request" }) {
+    CheckIsDiscarded({ status, absl::StrCat("X-Not-Executed: 1\r\n", kNineBytes), "It works!" });
+  }
   for (const std::string status : { "500 Oops", "504 Late", "404 Not Found", "302 Found" }) {
     CheckIsDiscarded({ status, kNineBytes, "It works!" });
   }
--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -258,9 +258,8 @@
 TEST_CASE("A success counts only if it names the request and has the endpoint's signature")
 {
   const PlatformDialect dialect;
-  const auto meaning = [&](int aStatus, HttpHeaders aHeaders, bool aIsReused = false) {
-    return dialect.ClassifyResponse(AnswerOf(aStatus, std::move(aHeaders)),
-                                    { "id-1", EndpointId("i-1"), aIsReused });
+  const auto meaning = [&](int aStatus, HttpHeaders aHeaders) {
+    return dialect.ClassifyResponse(AnswerOf(aStatus, std::move(aHeaders)), "id-1");
   };
   for (const int status : { 200, 201, 204, 206 }) {
     CHECK(meaning(status, { { "X-Request-Id", "id-1" }, { "X-Response-Seal", "s" } }) ==
@@ -270,7 +269,7 @@
                     { "X-Response-Seal", "s" },
                     { "Content-Encoding", "gzip" } }) == ResponseMeaning::Encoded);
     CHECK(meaning(status, { { "X-Request-Id", "id-1" } }) == ResponseMeaning::Unsigned);
-    CHECK(meaning(status, { { "X-Request-Id", "id-1" }, { "X-Response-Seal", "" } }, true) ==
+    CHECK(meaning(status, { { "X-Request-Id", "id-1" }, { "X-Response-Seal", "" } }) ==
           ResponseMeaning::Unsigned);
     CHECK(meaning(status, { { "X-Response-Seal", "s" } }) == ResponseMeaning::Unnamed);
     CHECK(meaning(status, {}) == ResponseMeaning::Unnamed);
@@ -282,9 +281,8 @@
 TEST_CASE("Only an endpoint's own statement proves that it did not run a request")
 {
   const PlatformDialect dialect;
-  const auto meaning = [&](int aStatus, HttpHeaders aHeaders, bool aIsReused = false) {
-    return dialect.ClassifyResponse(AnswerOf(aStatus, std::move(aHeaders)),
-                                    { "id-1", EndpointId("i-1"), aIsReused });
+  const auto meaning = [&](int aStatus, HttpHeaders aHeaders) {
+    return dialect.ClassifyResponse(AnswerOf(aStatus, std::move(aHeaders)), "id-1");
   };
   for (const int status : { 400, 408, 421, 429, 500, 503 }) {
     CAPTURE(status);
@@ -292,26 +290,19 @@
     CHECK(meaning(status, { { "X-Request-Id", "id-1" } }) ==
           (is_promise ? ResponseMeaning::Contradictory : ResponseMeaning::Failure));
     CHECK(meaning(status, {}) == ResponseMeaning::Unnamed);
-    CHECK(meaning(status, {}, true) == ResponseMeaning::Unnamed);
-    CHECK(meaning(status, { { "X-Not-Executed", "1" } }) == ResponseMeaning::NotRun);
-    CHECK(meaning(status, { { "X-Not-Executed", "1" } }, true) == ResponseMeaning::Mismatched);
-    CHECK(meaning(status, { { "X-Not-Executed", "1" }, { "X-Request-Id", "id-1" } }, true) ==
+    CHECK(meaning(status, { { "X-Not-Executed", "1" } }) == ResponseMeaning::Unnamed);
+    CHECK(meaning(status, { { "X-Not-Executed", "1" }, { "X-Request-Id", "id-1" } }) ==
           ResponseMeaning::NotRun);
     CHECK(meaning(status, { { "X-Not-Executed", "1" }, { "X-Request-Id", "id-2" } }) ==
           ResponseMeaning::Mismatched);
-    CHECK(meaning(status, { { "X-Request-Id", "id-1" }, { "X-Instance-Id", "i-1" } }) ==
+    CHECK(meaning(status, { { "X-Request-Id", "id-1" }, { "X-Instance-Id", "i-2" } }) ==
           meaning(status, { { "X-Request-Id", "id-1" } }));
+    CHECK(meaning(status, { { "X-Instance-Id", "i-2" } }) == ResponseMeaning::Unnamed);
   }
-  CHECK(meaning(421, { { "X-Request-Id", "id-1" }, { "X-Instance-Id", "i-2" } }) ==
-        ResponseMeaning::NotRun);
-  CHECK(meaning(421, { { "X-Instance-Id", "i-2" } }) == ResponseMeaning::NotRun);
-  CHECK(meaning(421, { { "X-Instance-Id", "i-2" } }, true) == ResponseMeaning::Mismatched);
-  CHECK(meaning(503, { { "X-Request-Id", "id-1" }, { "X-Instance-Id", "i-2" } }) ==
-        ResponseMeaning::Contradictory);
   for (const HttpHeaders& also : { HttpHeaders{}, HttpHeaders{ { "X-Response-Seal", "s" } } }) {
     HttpHeaders headers = also;
     headers.emplace_back("X-Not-Executed", "1");
-    CHECK(meaning(200, headers, true) == ResponseMeaning::Unnamed);
+    CHECK(meaning(200, headers) == ResponseMeaning::Unnamed);
     headers.emplace_back("X-Request-Id", "id-1");
     CHECK(meaning(200, headers) == ResponseMeaning::Contradictory);
   }
