--- a/Tests/Process/TestOddEntries.cpp
+++ b/Tests/Process/TestOddEntries.cpp
@@ -142,6 +142,25 @@
   CHECK_FALSE(HasLogged(cluster, "\nevent=forged"));
 }
 
+// Guards against requests that go to a service which another writer names for an endpoint that
+// left.
+TEST_CASE(
+  "Odd entries: one without a start time, under the id of an endpoint that left, names none")
+{
+  GatewayCluster cluster(1, 2);
+  nlohmann::json entry =
+    nlohmann::json::parse(cluster.Store().Newest("keyed.servers", "i-0").value());
+  entry.erase("born");
+  cluster.Deregister(0);
+  REQUIRE(WaitFor([&] { return HasLogged(cluster, "event=removed endpoint=i-0"); }));
+  cluster.Store().Put("keyed.servers", cluster.IdOf(0), entry.dump());
+  // Records are applied in order.
+  cluster.Register(1, "draining");
+  REQUIRE(WaitFor([&] { return HasLogged(cluster, "event=draining endpoint=i-1"); }));
+  CHECK(cluster.Call("/unsafe/x", "r1").m_status == 503);
+  CHECK(cluster.Endpoint(0).Requests().empty());
+}
+
 TEST_CASE("Odd entries: a thousand of them do not flood the log")
 {
   GatewayCluster cluster(1, 1);
--- a/Tests/Unit/TestPlatformAdapter.cpp
+++ b/Tests/Unit/TestPlatformAdapter.cpp
@@ -122,6 +122,8 @@
          { "\"slots\": 4", "\"slots\": 0" },
          { "\"slots\": 4", "\"slots\": 1e999" },
          { "\"born\": 1700000000000", "\"born\": \"x\"" },
+         { "\"born\": 1700000000000", "\"born\": 1.5" },
+         { ", \"born\": 1700000000000", "" },
          { "{", "\xff\xfe" } }) {
     Findings wrong;
     CHECK_MESSAGE(
