--- a/Libraries/LibRelay/include/LibRelay/RelayClient.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayClient.h
@@ -17,8 +17,8 @@
 {
   /// The complete response arrived, as its framing proves.
   Complete,
-  /// The connection was closed in order after a response without a length. The response may be
-  /// truncated; only its content can show that.
+  /// The connection was closed in order after a response without a length, and the peer's host had
+  /// acknowledged the whole request. The response may be truncated; only its content can show that.
   Closed,
   /// No byte of the request left this process.
   NotSent,
--- a/Tests/Process/TestEarlyResponses.cpp
+++ b/Tests/Process/TestEarlyResponses.cpp
@@ -13,8 +13,7 @@
 
 using Ms = std::chrono::milliseconds;
 
-/// One upload that the sockets of both sides hold, as far as the endpoint's host takes it, and one
-/// that they do not.
+/// One upload that fits into the buffer of the daemon's socket, and one that does not.
 constexpr std::array<std::size_t, 2> kUploadBytes{ 768 << 10, 4 << 20 };
 constexpr int kEventsOfPart = 1'000;
 
