Refuse complete requests that hold more than their share beyond the budget

Cause: RelayConnection asked the memory budget only while a request was incomplete. A head of 980 short fields arrives in one read and takes 62 KiB. Ruled out: bytes that are read ahead or left unread, which stay and fit.

Change: a complete request is refused with 503 before it is passed on if the budget is exceeded, after those that are still being received have given theirs back, and it holds more than the budget divided by the connections of its port. Smaller requests are served as before.

--- a/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
@@ -28,7 +28,7 @@
   bool m_cannot_connect = false;
   std::int64_t m_configuration_version = 0;
   std::uint64_t m_log_lines_dropped = 0;
-  /// Requests refused while they were received because the memory budget was exceeded.
+  /// Requests refused before they were handled because the memory budget was exceeded.
   std::uint64_t m_refused_for_memory = 0;
   /// Callers' connections closed so that new ones could be accepted.
   std::uint64_t m_closed_for_room = 0;
--- a/Libraries/LibRelay/RelayConnection.cpp
+++ b/Libraries/LibRelay/RelayConnection.cpp
@@ -136,7 +136,6 @@
   switch (m_parser.State()) {
     case MessageParser::Progress::NeedMore:
       RefuseByHead();
-      // A request that has arrived completely is not refused for memory.
       m_server.m_memory.Reclaim(m_server.m_loop.Now());
       return m_phase == Phase::Reading;
     case MessageParser::Progress::Malformed:
@@ -146,12 +145,28 @@
       RejectRequest(kHeadTooLarge, "the header fields are larger than the limit");
       return false;
     case MessageParser::Progress::Complete:
-      DispatchRequest();
+      if (IsBeyondMemory()) {
+        ++m_server.m_refused_for_memory;
+        RefuseForMemory();
+      } else {
+        DispatchRequest();
+      }
       return false;
   }
   return false;
 }
 
+bool
+RelayConnection::IsBeyondMemory()
+{
+  m_memory.SetReclaimableSince(std::nullopt);
+  MemoryBudget& budget = m_server.m_memory;
+  budget.Reclaim(m_server.m_loop.Now());
+  // Small requests are served in any case: together they cannot exceed the budget by much.
+  return budget.Total() > budget.Limit() &&
+         m_memory.Total() > budget.Limit() / m_server.m_limits.m_max_connections;
+}
+
 void
 RelayConnection::RefuseByHead()
 {
--- a/Libraries/LibRelay/include/LibRelay/RelayServer.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayServer.h
@@ -46,9 +46,10 @@
   using HeadCheck = std::function<Handler(const MessageHead&)>;
 
   /// Binds and listens. Fails with Unavailable when the socket cannot be bound to the address. The
-  /// budget may be shared with other servers; requests that are being received are refused with
-  /// 503, and connections whose peers read nothing closed, while it is exceeded. Precondition: the
-  /// loop and the budget outlive the server.
+  /// budget may be shared with other servers; while it is exceeded, requests that are being
+  /// received, and complete ones that hold more than their share of it, are refused with 503, and
+  /// connections whose peers read nothing closed. Precondition: the loop and the budget outlive the
+  /// server.
   static absl::StatusOr<std::unique_ptr<RelayServer>> Create(EventLoop& aLoop,
                                                              const SocketAddress& aAddress,
                                                              const RelayServerLimits& aLimits,
@@ -70,7 +71,7 @@
   /// has arrived of each; it must respond. The head is empty if it is incomplete itself. The
   /// connections close after these responses.
   void EndReceiving(const Handler& aRespond);
-  /// Number of requests that were refused while they were received because the memory budget was
+  /// Number of requests that were refused before they were handled because the memory budget was
   /// exceeded.
   std::uint64_t RefusedForMemory() const { return m_refused_for_memory; }
   /// Number of connections that were closed for the memory budget because their peers read nothing.
--- a/Tests/Process/TestReaderBounds.cpp
+++ b/Tests/Process/TestReaderBounds.cpp
@@ -4,6 +4,7 @@
 #include <LibRelay/RelayClient.h>
 #include <LibRelay/RelayServer.h>
 #include <absl/strings/str_cat.h>
+#include <array>
 #include <doctest.h>
 #include <sys/socket.h>
 #include <thread>
@@ -184,3 +185,53 @@
   loop.Run();
   CHECK(statuses == std::vector<int>{ 503, 200, 200 });
 }
+
+// Guards against a crowd whose complete requests together fill the memory of a daemon.
+TEST_CASE("Bytes without end: complete requests of very many fields are bounded, small ones served")
+{
+  EventLoop loop;
+  RelayServerLimits limits;
+  limits.m_max_connections = 10;
+  // The first two requests fit into it, the third does not, but is smaller than a tenth of it.
+  MemoryBudget memory(106'000);
+  constexpr std::array kFields{ 700, 300, 100, 300 };
+  constexpr std::size_t kHeldFields = 200;
+  const SocketAddress address = Cluster::UnusedAddress();
+  RelayClient client(loop, Milliseconds(100), 0);
+  std::vector<std::unique_ptr<RelayCall>> calls;
+  std::vector<RelayExchangePtr> held;
+  std::vector<int> statuses;
+  const std::function<void()> send_next = [&] {
+    if (statuses.size() == kFields.size()) {
+      loop.Stop();
+      return;
+    }
+    if (calls.size() == kFields.size()) {
+      for (const RelayExchangePtr& exchange : std::exchange(held, {})) {
+        exchange->Reply(200, {}, "");
+      }
+      return;
+    }
+    RelayRequest request;
+    request.m_target = "/";
+    request.m_headers.assign(kFields.at(calls.size()), { "a", "" });
+    RelayCallHandlers handlers;
+    handlers.m_on_head = [&](const MessageHead& aHead) { statuses.push_back(aHead.m_status); };
+    handlers.m_on_end = [&](const RelayResult&) { send_next(); };
+    calls.push_back(
+      client.Send(address, "server", std::move(request), RelayCallLimits(), std::move(handlers)));
+  };
+  const auto server =
+    RelayServer::Create(loop, address, limits, memory, [&](const RelayExchangePtr& aExchange) {
+      if (aExchange->Head().m_headers.size() < kHeldFields) {
+        aExchange->Reply(200, {}, "");
+        return;
+      }
+      held.push_back(aExchange);
+      loop.Defer(send_next);
+    });
+  REQUIRE(server.ok());
+  send_next();
+  loop.Run();
+  CHECK(statuses == std::vector<int>{ 200, 503, 200, 200 });
+}
