Restart crashed endpoints also while the soak waits for recovery

Backtraces show the endpoints of the stand-in waiting as crashed (SoakEndpoint::Serve); the daemons kept sending to them.

Cause: in the test. While CheckRecovery waits, the callers go on with requests that crash endpoints, and only the loops before it restart crashed endpoints. Once all have crashed nothing can be served again.

Change: the wait restarts crashed endpoints as those loops do. The check is the same: each daemon must serve each kind of request again.

--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -961,6 +961,9 @@
       for (const SoakKind& kind : kSoakKinds) {
         int attempts = 0;
         const bool is_served = WaitFor([&] {
+          // Callers go on with requests that crash endpoints.
+          RestartCrashedEndpoints();
+          RunDueActions(Clock::now());
           RenewRegistrations();
           const std::string id = absl::StrCat("after-", daemon, "-", kind.m_name, "-", ++attempts);
           const SoakRequest request{ id, &kind, daemon, id };
