--- a/Tests/Process/TestOddEntries.cpp
+++ b/Tests/Process/TestOddEntries.cpp
@@ -142,8 +142,7 @@
   CHECK_FALSE(HasLogged(cluster, "\nevent=forged"));
 }
 
-// Guards against requests that go to a service which another writer names for an endpoint that
-// left.
+// Guards against requests that go to a service which another writer names for a former endpoint.
 TEST_CASE(
   "Odd entries: one without a start time, under the id of an endpoint that left, names none")
 {
--- a/Tests/Process/TestStaleKnowledge.cpp
+++ b/Tests/Process/TestStaleKnowledge.cpp
@@ -114,8 +114,7 @@
   }
 }
 
-// Guards against a withdrawn key that is accepted long after the store is back: a long poll that
-// was sent while the store was silent is given up later than a read that does not wait.
+// Guards against a withdrawn key that is still accepted when the store has been back for long.
 TEST_CASE("After a read that the store left without a response, the next does not wait for records")
 {
   constexpr const char* kConfiguration = "keyed.op";
