--- a/Libraries/LibRelay/RelayConnection.cpp
+++ b/Libraries/LibRelay/RelayConnection.cpp
@@ -145,11 +145,11 @@
       RejectRequest(kHeadTooLarge, "the header fields are larger than the limit");
       return false;
     case MessageParser::Progress::Complete:
-      if (IsBeyondMemory()) {
+      if (MakeRoomForRequest()) {
+        DispatchRequest();
+      } else {
         ++m_server.m_refused_for_memory;
         RefuseForMemory();
-      } else {
-        DispatchRequest();
       }
       return false;
   }
@@ -157,14 +157,14 @@
 }
 
 bool
-RelayConnection::IsBeyondMemory()
+RelayConnection::MakeRoomForRequest()
 {
   m_memory.SetReclaimableSince(std::nullopt);
   MemoryBudget& budget = m_server.m_memory;
   budget.Reclaim(m_server.m_loop.Now());
   // Small requests are served in any case: together they cannot exceed the budget by much.
-  return budget.Total() > budget.Limit() &&
-         m_memory.Total() > budget.Limit() / m_server.m_limits.m_max_connections;
+  return budget.Total() <= budget.Limit() ||
+         m_memory.Total() <= budget.Limit() / m_server.m_limits.m_max_connections;
 }
 
 void
--- a/Libraries/LibRelay/RelayConnection.h
+++ b/Libraries/LibRelay/RelayConnection.h
@@ -76,10 +76,10 @@
   /// Parses what the input holds in one piece. Returns whether the connection still exists and
   /// receives a request.
   bool ParseInput();
-  /// Whether a request that has arrived completely is to be refused, since the memory budget is
-  /// exceeded and the request holds more than the part of it that each connection may use. Makes
-  /// requests that are being received give their memory back first.
-  bool IsBeyondMemory();
+  /// Lets other connections give memory back while the budget is exceeded. Returns whether the
+  /// request that has arrived completely may be handled: the budget is kept then, or the request
+  /// holds no more than the part of it that each connection may use.
+  bool MakeRoomForRequest();
   /// Refuses the request that is being received if its head decides that.
   void RefuseByHead();
   /// Frees memory on request of the budget. May delete this object.
