Log and count the calls that a daemon gives up, with the evidence

What callers saw: streams ended although their endpoints were at work; the logs named neither the request nor the reason. Cause of the silence: a call that the daemon gave up for a suspicion was logged like one that its endpoint broke off, 'cannot-connect' did not say on what evidence, a connection that the daemon closed for a slow caller was booked as caller-gone, and warnings were dropped like any other line once 256 KiB waited for the reader of standard output.

Change: send: event=given-up and auburnhitch_calls_given_up_total name each such call, why, for how long it had been silent and the evidence; reach: lines carry the endpoints, how each failed and how long nothing was heard; a connection closed here ends its request as cut, with the reason; warnings have 64 KiB more room, and dropped lines are themselves logged. No logic of requests changes.

--- a/Daemon/GatewayDaemon.cpp
+++ b/Daemon/GatewayDaemon.cpp
@@ -315,12 +315,24 @@
   if (now - m_logs_flushed_at >= kLogFlushInterval) {
     m_logs_flushed_at = now;
     FlushLogs();
+    LogDroppedLines();
   }
   if (m_gateway.IsLeaving()) {
     StopWhenIdle();
   }
 }
 
+void
+GatewayDaemon::LogDroppedLines()
+{
+  const std::uint64_t dropped = DroppedLogLines();
+  if (dropped > m_logged_dropped_lines) {
+    LogOf("daemon").warn("event=log-lines-dropped count={} in_all={}",
+                         dropped - std::exchange(m_logged_dropped_lines, dropped),
+                         dropped);
+  }
+}
+
 void
 GatewayDaemon::LogMemoryShortage()
 {
--- a/Daemon/GatewayDaemon.h
+++ b/Daemon/GatewayDaemon.h
@@ -51,6 +51,8 @@
   void StopWhenIdle();
   /// Logs, at most once in an interval, that callers were refused or closed for memory.
   void LogMemoryShortage();
+  /// Logs how many lines have been dropped since the last call, if any.
+  void LogDroppedLines();
 
   EventLoop& m_loop;
   GatewaySettings m_settings;
@@ -74,6 +76,7 @@
   TimePoint m_logs_flushed_at;
   TimePoint m_memory_logged_at;
   std::uint64_t m_logged_reclaimed = 0;
+  std::uint64_t m_logged_dropped_lines = 0;
   bool m_was_ready = false;
   Timer m_tick;
 };
--- a/Libraries/LibCore/Log.cpp
+++ b/Libraries/LibCore/Log.cpp
@@ -17,6 +17,8 @@
 // While the reader of standard output is stopped, at most this much is buffered; further lines are
 // dropped.
 constexpr std::size_t kMaxBufferedBytes = 256 << 10;
+// Warnings have this much more room.
+constexpr std::size_t kWarningBytes = 64 << 10;
 // Lines are written in batches of about this size, or when they are flushed.
 constexpr std::size_t kWriteBytes = 16 << 10;
 
@@ -32,7 +34,9 @@
   {
     spdlog::memory_buf_t line;
     formatter_->format(aMessage, line);
-    if (m_buffer.size() + line.size() > kMaxBufferedBytes) {
+    const bool is_warning = aMessage.level >= spdlog::level::warn;
+    const std::size_t room = kMaxBufferedBytes + (is_warning ? kWarningBytes : 0);
+    if (m_buffer.size() + line.size() > room) {
       ++m_dropped;
       return;
     }
--- a/Libraries/LibCore/include/LibCore/Log.h
+++ b/Libraries/LibCore/include/LibCore/Log.h
@@ -16,7 +16,8 @@
 void
 InitializeLogs(const std::string& aLevel);
 
-/// Number of lines dropped because the reader of standard output did not keep up.
+/// Number of lines dropped because the reader of standard output did not keep up. Lines of level
+/// warning and above are dropped last.
 std::uint64_t
 DroppedLogLines();
 
--- a/Libraries/LibGateway/ActiveRequestEnd.cpp
+++ b/Libraries/LibGateway/ActiveRequestEnd.cpp
@@ -16,6 +16,10 @@
     return;
   }
   Abandon(SlotOutcome::Cancelled);
+  if (const char* why = m_exchange->ClosedWhy()) {
+    Finish("cut", 0, why);
+    return;
+  }
   Finish("caller-gone", 0, "the caller closed its connection");
 }
 
--- a/Libraries/LibGateway/ActiveRequestForwarding.cpp
+++ b/Libraries/LibGateway/ActiveRequestForwarding.cpp
@@ -174,6 +174,7 @@
     m_dependencies.m_reach->RecordGivenUp(
       m_attempt->m_endpoint.m_id, Now() - m_attempt->m_heard_at, Now());
   }
+  RecordGivenUp("cut-off");
   m_call = nullptr;
   // The coordinator learns nothing of the endpoint, nor of the request.
   OnAttemptFailed(m_attempt->m_is_written ? SlotOutcome::Cancelled : SlotOutcome::Unreachable,
@@ -187,11 +188,31 @@
       m_dependencies.m_targets->IsAlive(*m_attempt->m_forwarded_to, Now())) {
     return;
   }
+  RecordGivenUp("daemon-silent");
   m_call = nullptr;
   OnAttemptFailed(m_attempt->m_is_written ? SlotOutcome::Broken : SlotOutcome::Unreachable,
                   "the daemon to which the request was forwarded is silent");
 }
 
+void
+ActiveRequest::RecordGivenUp(const char* aWhy)
+{
+  m_dependencies.m_metrics->OnCallGivenUp(m_request.m_service, aWhy);
+  const TimePoint since = m_attempt->m_is_written ? m_attempt->m_heard_at : m_attempt->m_granted_at;
+  LogOf("send").warn("event=given-up request={} service={} endpoint={} via={} why={} written={} "
+                     "passed_on={} response_bytes={} silent_ms={} {}",
+                     m_request.m_head.m_request_id,
+                     m_request.m_service.Value(),
+                     NameOfEndpoint(),
+                     m_attempt->m_forwarded_to ? m_attempt->m_forwarded_to->Value() : "none",
+                     aWhy,
+                     m_attempt->m_is_written,
+                     m_exchange->HasStarted(),
+                     m_attempt->m_response_bytes,
+                     ToMilliseconds(Now() - since),
+                     m_dependencies.m_reach->Describe(Now()));
+}
+
 bool
 ActiveRequest::IsUnanswered() const
 {
--- a/Libraries/LibGateway/EndpointReach.cpp
+++ b/Libraries/LibGateway/EndpointReach.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/EndpointReach.h>
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <algorithm>
 
 namespace auburnhitch {
@@ -114,4 +116,26 @@
   return false;
 }
 
+std::string
+EndpointReach::Describe(TimePoint aNow) const
+{
+  const std::string failures = absl::StrJoin(m_failures, ",", [](std::string* aOut, const auto& a) {
+    absl::StrAppend(aOut,
+                    a.first.Value(),
+                    a.second == Failure::NotEstablished ? ":not-established" : ":unanswered");
+  });
+  const std::string silent =
+    absl::StrJoin(m_silent, ",", [](std::string* aOut, const EndpointId& aEndpoint) {
+      absl::StrAppend(aOut, aEndpoint.Value());
+    });
+  return absl::StrCat("failures=",
+                      failures.empty() ? "none" : failures,
+                      " last_failure_ms=",
+                      failures.empty() ? -1 : ToMilliseconds(aNow - m_failed_at),
+                      " unheard_ms=",
+                      m_heard_at == TimePoint() ? -1 : ToMilliseconds(Silence(aNow)),
+                      " silent=",
+                      silent.empty() ? "none" : silent);
+}
+
 }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -371,10 +371,11 @@
   const bool cannot_connect = m_reach.CannotConnect(Now());
   if (cannot_connect != m_cannot_connect) {
     m_cannot_connect = cannot_connect;
-    LogOf("reach").warn("event={} silent_requests={} active_requests={}",
+    LogOf("reach").warn("event={} silent_requests={} active_requests={} {}",
                         cannot_connect ? "cannot-connect" : "connects",
                         silent.size(),
-                        active.size());
+                        active.size(),
+                        m_reach.Describe(Now()));
   }
   for (ActiveRequest* request : active) {
     request->OnDaemonsChanged();
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -55,6 +55,11 @@
                   .Name("auburnhitch_forwarded_total")
                   .Help("Requests sent through another daemon, by service.")
                   .Register(m_registry))
+  , m_calls_given_up(
+      prometheus::BuildCounter()
+        .Name("auburnhitch_calls_given_up_total")
+        .Help("Calls that this daemon gave up before they ended, by service and reason.")
+        .Register(m_registry))
   , m_store_calls(prometheus::BuildCounter()
                     .Name("auburnhitch_store_calls_total")
                     .Help("Calls to the store, by call and outcome.")
@@ -163,6 +168,12 @@
   m_forwarded.Add({ { "service", aService.Value() } }).Increment();
 }
 
+void
+GatewayMetrics::OnCallGivenUp(const ServiceName& aService, const char* aWhy)
+{
+  m_calls_given_up.Add({ { "service", aService.Value() }, { "why", aWhy } }).Increment();
+}
+
 void
 GatewayMetrics::OnMalformedNotice(const ServiceName& aService)
 {
--- a/Libraries/LibGateway/include/LibGateway/EndpointReach.h
+++ b/Libraries/LibGateway/include/LibGateway/EndpointReach.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <map>
 #include <set>
+#include <string>
 
 namespace auburnhitch {
 
@@ -71,6 +72,9 @@
   /// connections are established all the same, it may be lost, so only one that may run again is.
   /// aMayRunAgain: whether that request may.
   bool ShouldAvoid(bool aMayRunAgain, TimePoint aNow);
+  /// The evidence for logs: each endpoint that failed and how, how long ago the last one did, for
+  /// how long nothing has been heard, and which endpoints owe bytes meanwhile.
+  std::string Describe(TimePoint aNow) const;
 
 private:
   /// How a new connection to an endpoint has failed.
--- a/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
@@ -63,9 +63,12 @@
   /// A call to an endpoint has ended after the head of its response. aFraming and aEnd are each one
   /// of a small fixed set, since they become labels.
   void OnResponseEnded(const ServiceName& aService, const char* aFraming, const char* aEnd);
-  /// An endpoint stated something about itself that cannot be understood.
   /// A request was sent through another daemon.
   void OnForwarded(const ServiceName& aService);
+  /// A call that had not ended was given up while its caller waited. aWhy is one of a small fixed
+  /// set, since it becomes a label.
+  void OnCallGivenUp(const ServiceName& aService, const char* aWhy);
+  /// An endpoint stated something about itself that cannot be understood.
   void OnMalformedNotice(const ServiceName& aService);
   /// aWhy: see NameOf(ResponseMeaning).
   void OnResponseDiscarded(const ServiceName& aService, const char* aWhy);
@@ -95,6 +98,7 @@
   prometheus::Family<prometheus::Counter>& m_malformed_notices;
   prometheus::Family<prometheus::Counter>& m_responses_discarded;
   prometheus::Family<prometheus::Counter>& m_forwarded;
+  prometheus::Family<prometheus::Counter>& m_calls_given_up;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Family<prometheus::Counter>& m_forwarded_records;
   prometheus::Family<prometheus::Gauge>& m_rollout_stage;
--- a/Libraries/LibRelay/RelayConnection.cpp
+++ b/Libraries/LibRelay/RelayConnection.cpp
@@ -194,7 +194,7 @@
     return;
   }
   ++m_server.m_closed_for_memory;
-  Close();
+  Close("the caller read nothing while memory was short");
 }
 
 void
@@ -402,11 +402,12 @@
 }
 
 void
-RelayConnection::Close()
+RelayConnection::Close(const char* aWhy)
 {
   const RelayExchangePtr exchange = std::move(m_exchange);
   if (exchange != nullptr) {
     exchange->m_connection = nullptr;
+    exchange->m_closed_why = aWhy;
   }
   delete this;
   if (exchange != nullptr && exchange->m_on_closed) {
@@ -459,7 +460,7 @@
                          aNow - m_taken_at > limits.m_max_unread_time;
   m_server.m_closed_unread += is_unread ? 1 : 0;
   if (is_slow || is_unused || is_over || is_unread) {
-    Close();
+    Close(is_unread ? "the caller read nothing for too long" : nullptr);
   }
 }
 
--- a/Libraries/LibRelay/RelayConnection.h
+++ b/Libraries/LibRelay/RelayConnection.h
@@ -28,8 +28,8 @@
   /// Called when the response in progress is aborted. The connection closes, so that the peer sees
   /// that the response is truncated.
   void OnResponseAborted();
-  /// Closes the connection at once and deletes this object.
-  void Close();
+  /// Closes the connection at once and deletes this object. aWhy: see RelayExchange::ClosedWhy().
+  void Close(const char* aWhy = nullptr);
   /// As Close(), with a TCP reset and without informing the exchange.
   void Reset();
   void CloseAfterResponse() { m_must_close = true; }
--- a/Libraries/LibRelay/RelayServer.cpp
+++ b/Libraries/LibRelay/RelayServer.cpp
@@ -85,7 +85,7 @@
   }
   const std::vector<RelayConnection*> open(m_connections.begin(), m_connections.end());
   for (RelayConnection* connection : open) {
-    connection->Close();
+    connection->Close("the server ends");
   }
 }
 
--- a/Libraries/LibRelay/include/LibRelay/RelayExchange.h
+++ b/Libraries/LibRelay/include/LibRelay/RelayExchange.h
@@ -33,6 +33,8 @@
 
   /// Whether the caller can still receive a response.
   bool IsOpen() const { return m_connection != nullptr; }
+  /// Why this daemon has closed the caller's connection; null if it has not, or if the caller did.
+  const char* ClosedWhy() const { return m_closed_why; }
 
   /// Sends a complete response.
   void Reply(int aStatus, HttpHeaders aHeaders, absl::string_view aBody);
@@ -75,6 +77,7 @@
   BodyFraming m_framing = BodyFraming::None;
   bool m_has_started = false;
   bool m_may_stay_unread = false;
+  const char* m_closed_why = nullptr;
   std::function<void()> m_on_closed;
   std::function<void()> m_on_drained;
 };
