Ask endpoints whether a path leads to them instead of judging it by silent requests

What callers saw: streams of endpoints that were at work ended, or ran twice. Cause: two endpoints that owed a first byte for 1 s, while no byte of any arrived for 0.5 s, counted as a path that leads nowhere; engines that read long prompts look the same, and so does a daemon that stood still itself. Class: an absence was taken as evidence.

Change: silence raises a question. PathProbe asks up to two of the silent endpoints and one other for their state, over new connections and at most once a second; one response ends the suspicion, and only a round without any counts as failures. Time in which the daemon itself stood still is no silence, and a round that ends late has no result. EndpointReach takes nothing from requests that passed their deadline any more. Endpoints that refuse connections raise the same question.

Ruled out: longer bounds for silence, since prompts of 39,900 tokens beside others take any time; acknowledgements of TCP, since a box on the path that accepts connections gives them.

--- a/Libraries/LibGateway/ActiveRequestEnd.cpp
+++ b/Libraries/LibGateway/ActiveRequestEnd.cpp
@@ -30,10 +30,6 @@
     return;
   }
   const bool is_connecting = m_attempt && !m_attempt->m_is_written;
-  if (IsUnanswered()) {
-    m_dependencies.m_reach->RecordGivenUp(
-      m_attempt->m_endpoint.m_id, Now() - m_attempt->m_heard_at, Now());
-  }
   Abandon(is_connecting ? SlotOutcome::Unreachable : SlotOutcome::Cancelled);
   EndUnserved("the deadline has passed", ForwardedOutcome::NotRun);
 }
--- a/Libraries/LibGateway/ActiveRequestForwarding.cpp
+++ b/Libraries/LibGateway/ActiveRequestForwarding.cpp
@@ -170,10 +170,6 @@
       (m_attempt->m_is_written && !MayRunAgain())) {
     return;
   }
-  if (IsUnanswered()) {
-    m_dependencies.m_reach->RecordGivenUp(
-      m_attempt->m_endpoint.m_id, Now() - m_attempt->m_heard_at, Now());
-  }
   RecordGivenUp("cut-off");
   m_call = nullptr;
   // The coordinator learns nothing of the endpoint, nor of the request.
@@ -213,13 +209,6 @@
                      m_dependencies.m_reach->Describe(Now()));
 }
 
-bool
-ActiveRequest::IsUnanswered() const
-{
-  return m_call != nullptr && m_attempt->m_is_written && !m_attempt->m_forwarded_to &&
-         !m_call->IsReused() && !m_attempt->m_completeness;
-}
-
 bool
 ActiveRequest::RecordAwaited(Milliseconds aMinSilence) const
 {
@@ -227,7 +216,7 @@
     return false;
   }
   const Duration silence = Now() - m_attempt->m_heard_at;
-  m_dependencies.m_reach->RecordAwaited(m_attempt->m_endpoint.m_id, silence, IsUnanswered(), Now());
+  m_dependencies.m_reach->RecordAwaited(m_attempt->m_endpoint.m_id, silence, Now());
   return silence >= aMinSilence;
 }
 
--- a/Libraries/LibGateway/EndpointReach.cpp
+++ b/Libraries/LibGateway/EndpointReach.cpp
@@ -18,6 +18,7 @@
 {
   m_heard_at = aNow;
   m_silent.clear();
+  m_must_connect = false;
   if (aIsNewConnection) {
     m_failures.clear();
   }
@@ -46,26 +47,46 @@
 }
 
 void
-EndpointReach::RecordAwaited(const EndpointId& aEndpoint,
-                             Duration aSilence,
-                             bool aIsUnanswered,
-                             TimePoint aNow)
+EndpointReach::RecordAwaited(const EndpointId& aEndpoint, Duration aSilence, TimePoint aNow)
 {
-  if (aSilence < m_limits.m_min_silence || Silence(aNow) < m_limits.m_min_silence) {
-    return;
-  }
-  m_silent.insert(aEndpoint);
-  if (aIsUnanswered && IsSilent(aNow) && aSilence >= m_limits.m_unanswered_after) {
-    RecordUnanswered(aEndpoint, aNow);
+  if (aSilence >= m_limits.m_min_silence && Silence(aNow) >= m_limits.m_min_silence) {
+    m_silent.insert(aEndpoint);
   }
 }
 
 void
-EndpointReach::RecordGivenUp(const EndpointId& aEndpoint, Duration aSilence, TimePoint aNow)
+EndpointReach::RecordProbeAnswered()
+{
+  m_must_connect = m_must_connect || !m_silent.empty();
+  m_silent.clear();
+  m_failures.clear();
+}
+
+void
+EndpointReach::RecordPaused(TimePoint aNow)
+{
+  m_heard_at = aNow;
+  m_silent.clear();
+}
+
+bool
+EndpointReach::ShouldProbe(TimePoint aNow)
+{
+  if (aNow - m_probed_at < m_limits.m_probe_interval || !(IsSilent(aNow) || CannotConnect(aNow))) {
+    return false;
+  }
+  m_probed_at = aNow;
+  return true;
+}
+
+std::set<EndpointId>
+EndpointReach::InQuestion() const
 {
-  if (aSilence >= m_limits.m_min_silence && (IsSilent(aNow) || CannotConnect(aNow))) {
-    RecordUnanswered(aEndpoint, aNow);
+  std::set<EndpointId> endpoints = m_silent;
+  for (const auto& [endpoint, failure] : m_failures) {
+    endpoints.insert(endpoint);
   }
+  return endpoints;
 }
 
 bool
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -67,6 +67,7 @@
   , m_retry_budget(aSettings.m_retry_budget)
   , m_targets(m_membership, aSettings.m_data_center)
   , m_client(aLoop, kIdleConnectionLifetime, kMaxIdlePerEndpoint)
+  , m_probe({ &aLoop, &m_client, &m_reach, &m_registry, &aDialect, &m_metrics })
   , m_rollouts(MakeRollouts())
   , m_broker(BrokerLimits(aSettings),
              SlotBroker::Dependencies{
@@ -359,6 +360,10 @@
 Gateway::UpdateReach()
 {
   constexpr Milliseconds kSilence = EndpointReach::Limits().m_min_silence;
+  if (Now() - std::exchange(m_ticked_at, Now()) >= kSilence) {
+    m_reach.RecordPaused(Now());
+    m_probe.Cancel();
+  }
   std::vector<ActiveRequest*> active;
   std::vector<ActiveRequest*> silent;
   for (const auto& [raw, active_request] : m_active_requests) {
@@ -367,6 +372,7 @@
       silent.push_back(raw);
     }
   }
+  m_probe.Tick();
   const bool is_cut_off = m_reach.IsCutOff(Now());
   const bool cannot_connect = m_reach.CannotConnect(Now());
   if (cannot_connect != m_cannot_connect) {
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -60,6 +60,10 @@
         .Name("auburnhitch_calls_given_up_total")
         .Help("Calls that this daemon gave up before they ended, by service and reason.")
         .Register(m_registry))
+  , m_paths_probed(prometheus::BuildCounter()
+                     .Name("auburnhitch_path_probes_total")
+                     .Help("Rounds of probes whether a path leads to the endpoints, by outcome.")
+                     .Register(m_registry))
   , m_store_calls(prometheus::BuildCounter()
                     .Name("auburnhitch_store_calls_total")
                     .Help("Calls to the store, by call and outcome.")
@@ -174,6 +178,12 @@
   m_calls_given_up.Add({ { "service", aService.Value() }, { "why", aWhy } }).Increment();
 }
 
+void
+GatewayMetrics::OnPathProbed(const char* aOutcome)
+{
+  m_paths_probed.Add({ { "outcome", aOutcome } }).Increment();
+}
+
 void
 GatewayMetrics::OnMalformedNotice(const ServiceName& aService)
 {
--- a/Libraries/LibGateway/PathProbe.cpp
+++ b/Libraries/LibGateway/PathProbe.cpp
@@ -52,9 +52,8 @@
   }
   ++m_turn;
   std::vector<EndpointEntry> others = registry.UsableEndpoints(candidates.front().m_service);
-  std::erase_if(others, [&](const EndpointEntry& aEntry) {
-    return in_question.contains(aEntry.m_id);
-  });
+  std::erase_if(others,
+                [&](const EndpointEntry& aEntry) { return in_question.contains(aEntry.m_id); });
   std::rotate(candidates.begin(),
               candidates.begin() + static_cast<std::ptrdiff_t>(m_turn % candidates.size()),
               candidates.end());
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -167,8 +167,6 @@
   void RecordNotReached(bool aWasEstablished);
   /// Logs and counts that this daemon gives up a call that has not ended, with the evidence.
   void RecordGivenUp(const char* aWhy);
-  /// Whether the request was written to a new connection to an endpoint, and nothing has come back.
-  bool IsUnanswered() const;
   /// Records what the endpoint states about itself.
   void RecordNotice(ResponseMeaning aMeaning, const MessageHead& aHead);
   void OnResponseBytes(std::string aBytes);
--- a/Libraries/LibGateway/include/LibGateway/Dialect.h
+++ b/Libraries/LibGateway/include/LibGateway/Dialect.h
@@ -67,6 +67,9 @@
   virtual HttpHeaders PeerHeaders(const MessageHead& aHead,
                                   Milliseconds aTimeLeft,
                                   const std::optional<std::string>& aLastEventId) const = 0;
+  /// The target of a GET request with which an endpoint states its state, at once and without a
+  /// slot.
+  virtual std::string EndpointStateTarget() const = 0;
   /// What the head of a response proves. Its status alone proves nothing: a faulty endpoint may
   /// write bytes that are no response to the request.
   virtual ResponseMeaning ClassifyResponse(const MessageHead& aResponse,
--- a/Libraries/LibGateway/include/LibGateway/EndpointReach.h
+++ b/Libraries/LibGateway/include/LibGateway/EndpointReach.h
@@ -11,8 +11,9 @@
 
 /// Decides from a daemon's own connections whether the daemon can reach the endpoints. A connection
 /// that was established shows that not all are refused, but something on the path may have accepted
-/// it: only bytes of an endpoint show that it is reached. Uses no clock of its own. Not
-/// thread-safe.
+/// it: only bytes of an endpoint show that it is reached. Silence shows nothing by itself, since
+/// endpoints at work are silent too; it raises the question that a PathProbe answers. Uses no clock
+/// of its own. Not thread-safe.
 class EndpointReach
 {
 public:
@@ -24,9 +25,8 @@
     Milliseconds m_failure_lifetime{ 3'000 };
     /// Time without a byte of any endpoint after which they count as silent.
     Milliseconds m_min_silence{ 500 };
-    /// Time without a byte after which the request on a new connection counts as unanswered while
-    /// all endpoints are silent; longer than a prompt is read on a loaded engine.
-    Milliseconds m_unanswered_after{ 1'000 };
+    /// The time between the beginnings of two rounds of probes.
+    Milliseconds m_probe_interval{ 1'000 };
     /// How often one request of a daemon that cannot connect tries to reach an endpoint itself.
     Milliseconds m_trial_interval{ 500 };
   };
@@ -43,16 +43,20 @@
   void RecordHeard(bool aIsNewConnection, TimePoint aNow);
   /// No connection to an endpoint could be established.
   void RecordConnectFailure(const EndpointId& aEndpoint, TimePoint aNow);
-  /// A new connection was established, and broke without a byte of a response.
+  /// A new connection was established, and broke without a byte of a response; or a probe on it got
+  /// none in time.
   void RecordUnanswered(const EndpointId& aEndpoint, TimePoint aNow);
-  /// An endpoint owes bytes of a response. aSilence: since when. aIsUnanswered: whether it has sent
-  /// none since the request was written to a new connection.
-  void RecordAwaited(const EndpointId& aEndpoint,
-                     Duration aSilence,
-                     bool aIsUnanswered,
-                     TimePoint aNow);
-  /// A request is given up that was written to a new connection and got no byte of a response.
-  void RecordGivenUp(const EndpointId& aEndpoint, Duration aSilence, TimePoint aNow);
+  /// An endpoint owes bytes of a response. aSilence: since when.
+  void RecordAwaited(const EndpointId& aEndpoint, Duration aSilence, TimePoint aNow);
+  /// An endpoint has answered a probe, which goes over a new connection.
+  void RecordProbeAnswered();
+  /// This process did not run until now. Bytes that have arrived meanwhile have not been read.
+  void RecordPaused(TimePoint aNow);
+  /// Whether endpoints should be probed now: several are silent at once, or no new connection leads
+  /// to one. Counts as the beginning of a round of probes if it returns true.
+  bool ShouldProbe(TimePoint aNow);
+  /// The endpoints that are silent or whose last new connection has failed.
+  std::set<EndpointId> InQuestion() const;
 
   /// Whether no new connection leads to any endpoint, as far as recent requests show. Those that
   /// are open may live on.
@@ -65,8 +69,12 @@
   /// For how long nothing has been heard of any endpoint.
   Duration Silence(TimePoint aNow) const { return aNow - m_heard_at; }
   /// Whether connections that are open may carry further requests. If several endpoints are silent
-  /// at once, only a new connection shows whether they can be reached.
-  bool MayReuseConnections(TimePoint aNow) const { return !IsSilent(aNow) && !IsCutOff(aNow); }
+  /// at once, only a new connection shows whether they can be reached; that a probe on one was
+  /// answered says nothing of those that are open.
+  bool MayReuseConnections(TimePoint aNow) const
+  {
+    return !m_must_connect && !IsSilent(aNow) && !IsCutOff(aNow);
+  }
   /// Whether the next request should not try to reach an endpoint from here. False at intervals
   /// while no new connection leads to an endpoint: the request that asked is the trial. If
   /// connections are established all the same, it may be lost, so only one that may run again is.
@@ -92,11 +100,14 @@
   TimePoint m_heard_at;
   /// The endpoints that have been silent since a byte of any endpoint arrived.
   std::set<EndpointId> m_silent;
+  /// Whether no byte of a response has arrived since a probe was answered amid silence.
+  bool m_must_connect = false;
   /// How the last new connection to each endpoint has failed, since any responded on a new one.
   /// Those that were not established count only until one is.
   std::map<EndpointId, Failure> m_failures;
   TimePoint m_failed_at;
   TimePoint m_trial_at;
+  TimePoint m_probed_at;
 };
 
 }
--- a/Libraries/LibGateway/include/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -3,6 +3,7 @@
 #include <LibCluster/Heartbeat.h>
 #include <LibGateway/ActiveRequest.h>
 #include <LibGateway/GatewaySettings.h>
+#include <LibGateway/PathProbe.h>
 #include <LibGateway/RequestRefusal.h>
 #include <LibRegistry/VersionHistory.h>
 #include <LibRollout/RolloutStore.h>
@@ -118,8 +119,8 @@
   /// other endpoints.
   void OnEndpointUnavailable(const EndpointIncarnation& aEndpoint);
   void UpdateDaemonCounts();
-  /// Notices whether this daemon reaches the endpoints, and ends calls that wait for some of them
-  /// in vain.
+  /// Notices whether this daemon reaches the endpoints, and lets requests that may wait in vain for
+  /// some of them go another way.
   void UpdateReach();
   TimePoint Now() const { return m_loop.Now(); }
 
@@ -149,6 +150,8 @@
   bool m_cannot_connect = false;
   ForwardTargets m_targets;
   RelayClient m_client;
+  PathProbe m_probe;
+  TimePoint m_ticked_at;
   /// Null unless rollouts are in force.
   std::unique_ptr<RolloutDirector> m_rollouts;
   SlotBroker m_broker;
--- a/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
@@ -68,6 +68,8 @@
   /// A call that had not ended was given up while its caller waited. aWhy is one of a small fixed
   /// set, since it becomes a label.
   void OnCallGivenUp(const ServiceName& aService, const char* aWhy);
+  /// A round of probes has ended. aOutcome is one of a small fixed set, since it becomes a label.
+  void OnPathProbed(const char* aOutcome);
   /// An endpoint stated something about itself that cannot be understood.
   void OnMalformedNotice(const ServiceName& aService);
   /// aWhy: see NameOf(ResponseMeaning).
@@ -99,6 +101,7 @@
   prometheus::Family<prometheus::Counter>& m_responses_discarded;
   prometheus::Family<prometheus::Counter>& m_forwarded;
   prometheus::Family<prometheus::Counter>& m_calls_given_up;
+  prometheus::Family<prometheus::Counter>& m_paths_probed;
   prometheus::Family<prometheus::Counter>& m_store_calls;
   prometheus::Family<prometheus::Counter>& m_forwarded_records;
   prometheus::Family<prometheus::Gauge>& m_rollout_stage;
--- a/Tests/Support/GatewayCluster.cpp
+++ b/Tests/Support/GatewayCluster.cpp
@@ -138,6 +138,14 @@
 {
   while (auto request = aConnection.ReadRequest()) {
     request->m_daemon = aDaemon;
+    if (request->m_method == "GET" && request->m_target == "/report") {
+      if (!m_states_its_state) {
+        aConnection.WaitForClose();
+        return;
+      }
+      aConnection.Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+      continue;
+    }
     Behaviour behaviour;
     {
       const std::lock_guard lock(m_mutex);
--- a/Tests/Support/GatewayCluster.h
+++ b/Tests/Support/GatewayCluster.h
@@ -5,6 +5,7 @@
 #include "RawServer.h"
 #include "StoreStandIn.h"
 
+#include <atomic>
 #include <filesystem>
 #include <map>
 #include <memory>
@@ -44,6 +45,9 @@
     return m_daemon_servers.at(aDaemon)->Address();
   }
   void SetBehaviour(Behaviour aBehaviour);
+  /// Whether it responds to questions about its state, at once and whatever it does. They are no
+  /// requests.
+  void SetStatesItsState(bool aStates) { m_states_its_state = aStates; }
   /// How often a request with this id was received. It is counted before the behaviour responds.
   int RunsOf(const std::string& aRequestId) const;
   std::vector<RawRequest> Requests() const;
@@ -56,6 +60,7 @@
   mutable std::mutex m_mutex;
   Behaviour m_behaviour;
   std::vector<RawRequest> m_requests;
+  std::atomic<bool> m_states_its_state = true;
   RawServer m_server;
   std::vector<std::unique_ptr<RawServer>> m_daemon_servers;
 };
