Let a running request go on when a daemon seems cut off, and try another way beside it

What callers saw: streams ended with a closed connection, or 502, although their endpoints were at work. Cause: Gateway::UpdateReach() ended each call that had been silent for half a second before anything else could take the request. Where the other daemon refused it, the retry budget was used up or the queue was full, the answer was lost. Class: a run was given up for a belief, before its replacement was there.

Change: a call that has been written is never ended for that belief. If the request may run again, it is also sent through another daemon; the call whose body arrives first is kept, and the other one ended. A refusal, failure or silence of one way leaves the other as it is; bytes of the first end the second. Calls that have not been written are moved as before.

Price: while the belief is wrong, one more run of an idempotent request, charged to the retry budget.

--- a/Libraries/LibGateway/ActiveRequest.cpp
+++ b/Libraries/LibGateway/ActiveRequest.cpp
@@ -333,6 +333,7 @@
 void
 ActiveRequest::RecordHeard()
 {
+  DropSecondWay("the first one responds");
   m_attempt->m_heard_at = Now();
   if (!m_attempt->m_forwarded_to) {
     m_dependencies.m_reach->RecordHeard(!m_call->IsReused(), Now());
@@ -576,14 +577,9 @@
 ActiveRequest::OnAttemptFailed(SlotOutcome aSlotOutcome, const std::string& aReason)
 {
   const bool has_started = m_exchange->HasStarted();
-  const bool may_resume =
-    !has_started ||
-    (IsResumableStream() && !m_event_splitter.LastEventId().empty() &&
-     (!m_required_version || m_dependencies.m_broker->Streams().MayBeOfVersion(
-                               m_request.m_service, m_stream, *m_required_version)));
   const bool is_forwarded = m_attempt && m_attempt->m_forwarded_to;
   const std::string endpoint = NameOfEndpoint();
-  const bool is_retried = may_resume && TryReserveRetry();
+  const bool is_retried = m_second_way || (MayResume() && TryReserveRetry());
   LogOf("send").warn(
     "event=send-failed request={} service={} endpoint={} end={} why=\"{}\" runs={} "
     "arrivals={} passed_on={} again={} via={} digest={} prompt_parts={}",
@@ -599,6 +595,10 @@
     is_forwarded ? m_attempt->m_forwarded_to->Value() : "none",
     m_request.m_digest,
     DescribeParts(m_request.m_head.m_prompt_parts));
+  if (m_second_way) {
+    AdoptSecondWay(aSlotOutcome);
+    return;
+  }
   if (is_retried) {
     Retry(aSlotOutcome);
     return;
--- a/Libraries/LibGateway/ActiveRequestEnd.cpp
+++ b/Libraries/LibGateway/ActiveRequestEnd.cpp
@@ -42,6 +42,7 @@
   }
   // Closing the connection signals the endpoint to stop.
   CancelCall();
+  DropSecondWay("the request ends");
   ReleaseSlot(aSlotOutcome);
 }
 
--- a/Libraries/LibGateway/ActiveRequestForwarding.cpp
+++ b/Libraries/LibGateway/ActiveRequestForwarding.cpp
@@ -8,8 +8,6 @@
 
 // Endpoints to which a request could not connect before another daemon tries it.
 constexpr int kMaxUnreached = 2;
-// Daemons through which one request is sent, one after the other.
-constexpr std::size_t kMaxForwards = 3;
 constexpr Milliseconds kConnectTimeout{ 250 };
 // Retry-After while this daemon is cut off and no other one can serve: the trials of the daemons
 // find a healed path within this time.
@@ -76,11 +74,29 @@
 ActiveRequest::StartForwarding(const Member& aTarget)
 {
   m_phase = Phase::Sending;
+  m_attempt = BeginForwardedAttempt(aTarget);
+  m_call = SendThrough(
+    aTarget,
+    RelayCallHandlers{ [this] { OnRequestWritten(); },
+                       [this](const MessageHead& aHead) { OnForwardedResponseHead(aHead); },
+                       [this](std::string aBytes) { OnResponseBytes(std::move(aBytes)); },
+                       [this](const RelayResult& aResult) { OnResponseEnd(aResult); } });
+}
+
+ActiveRequest::SendAttempt
+ActiveRequest::BeginForwardedAttempt(const Member& aTarget)
+{
   ++m_slot_request_count;
   m_forwarded_to.push_back(aTarget.m_host);
-  m_attempt = SendAttempt{};
-  m_attempt->m_granted_at = Now();
-  m_attempt->m_forwarded_to = aTarget.m_host;
+  SendAttempt attempt;
+  attempt.m_granted_at = Now();
+  attempt.m_forwarded_to = aTarget.m_host;
+  return attempt;
+}
+
+std::unique_ptr<RelayCall>
+ActiveRequest::SendThrough(const Member& aTarget, RelayCallHandlers aHandlers)
+{
   const bool continues_own_stream =
     m_exchange->HasStarted() && m_request.m_head.m_resumed_stream.empty();
   RelayRequest request;
@@ -111,15 +127,11 @@
   // A connection that the other daemon closes while the request is written would leave open whether
   // the request ran.
   limits.m_may_reuse = false;
-  m_call = m_dependencies.m_client->Send(
-    aTarget.m_caller_address,
-    "daemon/" + aTarget.m_incarnation.Value(),
-    std::move(request),
-    limits,
-    RelayCallHandlers{ [this] { OnRequestWritten(); },
-                       [this](const MessageHead& aHead) { OnForwardedResponseHead(aHead); },
-                       [this](std::string aBytes) { OnResponseBytes(std::move(aBytes)); },
-                       [this](const RelayResult& aResult) { OnResponseEnd(aResult); } });
+  return m_dependencies.m_client->Send(aTarget.m_caller_address,
+                                       "daemon/" + aTarget.m_incarnation.Value(),
+                                       std::move(request),
+                                       limits,
+                                       std::move(aHandlers));
 }
 
 void
@@ -166,15 +178,16 @@
 void
 ActiveRequest::OnCutOff()
 {
-  if (m_call == nullptr || m_attempt->m_forwarded_to ||
-      (m_attempt->m_is_written && !MayRunAgain())) {
+  if (m_call == nullptr || m_attempt->m_forwarded_to) {
+    return;
+  }
+  if (m_attempt->m_is_written) {
+    StartSecondWay("cut-off");
     return;
   }
   RecordGivenUp("cut-off");
   m_call = nullptr;
-  // The coordinator learns nothing of the endpoint, nor of the request.
-  OnAttemptFailed(m_attempt->m_is_written ? SlotOutcome::Cancelled : SlotOutcome::Unreachable,
-                  "this daemon reaches no endpoint");
+  OnAttemptFailed(SlotOutcome::Unreachable, "this daemon reaches no endpoint");
 }
 
 void
--- a/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
+++ b/Libraries/LibGateway/include/LibGateway/ActiveRequest.h
@@ -84,10 +84,10 @@
   /// Called when an endpoint has said that it leaves or rests. Requests another slot if the present
   /// one is there and the request has not been written yet.
   void OnEndpointUnavailable(const EndpointIncarnation& aEndpoint);
-  /// Called when this daemon has been cut off from all endpoints. Ends a call to one of them if the
-  /// request may be sent again.
+  /// Called while this daemon is cut off from all endpoints. Ends a call that has not been written;
+  /// begins a second way beside one that has, if the request may run again.
   void OnCutOff();
-  /// Called when other daemons may have stopped. Ends a call to one that has.
+  /// Called when other daemons may have stopped. Does the same for a call to one that may have.
   void OnDaemonsChanged();
   /// Tells the reach which endpoint owes bytes of a response. Returns whether one does for at least
   /// this time.
@@ -96,6 +96,8 @@
 private:
   /// Retry-After for a request that this daemon fails late: another daemon can serve it at once.
   static constexpr Milliseconds kShortRetryAfter{ 100 };
+  /// Daemons through which one request is sent.
+  static constexpr std::size_t kMaxForwards = 3;
 
   enum class Phase
   {
@@ -128,6 +130,18 @@
     const char* m_end = "open";
   };
 
+  /// A call through another daemon beside one whose response may never come. The call whose body
+  /// arrives first is kept; one that fails or is refused changes nothing for the other.
+  struct SecondWay
+  {
+    /// For logs and metrics; outlives the request.
+    const char* m_why = "";
+    SendAttempt m_attempt;
+    std::unique_ptr<RelayCall> m_call;
+    /// The head of a success, once it has arrived.
+    std::optional<MessageHead> m_head;
+  };
+
   TimePoint Now() const;
   /// Whether the caller resumes a stream that began with an earlier request.
   bool ResumesStream() const;
@@ -138,6 +152,19 @@
   /// Begins the next attempt: at an endpoint, or through another daemon.
   void Proceed();
   void StartForwarding(const Member& aTarget);
+  /// Counts an attempt through another daemon and returns it.
+  SendAttempt BeginForwardedAttempt(const Member& aTarget);
+  /// Sends the request, from its last event on if it is a stream that has begun.
+  std::unique_ptr<RelayCall> SendThrough(const Member& aTarget, RelayCallHandlers aHandlers);
+  /// Begins a second way if the request may run again and another daemon takes it.
+  void StartSecondWay(const char* aWhy);
+  void OnSecondWayWritten();
+  void OnSecondWayHead(const MessageHead& aHead);
+  void OnSecondWayBytes(std::string aBytes);
+  void OnSecondWayEnd(const RelayResult& aResult);
+  /// Makes the second way the present attempt. aSlotOutcome: how the other attempt has ended.
+  void AdoptSecondWay(SlotOutcome aSlotOutcome);
+  void DropSecondWay(const char* aWhy);
   void OnForwardedResponseHead(const MessageHead& aHead);
   /// Records what an endpoint states in a response that another daemon has passed on.
   void RecordForwardedNotice(const MessageHead& aHead);
@@ -180,6 +207,8 @@
   void OnAttemptFailed(SlotOutcome aSlotOutcome, const std::string& aReason);
   /// Whether the request may be sent again although an earlier attempt may have run it.
   bool MayRunAgain() const;
+  /// Whether another response may follow what the caller has received.
+  bool MayResume() const;
   /// Returns whether another attempt may follow now. Charges the retry budget if an earlier attempt
   /// was written to an endpoint.
   bool TryReserveRetry();
@@ -236,6 +265,7 @@
   std::optional<SoftwareVersion> m_required_version;
   std::unique_ptr<RelayCall> m_call;
   std::optional<SendAttempt> m_attempt;
+  std::optional<SecondWay> m_second_way;
   std::vector<EndpointId> m_tried_endpoints;
   /// Attempts that may have run the request.
   int m_possible_runs = 0;
--- a/Tests/Process/TestQuietEndpoints.cpp
+++ b/Tests/Process/TestQuietEndpoints.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t kDaemons = 3;
 constexpr std::size_t kEndpoints = 3;
 constexpr int kRounds = 2;
-constexpr int kSlotsPerEndpoint = 4;
+constexpr int kSlots = 4 * static_cast<int>(kEndpoints);
 // Longer than any time after which a daemon takes silent endpoints for unreachable.
 constexpr std::chrono::milliseconds kQuiet{ 2'500 };
 constexpr std::chrono::milliseconds kPause{ 1'300 };
@@ -50,10 +50,23 @@
   }
 }
 
+void
+SetStatesNoState(GatewayCluster& aCluster)
+{
+  for (std::size_t i = 0; i < kEndpoints; ++i) {
+    aCluster.Endpoint(i).SetStatesItsState(false);
+  }
+}
+
 /// Sends streams through the first daemon at once, in turn of both kinds and quiet in both ways,
-/// and checks that each arrives whole. aMaxRuns: how often each may run.
+/// and checks that each arrives whole. aMaxRuns: how often each may run. aMayBeRefused: whether
+/// those that no endpoint has run may be refused.
 void
-CheckStreams(GatewayCluster& aCluster, const std::string& aName, int aCount, int aMaxRuns)
+CheckStreams(GatewayCluster& aCluster,
+             const std::string& aName,
+             int aCount,
+             int aMaxRuns,
+             bool aMayBeRefused = false)
 {
   std::mutex mutex;
   std::map<std::string, CallerResponse> responses;
@@ -73,6 +86,10 @@
   for (const auto& entry : responses) {
     const std::string& id = entry.first;
     CAPTURE(id);
+    if (aMayBeRefused && entry.second.m_status == 503) {
+      CHECK(aCluster.RunsOf(id) == 0);
+      continue;
+    }
     CHECK(entry.second.m_status == 200);
     CHECK(entry.second.m_is_complete);
     CHECK(entry.second.m_body == kBody);
@@ -103,7 +120,44 @@
   GatewayCluster cluster(kDaemons, kEndpoints);
   SetQuiet(cluster);
   for (int round = 0; round < kRounds; ++round) {
-    CheckStreams(cluster, absl::StrCat(round, "-"), kEndpoints * kSlotsPerEndpoint, 1);
+    CheckStreams(cluster, absl::StrCat(round, "-"), kSlots, 1);
+  }
+}
+
+TEST_CASE(
+  "Quiet endpoints: streams of a daemon that seems cut off run on while no retry is allowed")
+{
+  GatewayClusterOptions options;
+  options.m_daemons = kDaemons;
+  options.m_endpoints = kEndpoints;
+  options.m_settings["bounds"] = { { "retry_ratio", 0 }, { "retry_slack", 0 } };
+  GatewayCluster cluster(options);
+  SetQuiet(cluster);
+  SetStatesNoState(cluster);
+  for (int round = 0; round < kRounds; ++round) {
+    CheckStreams(cluster, absl::StrCat(round, "-"), kEndpoints * 2, 1);
+  }
+  CHECK(HasLogged(cluster, 0, "event=cannot-connect"));
+}
+
+TEST_CASE("Quiet endpoints: streams of a daemon that seems cut off are not lost to a full queue")
+{
+  GatewayCluster cluster(kDaemons, kEndpoints);
+  SetQuiet(cluster);
+  SetStatesNoState(cluster);
+  std::atomic<bool> is_over = false;
+  std::vector<std::thread> crowd;
+  for (int caller = 0; caller < 2 * kSlots; ++caller) {
+    crowd.emplace_back([&, caller] {
+      for (int number = 0; !is_over; ++number) {
+        cluster.Call("/stream/x", absl::StrCat("first-crowd-", caller, "-", number), "", 1);
+      }
+    });
+  }
+  CheckStreams(cluster, "", kSlots, 2, true);
+  is_over = true;
+  for (std::thread& caller : crowd) {
+    caller.join();
   }
 }
 
