Let a forwarded request go on when the heartbeats of the other daemon are lost

What callers saw: 502 for a request that may run once, or a stream cut off, while its endpoint was at work. Cause: ActiveRequest::OnDaemonsChanged() ended a call through another daemon as soon as that one's heartbeats were late, though the connection to it was open; heartbeats are datagrams, and a daemon that stands still for a second sends none.

Change: a call that has been written goes on; if it has been silent for half a second, a second way begins as when this daemon is cut off. A daemon that has ended resets the connection; one that is unreachable does not acknowledge, which ends the connection after 6 s.

--- a/Libraries/LibGateway/ActiveRequestForwarding.cpp
+++ b/Libraries/LibGateway/ActiveRequestForwarding.cpp
@@ -197,9 +197,15 @@
       m_dependencies.m_targets->IsAlive(*m_attempt->m_forwarded_to, Now())) {
     return;
   }
+  if (m_attempt->m_is_written) {
+    if (Now() - m_attempt->m_heard_at >= EndpointReach::Limits().m_min_silence) {
+      StartSecondWay("daemon-silent");
+    }
+    return;
+  }
   RecordGivenUp("daemon-silent");
   m_call = nullptr;
-  OnAttemptFailed(m_attempt->m_is_written ? SlotOutcome::Broken : SlotOutcome::Unreachable,
+  OnAttemptFailed(SlotOutcome::Unreachable,
                   "the daemon to which the request was forwarded is silent");
 }
 
