--- a/Tests/Process/TestSoak.cpp
+++ b/Tests/Process/TestSoak.cpp
@@ -86,6 +86,15 @@
   CheckSoak(options);
 }
 
+TEST_CASE("Soak: streams of sound endpoints that are quiet at times arrive whole")
+{
+  SoakOptions options;
+  options.m_seed = 68'002;
+  options.m_has_quiet_endpoints = true;
+  options.m_has_sound_endpoints = true;
+  CheckSoak(options);
+}
+
 TEST_CASE("Soak: overlapping faults in series violate no guarantee")
 {
   for (const SoakCase& entry : kCases) {
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -28,6 +28,10 @@
 constexpr int kMaxFaultMs = 2'000;
 // The platform kills a process this long after it has asked it to stop.
 constexpr Ms kStopGracePeriod{ 8'000 };
+// The longest time for which an endpoint keeps quiet at a time. Endpoints that do so together do it
+// for several times as long.
+constexpr int kMaxQuietMs = 1'800;
+constexpr Ms kQuietPhase{ 3'000 };
 // The longest rest that an endpoint asks for.
 constexpr int kMaxRestMs = 4'000;
 constexpr int kOk = 200;
@@ -82,6 +86,7 @@
                const SoakOptions& aOptions)
     : m_repeats_refusals(aOptions.m_has_odd_bytes)
     , m_has_spurious_responses(aOptions.m_has_spurious_responses)
+    , m_is_sound(aOptions.m_has_sound_endpoints)
     , m_checker(aChecker)
     , m_index(aIndex)
     , m_id(std::move(aId))
@@ -114,6 +119,8 @@
   bool IsLeaving() const { return m_is_leaving; }
   /// Refuses all requests for a while and asks for rest.
   void Rest(Ms aRest) { m_rests_until = Clock::now() + aRest; }
+  /// Keeps quiet for a while before each response, or once between the events of each stream.
+  void KeepQuiet(Ms aFor) { m_quiet_until = Clock::now() + aFor; }
   /// A fault on the way to and from the endpoint begins or ends.
   void RecordLinkFault(bool aIsOver) { m_link_faults += aIsOver ? -1 : 1; }
 
@@ -167,6 +174,10 @@
     m_checker.RecordExecution(id, kind, events.m_first);
     constexpr int kMaxWorkMs = 20;
     std::this_thread::sleep_for(Ms(1 + DrawNumber() % kMaxWorkMs));
+    const int quiet_event = DrawQuietEvent();
+    if (quiet_event == 0) {
+      WaitQuietly();
+    }
     const bool has_harmful_part =
       aRequest.Header("x-prefix-hash").find(kHarmfulPart) != std::string::npos;
     if (has_harmful_part || aRequest.m_body == kHarmfulBody) {
@@ -206,7 +217,7 @@
     if (m_has_spurious_responses && WriteSpuriousResponse(aConnection, id)) {
       return true;
     }
-    return kind.m_is_stream ? WriteStream(aConnection, id, kind, events, fault)
+    return kind.m_is_stream ? WriteStream(aConnection, id, kind, events, fault, quiet_event)
                             : WriteResponse(aConnection, id, fault);
   }
 
@@ -258,6 +269,20 @@
     return true;
   }
 
+  /// The event of a stream before which the endpoint keeps quiet; 0 is the response itself.
+  int DrawQuietEvent()
+  {
+    return m_quiet_until.load() > Clock::now() ? static_cast<int>(DrawNumber() % kEventsPerStream)
+                                               : kEventsPerStream + 1;
+  }
+
+  void WaitQuietly()
+  {
+    if (m_quiet_until.load() > Clock::now()) {
+      std::this_thread::sleep_for(Ms(DrawNumber() % kMaxQuietMs));
+    }
+  }
+
   std::pair<std::string, std::string> Identity()
   {
     const std::lock_guard lock(m_mutex);
@@ -290,8 +315,9 @@
       EndpointFault::Truncate,  EndpointFault::AddBytes,         EndpointFault::WrongRequestId,
       EndpointFault::NoFraming, EndpointFault::CloseInsideEvent, EndpointFault::EndInsideEvent
     };
-    return DrawNumber() % kOneIn == 0 ? kEndpointFaults[DrawNumber() % kEndpointFaults.size()]
-                                      : EndpointFault::None;
+    return !m_is_sound && DrawNumber() % kOneIn == 0
+             ? kEndpointFaults[DrawNumber() % kEndpointFaults.size()]
+             : EndpointFault::None;
   }
 
   bool WriteResponse(RawConnection& aConnection, const std::string& aId, EndpointFault aFault)
@@ -320,7 +346,8 @@
                    const std::string& aId,
                    const SoakKind& aKind,
                    const EventsToSend& aEvents,
-                   EndpointFault aFault)
+                   EndpointFault aFault,
+                   int aQuietEvent)
   {
     const bool is_chunked =
       aFault != EndpointFault::NoFraming && aFault != EndpointFault::CloseInsideEvent;
@@ -342,6 +369,9 @@
       ends_inside_event ? 1 + static_cast<int>(DrawNumber() % kEventsPerStream) : 0;
     constexpr int kMaxGapMs = 6;
     for (int number = aEvents.m_first; number <= kEventsPerStream; ++number) {
+      if (number == aQuietEvent) {
+        WaitQuietly();
+      }
       const std::string event = aKind.m_is_idempotent
                                   ? VersionedSoakEvent(aEvents.m_stream, number, aEvents.m_version)
                                   : SoakEvent(aEvents.m_stream, number);
@@ -371,6 +401,7 @@
 
   bool m_repeats_refusals;
   bool m_has_spurious_responses;
+  bool m_is_sound;
   SoakChecker& m_checker;
   std::size_t m_index;
   std::mutex m_mutex;
@@ -382,6 +413,7 @@
   std::atomic<bool> m_has_crashed = false;
   std::atomic<bool> m_lives = true;
   std::atomic<Clock::time_point> m_rests_until{};
+  std::atomic<Clock::time_point> m_quiet_until{};
   std::atomic<int> m_link_faults = 0;
   std::mt19937 m_random;
 };
@@ -398,6 +430,7 @@
     , m_odd_random(aOptions.m_seed)
     , m_endpoint_cut_random(aOptions.m_seed)
     , m_accepting_cut_random(aOptions.m_seed)
+    , m_quiet_random(aOptions.m_seed)
     , m_checker(aOptions.m_endpoints)
     , m_cluster(GatewayClusterOptions{ aOptions.m_daemons,
                                        aOptions.m_endpoints,
@@ -425,13 +458,14 @@
     {
       std::vector<std::unique_ptr<SoakCaller>> callers;
       for (std::size_t i = 0; i < m_options.m_callers; ++i) {
-        callers.push_back(
-          std::make_unique<SoakCaller>(m_cluster,
-                                       m_options.m_daemons,
-                                       m_checker,
-                                       m_options.m_seed * 1'000 + static_cast<unsigned>(i),
-                                       m_options.m_seed % 2 == 0,
-                                       m_options.m_repeats_crashes && m_options.m_seed % 3 != 0));
+        callers.push_back(std::make_unique<SoakCaller>(
+          m_cluster,
+          m_options.m_daemons,
+          m_checker,
+          m_options.m_seed * 1'000 + static_cast<unsigned>(i),
+          !m_options.m_has_sound_endpoints && m_options.m_seed % 2 == 0,
+          m_options.m_repeats_crashes && m_options.m_seed % 3 != 0,
+          m_options.m_has_sound_endpoints));
       }
       while (Clock::now() - m_start < m_options.m_length) {
         Inject();
@@ -444,6 +478,9 @@
         if (m_options.m_has_rests && m_rest_random() % 3 == 0) {
           LetEndpointsRest();
         }
+        if (m_options.m_has_quiet_endpoints && m_quiet_random() % 3 == 0) {
+          LetEndpointsBeQuiet();
+        }
         if (m_options.m_has_odd_bytes && m_odd_random() % 3 == 0) {
           LeaveOddEntry();
         }
@@ -520,7 +557,19 @@
       &SoakRun::StateLimit,          &SoakRun::StateLimit,
       &SoakRun::ReplaceEndpoint,     &SoakRun::LetEndpointLeave,
     };
-    (this->*kFaults[m_random() % kFaults.size()])();
+    constexpr std::array<Fault, 5> kFaultsBesideSoundEndpoints{
+      &SoakRun::PauseDaemon,
+      &SoakRun::ReloadDaemon,
+      &SoakRun::Reconfigure,
+      &SoakRun::InjectStoreFault,
+      &SoakRun::InjectStoreConnectionFault,
+    };
+    const auto drawn = m_random();
+    if (m_options.m_has_sound_endpoints) {
+      (this->*kFaultsBesideSoundEndpoints[drawn % kFaultsBesideSoundEndpoints.size()])();
+    } else {
+      (this->*kFaults[drawn % kFaults.size()])();
+    }
   }
 
   /// Draws a daemon for a fault that makes it unavailable, and marks it as down. Returns nothing if
@@ -873,6 +922,20 @@
     }
   }
 
+  /// One endpoint, or all of them, are slow for a while.
+  void LetEndpointsBeQuiet()
+  {
+    const std::size_t drawn = m_quiet_random() % (2 * m_options.m_endpoints);
+    const bool is_all = drawn >= m_options.m_endpoints;
+    RecordFault(is_all ? "all endpoints keep quiet"
+                       : absl::StrCat("endpoint ", drawn, " keeps quiet"));
+    for (std::size_t endpoint = 0; endpoint < m_options.m_endpoints; ++endpoint) {
+      if (is_all || endpoint == drawn) {
+        m_endpoints[endpoint]->KeepQuiet(kQuietPhase);
+      }
+    }
+  }
+
   /// Starts another incarnation of an endpoint, of the same software version if aVersion is empty.
   void Start(std::size_t aEndpoint, bool aKeepsId, const std::string& aVersion, int aIncarnation)
   {
@@ -1019,6 +1082,7 @@
   std::mt19937 m_odd_random;
   std::mt19937 m_endpoint_cut_random;
   std::mt19937 m_accepting_cut_random;
+  std::mt19937 m_quiet_random;
   SoakChecker m_checker;
   std::vector<std::unique_ptr<SoakEndpoint>> m_endpoints;
   GatewayCluster m_cluster;
@@ -1037,7 +1101,16 @@
 SoakResult
 RunSoak(const SoakOptions& aOptions)
 {
-  return SoakRun(aOptions).Run();
+  SoakOptions options = aOptions;
+  if (options.m_has_sound_endpoints) {
+    options.m_has_rests = false;
+    options.m_repeats_crashes = false;
+    options.m_has_odd_bytes = false;
+    options.m_kills_all = false;
+    options.m_cuts_endpoints = false;
+    options.m_has_spurious_responses = false;
+  }
+  return SoakRun(options).Run();
 }
 
 }
--- a/Tests/Soak/Soak.h
+++ b/Tests/Soak/Soak.h
@@ -31,6 +31,11 @@
   bool m_has_accepting_cuts = true;
   /// Whether endpoints write spurious responses to some of the requests that they have run.
   bool m_has_spurious_responses = false;
+  /// Whether endpoints keep quiet at times before a response and between the events of a stream.
+  bool m_has_quiet_endpoints = false;
+  /// Whether endpoints and the paths to them have no faults, and no daemon is killed or stopped.
+  /// Responses that end incomplete before the deadline of their requests are violations then.
+  bool m_has_sound_endpoints = false;
   /// Directory to which the daemons' logs are written when there are violations. Empty: no logs are
   /// written.
   std::string m_log_directory;
--- a/Tests/Soak/SoakCaller.cpp
+++ b/Tests/Soak/SoakCaller.cpp
@@ -21,6 +21,11 @@
 constexpr int kMaxResumes = 3;
 constexpr std::chrono::milliseconds kResumePause{ 30 };
 constexpr int kOk = 200;
+constexpr int kBadGateway = 502;
+constexpr int kGatewayTimeout = 504;
+constexpr std::chrono::milliseconds kDeadline{ 3'000 };
+// A response that ends this long before the deadline has not ended for it.
+constexpr std::chrono::milliseconds kBeforeDeadline{ 300 };
 // One request in this many has a part in its prompt that crashes endpoints, and one is the request
 // that crashes them.
 constexpr unsigned kHarmfulOneIn = 120;
@@ -44,13 +49,15 @@
                        SoakChecker& aChecker,
                        unsigned aSeed,
                        bool aIsHarmful,
-                       bool aRepeatsCrash)
+                       bool aRepeatsCrash,
+                       bool aExpectsWhole)
   : m_cluster(aCluster)
   , m_daemons(aDaemons)
   , m_checker(aChecker)
   , m_seed(aSeed)
   , m_is_harmful(aIsHarmful)
   , m_repeats_crash(aRepeatsCrash)
+  , m_expects_whole(aExpectsWhole)
   , m_random(aSeed)
   , m_thread([this] { Run(); })
 {
@@ -118,24 +125,51 @@
       ? absl::StrCat(
           "Resumes: ", aRequest.m_stream, "\r\nLast-Event-Id: ", aRequest.m_first_event - 1, "\r\n")
       : "";
+  const auto sent_at = std::chrono::steady_clock::now();
   CallerResponse response =
     Exchange(aRequest.m_daemon,
              absl::StrCat("POST /",
                           aRequest.m_kind->m_name,
                           "/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: ",
                           aRequest.m_id,
-                          "\r\nAuthorization: Bearer key-1\r\nX-Deadline-Ms: 3000\r\n",
+                          "\r\nAuthorization: Bearer key-1\r\nX-Deadline-Ms: ",
+                          kDeadline.count(),
+                          "\r\n",
                           resume_fields,
                           PromptOf(aRequest),
                           "Content-Length: 4\r\n\r\n",
                           aRequest.m_is_repeated_crash ? kHarmfulBody : "body"));
   m_checker.RecordResponse(aRequest, response);
+  CheckWhole(aRequest, response, std::chrono::steady_clock::now() - sent_at);
   if (!response.m_is_complete || response.Header("connection") == "close") {
     CloseConnection();
   }
   return response;
 }
 
+void
+SoakCaller::CheckWhole(const SoakRequest& aRequest,
+                       const CallerResponse& aResponse,
+                       std::chrono::steady_clock::duration aTook)
+{
+  const bool is_whole = aResponse.m_is_complete && aResponse.m_status != kBadGateway &&
+                        aResponse.m_status != kGatewayTimeout;
+  if (!m_expects_whole || is_whole || m_has_left || aTook > kDeadline - kBeforeDeadline) {
+    return;
+  }
+  m_checker.RecordViolation(
+    absl::StrCat(aRequest.m_kind->m_name,
+                 " request ",
+                 aRequest.m_id,
+                 " through daemon ",
+                 aRequest.m_daemon,
+                 " has no whole response: status ",
+                 aResponse.m_status,
+                 " after ",
+                 std::chrono::duration_cast<std::chrono::milliseconds>(aTook).count(),
+                 " ms"));
+}
+
 void
 SoakCaller::Resume(SoakRequest aRequest, CallerResponse aResponse)
 {
@@ -163,7 +197,8 @@
     m_socket = ConnectTo(m_cluster.CallerAddress(aDaemon));
     m_connected_to = aDaemon;
   }
-  if (m_socket < 0) {
+  m_has_left = m_socket < 0;
+  if (m_has_left) {
     return {};
   }
   // A paused daemon delays its responses for as long as it is paused. The deadline of the request
@@ -171,7 +206,8 @@
   const timeval receive_timeout{ 6, 0 };
   setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout, sizeof(receive_timeout));
   send(m_socket, aRequest.data(), aRequest.size(), MSG_NOSIGNAL);
-  if (m_random() % kForty < kAbandonedOfForty) {
+  m_has_left = m_random() % kForty < kAbandonedOfForty;
+  if (m_has_left) {
     CloseConnection();
     return {};
   }
--- a/Tests/Soak/SoakCaller.h
+++ b/Tests/Soak/SoakCaller.h
@@ -3,6 +3,7 @@
 #include "SoakChecker.h"
 
 #include <atomic>
+#include <chrono>
 #include <random>
 #include <thread>
 
@@ -14,13 +15,15 @@
 {
 public:
   /// aIsHarmful: whether some of its prompts have a part that crashes endpoints. aRepeatsCrash:
-  /// whether it sometimes sends the request that crashes them.
+  /// whether it sometimes sends the request that crashes them. aExpectsWhole: whether a response
+  /// that ends incomplete before the deadline of its request is a violation.
   SoakCaller(const GatewayCluster& aCluster,
              std::size_t aDaemons,
              SoakChecker& aChecker,
              unsigned aSeed,
              bool aIsHarmful,
-             bool aRepeatsCrash);
+             bool aRepeatsCrash,
+             bool aExpectsWhole = false);
   /// Waits for the request in progress.
   ~SoakCaller();
   SoakCaller(const SoakCaller&) = delete;
@@ -32,6 +35,10 @@
   CallerResponse Send(const SoakRequest& aRequest);
   /// Resumes a stream that broke off, as long as there are attempts left.
   void Resume(SoakRequest aRequest, CallerResponse aResponse);
+  /// Records a violation if a response without its end came long before the deadline.
+  void CheckWhole(const SoakRequest& aRequest,
+                  const CallerResponse& aResponse,
+                  std::chrono::steady_clock::duration aTook);
   CallerResponse Exchange(std::size_t aDaemon, const std::string& aRequest);
   void CloseConnection();
   /// The header field with the parts of a request's prompt.
@@ -43,6 +50,9 @@
   unsigned m_seed;
   bool m_is_harmful;
   bool m_repeats_crash;
+  bool m_expects_whole;
+  /// Whether the caller has left before the last response.
+  bool m_has_left = false;
   std::mt19937 m_random;
   int m_socket = -1;
   std::size_t m_connected_to = 0;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -43,6 +43,12 @@
   app.add_flag("--spurious-responses",
                options.m_has_spurious_responses,
                "Let endpoints write spurious responses (default: no)");
+  app.add_flag("--quiet-endpoints",
+               options.m_has_quiet_endpoints,
+               "Let endpoints keep quiet before and within responses (default: no)");
+  app.add_flag("--sound-endpoints",
+               options.m_has_sound_endpoints,
+               "Inject no faults of endpoints, and none that end daemons (default: no)");
   app.add_flag("--faults", shows_faults, "Print the faults of each seed");
   CLI11_PARSE(app, aArgumentCount, aArguments);
   options.m_length = std::chrono::seconds(seconds);
