Play the death of a coordinator and a silent path while requests run, and let no retry hide a cut in the soak

Why: a running request depends neither on its coordinator nor on a path that may be silent, and nothing showed it; and the soak with sound endpoints passed on, since a retry answered each request that was given up. Change: a case in which the coordinator is killed while quiet streams run, one in which the path of running requests falls silent (they are answered through another daemon), and no retry budget in that soak.

--- a/Tests/Process/TestEndpointCuts.cpp
+++ b/Tests/Process/TestEndpointCuts.cpp
@@ -228,6 +228,41 @@
   CheckCut(EndpointCut::SilenceAccepted);
 }
 
+TEST_CASE("Cut off: requests whose path falls silent while they run are answered another way")
+{
+  for (const EndpointCut cut : { EndpointCut::Hang, EndpointCut::SilenceAccepted }) {
+    CAPTURE(static_cast<int>(cut));
+    GatewayCluster cluster(WithPaths());
+    std::atomic<int> running = 0;
+    for (std::size_t i = 0; i < kEndpoints; ++i) {
+      cluster.Endpoint(i).SetBehaviour([&](RawConnection& aConnection, const RawRequest& aRequest) {
+        if (aRequest.m_daemon == 0) {
+          ++running;
+          aConnection.WaitForClose();
+          return false;
+        }
+        return RespondWithSuccess(aConnection, aRequest);
+      });
+    }
+    std::array<CallerResponse, kEndpoints * 2> responses;
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < responses.size(); ++i) {
+      callers.emplace_back(
+        [&, i] { responses.at(i) = cluster.Call("/safe/x", absl::StrCat("running-", i), "", 0); });
+    }
+    CHECK(WaitFor([&] { return running == static_cast<int>(responses.size()); }));
+    cluster.CutFromEndpoints(0, cut);
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    for (std::size_t i = 0; i < responses.size(); ++i) {
+      CHECK(responses.at(i).m_status == 200);
+      CHECK(responses.at(i).m_body == absl::StrCat("answer to running-", i));
+    }
+    CHECK(CountInLog(cluster, 0, "event=second-way ") >= responses.size());
+  }
+}
+
 TEST_CASE("Cut off: while no daemon reaches an endpoint, each refuses what has not run")
 {
   GatewayCluster cluster(WithPaths());
--- a/Tests/Process/TestQuietEndpoints.cpp
+++ b/Tests/Process/TestQuietEndpoints.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kDaemons = 3;
 constexpr std::size_t kEndpoints = 3;
 constexpr int kRounds = 2;
+constexpr int kFew = 2 * static_cast<int>(kEndpoints);
 constexpr int kSlots = 4 * static_cast<int>(kEndpoints);
 // Longer than any time after which a daemon takes silent endpoints for unreachable.
 constexpr std::chrono::milliseconds kQuiet{ 2'500 };
@@ -58,24 +59,31 @@
   }
 }
 
-/// Sends streams through the first daemon at once, in turn of both kinds and quiet in both ways,
-/// and checks that each arrives whole. aMaxRuns: how often each may run. aMayBeRefused: whether
-/// those that no endpoint has run may be refused.
+/// Streams that are sent at once through one daemon, in turn of both kinds and quiet in both ways.
+struct Streams
+{
+  std::string m_name;
+  int m_count = 0;
+  /// How often each may run.
+  int m_max_runs = 1;
+  /// Whether those that no endpoint has run may be refused.
+  bool m_may_be_refused = false;
+  std::size_t m_daemon = 0;
+};
+
+/// Sends streams and checks that each arrives whole.
 void
-CheckStreams(GatewayCluster& aCluster,
-             const std::string& aName,
-             int aCount,
-             int aMaxRuns,
-             bool aMayBeRefused = false)
+CheckStreams(GatewayCluster& aCluster, const Streams& aStreams)
 {
   std::mutex mutex;
   std::map<std::string, CallerResponse> responses;
   std::vector<std::thread> callers;
-  for (int number = 0; number < aCount; ++number) {
+  for (int number = 0; number < aStreams.m_count; ++number) {
     callers.emplace_back([&, number] {
-      const std::string id = absl::StrCat(number % 2 == 0 ? "first-" : "between-", aName, number);
+      const std::string id =
+        absl::StrCat(number % 2 == 0 ? "first-" : "between-", aStreams.m_name, number);
       const char* path = number % 4 < 2 ? "/resumable/x" : "/stream/x";
-      CallerResponse response = aCluster.Call(path, id);
+      CallerResponse response = aCluster.Call(path, id, "", aStreams.m_daemon);
       const std::lock_guard lock(mutex);
       responses[id] = std::move(response);
     });
@@ -86,14 +94,14 @@
   for (const auto& entry : responses) {
     const std::string& id = entry.first;
     CAPTURE(id);
-    if (aMayBeRefused && entry.second.m_status == 503) {
+    if (aStreams.m_may_be_refused && entry.second.m_status == 503) {
       CHECK(aCluster.RunsOf(id) == 0);
       continue;
     }
     CHECK(entry.second.m_status == 200);
     CHECK(entry.second.m_is_complete);
     CHECK(entry.second.m_body == kBody);
-    CHECK(aCluster.RunsOf(id) <= aMaxRuns);
+    CHECK(aCluster.RunsOf(id) <= aStreams.m_max_runs);
   }
 }
 
@@ -110,7 +118,7 @@
   GatewayCluster cluster(kDaemons, kEndpoints);
   SetQuiet(cluster);
   for (int round = 0; round < kRounds; ++round) {
-    CheckStreams(cluster, absl::StrCat(round, "-"), kEndpoints * 2, 1);
+    CheckStreams(cluster, { absl::StrCat(round, "-"), kFew });
   }
   CHECK_FALSE(HasLogged(cluster, 0, "event=given-up"));
 }
@@ -120,7 +128,7 @@
   GatewayCluster cluster(kDaemons, kEndpoints);
   SetQuiet(cluster);
   for (int round = 0; round < kRounds; ++round) {
-    CheckStreams(cluster, absl::StrCat(round, "-"), kSlots, 1);
+    CheckStreams(cluster, { absl::StrCat(round, "-"), kSlots });
   }
 }
 
@@ -135,7 +143,7 @@
   SetQuiet(cluster);
   SetStatesNoState(cluster);
   for (int round = 0; round < kRounds; ++round) {
-    CheckStreams(cluster, absl::StrCat(round, "-"), kEndpoints * 2, 1);
+    CheckStreams(cluster, { absl::StrCat(round, "-"), kFew });
   }
   CHECK(HasLogged(cluster, 0, "event=cannot-connect"));
 }
@@ -154,7 +162,7 @@
       }
     });
   }
-  CheckStreams(cluster, "", kSlots, 2, true);
+  CheckStreams(cluster, { "", kSlots, 2, true });
   is_over = true;
   for (std::thread& caller : crowd) {
     caller.join();
@@ -175,7 +183,7 @@
     }
   });
   for (int round = 0; round < kRounds; ++round) {
-    CheckStreams(cluster, absl::StrCat(round, "-"), kEndpoints * 2, 1);
+    CheckStreams(cluster, { absl::StrCat(round, "-"), kFew });
   }
   is_over = true;
   pauses.join();
@@ -214,9 +222,29 @@
       cluster.Network().SetCut(i, 0, true);
     }
   });
-  CheckStreams(cluster, "forwarded-", 2, 1);
+  CheckStreams(cluster, { "forwarded-", 2 });
   unsafe.join();
   cut.join();
   CHECK(response.m_status == 200);
   CHECK(cluster.RunsOf("unsafe") == 1);
 }
+
+TEST_CASE("Quiet endpoints: streams run once, to their end, when their coordinator is killed")
+{
+  GatewayCluster cluster(kDaemons, kEndpoints);
+  SetQuiet(cluster);
+  cluster.Call("/safe/x", "first");
+  std::size_t coordinator = 0;
+  while (!HasLogged(cluster, 0, absl::StrCat("home=gateway-", coordinator, " before="))) {
+    ++coordinator;
+    REQUIRE(coordinator < kDaemons);
+  }
+  const std::size_t daemon = (coordinator + 1) % kDaemons;
+  std::thread kill([&] {
+    CHECK(WaitFor([&] { return cluster.RunsOf("between-killed-1") > 0; }));
+    cluster.Daemon(coordinator).Signal(SIGKILL);
+  });
+  CheckStreams(cluster, { "killed-", kFew, 1, false, daemon });
+  kill.join();
+  CHECK(HasLogged(cluster, daemon, "event=home-lost"));
+}
--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -28,9 +28,9 @@
 constexpr int kMaxFaultMs = 2'000;
 // The platform kills a process this long after it has asked it to stop.
 constexpr Ms kStopGracePeriod{ 8'000 };
-// The longest time for which an endpoint keeps quiet at a time. Endpoints that do so together do it
-// for several times as long.
-constexpr int kMaxQuietMs = 1'800;
+// For how long an endpoint keeps quiet at a time, and the length of a phase in which it does.
+constexpr int kMinQuietMs = 600;
+constexpr int kMaxQuietMs = 2'200;
 constexpr Ms kQuietPhase{ 3'000 };
 // The longest rest that an endpoint asks for.
 constexpr int kMaxRestMs = 4'000;
@@ -279,7 +279,8 @@
   void WaitQuietly()
   {
     if (m_quiet_until.load() > Clock::now()) {
-      std::this_thread::sleep_for(Ms(DrawNumber() % kMaxQuietMs));
+      std::this_thread::sleep_for(
+        Ms(kMinQuietMs + static_cast<int>(DrawNumber() % (kMaxQuietMs - kMinQuietMs))));
     }
   }
 
@@ -432,13 +433,7 @@
     , m_accepting_cut_random(aOptions.m_seed)
     , m_quiet_random(aOptions.m_seed)
     , m_checker(aOptions.m_endpoints)
-    , m_cluster(GatewayClusterOptions{ aOptions.m_daemons,
-                                       aOptions.m_endpoints,
-                                       2,
-                                       true,
-                                       {},
-                                       aOptions.m_cuts_paths,
-                                       CutsEndpoints() })
+    , m_cluster(ClusterOptions())
     , m_is_down(aOptions.m_daemons, false)
     , m_is_cut_off(aOptions.m_daemons, false)
     , m_start(Clock::now())
@@ -515,6 +510,22 @@
   }
 
 private:
+  GatewayClusterOptions ClusterOptions() const
+  {
+    GatewayClusterOptions options;
+    options.m_daemons = m_options.m_daemons;
+    options.m_endpoints = m_options.m_endpoints;
+    options.m_data_centers = 2;
+    options.m_has_proxies = true;
+    options.m_has_peer_network = m_options.m_cuts_paths;
+    options.m_has_endpoint_paths = CutsEndpoints();
+    if (m_options.m_has_sound_endpoints) {
+      // No retry hides that a call was given up.
+      options.m_settings["bounds"] = { { "retry_ratio", 0 }, { "retry_slack", 0 } };
+    }
+    return options;
+  }
+
   struct ScheduledAction
   {
     Clock::time_point m_at;
