--- a/Libraries/LibGateway/ActiveRequestSecondWay.cpp
+++ b/Libraries/LibGateway/ActiveRequestSecondWay.cpp
@@ -32,9 +32,7 @@
                      aWhy,
                      ToMilliseconds(Now() - m_attempt->m_heard_at),
                      m_dependencies.m_reach->Describe(Now()));
-  m_second_way.emplace();
-  m_second_way->m_why = aWhy;
-  m_second_way->m_attempt = BeginForwardedAttempt(*target);
+  m_second_way = SecondWay{ aWhy, BeginForwardedAttempt(*target), nullptr, std::nullopt };
   m_second_way->m_call = SendThrough(
     *target,
     RelayCallHandlers{ [this] { OnSecondWayWritten(); },
--- a/Libraries/LibGateway/EndpointReach.cpp
+++ b/Libraries/LibGateway/EndpointReach.cpp
@@ -140,11 +140,13 @@
 std::string
 EndpointReach::Describe(TimePoint aNow) const
 {
-  const std::string failures = absl::StrJoin(m_failures, ",", [](std::string* aOut, const auto& a) {
-    absl::StrAppend(aOut,
-                    a.first.Value(),
-                    a.second == Failure::NotEstablished ? ":not-established" : ":unanswered");
-  });
+  const std::string failures =
+    absl::StrJoin(m_failures, ",", [](std::string* aOut, const auto& aEntry) {
+      absl::StrAppend(aOut,
+                      aEntry.first.Value(),
+                      aEntry.second == Failure::NotEstablished ? ":not-established"
+                                                               : ":unanswered");
+    });
   const std::string silent =
     absl::StrJoin(m_silent, ",", [](std::string* aOut, const EndpointId& aEndpoint) {
       absl::StrAppend(aOut, aEndpoint.Value());
--- a/Tests/Process/TestQuietEndpoints.cpp
+++ b/Tests/Process/TestQuietEndpoints.cpp
@@ -18,6 +18,7 @@
 constexpr int kRounds = 2;
 constexpr int kFew = 2 * static_cast<int>(kEndpoints);
 constexpr int kSlots = 4 * static_cast<int>(kEndpoints);
+constexpr std::size_t kCrowd = 8 * kEndpoints;
 // Longer than any time after which a daemon takes silent endpoints for unreachable.
 constexpr std::chrono::milliseconds kQuiet{ 2'500 };
 constexpr std::chrono::milliseconds kPause{ 1'300 };
@@ -78,6 +79,7 @@
   std::mutex mutex;
   std::map<std::string, CallerResponse> responses;
   std::vector<std::thread> callers;
+  callers.reserve(static_cast<std::size_t>(aStreams.m_count));
   for (int number = 0; number < aStreams.m_count; ++number) {
     callers.emplace_back([&, number] {
       const std::string id =
@@ -155,7 +157,8 @@
   SetStatesNoState(cluster);
   std::atomic<bool> is_over = false;
   std::vector<std::thread> crowd;
-  for (int caller = 0; caller < 2 * kSlots; ++caller) {
+  crowd.reserve(kCrowd);
+  for (std::size_t caller = 0; caller < kCrowd; ++caller) {
     crowd.emplace_back([&, caller] {
       for (int number = 0; !is_over; ++number) {
         cluster.Call("/stream/x", absl::StrCat("first-crowd-", caller, "-", number), "", 1);
