Crash the soak's endpoints only under the part that its callers send for that

Cause, by reading: the endpoint looks for 'bad0' anywhere in the prompt, and the last part of each prompt is a random hexadecimal number. Change: it looks for the whole id. The soak's other modes had such crashes too, about one in 13,000 requests; they were counted as crashes and as harmful, and no caller had asked for them.

--- a/Tests/Soak/Soak.cpp
+++ b/Tests/Soak/Soak.cpp
@@ -3,6 +3,7 @@
 #include "SoakCaller.h"
 #include "SoakChecker.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
@@ -179,7 +180,7 @@
       WaitQuietly();
     }
     const bool has_harmful_part =
-      aRequest.Header("x-prefix-hash").find(kHarmfulPart) != std::string::npos;
+      absl::StrContains(aRequest.Header("x-prefix-hash"), absl::StrCat(",", kHarmfulPart, ":"));
     if (has_harmful_part || aRequest.m_body == kHarmfulBody) {
       if (has_harmful_part) {
         m_checker.RecordCrash();
