--- a/review/stand-in-3/Cases.cpp
+++ b/review/stand-in-3/Cases.cpp
@@ -1,6 +1,7 @@
 #include "World.h"
 
 #include <algorithm>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 
@@ -130,8 +131,7 @@
     servers.push_back(StartServer(i, runs));
     deployment.Register("i-" + std::to_string(i), servers.back()->Address(), deployment.ZoneOf(i));
   }
-  if (!deployment.Start()) {
-    aRecord.Add("the daemons did not become ready");
+  if (!deployment.Start(kDaemons)) {
     return kCouldNotRun;
   }
   // Calm for longer than contact_ms before the disruption.
@@ -188,6 +188,131 @@
   return result;
 }
 
+/// A request with tokens that ran, in milliseconds since the start.
+struct Spending
+{
+  std::int64_t m_sent = 0;
+  std::int64_t m_arrived = 0;
+  int m_tokens = 0;
+};
+
+/// Machines are added while the part of the store is down in which the daemons list each other.
+int
+Quota(Record& aRecord, bool aIsTroubled)
+{
+  constexpr std::size_t kFronts = 6;
+  constexpr std::size_t kSpares = 3;
+  constexpr int kTokensPerSecond = 5'000;
+  constexpr int kBurst = 10'000;
+  constexpr int kPromptTokens = 1'400;
+  constexpr int kOutputTokens = 100;
+  constexpr Milliseconds kBetween{ 40 };
+  constexpr const char* kMembers = "keyed.hosts";
+  std::mutex mutex;
+  std::map<std::string, Spending> spent;
+  std::vector<std::unique_ptr<Server>> servers;
+  Deployment deployment(aRecord, kFronts + kSpares, false);
+  deployment.Configure(
+    Json::array({ RouteOf("quote", "stream", false) }), kTokensPerSecond, kBurst);
+  for (std::size_t i = 0; i < kServers; ++i) {
+    servers.push_back(std::make_unique<Server>([&](Connection& aConnection) {
+      while (const auto request = aConnection.ReadRequest()) {
+        const std::string id = request->Header("x-request-id");
+        if (request->Path() != "/report") {
+          const std::lock_guard lock(mutex);
+          spent[id].m_arrived = aRecord.Now();
+          spent[id].m_tokens = kPromptTokens + kOutputTokens;
+        }
+        std::this_thread::sleep_for(Milliseconds(10));
+        const std::string event = "id: 1\ndata: piece\n\n";
+        std::string response = "HTTP/1.1 200 OK\r\nX-Response-Seal: 3e1b.07\r\nContent-Type: "
+                               "text/event-stream\r\nX-Request-Id: ";
+        response.append(id).append("\r\nContent-Length: ");
+        response.append(std::to_string(event.size())).append("\r\n\r\n").append(event);
+        aConnection.Write(response);
+      }
+    }));
+    deployment.Register("i-" + std::to_string(i), servers.back()->Address(), deployment.ZoneOf(i));
+  }
+  if (!deployment.Start(kFronts)) {
+    return kCouldNotRun;
+  }
+  std::atomic<bool> is_over = false;
+  std::vector<std::thread> clients;
+  std::map<int, int> statuses;
+  const auto add_client = [&](std::size_t aDaemon) {
+    clients.emplace_back([&, daemon = aDaemon] {
+      for (int number = 0; !is_over; ++number) {
+        const std::string id = "r-" + std::to_string(daemon) + "-" + std::to_string(number);
+        {
+          const std::lock_guard lock(mutex);
+          spent[id].m_sent = aRecord.Now();
+        }
+        const Response response =
+          Call(deployment.FrontAddress(daemon),
+               RequestText("/quote/2f",
+                           id,
+                           "X-Token-Count: " + std::to_string(kPromptTokens) + "," +
+                             std::to_string(kOutputTokens) + "\r\nConnection: close\r\n",
+                           "body"),
+               Milliseconds(2'000));
+        {
+          const std::lock_guard lock(mutex);
+          ++statuses[response.m_status];
+        }
+        std::this_thread::sleep_for(kBetween);
+      }
+    });
+  };
+  for (std::size_t daemon = 0; daemon < kFronts; ++daemon) {
+    add_client(daemon);
+  }
+  std::this_thread::sleep_for(Milliseconds(10'000));
+  if (aIsTroubled) {
+    aRecord.Add("the store answers 503 for " + std::string(kMembers));
+    deployment.GetStore().SetDown(kMembers, true);
+  }
+  std::this_thread::sleep_for(Milliseconds(100));
+  aRecord.Add("machines are added");
+  for (std::size_t daemon = kFronts; daemon < kFronts + kSpares; ++daemon) {
+    deployment.StartOne(daemon);
+    add_client(daemon);
+  }
+  std::this_thread::sleep_for(Milliseconds(4'300));
+  if (aIsTroubled) {
+    aRecord.Add("the store answers for " + std::string(kMembers));
+    deployment.GetStore().SetDown(kMembers, false);
+  }
+  std::this_thread::sleep_for(Milliseconds(8'000));
+  is_over = true;
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  for (const auto& [status, count] : statuses) {
+    aRecord.Add("clients got " + std::to_string(status) + " " + std::to_string(count) + " times");
+  }
+  constexpr std::int64_t kWindow = 8'000;
+  constexpr double kBound = (kTokensPerSecond * kWindow / 1'000.0 + kBurst) * 1.1 + 190'000;
+  double most = 0;
+  std::int64_t most_at = 0;
+  for (const auto& [first_id, first] : spent) {
+    double tokens = 0;
+    for (const auto& [id, one] : spent) {
+      tokens +=
+        one.m_tokens > 0 && one.m_sent >= first.m_sent && one.m_arrived <= first.m_sent + kWindow
+          ? one.m_tokens
+          : 0;
+    }
+    if (tokens > most) {
+      most = tokens;
+      most_at = first.m_sent;
+    }
+  }
+  aRecord.Add("most tokens in a window of 8 s: " + std::to_string(most) + ", from " +
+              std::to_string(most_at) + " ms on; the bound is " + std::to_string(kBound));
+  return most > kBound ? kBroken : kHeld;
+}
+
 }
 
 }
@@ -203,7 +328,8 @@
   const char* trouble = std::getenv("TROUBLE");
   const bool is_troubled = trouble == nullptr || std::string(trouble) != "0";
   Record record(aArguments[2]);
-  const std::map<std::string, int (*)(Record&, bool)> cases{ { "goes-on", GoesOn } };
+  const std::map<std::string, int (*)(Record&, bool)> cases{ { "goes-on", GoesOn },
+                                                             { "quota", Quota } };
   const auto found = cases.find(aArguments[1]);
   const int result = found == cases.end() ? kCouldNotRun : found->second(record, is_troubled);
   record.Add(result == kHeld     ? "the rule held"
--- a/review/stand-in-3/World.cpp
+++ b/review/stand-in-3/World.cpp
@@ -355,6 +355,20 @@
   return found == newest.end() ? std::nullopt : std::optional(found->second.first);
 }
 
+void
+Store::SetDown(const std::string& aTopic, bool aIsDown)
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    if (aIsDown) {
+      m_down.insert(aTopic);
+    } else {
+      m_down.erase(aTopic);
+    }
+  }
+  m_changed.notify_all();
+}
+
 void
 Store::AppendLocked(const std::string& aTopic, const std::string& aContent)
 {
@@ -390,6 +404,9 @@
   };
   std::unique_lock lock(m_mutex);
   const std::string name = aRequest.Query("topic");
+  if (m_down.contains(name)) {
+    return make("503 Service Unavailable", "");
+  }
   if (aRequest.Path() == "/log-append") {
     Topic& topic = m_topics[name];
     const std::size_t first = topic.m_records.size();
@@ -426,8 +443,11 @@
     const std::size_t from = std::stoul(aRequest.Query("from"));
     const std::string wait = aRequest.Query("wait_ms");
     m_changed.wait_for(lock, Milliseconds(wait.empty() ? 0 : std::stol(wait)), [&] {
-      return m_is_over || m_topics[name].m_records.size() > from;
+      return m_is_over || m_down.contains(name) || m_topics[name].m_records.size() > from;
     });
+    if (m_down.contains(name)) {
+      return make("503 Service Unavailable", "");
+    }
     const Topic& topic = m_topics[name];
     std::string body = BigEndian(topic.m_records.size(), kBits) + BigEndian(0, kBits);
     for (std::size_t i = from; i < topic.m_records.size(); ++i) {
@@ -554,8 +574,9 @@
   }
 }
 
-Deployment::Deployment(Record& aRecord, std::size_t aDaemons)
+Deployment::Deployment(Record& aRecord, std::size_t aDaemons, bool aRecordsRequests)
   : m_record(aRecord)
+  , m_records_requests(aRecordsRequests)
 {
   std::string path = (std::filesystem::temp_directory_path() / "auburnhitch-case-XXXXXX").string();
   if (mkdtemp(path.data()) == nullptr) {
@@ -575,11 +596,12 @@
 {
   for (std::size_t i = 0; i < m_daemons.size(); ++i) {
     m_daemons[i].m_process = nullptr;
-    std::ifstream log(m_directory + "/" + std::to_string(i) + ".log");
+    std::ifstream log(PathOf(i, ".log"));
     for (std::string line; std::getline(log, line);) {
-      if (line.find("request=") != std::string::npos ||
-          line.find("event=home") != std::string::npos ||
-          line.find(" reach: ") != std::string::npos || std::getenv("WHOLE_LOG") != nullptr) {
+      const bool is_of_request = line.find("request=") != std::string::npos;
+      if ((is_of_request && m_records_requests) || line.find("event=home") != std::string::npos ||
+          line.find("event=peers-heard") != std::string::npos ||
+          line.find(" reach: ") != std::string::npos) {
         m_record.Add("log of daemon " + std::to_string(i) + ": " + line);
       }
     }
@@ -596,7 +618,7 @@
 }
 
 void
-Deployment::Configure(const Json& aRoutes)
+Deployment::Configure(const Json& aRoutes, int aTokensPerSecond, int aBurst)
 {
   const Json configuration{
     { "version", ++m_version },
@@ -612,8 +634,8 @@
       { { { "name", "hule930" },
           { "api_keys", { kKey } },
           { "unit", "tokens" },
-          { "rate_per_s", 0 },
-          { "burst", 0 } } } }
+          { "rate_per_s", aTokensPerSecond },
+          { "burst", aBurst } } } }
   };
   m_store.Put("keyed.op", "config", configuration.dump());
 }
@@ -639,42 +661,16 @@
 }
 
 bool
-Deployment::Start()
+Deployment::Start(std::size_t aCount)
 {
-  for (std::size_t i = 0; i < m_daemons.size(); ++i) {
-    const std::vector<std::string>& addresses = m_daemons[i].m_addresses;
-    const Json bounds{ { "drain_ms", 2000 },         { "stop_grace_s", 8 },
-                       { "most_retry_after_s", 10 }, { "directory_lifetime_s", 5 },
-                       { "retry_ratio", 0.2 },       { "retry_slack", 52 },
-                       { "retry_window_s", 10 },     { "quota_overage", 0.1 },
-                       { "quota_window_s", 8 },      { "quota_slack_tokens", 190000 } };
-    const Json contracts{ "base",   "drain",  "config",  "cost",  "retry",   "recover",
-                          "engine", "stream", "tenants", "quota", "platform" };
-    const Json settings{ { "gateway",
-                           { { "host", "edge-" + std::to_string(i) },
-                             { "data_center", ZoneOf(i) },
-                             { "caller_address", addresses[0] },
-                             { "readiness_address", addresses[1] },
-                             { "directory_address", addresses[2] },
-                             { "metrics_address", addresses[3] },
-                             { "peer_address", addresses[4] },
-                             { "store_address", m_store.Address() },
-                             { "max_memory_mb", 260 },
-                             { "max_descriptors", 4100 },
-                             { "processor_share", 0.25 },
-                             { "processor_cores", 1 },
-                             { "contracts", contracts },
-                             { "bounds", bounds } } } };
-    const std::string path = m_directory + "/" + std::to_string(i) + ".json";
-    std::ofstream(path) << settings;
-    m_daemons[i].m_process =
-      std::make_unique<DaemonProcess>(path, m_directory + "/" + std::to_string(i) + ".log");
+  for (std::size_t i = 0; i < aCount; ++i) {
+    StartOne(i);
   }
   const auto until = Clock::now() + kStartTime;
-  for (const Host& host : m_daemons) {
-    const std::string question = "GET /readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
-    while (Call(host.m_addresses[1], question, Milliseconds(500)).m_status != 200) {
+  for (std::size_t i = 0; i < aCount; ++i) {
+    while (!IsReady(i)) {
       if (Clock::now() > until) {
+        m_record.Add("the daemons did not become ready");
         return false;
       }
       std::this_thread::sleep_for(kPoll);
@@ -683,6 +679,53 @@
   return true;
 }
 
+std::string
+Deployment::PathOf(std::size_t aDaemon, const char* aSuffix) const
+{
+  return m_directory + "/" + std::to_string(aDaemon) + aSuffix;
+}
+
+void
+Deployment::StartOne(std::size_t aDaemon)
+{
+  const std::vector<std::string>& addresses = m_daemons.at(aDaemon).m_addresses;
+  const Json bounds{ { "drain_ms", 2000 },         { "stop_grace_s", 8 },
+                     { "most_retry_after_s", 10 }, { "directory_lifetime_s", 5 },
+                     { "retry_ratio", 0.2 },       { "retry_slack", 52 },
+                     { "retry_window_s", 10 },     { "quota_overage", 0.1 },
+                     { "quota_window_s", 8 },      { "quota_slack_tokens", 190000 } };
+  const Json contracts{ "base",   "drain",  "config",  "cost",  "retry",   "recover",
+                        "engine", "stream", "tenants", "quota", "platform" };
+  const Json settings{ { "gateway",
+                         { { "host", "edge-" + std::to_string(aDaemon) },
+                           { "data_center", ZoneOf(aDaemon) },
+                           { "caller_address", addresses[0] },
+                           { "readiness_address", addresses[1] },
+                           { "directory_address", addresses[2] },
+                           { "metrics_address", addresses[3] },
+                           { "peer_address", addresses[4] },
+                           { "store_address", m_store.Address() },
+                           { "max_memory_mb", 260 },
+                           { "max_descriptors", 4100 },
+                           { "processor_share", 0.25 },
+                           { "processor_cores", 1 },
+                           { "contracts", contracts },
+                           { "bounds", bounds } } } };
+  std::ofstream(PathOf(aDaemon, ".json")) << settings;
+  m_daemons.at(aDaemon).m_process =
+    std::make_unique<DaemonProcess>(PathOf(aDaemon, ".json"), PathOf(aDaemon, ".log"));
+}
+
+bool
+Deployment::IsReady(std::size_t aDaemon) const
+{
+  constexpr Milliseconds kMaxSilence{ 500 };
+  return Call(m_daemons.at(aDaemon).m_addresses[1],
+              "GET /readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+              kMaxSilence)
+           .m_status == 200;
+}
+
 std::string
 Deployment::FrontAddress(std::size_t aDaemon) const
 {
--- a/review/stand-in-3/World.h
+++ b/review/stand-in-3/World.h
@@ -123,6 +123,8 @@
            const std::string& aKey,
            const std::optional<std::string>& aValue);
   std::optional<std::string> Newest(const std::string& aTopic, const std::string& aKey);
+  /// Sets whether the partition of a topic is down: calls for it get 503, and nothing is done.
+  void SetDown(const std::string& aTopic, bool aIsDown);
 
 private:
   struct Topic
@@ -138,6 +140,7 @@
   std::mutex m_mutex;
   std::condition_variable m_changed;
   bool m_is_over = false;
+  std::set<std::string> m_down;
   std::map<std::string, Topic> m_topics;
   std::unique_ptr<Server> m_server;
 };
@@ -192,23 +195,33 @@
 class Deployment
 {
 public:
-  Deployment(Record& aRecord, std::size_t aDaemons);
+  /// aRecordsRequests: whether the record gets what the daemons log of each request.
+  Deployment(Record& aRecord, std::size_t aDaemons, bool aRecordsRequests = true);
   ~Deployment();
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
 
   Store& GetStore() { return m_store; }
-  /// Writes a configuration with these routes to one service.
-  void Configure(const Json& aRoutes);
+  /// Writes a configuration with these routes to one service. The tenant has no quota without a
+  /// rate.
+  void Configure(const Json& aRoutes, int aTokensPerSecond = 0, int aBurst = 0);
   /// Writes the registration of a server.
   void Register(const std::string& aId, const std::string& aAddress, const std::string& aZone);
-  /// Starts all daemons and waits until they are ready. Returns false if they are not within 20 s.
-  bool Start();
+  /// Starts the first daemons and waits until they are ready. Returns false if they are not within
+  /// 20 s.
+  bool Start(std::size_t aCount);
+  /// Starts a daemon; again, if it has ended.
+  void StartOne(std::size_t aDaemon);
+  /// Whether the readiness of a daemon is 200.
+  bool IsReady(std::size_t aDaemon) const;
+  std::size_t Size() const { return m_daemons.size(); }
   std::string FrontAddress(std::size_t aDaemon) const;
   DaemonProcess& Daemon(std::size_t aDaemon) { return *m_daemons.at(aDaemon).m_process; }
   std::string ZoneOf(std::size_t aDaemon) const;
 
 private:
+  std::string PathOf(std::size_t aDaemon, const char* aSuffix) const;
+
   struct Host
   {
     std::vector<std::string> m_addresses;
@@ -216,6 +229,7 @@
   };
 
   Record& m_record;
+  bool m_records_requests;
   std::string m_directory;
   Store m_store;
   std::vector<Host> m_daemons;
