--- a/review/stand-in-3/Cases.cpp
+++ b/review/stand-in-3/Cases.cpp
@@ -433,6 +433,146 @@
   return mixed > kAllowed ? kBroken : kHeld;
 }
 
+/// The store turns the coordinator away for a while. Servers leave when it is stable again.
+int
+Drain(Record& aRecord, bool aIsTroubled)
+{
+  constexpr std::size_t kFronts = 9;
+  constexpr std::size_t kAll = 18;
+  constexpr std::size_t kJoining = 6;
+  constexpr std::int64_t kDrainMs = 2'000;
+  std::mutex mutex;
+  std::map<std::size_t, std::vector<std::int64_t>> arrivals;
+  std::vector<std::unique_ptr<Server>> servers;
+  Deployment deployment(aRecord, kFronts, false);
+  // With these names the coordinator is a daemon that learns of new records from others.
+  deployment.SetHostPrefix("edge-d-");
+  deployment.UseStoreViews();
+  deployment.Configure(Json::array({ RouteOf("stock", "safe", false) }));
+  const auto name_of = [](std::size_t aServer) { return "i-" + std::to_string(aServer); };
+  const auto join = [&](std::size_t aServer) {
+    deployment.Register(name_of(aServer), servers[aServer]->Address(), deployment.ZoneOf(aServer));
+  };
+  for (std::size_t i = 0; i < kAll; ++i) {
+    servers.push_back(std::make_unique<Server>([&, i](Connection& aConnection) {
+      while (const auto request = aConnection.ReadRequest()) {
+        if (request->Path() == "/report") {
+          aConnection.Write(ReportText(0));
+          continue;
+        }
+        {
+          const std::lock_guard lock(mutex);
+          arrivals[i].push_back(aRecord.Now());
+        }
+        std::this_thread::sleep_for(Milliseconds(30));
+        std::string response = "HTTP/1.1 200 OK\r\nX-Response-Seal: 3e1b.07\r\nX-Request-Id: ";
+        response.append(request->Header("x-request-id"));
+        response.append("\r\nContent-Length: 4\r\n\r\nbody");
+        aConnection.Write(response);
+      }
+    }));
+    if (i < kAll - kJoining) {
+      join(i);
+    }
+  }
+  if (!deployment.Start(kFronts)) {
+    return kCouldNotRun;
+  }
+  std::atomic<bool> is_over = false;
+  std::vector<std::thread> clients;
+  std::atomic<std::size_t> busy = 0;
+  // Whether only the coordinator has clients.
+  std::atomic<bool> is_quiet = false;
+  const auto add_client = [&](std::size_t aDaemon, Milliseconds aPause) {
+    clients.emplace_back([&, client = clients.size(), daemon = aDaemon, pause = aPause] {
+      for (int number = 0; !is_over && (daemon == busy || !is_quiet); ++number) {
+        const std::string id = "r-" + std::to_string(client) + "-" + std::to_string(number);
+        Call(deployment.FrontAddress(daemon),
+             RequestText("/stock/2f", id, "Connection: close\r\n", "body"),
+             Milliseconds(2'000));
+        std::this_thread::sleep_for(pause);
+      }
+    });
+  };
+  for (std::size_t daemon = 0; daemon < kFronts; ++daemon) {
+    add_client(daemon, Milliseconds(1'000));
+  }
+  std::this_thread::sleep_for(Milliseconds(4'000));
+  std::size_t coordinator = 0;
+  const std::string first_log = deployment.LogOf(0);
+  const std::string chosen = "home=edge-d-";
+  const auto home = first_log.find(chosen, first_log.rfind("event=home-chosen"));
+  if (home != std::string::npos) {
+    coordinator = static_cast<std::size_t>(first_log[home + chosen.size()] - '0');
+  }
+  aRecord.Add("daemon " + std::to_string(coordinator) + " is the coordinator");
+  const std::string log = deployment.LogOf(coordinator);
+  const bool is_follower = log.rfind("event=follower") != std::string::npos &&
+                           (log.rfind("event=reader") == std::string::npos ||
+                            log.rfind("event=reader") < log.rfind("event=follower"));
+  if (!is_follower) {
+    aRecord.Add("the coordinator reads the store itself");
+    is_over = true;
+    for (std::thread& client : clients) {
+      client.join();
+    }
+    return kCouldNotRun;
+  }
+  Store& store = deployment.GetStore();
+  const auto began = Clock::now();
+  if (aIsTroubled) {
+    aRecord.Add("the store turns the coordinator away");
+    store.SetTurnedAway(coordinator, true);
+  }
+  for (std::size_t i = kAll - kJoining; i + 1 < kAll; ++i) {
+    std::this_thread::sleep_for(Milliseconds(1'400));
+    join(i);
+  }
+  std::this_thread::sleep_until(began + Milliseconds(7'800));
+  const int calls = store.CallsAt(coordinator);
+  while (aIsTroubled && store.CallsAt(coordinator) == calls &&
+         Clock::now() < began + Milliseconds(8'950)) {
+    std::this_thread::sleep_for(Milliseconds(1));
+  }
+  if (aIsTroubled) {
+    store.SetTurnedAway(coordinator, false);
+    aRecord.Add("the store serves the coordinator again");
+  }
+  busy = coordinator;
+  is_quiet = true;
+  for (int client = 0; client < 36; ++client) {
+    add_client(coordinator, Milliseconds(10));
+  }
+  std::this_thread::sleep_for(Milliseconds(3'050));
+  join(kAll - 1);
+  aRecord.Add("server " + name_of(kAll - 1) + " joins");
+  std::map<std::size_t, std::int64_t> left;
+  std::this_thread::sleep_for(Milliseconds(130));
+  // Of the coordinator's zone, which it uses first.
+  for (const std::size_t leaving : { coordinator % 3 + 3, coordinator % 3 + 6 }) {
+    store.Put("keyed.servers", name_of(leaving), std::nullopt);
+    left[leaving] = aRecord.Now();
+    aRecord.Add("the entry of " + name_of(leaving) + " is removed");
+  }
+  std::this_thread::sleep_for(Milliseconds(4'000));
+  is_over = true;
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  int late = 0;
+  for (const auto& [server, at] : left) {
+    std::int64_t last = 0;
+    for (const std::int64_t arrival : arrivals[server]) {
+      late += arrival > at + kDrainMs ? 1 : 0;
+      last = std::max(last, arrival - at);
+    }
+    aRecord.Add(name_of(server) + ": last request " + std::to_string(last) + " ms after, of " +
+                std::to_string(arrivals[server].size()));
+  }
+  aRecord.Add(std::to_string(late) + " requests reached a server more than 2,000 ms after");
+  return late > 0 ? kBroken : kHeld;
+}
+
 }
 
 }
@@ -448,9 +588,9 @@
   const char* trouble = std::getenv("TROUBLE");
   const bool is_troubled = trouble == nullptr || std::string(trouble) != "0";
   Record record(aArguments[2]);
-  const std::map<std::string, int (*)(Record&, bool)> cases{ { "goes-on", GoesOn },
-                                                             { "quota", Quota },
-                                                             { "order", Order } };
+  const std::map<std::string, int (*)(Record&, bool)> cases{
+    { "goes-on", GoesOn }, { "quota", Quota }, { "order", Order }, { "drain", Drain }
+  };
   const auto found = cases.find(aArguments[1]);
   const int result = found == cases.end() ? kCouldNotRun : found->second(record, is_troubled);
   record.Add(result == kHeld     ? "the rule held"
--- a/review/stand-in-3/World.cpp
+++ b/review/stand-in-3/World.cpp
@@ -12,6 +12,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -323,7 +325,8 @@
 
 Store::Store()
 {
-  m_server = std::make_unique<Server>([this](Connection& aConnection) { Serve(aConnection); });
+  m_server =
+    std::make_unique<Server>([this](Connection& aConnection) { Serve(aConnection, nullptr); });
 }
 
 Store::~Store()
@@ -334,6 +337,39 @@
   }
   m_changed.notify_all();
   m_server = nullptr;
+  for (const auto& view : m_views) {
+    view->m_server = nullptr;
+  }
+}
+
+std::string
+Store::AddView()
+{
+  View* view = m_views.emplace_back(std::make_unique<View>()).get();
+  view->m_server =
+    std::make_unique<Server>([this, view](Connection& aConnection) { Serve(aConnection, view); });
+  return view->m_server->Address();
+}
+
+void
+Store::SetTurnedAway(std::size_t aView, bool aIsTurnedAway)
+{
+  const std::lock_guard lock(m_mutex);
+  m_views.at(aView)->m_is_turned_away = aIsTurnedAway;
+}
+
+int
+Store::CallsAt(std::size_t aView)
+{
+  const std::lock_guard lock(m_mutex);
+  return m_views.at(aView)->m_calls;
+}
+
+bool
+Store::IsTurnedAway(const View* aView)
+{
+  const std::lock_guard lock(m_mutex);
+  return aView != nullptr && aView->m_is_turned_away;
 }
 
 void
@@ -387,10 +423,22 @@
 }
 
 void
-Store::Serve(Connection& aConnection)
+Store::Serve(Connection& aConnection, View* aView)
 {
+  constexpr Milliseconds kForever{ 60'000 };
   while (const auto request = aConnection.ReadRequest()) {
-    if (!aConnection.Write(Answer(*request))) {
+    const bool was_turned_away = IsTurnedAway(aView);
+    if (aView != nullptr && request->Query("topic") == "keyed.servers") {
+      const std::lock_guard lock(m_mutex);
+      ++aView->m_calls;
+    }
+    const std::string answer = was_turned_away ? "" : Answer(*request);
+    if (was_turned_away || IsTurnedAway(aView)) {
+      // A connection on which an answer is lost returns nothing further.
+      aConnection.WaitForClose(kForever);
+      return;
+    }
+    if (!aConnection.Write(answer)) {
       return;
     }
   }
@@ -464,6 +512,8 @@
 {
   m_pid = fork();
   if (m_pid == 0) {
+    // Ends with the case, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int log = open(aLogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
@@ -603,6 +653,8 @@
       const bool is_of_request = line.find("request=") != std::string::npos;
       if ((is_of_request && m_records_requests) || line.find("event=home") != std::string::npos ||
           line.find("event=peers-heard") != std::string::npos ||
+          line.find(" store: ") != std::string::npos ||
+          line.find(" registry: ") != std::string::npos ||
           line.find(" reach: ") != std::string::npos) {
         m_record.Add("log of daemon " + std::to_string(i) + ": " + line);
       }
@@ -687,6 +739,22 @@
   return m_directory + "/" + std::to_string(aDaemon) + aSuffix;
 }
 
+void
+Deployment::UseStoreViews()
+{
+  for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+    m_views.push_back(m_store.AddView());
+  }
+}
+
+std::string
+Deployment::LogOf(std::size_t aDaemon) const
+{
+  std::stringstream text;
+  text << std::ifstream(PathOf(aDaemon, ".log")).rdbuf();
+  return text.str();
+}
+
 void
 Deployment::StartOne(std::size_t aDaemon)
 {
@@ -698,21 +766,23 @@
                      { "quota_window_s", 8 },      { "quota_slack_tokens", 190000 } };
   const Json contracts{ "base",   "drain",  "config",  "cost",  "retry",   "recover",
                         "engine", "stream", "tenants", "quota", "platform" };
-  const Json settings{ { "gateway",
-                         { { "host", "edge-" + std::to_string(aDaemon) },
-                           { "data_center", ZoneOf(aDaemon) },
-                           { "caller_address", addresses[0] },
-                           { "readiness_address", addresses[1] },
-                           { "directory_address", addresses[2] },
-                           { "metrics_address", addresses[3] },
-                           { "peer_address", addresses[4] },
-                           { "store_address", m_store.Address() },
-                           { "max_memory_mb", 260 },
-                           { "max_descriptors", 4100 },
-                           { "processor_share", 0.25 },
-                           { "processor_cores", 1 },
-                           { "contracts", contracts },
-                           { "bounds", bounds } } } };
+  const Json settings{
+    { "gateway",
+      { { "host", m_host_prefix + std::to_string(aDaemon) },
+        { "data_center", ZoneOf(aDaemon) },
+        { "caller_address", addresses[0] },
+        { "readiness_address", addresses[1] },
+        { "directory_address", addresses[2] },
+        { "metrics_address", addresses[3] },
+        { "peer_address", addresses[4] },
+        { "store_address", m_views.empty() ? m_store.Address() : m_views[aDaemon] },
+        { "max_memory_mb", 260 },
+        { "max_descriptors", 4100 },
+        { "processor_share", 0.25 },
+        { "processor_cores", 1 },
+        { "contracts", contracts },
+        { "bounds", bounds } } }
+  };
   std::ofstream(PathOf(aDaemon, ".json")) << settings;
   m_daemons.at(aDaemon).m_process =
     std::make_unique<DaemonProcess>(PathOf(aDaemon, ".json"), PathOf(aDaemon, ".log"));
--- a/review/stand-in-3/World.h
+++ b/review/stand-in-3/World.h
@@ -126,6 +126,12 @@
   std::optional<std::string> Newest(const std::string& aTopic, const std::string& aKey);
   /// Sets whether the partition of a topic is down: calls for it get 503, and nothing is done.
   void SetDown(const std::string& aTopic, bool aIsDown);
+  /// Opens another address at which the same store is served, for one machine.
+  std::string AddView();
+  /// Sets whether the calls at a view get no answer. The views count from 0.
+  void SetTurnedAway(std::size_t aView, bool aIsTurnedAway);
+  /// Number of calls for the registrations that were received at a view.
+  int CallsAt(std::size_t aView);
 
 private:
   struct Topic
@@ -134,7 +140,15 @@
     std::map<std::string, std::pair<std::string, std::size_t>> m_newest;
   };
 
-  void Serve(Connection& aConnection);
+  struct View
+  {
+    bool m_is_turned_away = false;
+    int m_calls = 0;
+    std::unique_ptr<Server> m_server;
+  };
+
+  void Serve(Connection& aConnection, View* aView);
+  bool IsTurnedAway(const View* aView);
   std::string Answer(const Request& aRequest);
   void AppendLocked(const std::string& aTopic, const std::string& aContent);
 
@@ -144,6 +158,7 @@
   std::set<std::string> m_down;
   std::map<std::string, Topic> m_topics;
   std::unique_ptr<Server> m_server;
+  std::vector<std::unique_ptr<View>> m_views;
 };
 
 /// A process of the project, started as the deploy file says.
@@ -216,6 +231,12 @@
   bool Start(std::size_t aCount);
   /// Starts a daemon; again, if it has ended.
   void StartOne(std::size_t aDaemon);
+  /// Names the hosts of the daemons that start from now on.
+  void SetHostPrefix(std::string aPrefix) { m_host_prefix = std::move(aPrefix); }
+  /// Lets each daemon that starts from now on call the store at a view of its own, of its number.
+  void UseStoreViews();
+  /// What a daemon has logged so far.
+  std::string LogOf(std::size_t aDaemon) const;
   /// Whether the readiness of a daemon is 200.
   bool IsReady(std::size_t aDaemon) const;
   std::size_t Size() const { return m_daemons.size(); }
@@ -237,6 +258,8 @@
   std::string m_directory;
   Store m_store;
   std::vector<Host> m_daemons;
+  std::string m_host_prefix = "edge-";
+  std::vector<std::string> m_views;
   int m_version = 0;
 };
 
