--- a/review/stand-in-3/Cases.cpp
+++ b/review/stand-in-3/Cases.cpp
@@ -1,6 +1,7 @@
 #include "World.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -329,6 +330,12 @@
       most_at = first.m_sent;
     }
   }
+  for (const auto& [id, one] : spent) {
+    if (one.m_tokens > 0) {
+      aRecord.Add(id + ", sent at " + std::to_string(one.m_sent) + " ms, ran at " +
+                  std::to_string(one.m_arrived) + " ms");
+    }
+  }
   aRecord.Add("most tokens in a window of 8 s: " + std::to_string(most) + ", from " +
               std::to_string(most_at) + " ms on; the bound is " + std::to_string(kBound));
   return most > kBound ? kBroken : kHeld;
@@ -563,7 +570,11 @@
   for (const auto& [server, at] : left) {
     std::int64_t last = 0;
     for (const std::int64_t arrival : arrivals[server]) {
-      late += arrival > at + kDrainMs ? 1 : 0;
+      if (arrival > at + kDrainMs) {
+        ++late;
+        aRecord.Add("a request reached " + name_of(server) + " " + std::to_string(arrival - at) +
+                    " ms after");
+      }
       last = std::max(last, arrival - at);
     }
     aRecord.Add(name_of(server) + ": last request " + std::to_string(last) + " ms after, of " +
@@ -573,6 +584,179 @@
   return late > 0 ? kBroken : kHeld;
 }
 
+/// Requests with one part in their prompts crash the servers that run them, after the coordinator
+/// was restarted while there was nothing to do.
+int
+Lost(Record& aRecord, bool aIsTroubled)
+{
+  constexpr Milliseconds kBack{ 2'000 };
+  std::vector<std::unique_ptr<Server>> servers(kServers);
+  std::vector<std::string> addresses(kServers);
+  std::array<std::atomic<bool>, kServers> is_crashed{};
+  std::mutex mutex;
+  std::set<std::string> begun;
+  std::vector<std::int64_t> crashes;
+  Deployment deployment(aRecord, kDaemons, false);
+  deployment.Configure(Json::array({ RouteOf("quote", "stream", false) }));
+  const auto start = [&](std::size_t aServer) {
+    servers[aServer] = std::make_unique<Server>(
+      [&, aServer, born = UnixMilliseconds()](Connection& aConnection) {
+        while (const auto request = aConnection.ReadRequest()) {
+          if (request->Path() == "/report") {
+            aConnection.Write(ReportText(born));
+            continue;
+          }
+          std::this_thread::sleep_for(kPrefill);
+          const std::string id = request->Header("x-request-id");
+          if (request->Header("x-prefix-hash").find("bad0:") != std::string::npos) {
+            if (!is_crashed[aServer].exchange(true)) {
+              aRecord.Add("server i-" + std::to_string(aServer) + " crashes under " + id);
+              const std::lock_guard lock(mutex);
+              crashes.push_back(aRecord.Now());
+            }
+            servers[aServer]->Crash();
+            return;
+          }
+          {
+            const std::lock_guard lock(mutex);
+            begun.insert(id);
+          }
+          const std::string event = "id: 1\ndata: piece\n\n";
+          std::string response = "HTTP/1.1 200 OK\r\nX-Response-Seal: 3e1b.07\r\nContent-Type: "
+                                 "text/event-stream\r\nX-Request-Id: ";
+          response.append(id).append("\r\nContent-Length: ");
+          response.append(std::to_string(event.size())).append("\r\n\r\n").append(event);
+          if (!aConnection.Write(response)) {
+            return;
+          }
+        }
+      },
+      addresses[aServer]);
+    addresses[aServer] = servers[aServer]->Address();
+    deployment.Register(
+      "i-" + std::to_string(aServer), addresses[aServer], deployment.ZoneOf(aServer));
+  };
+  for (std::size_t i = 0; i < kServers; ++i) {
+    start(i);
+  }
+  if (!deployment.Start(kDaemons)) {
+    return kCouldNotRun;
+  }
+  std::atomic<bool> is_over = false;
+  std::thread supervisor([&] {
+    std::map<std::size_t, Clock::time_point> seen;
+    while (!is_over) {
+      for (std::size_t i = 0; i < kServers; ++i) {
+        if (!is_crashed[i]) {
+          continue;
+        }
+        const auto since = seen.try_emplace(i, Clock::now()).first->second;
+        if (Clock::now() - since > kBack) {
+          seen.erase(i);
+          servers[i] = nullptr;
+          is_crashed[i] = false;
+          start(i);
+          aRecord.Add("server i-" + std::to_string(i) + " is back");
+        }
+      }
+      std::this_thread::sleep_for(Milliseconds(20));
+    }
+  });
+  int number = 0;
+  std::map<std::string, std::pair<std::int64_t, int>> sound;
+  const auto send = [&](bool aIsBad, std::vector<std::thread>& aThreads) {
+    const std::string id = (aIsBad ? "bad-" : "sound-") + std::to_string(++number);
+    const std::size_t daemon = static_cast<std::size_t>(number) % kDaemons;
+    const std::int64_t at = aRecord.Now();
+    aThreads.emplace_back([&, id, daemon, at, aIsBad] {
+      const std::string parts = std::string("a0c0:60,") + (aIsBad ? "bad0:40," : "") +
+                                std::to_string(100000 + std::stoi(id.substr(id.find('-') + 1))) +
+                                ":300";
+      const Response response =
+        Call(deployment.FrontAddress(daemon),
+             RequestText("/quote/2f",
+                         id,
+                         "X-Token-Count: 400,20\r\nX-Prefix-Hash: " + parts +
+                           "\r\nConnection: close\r\n",
+                         id),
+             Milliseconds(6'000));
+      const std::lock_guard lock(mutex);
+      if (!aIsBad) {
+        sound[id] = { at, response.m_status };
+      }
+    });
+  };
+  std::vector<std::thread> threads;
+  const auto play = [&](Milliseconds aTime, bool aHasSound, bool aHasBad) {
+    const auto until = Clock::now() + aTime;
+    for (int tick = 0; Clock::now() < until; ++tick) {
+      if (aHasSound) {
+        send(false, threads);
+      }
+      if (aHasBad && tick % 6 == 0) {
+        send(true, threads);
+      }
+      std::this_thread::sleep_for(Milliseconds(100));
+    }
+  };
+  std::this_thread::sleep_for(Milliseconds(3'500));
+  aRecord.Add("sound requests begin");
+  play(Milliseconds(5'000), true, false);
+  const std::int64_t calm_until = aRecord.Now();
+  const std::string first_log = deployment.LogOf(0);
+  const std::string chosen = "home=edge-";
+  const auto home = first_log.find(chosen, first_log.rfind("event=home-chosen"));
+  const std::size_t coordinator =
+    home == std::string::npos ? 0 : static_cast<std::size_t>(first_log[home + chosen.size()] - '0');
+  aRecord.Add("daemon " + std::to_string(coordinator) + ", the coordinator, gets SIGTERM");
+  deployment.Daemon(coordinator).Signal(SIGTERM);
+  for (int polls = 0; polls < 900 && !deployment.Daemon(coordinator).HasEnded(); ++polls) {
+    std::this_thread::sleep_for(Milliseconds(10));
+  }
+  deployment.StartOne(coordinator);
+  for (int polls = 0; polls < 500 && !deployment.IsReady(coordinator); ++polls) {
+    std::this_thread::sleep_for(Milliseconds(10));
+  }
+  aRecord.Add("it is back");
+  std::this_thread::sleep_for(Milliseconds(1'000));
+  play(Milliseconds(4'000), false, aIsTroubled);
+  aRecord.Add("sound requests come again");
+  play(Milliseconds(16'000), true, aIsTroubled);
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  is_over = true;
+  supervisor.join();
+  constexpr std::size_t kFifth = 5;
+  const std::int64_t from =
+    crashes.empty() ? calm_until + 12'000 : crashes[std::min(crashes.size(), kFifth) - 1] + 6'000;
+  int calm = 0;
+  int calm_begun = 0;
+  int later = 0;
+  int later_begun = 0;
+  std::map<int, int> statuses;
+  for (const auto& [id, one] : sound) {
+    const bool has_begun = begun.contains(id);
+    aRecord.Add(id + ", sent at " + std::to_string(one.first) + " ms, answered " +
+                std::to_string(one.second) + (has_begun ? ", ran" : ", did not run"));
+    if (one.first < calm_until) {
+      ++calm;
+      calm_begun += has_begun ? 1 : 0;
+    } else if (one.first > from) {
+      ++later;
+      later_begun += has_begun ? 1 : 0;
+      ++statuses[one.second];
+    }
+  }
+  aRecord.Add(std::to_string(crashes.size()) + " crashes; sound requests that began: " +
+              std::to_string(calm_begun) + " of " + std::to_string(calm) + " before, " +
+              std::to_string(later_begun) + " of " + std::to_string(later) + " later");
+  for (const auto& [status, count] : statuses) {
+    aRecord.Add("later answers " + std::to_string(status) + ": " + std::to_string(count));
+  }
+  return later >= 20 && calm >= 20 && later_begun * calm * 2 < calm_begun * later ? kBroken : kHeld;
+}
+
 }
 
 }
@@ -588,9 +772,11 @@
   const char* trouble = std::getenv("TROUBLE");
   const bool is_troubled = trouble == nullptr || std::string(trouble) != "0";
   Record record(aArguments[2]);
-  const std::map<std::string, int (*)(Record&, bool)> cases{
-    { "goes-on", GoesOn }, { "quota", Quota }, { "order", Order }, { "drain", Drain }
-  };
+  const std::map<std::string, int (*)(Record&, bool)> cases{ { "goes-on", GoesOn },
+                                                             { "quota", Quota },
+                                                             { "order", Order },
+                                                             { "drain", Drain },
+                                                             { "lost", Lost } };
   const auto found = cases.find(aArguments[1]);
   const int result = found == cases.end() ? kCouldNotRun : found->second(record, is_troubled);
   record.Add(result == kHeld     ? "the rule held"
