Tell a list of daemons that is unread from an empty one

Cause: a daemon serves once it has the configuration and the registrations. Its list of daemons, not read yet, was empty, and so it took itself for the only one: its own coordinator, with all of the quota, of the retry budget and of the endpoints' rate limits, and all slots. Evidence: edge-6, edge-7 and edge-8 log home-chosen with themselves 50 ms after their start, no peers-heard, and edge-0 only when the store answers 4.3 s later. The six others kept to their coordinator, which rules out that it granted more.

Change: the list is complete once a daemon has read its own record in it. The store is linearizable, so daemons listed before are then known and later ones learn of this one. Heartbeats say so in an entry that passes over.

A daemon alone uses the whole quota, a list that was read stays in force in an outage, and a daemon that hears only its seed leaves the decisions to it.

--- a/Daemon/GatewayDaemon.cpp
+++ b/Daemon/GatewayDaemon.cpp
@@ -277,7 +277,7 @@
   for (const Member& member : known) {
     m_heartbeat_socket->SendTo(member.m_peer_address, datagram);
   }
-  if (known.empty()) {
+  if (known.empty() || !m_gateway.Members().IsComplete()) {
     for (const SocketAddress& seed : m_settings.m_seed_addresses) {
       m_heartbeat_socket->SendTo(seed, datagram);
     }
--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -579,13 +579,11 @@
 void
 SlotBroker::UpdateShares()
 {
-  const bool is_isolated = m_dependencies.m_membership->AliveMembers(Now()).empty() &&
-                           !m_dependencies.m_membership->KnownMembers().empty();
+  const std::size_t daemons = m_dependencies.m_membership->CountForShares();
+  const bool is_isolated = m_dependencies.m_membership->AliveMembers(Now()).empty() && daemons > 1;
   m_coordinator.SetSlotShare(is_isolated ? m_limits.m_slot_share_when_isolated : 1.0);
   for (const ServiceName& service : m_coordinator.Services()) {
-    const double share =
-      RateShare(FollowerCount(service), m_dependencies.m_membership->KnownMembers().size() + 1);
-    m_coordinator.SetRateShare(service, share, Now());
+    m_coordinator.SetRateShare(service, RateShare(FollowerCount(service), daemons), Now());
   }
 }
 
--- a/Libraries/LibCluster/Heartbeat.cpp
+++ b/Libraries/LibCluster/Heartbeat.cpp
@@ -34,6 +34,8 @@
 // An entry of the same name with this number, which is no era, says that the daemon accepts
 // forwarded records. Daemons of an earlier version pass over it.
 constexpr std::int64_t kAcceptsRecordsEntry = -1;
+// The same with this number says that the daemon does not know the other daemons yet.
+constexpr std::int64_t kUnknownMembersEntry = -2;
 // Datagrams read per loop iteration, so that a flood cannot block the event loop.
 constexpr int kMaxDatagramsPerTurn = 256;
 
@@ -86,6 +88,9 @@
   if (aHeartbeat.m_member.m_accepts_records) {
     spending.push_back(Json::array({ kEraEntry, kAcceptsRecordsEntry }));
   }
+  if (!aHeartbeat.m_member.m_knows_members) {
+    spending.push_back(Json::array({ kEraEntry, kUnknownMembersEntry }));
+  }
   const std::size_t max_entries = spending.size() + kMaxSpendingEntries;
   for (const WorkspaceSpending& entry : aHeartbeat.m_spending) {
     if (spending.size() < max_entries) {
@@ -158,6 +163,8 @@
         heartbeat.m_topic_positions.m_era = entry[1].get<StoreEra>();
       } else if (entry[1] == kAcceptsRecordsEntry) {
         heartbeat.m_member.m_accepts_records = true;
+      } else if (entry[1] == kUnknownMembersEntry) {
+        heartbeat.m_member.m_knows_members = false;
       }
       continue;
     }
--- a/Libraries/LibCluster/Membership.cpp
+++ b/Libraries/LibCluster/Membership.cpp
@@ -1,5 +1,6 @@
 #include <LibCluster/Membership.h>
 
+#include <algorithm>
 #include <tuple>
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -106,7 +107,14 @@
 bool
 Membership::HearsHalf(TimePoint aNow) const
 {
-  return 2 * (AliveMembers(aNow).size() + 1) >= m_members.size() + 1;
+  return 2 * (AliveMembers(aNow).size() + 1) >= CountForShares();
+}
+
+std::size_t
+Membership::CountForShares() const
+{
+  const std::size_t known = m_members.size() + 1;
+  return m_is_complete ? known : std::max(known, m_max_count);
 }
 
 std::vector<Member>
@@ -130,10 +138,11 @@
 const Member*
 Membership::BestCoordinator(const ServiceName& aService, const Member* aBest, TimePoint aNow) const
 {
-  // A daemon that is leaving or not ready comes last; one that can read the store comes before one
-  // that cannot.
+  // A daemon that is leaving or not ready comes last, before it one that does not know the others;
+  // one that can read the store comes before one that cannot.
   const auto order = [&](const Member& aMember) {
     return std::tuple(!aMember.m_is_leaving && aMember.m_is_ready,
+                      aMember.m_knows_members,
                       aMember.m_can_read_store,
                       aMember.m_processor_millicores,
                       RankOf(aService, aMember.m_host));
--- a/Libraries/LibCluster/include/LibCluster/Membership.h
+++ b/Libraries/LibCluster/include/LibCluster/Membership.h
@@ -34,6 +34,9 @@
   bool m_reaches_endpoints = true;
   /// Applies records that store readers forward to it.
   bool m_accepts_records = false;
+  /// Knows the other daemons: it has read its own record in the store's member list. Daemons of an
+  /// earlier version do not say otherwise.
+  bool m_knows_members = true;
   /// Version of the configuration that it has in force, by its latest heartbeat; 0 if unknown.
   std::int64_t m_configuration_version = 0;
 
@@ -41,8 +44,10 @@
 };
 
 /// The known daemons and a heartbeat-based failure detector over them. A daemon becomes known
-/// through the store's member list or through its own heartbeats; either is enough. Pure: owns no
-/// clock. Not thread-safe.
+/// through the store's member list or through its own heartbeats; either is enough. The list is
+/// complete once this daemon has read its own record in it: a daemon that was listed before is
+/// known, and one that is listed later learns of this one. Until then there may be others. Pure:
+/// owns no clock. Not thread-safe.
 class Membership
 {
 public:
@@ -65,6 +70,15 @@
 
   /// Sets the time without a heartbeat after which a daemon counts as not alive.
   void SetHeartbeatTimeout(Milliseconds aTimeout) { m_limits.m_heartbeat_timeout = aTimeout; }
+  /// Records that this daemon's own record was read in the store's member list. It is not forgotten
+  /// when the store can no longer be read.
+  void MarkComplete() { m_is_complete = true; }
+  bool IsComplete() const { return m_is_complete; }
+  /// Sets how many daemons there may be, this one included, as long as the list is not complete.
+  void SetMaxCount(std::size_t aMaxCount) { m_max_count = aMaxCount; }
+  /// How many daemons, this one included, may use what all share: those that are known, and at
+  /// least the maximum as long as the list is not complete.
+  std::size_t CountForShares() const;
   /// Records a daemon of the store's member list. Its own heartbeats take precedence over the list.
   void RecordListed(const Member& aMember);
   void RecordUnlisted(const HostName& aHost);
@@ -83,8 +97,8 @@
   }
   /// The other daemons whose last heartbeat is at most aMaxSilence old.
   std::vector<Member> MembersAliveWithin(Duration aMaxSilence, TimePoint aNow) const;
-  /// Whether at least half of the known daemons, this one included, are alive. Fewer are heard by a
-  /// daemon that is cut off with a minority.
+  /// Whether at least half of CountForShares() daemons, this one included, are alive. Fewer are
+  /// heard by a daemon that is cut off with a minority, or does not know the others.
   bool HearsHalf(TimePoint aNow) const;
   /// All other daemons, alive or not.
   std::vector<Member> KnownMembers() const;
@@ -97,8 +111,9 @@
 
   /// The coordinator of a service, which grants its slots, as this daemon sees it. Considers this
   /// daemon (aSelf) and the others that are alive and not suspected. Daemons that are ready and not
-  /// leaving come first, among them those that can read the store, then hosts with more CPU, since
-  /// a coordinator decides for all daemons. Among equals a hash of service and host decides
+  /// leaving come first, among them those that know the others, then those that can read the store,
+  /// then hosts with more CPU, since a coordinator decides for all daemons. Among equals a hash of
+  /// service and host decides
   /// (rendezvous hashing), so that daemons with the same view choose the same coordinator and
   /// services spread over the hosts.
   Member CoordinatorOf(const ServiceName& aService, const Member& aSelf, TimePoint aNow) const;
@@ -124,6 +139,8 @@
   Limits m_limits;
   HostName m_own_host;
   std::map<HostName, Entry> m_members;
+  bool m_is_complete = false;
+  std::size_t m_max_count = 1;
 };
 
 }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -27,6 +27,9 @@
 // Heartbeat intervals without a heartbeat after which a daemon counts as not alive: three
 // heartbeats lost in a row.
 constexpr double kHeartbeatIntervalsUntilNotAlive = 3.5;
+// As long as the list of daemons is not known, there may be as many daemons as endpoints, and no
+// fewer than this.
+constexpr std::size_t kMinAssumedDaemons = 16;
 
 // Callers resume no stream that is older than this.
 constexpr Milliseconds kMaxStreamAge = StreamVersions::Limits().m_retention;
@@ -93,17 +96,19 @@
 {
   const bool is_current =
     m_is_store_reachable || (m_store_lost_at && Now() - *m_store_lost_at < kMaxCurrentStoreSilence);
-  return Member{ m_settings.m_host,
-                 m_incarnation,
-                 m_settings.m_data_center,
-                 m_settings.m_advertised_peer_address,
-                 m_settings.m_caller_address,
-                 IsLeaving(),
-                 IsReady(),
-                 is_current,
-                 m_is_reader,
-                 m_settings.m_processor_millicores,
-                 !m_reach.CannotConnect(Now()) };
+  Member self{ m_settings.m_host,
+               m_incarnation,
+               m_settings.m_data_center,
+               m_settings.m_advertised_peer_address,
+               m_settings.m_caller_address,
+               IsLeaving(),
+               IsReady(),
+               is_current,
+               m_is_reader,
+               m_settings.m_processor_millicores,
+               !m_reach.CannotConnect(Now()) };
+  self.m_knows_members = m_membership.IsComplete();
+  return self;
 }
 
 Heartbeat
@@ -281,6 +286,22 @@
   m_quotas.RecordPeerSpending(aHeartbeat.m_member.m_incarnation, aHeartbeat.m_spending, Now());
 }
 
+void
+Gateway::RecordListed(const Member& aMember)
+{
+  if (aMember.m_host != m_settings.m_host) {
+    m_membership.RecordListed(aMember);
+    return;
+  }
+  // A record of an earlier incarnation may be older than those of other daemons.
+  if (aMember.m_incarnation == m_incarnation && !m_membership.IsComplete()) {
+    m_membership.MarkComplete();
+    LogOf("cluster").info("event=listed after_ms={} known={}",
+                          ToMilliseconds(Now() - m_created_at),
+                          m_membership.KnownMembers().size());
+  }
+}
+
 void
 Gateway::UpdateDaemonCounts()
 {
@@ -293,8 +314,9 @@
   }
   m_membership.SetHeartbeatTimeout(Milliseconds(static_cast<std::int64_t>(
     kHeartbeatIntervalsUntilNotAlive * static_cast<double>(BaseHeartbeatInterval().count()))));
-  m_quotas.SetDaemonCount(alive + 1, known + 1);
-  m_retry_budget.SetDaemonCount(known + 1);
+  m_membership.SetMaxCount(std::max(kMinAssumedDaemons, m_registry.Size()));
+  m_quotas.SetDaemonCount(alive + 1, m_membership.CountForShares());
+  m_retry_budget.SetDaemonCount(m_membership.CountForShares());
 }
 
 void
@@ -430,6 +452,7 @@
   gauges.m_endpoint_connections_idle = connections.m_idle;
   gauges.m_endpoint_connections_active = connections.m_active;
   gauges.m_peers_alive = m_alive_count;
+  gauges.m_daemons_for_shares = m_membership.CountForShares();
   gauges.m_endpoints = m_registry.Size();
   gauges.m_cannot_connect = m_cannot_connect;
   gauges.m_refused_by_head = m_refused_by_head;
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -250,6 +250,7 @@
   set("endpoint_connections_idle", static_cast<double>(aGauges.m_endpoint_connections_idle));
   set("endpoint_connections_active", static_cast<double>(aGauges.m_endpoint_connections_active));
   set("peers_heard", static_cast<double>(aGauges.m_peers_alive));
+  set("daemons_for_shares", static_cast<double>(aGauges.m_daemons_for_shares));
   set("endpoints", static_cast<double>(aGauges.m_endpoints));
   set("cannot_connect", aGauges.m_cannot_connect ? 1 : 0);
   set("configuration_version", static_cast<double>(aGauges.m_configuration_version));
--- a/Libraries/LibGateway/include/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -48,7 +48,8 @@
   // Updates about other daemons.
 
   void OnHeartbeat(const Heartbeat& aHeartbeat);
-  void RecordListed(const Member& aMember) { m_membership.RecordListed(aMember); }
+  /// Records a daemon of the store's member list, which may be this one.
+  void RecordListed(const Member& aMember);
   void RecordUnlisted(const HostName& aHost) { m_membership.RecordUnlisted(aHost); }
   void OnLink(std::unique_ptr<PeerLink> aLink) { m_broker.OnLink(std::move(aLink)); }
 
--- a/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/include/LibGateway/GatewayMetrics.h
@@ -23,6 +23,8 @@
   std::size_t m_endpoint_connections_idle = 0;
   std::size_t m_endpoint_connections_active = 0;
   std::size_t m_peers_alive = 0;
+  /// See Membership::CountForShares().
+  std::size_t m_daemons_for_shares = 0;
   std::size_t m_endpoints = 0;
   /// Whether this daemon can establish no connection to an endpoint.
   bool m_cannot_connect = false;
--- a/Tests/Unit/TestCluster.cpp
+++ b/Tests/Unit/TestCluster.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <set>
 
 using namespace auburnhitch;
 
@@ -98,6 +99,47 @@
   CHECK_FALSE(membership.HearsHalf(kStart + Milliseconds(10'000)));
 }
 
+// Guards against a daemon that has not read the list of daemons and takes itself for the only one.
+TEST_CASE("Shares are for many daemons until the list is complete, then for those that are known")
+{
+  Membership membership(Membership::Limits(), MemberOf(0).m_host);
+  membership.SetMaxCount(16);
+  CHECK(membership.CountForShares() == 16);
+  CHECK_FALSE(membership.HearsHalf(kStart));
+  for (int other = 1; other < 4; ++other) {
+    membership.RecordListed(MemberOf(other));
+  }
+  CHECK(membership.CountForShares() == 16);
+  membership.MarkComplete();
+  CHECK(membership.CountForShares() == 4);
+  membership.SetMaxCount(2);
+  CHECK(membership.CountForShares() == 4);
+}
+
+// Guards against requests of all daemons going to one that does not know the others.
+TEST_CASE("A daemon that does not know the others coordinates only if none does")
+{
+  Member self = MemberOf(0);
+  Member other = MemberOf(1);
+  Membership membership(Membership::Limits(), self.m_host);
+  const auto coordinator = [&](int aService) {
+    return membership.CoordinatorOf(ServiceName("s" + std::to_string(aService)), self, kStart)
+      .m_host;
+  };
+  self.m_knows_members = false;
+  membership.RecordHeartbeat(other, kStart);
+  for (int service = 0; service < 20; ++service) {
+    CHECK(coordinator(service) == other.m_host);
+  }
+  other.m_knows_members = false;
+  membership.RecordHeartbeat(other, kStart);
+  std::set<HostName> chosen;
+  for (int service = 0; service < 20; ++service) {
+    chosen.insert(coordinator(service));
+  }
+  CHECK(chosen.size() == 2);
+}
+
 TEST_CASE("Daemons are known from the list or from heartbeats, and removed when neither is left")
 {
   Membership membership(Membership::Limits(), HostName("host-0"));
@@ -127,6 +169,8 @@
   heartbeat.m_spending = { { WorkspaceName("w"), 12'345 } };
   const std::string bytes = EncodeHeartbeat(heartbeat);
   CHECK(DecodeHeartbeat(bytes) == heartbeat);
+  heartbeat.m_member.m_knows_members = false;
+  CHECK(DecodeHeartbeat(EncodeHeartbeat(heartbeat)) == heartbeat);
   CHECK_FALSE(DecodeHeartbeat(""));
   CHECK_FALSE(DecodeHeartbeat("{}"));
   for (std::size_t size = 0; size < bytes.size(); ++size) {
