--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -1,5 +1,6 @@
 #include <LibPlacement/CrashSuspects.h>
 
+#include "CrashOdds.h"
 #include "CrashTiming.h"
 
 #include <algorithm>
@@ -10,17 +11,12 @@
 
 namespace {
 
-// A request whose response had begun for longer than this does not crash its endpoint: a crash by a
-// prompt comes when the endpoint begins to respond.
-constexpr Milliseconds kMaxTimeToCrash{ 250 };
 // How long after an unproven end the endpoint may turn out to have crashed: other requests break,
 // or the next one cannot be sent there.
 constexpr Milliseconds kUnprovenEndRetention{ 2'000 };
 // Evidence of one complete response, in log odds: an endpoint survives a trait that crashes
 // endpoints once in a thousand times.
 constexpr double kCompletionEvidence = -7;
-constexpr double kMinLogOdds = -12;
-constexpr double kMaxLogOdds = 7;
 // Initial base rate, and the number of requests that it counts for.
 constexpr double kInitialBaseRate = 0.01;
 constexpr double kInitialWeight = 100;
@@ -30,23 +26,6 @@
 // Half of what is known about the base rate is forgotten after this time.
 constexpr double kBaseRateHalfLifeMs = 60'000;
 constexpr int kMaxDoublings = 6;
-// Another trait explains a crash in place of this one only if its log odds are higher by this much:
-// traits that always occur together cannot be told apart.
-constexpr double kAlternativeMargin = 1;
-
-double
-LogOddsOf(double aProbability)
-{
-  constexpr double kMargin = 1e-9;
-  const double probability = std::clamp(aProbability, kMargin, 1 - kMargin);
-  return std::log(probability / (1 - probability));
-}
-
-double
-ProbabilityOf(double aLogOdds)
-{
-  return 1 / (1 + std::exp(-aLogOdds));
-}
 
 }
 
@@ -451,204 +430,4 @@
   aCrash.m_evidence.emplace_back(aId, trait.m_log_odds - aCandidate.m_log_odds);
 }
 
-bool
-CrashSuspects::IsSuspected(const CrashTrait& aId) const
-{
-  const auto found = m_traits.find(aId);
-  return found != m_traits.end() && found->second.m_log_odds >= m_suspect_log_odds;
-}
-
-void
-CrashSuspects::UpdateRunningSuspects(const CrashTrait& aId, const Trait& aTrait)
-{
-  if (!IsWholeRequest(aId)) {
-    return;
-  }
-  if (aTrait.m_running > 0 && aTrait.m_log_odds >= m_suspect_log_odds) {
-    m_running_suspects.insert(aId);
-  } else {
-    m_running_suspects.erase(aId);
-  }
-}
-
-bool
-CrashSuspects::IsAtRisk(const SlotRequestId& aRequestId,
-                        const RunningRequest& aRequest,
-                        TimePoint aNow) const
-{
-  return (!aRequest.m_started_at || aNow - *aRequest.m_started_at <= kMaxTimeToCrash) &&
-         std::none_of(m_crashes.begin(), m_crashes.end(), [&](const Crash& aCrash) {
-           return IsOf(aCrash, aRequestId, aRequest);
-         });
-}
-
-bool
-CrashSuspects::HasSuspectedRequest(const std::vector<CrashTrait>& aTraits) const
-{
-  return std::any_of(aTraits.begin(), aTraits.end(), [this](const CrashTrait& aTrait) {
-    return IsWholeRequest(aTrait) && IsSuspected(aTrait);
-  });
-}
-
-std::set<EndpointId>
-CrashSuspects::EndpointsOfSuspects(TimePoint aNow) const
-{
-  std::set<EndpointId> endpoints;
-  if (m_running_suspects.empty()) {
-    return endpoints;
-  }
-  for (const auto& [id, request] : m_requests) {
-    if (HasSuspectedRequest(request.m_traits) && IsAtRisk(id, request, aNow)) {
-      endpoints.insert(request.m_endpoint);
-    }
-  }
-  return endpoints;
-}
-
-std::size_t
-CrashSuspects::CountAtRisk(const EndpointId& aEndpoint, TimePoint aNow) const
-{
-  return static_cast<std::size_t>(
-    std::count_if(m_requests.begin(), m_requests.end(), [&](const auto& aEntry) {
-      return aEntry.second.m_endpoint == aEndpoint && IsAtRisk(aEntry.first, aEntry.second, aNow);
-    }));
-}
-
-CrashSuspects::Admission
-CrashSuspects::AdmissionOf(const std::vector<CrashTrait>& aTraits, TimePoint aNow) const
-{
-  Admission admission = Admission::Admit;
-  for (const CrashTrait& id : aTraits) {
-    const auto found = m_traits.find(id);
-    if (found == m_traits.end()) {
-      continue;
-    }
-    const Trait& trait = found->second;
-    const bool is_whole = IsWholeRequest(id);
-    if (trait.m_refused_until) {
-      const int max_crashes = is_whole ? m_limits.m_max_request_crashes : m_limits.m_max_crashes;
-      if (aNow < *trait.m_refused_until || trait.m_running > 0 || trait.m_crashes >= max_crashes) {
-        return Admission::Refuse;
-      }
-      admission = std::max(admission, Admission::Trial);
-    }
-    if (trait.m_log_odds >= m_suspect_log_odds &&
-        (is_whole ? !EndpointsOfSuspects(aNow).empty() : trait.m_running > 0)) {
-      admission = Admission::Wait;
-    }
-  }
-  return admission;
-}
-
-void
-CrashSuspects::OnNewVersion(TimePoint aNow)
-{
-  for (auto& [id, trait] : m_traits) {
-    if (trait.m_refused_until) {
-      trait.m_refused_until = aNow;
-      if (!IsWholeRequest(id)) {
-        trait.m_crashes = std::min(trait.m_crashes, m_limits.m_max_crashes - 1);
-      }
-      MarkChanged(id, trait);
-    }
-  }
-}
-
-TraitSuspicion
-CrashSuspects::SuspicionOf(const CrashTrait& aId, const Trait& aTrait, TimePoint aNow)
-{
-  const Milliseconds refused_for = aTrait.m_refused_until && *aTrait.m_refused_until > aNow
-                                     ? Milliseconds(ToMilliseconds(*aTrait.m_refused_until - aNow))
-                                     : Milliseconds(0);
-  return { aId, ProbabilityOf(aTrait.m_log_odds), aTrait.m_crashes, refused_for };
-}
-
-void
-CrashSuspects::Apply(const TraitSuspicion& aSuspicion, TimePoint aNow)
-{
-  Trait& trait = TraitOf(aSuspicion.m_trait, aNow);
-  // The sender may not know of the complete responses that are known here.
-  if (IsProvenHarmless(aSuspicion.m_trait, trait.m_log_odds) &&
-      LogOddsOf(aSuspicion.m_probability) < m_refuse_log_odds) {
-    return;
-  }
-  trait.m_log_odds = std::clamp(LogOddsOf(aSuspicion.m_probability), kMinLogOdds, kMaxLogOdds);
-  UpdateRunningSuspects(aSuspicion.m_trait, trait);
-  trait.m_crashes = aSuspicion.m_crashes;
-  trait.m_taken_over = std::nullopt;
-  trait.m_refused_until = trait.m_log_odds >= m_refuse_log_odds
-                            ? std::optional(aNow + aSuspicion.m_refused_for)
-                            : std::nullopt;
-}
-
-void
-CrashSuspects::Merge(const TraitSuspicion& aSuspicion, const HostName& aSender, TimePoint aNow)
-{
-  const auto found = m_traits.find(aSuspicion.m_trait);
-  const double prior =
-    IsWholeRequest(aSuspicion.m_trait) ? m_request_prior_log_odds : m_prior_log_odds;
-  const double known = found == m_traits.end() ? prior : found->second.m_log_odds;
-  const int known_crashes = found == m_traits.end() ? 0 : found->second.m_crashes;
-  const double stated = std::min(LogOddsOf(aSuspicion.m_probability), kMaxLogOdds);
-  if (stated > known) {
-    Apply(aSuspicion, aNow);
-    Trait& trait = m_traits.at(aSuspicion.m_trait);
-    trait.m_taken_over = TakenOver{ aSender,
-                                    stated,
-                                    aSuspicion.m_crashes,
-                                    stated - known,
-                                    std::max(0, aSuspicion.m_crashes - known_crashes) };
-    MarkChanged(aSuspicion.m_trait, trait);
-    return;
-  }
-  if (found != m_traits.end() && found->second.m_taken_over &&
-      found->second.m_taken_over->m_sender == aSender) {
-    WithdrawTakenOver(found->second, aSuspicion, aNow);
-  }
-}
-
-void
-CrashSuspects::WithdrawTakenOver(Trait& aTrait, const TraitSuspicion& aSuspicion, TimePoint aNow)
-{
-  TakenOver& taken_over = *aTrait.m_taken_over;
-  const double stated = LogOddsOf(aSuspicion.m_probability);
-  if (stated >= taken_over.m_stated_log_odds) {
-    return;
-  }
-  const double log_odds = std::min(taken_over.m_stated_log_odds - stated, taken_over.m_log_odds);
-  const int crashes =
-    std::clamp(taken_over.m_stated_crashes - aSuspicion.m_crashes, 0, taken_over.m_crashes);
-  taken_over.m_stated_log_odds = stated;
-  taken_over.m_stated_crashes = std::min(taken_over.m_stated_crashes, aSuspicion.m_crashes);
-  taken_over.m_log_odds -= log_odds;
-  taken_over.m_crashes -= crashes;
-  aTrait.m_crashes = std::max(0, aTrait.m_crashes - crashes);
-  SetLogOdds(aSuspicion.m_trait, aTrait, aTrait.m_log_odds - log_odds, aNow);
-}
-
-std::vector<TraitSuspicion>
-CrashSuspects::TakeChanges(TimePoint aNow)
-{
-  std::vector<TraitSuspicion> changes;
-  for (const CrashTrait& id : std::exchange(m_changed, {})) {
-    if (const auto trait = m_traits.find(id); trait != m_traits.end()) {
-      trait->second.m_is_changed = false;
-      changes.push_back(SuspicionOf(id, trait->second, aNow));
-    }
-  }
-  return changes;
-}
-
-std::vector<TraitSuspicion>
-CrashSuspects::All(TimePoint aNow) const
-{
-  std::vector<TraitSuspicion> all;
-  for (const auto& [id, trait] : m_traits) {
-    if (trait.m_log_odds >= m_announce_log_odds) {
-      all.push_back(SuspicionOf(id, trait, aNow));
-    }
-  }
-  return all;
-}
-
 }
