Try a request that lacks one of two suspect parts at once

Cause: two parts that were always together at a crash have the same evidence, and both were refused as if both were known to be harmful; the refusal kept away the requests that would have told them apart. Evidence: prompt-part-suspicion states the same probability, crashes and refusal for both, and the requests end as harmful-prompt. That the coordinator had forgotten the responses before is a condition, not the cause.

Change: each part has the crashes against it with the prompts that ran there. A request with a refused part is admitted as a trial, one at a time, if it lacks a part that was there at every crash and is as suspect, or, once, a part of each crash. A response clears the part, a crash is evidence against it alone. Three such trials at most, since a trial may prove nothing.

Looked at for the same cause: whole requests (one digest, not affected), followers, the next coordinator and daemons that are cut off (mended, by the message), suspected endpoints (not affected), complete responses of followers (as before).

A check is replaced: "traits that always occur together are refused together" asked that a part alone is refused too, which is the fault. Now requests with both are refused, one alone is tried and refused after a crash. CrashesUntilRefused() asks for the requests that crashed.

--- a/Libraries/LibBroker/CrashSuspectTable.cpp
+++ b/Libraries/LibBroker/CrashSuspectTable.cpp
@@ -1,6 +1,7 @@
 #include <LibBroker/CrashSuspectTable.h>
 
 #include <LibCore/Log.h>
+#include <algorithm>
 
 namespace auburnhitch {
 
@@ -11,14 +12,17 @@
 
 void
 AppendMessages(const ServiceName& aService,
+               const CrashSuspects& aSuspects,
                const std::vector<TraitSuspicion>& aSuspicions,
-               std::vector<TraitSuspicionsMessage>& aMessages)
+               std::vector<SlotMessage>& aMessages)
 {
-  for (std::size_t i = 0; i < aSuspicions.size(); ++i) {
-    if (i % kMaxSuspicionsInMessage == 0) {
-      aMessages.push_back({ aService, {} });
-    }
-    aMessages.back().m_suspicions.push_back(aSuspicions[i]);
+  for (std::size_t i = 0; i < aSuspicions.size(); i += kMaxSuspicionsInMessage) {
+    const std::size_t end = std::min(aSuspicions.size(), i + kMaxSuspicionsInMessage);
+    aMessages.emplace_back(
+      TraitSuspicionsMessage{ aService, { aSuspicions.begin() + i, aSuspicions.begin() + end } });
+  }
+  for (TraitCrashes& crashes : aSuspects.CrashesBehind(aSuspicions)) {
+    aMessages.emplace_back(TraitCrashesMessage{ aService, std::move(crashes) });
   }
 }
 
@@ -60,10 +64,19 @@
   }
 }
 
-std::vector<TraitSuspicionsMessage>
+void
+CrashSuspectTable::OnMessage(const TraitCrashesMessage& aMessage,
+                             const HostName& aSender,
+                             bool aIsFromCoordinator,
+                             TimePoint aNow)
+{
+  Of(aMessage.m_service)->ApplyCrashes(aMessage.m_crashes, aSender, aIsFromCoordinator, aNow);
+}
+
+std::vector<SlotMessage>
 CrashSuspectTable::TakeChanges(TimePoint aNow)
 {
-  std::vector<TraitSuspicionsMessage> messages;
+  std::vector<SlotMessage> messages;
   for (const auto& [service, suspects] : m_suspects) {
     const std::vector<TraitSuspicion> changes = suspects->TakeChanges(aNow);
     for (const TraitSuspicion& change : changes) {
@@ -77,27 +90,27 @@
         change.m_refused_for.count(),
         suspects->BaseRate());
     }
-    AppendMessages(service, changes, messages);
+    AppendMessages(service, *suspects, changes, messages);
   }
   return messages;
 }
 
-std::vector<TraitSuspicionsMessage>
+std::vector<SlotMessage>
 CrashSuspectTable::MessagesForCoordinator(const ServiceName& aService, TimePoint aNow) const
 {
-  std::vector<TraitSuspicionsMessage> messages;
+  std::vector<SlotMessage> messages;
   if (const auto found = m_suspects.find(aService); found != m_suspects.end()) {
-    AppendMessages(aService, found->second->All(aNow), messages);
+    AppendMessages(aService, *found->second, found->second->All(aNow), messages);
   }
   return messages;
 }
 
-std::vector<TraitSuspicionsMessage>
+std::vector<SlotMessage>
 CrashSuspectTable::MessagesForDaemon(TimePoint aNow) const
 {
-  std::vector<TraitSuspicionsMessage> messages;
+  std::vector<SlotMessage> messages;
   for (const auto& [service, suspects] : m_suspects) {
-    AppendMessages(service, suspects->All(aNow), messages);
+    AppendMessages(service, *suspects, suspects->All(aNow), messages);
   }
   return messages;
 }
--- a/Libraries/LibBroker/SlotBroker.cpp
+++ b/Libraries/LibBroker/SlotBroker.cpp
@@ -314,7 +314,7 @@
   if (IsSelf(aCoordinator.m_host)) {
     return;
   }
-  for (const TraitSuspicionsMessage& message :
+  for (const SlotMessage& message :
        m_coordinator.Suspects().MessagesForCoordinator(aService, Now())) {
     LinkTo(aCoordinator).Send(EncodeSlotMessage(message));
   }
@@ -412,9 +412,9 @@
                 },
                 [&](const EndpointNoticeMessage& aNotice) { m_notices.OnInformed(aNotice, Now()); },
                 [&](const StreamVersionMessage& aVersion) { m_streams.OnVersion(aVersion); },
-                [&](const TraitSuspicionsMessage& aSuspicions) {
-                  const auto coordinator = m_coordinators.find(aSuspicions.m_service);
-                  m_coordinator.Suspects().OnMessage(aSuspicions,
+                [&]<CrashMessage Message>(const Message& aCrashes) {
+                  const auto coordinator = m_coordinators.find(aCrashes.m_service);
+                  m_coordinator.Suspects().OnMessage(aCrashes,
                                                      aCoordinator,
                                                      coordinator != m_coordinators.end() &&
                                                        coordinator->second == aCoordinator,
@@ -641,7 +641,7 @@
   UpdateCoordinators();
   m_streams.Tick();
   m_coordinator.DecideAll(now);
-  for (const TraitSuspicionsMessage& changes : m_coordinator.Suspects().TakeChanges(now)) {
+  for (const SlotMessage& changes : m_coordinator.Suspects().TakeChanges(now)) {
     SendToAll(changes);
   }
   m_coordinator.LogSuspicionChanges(now);
--- a/Libraries/LibBroker/SlotBrokerInbound.cpp
+++ b/Libraries/LibBroker/SlotBrokerInbound.cpp
@@ -49,8 +49,7 @@
         for (const EndpointNoticeMessage& notice : m_notices.NoticesForDaemon()) {
           aLink.m_link->Send(EncodeSlotMessage(notice));
         }
-        for (const TraitSuspicionsMessage& message :
-             m_coordinator.Suspects().MessagesForDaemon(now)) {
+        for (const SlotMessage& message : m_coordinator.Suspects().MessagesForDaemon(now)) {
           aLink.m_link->Send(EncodeSlotMessage(message));
         }
       },
@@ -59,8 +58,8 @@
       [&](const UnprovenEndMessage& aEnd) {
         m_coordinator.Suspects().Of(aEnd.m_service)->MarkEndUnproven(id_of(aEnd.m_number));
       },
-      [&](const TraitSuspicionsMessage& aSuspicions) {
-        m_coordinator.Suspects().OnMessage(aSuspicions, aLink.m_peer.m_host, false, now);
+      [&]<CrashMessage Message>(const Message& aCrashes) {
+        m_coordinator.Suspects().OnMessage(aCrashes, aLink.m_peer.m_host, false, now);
       },
       [&](const EndpointNoticeMessage& aNotice) { OnReport(&aLink, aNotice); },
       [&](const RequiredVersionMessage& aRequired) { aLink.m_required_version = aRequired; },
--- a/Libraries/LibBroker/SlotMessages.cpp
+++ b/Libraries/LibBroker/SlotMessages.cpp
@@ -1,6 +1,8 @@
 #include <LibBroker/SlotMessages.h>
 
 #include <LibCore/JsonObjectReader.h>
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
 #include <array>
 #include <utility>
 
@@ -60,6 +62,23 @@
     }
     m_json.push_back(std::move(suspicions));
   }
+  void operator()(const TraitCrashes& aValue)
+  {
+    (*this)(aValue.m_trait);
+    Json crashes = Json::array();
+    for (const CrashHistory::Requests& requests : aValue.m_crashes) {
+      Json prompts = Json::array();
+      for (const PromptParts& parts : requests) {
+        prompts.push_back(
+          absl::StrJoin(parts, ",", [](std::string* aText, const CrashTrait& aPart) {
+            aText->append(aPart.Value());
+          }));
+      }
+      crashes.push_back(std::move(prompts));
+    }
+    m_json.push_back(std::move(crashes));
+    (*this)(aValue.m_trials);
+  }
   template<typename Tag>
   void operator()(const std::vector<StrongString<Tag>>& aValues)
   {
@@ -92,6 +111,16 @@
   Json m_json;
 };
 
+PromptParts
+PartsIn(const std::string& aText)
+{
+  PromptParts parts;
+  for (const absl::string_view part : absl::StrSplit(aText, ',', absl::SkipEmpty())) {
+    parts.emplace(std::string(part));
+  }
+  return parts;
+}
+
 /// Reads the fields of a message in order. The first field that is missing, of another type or out
 /// of range makes the whole message invalid.
 class Reader
@@ -195,6 +224,27 @@
              aSuspicion.m_refused_for >= Milliseconds(0);
     });
   }
+  void operator()(TraitCrashes& aValue)
+  {
+    (*this)(aValue.m_trait);
+    const Json* field = Next();
+    if (field == nullptr || !Check(field->is_array())) {
+      return;
+    }
+    for (const Json& prompts : *field) {
+      if (!Check(prompts.is_array())) {
+        return;
+      }
+      CrashHistory::Requests& requests = aValue.m_crashes.emplace_back();
+      for (const Json& parts : prompts) {
+        if (Check(parts.is_string())) {
+          requests.push_back(PartsIn(parts.get<std::string>()));
+        }
+      }
+    }
+    (*this)(aValue.m_trials);
+    Check(aValue.m_trials >= 0);
+  }
   template<typename Tag>
   void operator()(std::vector<StrongString<Tag>>& aValues)
   {
@@ -457,6 +507,13 @@
   aVisit(aMessage.m_route);
 }
 
+void
+Visit(auto& aVisit, Is<TraitCrashesMessage> auto& aMessage)
+{
+  aVisit(aMessage.m_service);
+  aVisit(aMessage.m_crashes);
+}
+
 template<typename Message>
 std::optional<SlotMessage>
 Decode(const Json& aJson)
--- a/Libraries/LibBroker/include/LibBroker/CrashSuspectTable.h
+++ b/Libraries/LibBroker/include/LibBroker/CrashSuspectTable.h
@@ -2,11 +2,17 @@
 
 #include <LibBroker/SlotMessages.h>
 #include <LibPlacement/CrashSuspects.h>
+#include <concepts>
 #include <map>
 #include <memory>
 
 namespace auburnhitch {
 
+/// The messages that CrashSuspectTable::OnMessage() takes.
+template<typename Message>
+concept CrashMessage =
+  std::same_as<Message, TraitSuspicionsMessage> || std::same_as<Message, TraitCrashesMessage>;
+
 /// What this daemon knows of requests that crash endpoints, for each service, whether or not it
 /// coordinates the service: each daemon can succeed the coordinator. Owns neither a socket nor a
 /// clock. Not thread-safe.
@@ -26,13 +32,17 @@
                  const HostName& aSender,
                  bool aIsFromCoordinator,
                  TimePoint aNow);
+  void OnMessage(const TraitCrashesMessage& aMessage,
+                 const HostName& aSender,
+                 bool aIsFromCoordinator,
+                 TimePoint aNow);
   /// Returns what the other daemons need to know of changes since the last call, and logs it.
-  std::vector<TraitSuspicionsMessage> TakeChanges(TimePoint aNow);
+  std::vector<SlotMessage> TakeChanges(TimePoint aNow);
   /// What a new coordinator of a service needs to know.
-  std::vector<TraitSuspicionsMessage> MessagesForCoordinator(const ServiceName& aService,
-                                                             TimePoint aNow) const;
+  std::vector<SlotMessage> MessagesForCoordinator(const ServiceName& aService,
+                                                  TimePoint aNow) const;
   /// What a daemon that opens a link needs to know.
-  std::vector<TraitSuspicionsMessage> MessagesForDaemon(TimePoint aNow) const;
+  std::vector<SlotMessage> MessagesForDaemon(TimePoint aNow) const;
 
 private:
   std::map<ServiceName, std::shared_ptr<CrashSuspects>> m_suspects;
--- a/Libraries/LibBroker/include/LibBroker/SlotMessages.h
+++ b/Libraries/LibBroker/include/LibBroker/SlotMessages.h
@@ -204,6 +204,15 @@
   auto operator<=>(const TraitSuspicionsMessage&) const = default;
 };
 
+/// The crashes behind a suspicion. Sent after the TraitSuspicionsMessage with it.
+struct TraitCrashesMessage
+{
+  ServiceName m_service;
+  TraitCrashes m_crashes;
+
+  auto operator<=>(const TraitCrashesMessage&) const = default;
+};
+
 /// The endpoint of the grant that follows may be another incarnation than the registered one. Sent
 /// by the coordinator before a GrantMessage.
 struct UncertainGrantMessage
@@ -242,7 +251,8 @@
                                  UnprovenEndMessage,
                                  TraitSuspicionsMessage,
                                  UncertainGrantMessage,
-                                 RequestRouteMessage>;
+                                 RequestRouteMessage,
+                                 TraitCrashesMessage>;
 
 /// Encodes a message as an array. Its first element is the index of the message's type in
 /// SlotMessage; the fields follow in order. A daemon of an earlier version ignores types that it
--- a/Libraries/LibPlacement/CrashSuspects.cpp
+++ b/Libraries/LibPlacement/CrashSuspects.cpp
@@ -47,7 +47,7 @@
   if (known >= m_limits.m_max_traits && !m_traits.contains(aTrait)) {
     DropOldest(is_whole);
   }
-  const auto [found, is_new] = m_traits.try_emplace(aTrait);
+  const auto [found, is_new] = m_traits.try_emplace(aTrait, aTrait);
   if (is_new) {
     found->second.m_log_odds = is_whole ? m_request_prior_log_odds : m_prior_log_odds;
     m_whole_requests += is_whole ? 1 : 0;
@@ -117,6 +117,7 @@
   if (aTrait.m_log_odds < m_refuse_log_odds) {
     aTrait.m_refused_until = std::nullopt;
     aTrait.m_failed_trials = 0;
+    aTrait.m_early_trials = 0;
     return;
   }
   if (aTrait.m_log_odds < before) {
@@ -141,6 +142,10 @@
   for (const CrashTrait& id : aTraits) {
     Trait& trait = TraitOf(id, aNow);
     ++trait.m_running;
+    if (trait.m_refused_until && aNow < *trait.m_refused_until) {
+      ++trait.m_early_trials;
+      MarkChanged(id, trait);
+    }
     UpdateRunningSuspects(id, trait);
   }
 }
@@ -269,6 +274,7 @@
     Trait& trait = TraitOf(id, aNow);
     trait.m_crashes = 0;
     trait.m_own_crashes = 0;
+    trait.m_history.Clear();
     SetLogOdds(id, trait, trait.m_log_odds + kCompletionEvidence, aNow);
   }
 }
@@ -322,32 +328,54 @@
   });
 }
 
+std::vector<std::pair<const CrashSuspects::RunningRequest*, TimePoint>>
+CrashSuspects::RequestsAt(const EndpointId& aEndpoint, TimePoint aNow) const
+{
+  std::vector<std::pair<const RunningRequest*, TimePoint>> requests;
+  const auto add = [&](const RunningRequest& aRequest, TimePoint aEndedAt) {
+    if (aRequest.m_endpoint == aEndpoint &&
+        (!aRequest.m_started_at || aEndedAt - *aRequest.m_started_at <= kMaxTimeToCrash)) {
+      requests.emplace_back(&aRequest, aEndedAt);
+    }
+  };
+  for (const auto& [id, request] : m_requests) {
+    add(request, aNow);
+  }
+  for (const UnprovenEnd& end : m_unproven_ends) {
+    add(end.m_request, end.m_at);
+  }
+  return requests;
+}
+
+CrashHistory::Requests
+CrashSuspects::PromptsAt(const EndpointId& aEndpoint, TimePoint aNow) const
+{
+  CrashHistory::Requests prompts;
+  for (const auto& [request, ended_at] : RequestsAt(aEndpoint, aNow)) {
+    PromptParts parts(request->m_traits.begin(), request->m_traits.end());
+    std::erase_if(
+      parts, [this](const CrashTrait& aId) { return IsWholeRequest(aId) || IsKnownHarmless(aId); });
+    prompts.push_back(std::move(parts));
+  }
+  return prompts;
+}
+
 std::map<CrashTrait, CrashSuspects::Candidate>
 CrashSuspects::CandidatesAt(const EndpointId& aEndpoint, TimePoint aNow)
 {
   std::map<CrashTrait, Candidate> candidates;
-  const auto add = [&](const RunningRequest& aRequest, TimePoint aEndedAt) {
-    if (aRequest.m_endpoint != aEndpoint ||
-        (aRequest.m_started_at && aEndedAt - *aRequest.m_started_at > kMaxTimeToCrash)) {
-      return;
-    }
-    for (const CrashTrait& id : aRequest.m_traits) {
+  for (const auto& [request, ended_at] : RequestsAt(aEndpoint, aNow)) {
+    for (const CrashTrait& id : request->m_traits) {
       // A stream that breaks off is sent again with the same content, whatever the reason.
-      if (IsWholeRequest(id) && aRequest.m_started_at) {
+      if (IsWholeRequest(id) && request->m_started_at) {
         continue;
       }
       const Trait& trait = TraitOf(id, aNow);
       Candidate& candidate = candidates[id];
       candidate.m_log_odds = trait.m_log_odds;
       candidate.m_is_independent = candidate.m_is_independent || !trait.m_last_evidence_at ||
-                                   aRequest.m_granted_at >= *trait.m_last_evidence_at;
+                                   request->m_granted_at >= *trait.m_last_evidence_at;
     }
-  };
-  for (const auto& [id, request] : m_requests) {
-    add(request, aNow);
-  }
-  for (const UnprovenEnd& end : m_unproven_ends) {
-    add(end.m_request, end.m_at);
   }
   return candidates;
 }
@@ -377,6 +405,7 @@
   Crash crash;
   crash.m_endpoint = aRequest.m_endpoint;
   crash.m_at = aNow;
+  crash.m_prompts = PromptsAt(aRequest.m_endpoint, aNow);
   for (const auto& [id, request] : m_requests) {
     if (request.m_endpoint == aRequest.m_endpoint && id != aRequestId) {
       crash.m_requests.push_back(id);
@@ -426,6 +455,9 @@
     log_odds = std::max(log_odds, m_refuse_log_odds);
   }
   trait.m_last_evidence_at = aNow;
+  if (!is_whole) {
+    trait.m_history.Record(aCrash.m_prompts, aCrash.m_at);
+  }
   SetLogOdds(aId, trait, log_odds, aNow);
   aCrash.m_evidence.emplace_back(aId, trait.m_log_odds - aCandidate.m_log_odds);
 }
--- a/Libraries/LibPlacement/CrashSuspectsAdmission.cpp
+++ b/Libraries/LibPlacement/CrashSuspectsAdmission.cpp
@@ -1,11 +1,19 @@
 #include <LibPlacement/CrashSuspects.h>
 
+#include "CrashOdds.h"
 #include "CrashTiming.h"
 
 #include <algorithm>
 
 namespace auburnhitch {
 
+namespace {
+
+// A trial may end without a proof: its caller leaves, or its response has no length.
+constexpr int kMaxEarlyTrials = 3;
+
+}
+
 bool
 CrashSuspects::IsSuspected(const CrashTrait& aId) const
 {
@@ -69,6 +77,32 @@
     }));
 }
 
+bool
+CrashSuspects::IsKnownHarmless(const CrashTrait& aPart) const
+{
+  const auto found = m_traits.find(aPart);
+  return found != m_traits.end() &&
+         found->second.m_log_odds < m_prior_log_odds - kAlternativeMargin;
+}
+
+bool
+CrashSuspects::MayBeHarmless(const Trait& aPart, const std::vector<CrashTrait>& aTraits) const
+{
+  PromptParts parts(aTraits.begin(), aTraits.end());
+  std::erase_if(parts, IsWholeRequest);
+  const auto is_as_suspect = [&](const CrashTrait& aOther) {
+    const auto other = m_traits.find(aOther);
+    return other != m_traits.end() &&
+           other->second.m_log_odds >= aPart.m_log_odds - kAlternativeMargin;
+  };
+  const auto may_be_harmful = [&](const CrashTrait& aOther) { return !IsKnownHarmless(aOther); };
+  // Where no other part was there at all crashes, several may have caused them, or this one all of
+  // them: a single trial decides.
+  return (aPart.m_early_trials < kMaxEarlyTrials &&
+          aPart.m_history.LacksCompanion(parts, is_as_suspect)) ||
+         (aPart.m_early_trials == 0 && aPart.m_history.LacksPartOfEachCrash(parts, may_be_harmful));
+}
+
 CrashSuspects::Admission
 CrashSuspects::AdmissionOf(const std::vector<CrashTrait>& aTraits, TimePoint aNow) const
 {
@@ -82,7 +116,9 @@
     const bool is_whole = IsWholeRequest(id);
     if (trait.m_refused_until) {
       const int max_crashes = is_whole ? m_limits.m_max_request_crashes : m_limits.m_max_crashes;
-      if (aNow < *trait.m_refused_until || trait.m_running > 0 || trait.m_crashes >= max_crashes) {
+      const bool is_refused = aNow < *trait.m_refused_until || trait.m_running > 0;
+      if (trait.m_crashes >= max_crashes ||
+          (is_refused && (is_whole || !MayBeHarmless(trait, aTraits)))) {
         return Admission::Refuse;
       }
       admission = std::max(admission, Admission::Trial);
--- a/Libraries/LibPlacement/CrashSuspectsExchange.cpp
+++ b/Libraries/LibPlacement/CrashSuspectsExchange.cpp
@@ -31,6 +31,8 @@
   trait.m_refused_until = trait.m_log_odds >= m_refuse_log_odds
                             ? std::optional(aNow + aSuspicion.m_refused_for)
                             : std::nullopt;
+  trait.m_history.Clear();
+  trait.m_early_trials = 0;
 }
 
 void
@@ -103,4 +105,33 @@
   return all;
 }
 
+void
+CrashSuspects::ApplyCrashes(const TraitCrashes& aCrashes,
+                            const HostName& aSender,
+                            bool aIsFromCoordinator,
+                            TimePoint aNow)
+{
+  Trait& trait = TraitOf(aCrashes.m_trait, aNow);
+  const bool is_taken_over = trait.m_taken_over && trait.m_taken_over->m_sender == aSender;
+  if (aIsFromCoordinator || is_taken_over) {
+    trait.m_history.Replace(aCrashes.m_crashes);
+    trait.m_early_trials = aCrashes.m_trials;
+  }
+}
+
+std::vector<TraitCrashes>
+CrashSuspects::CrashesBehind(const std::vector<TraitSuspicion>& aSuspicions) const
+{
+  std::vector<TraitCrashes> crashes;
+  for (const TraitSuspicion& suspicion : aSuspicions) {
+    const auto trait = m_traits.find(suspicion.m_trait);
+    if (trait != m_traits.end() && trait->second.m_log_odds >= m_refuse_log_odds) {
+      crashes.push_back(
+        { suspicion.m_trait, trait->second.m_history.Crashes(), trait->second.m_early_trials });
+    }
+  }
+  std::erase_if(crashes, [](const TraitCrashes& aCrashes) { return aCrashes.m_crashes.empty(); });
+  return crashes;
+}
+
 }
--- a/Libraries/LibPlacement/CrashSuspectsWithdrawal.cpp
+++ b/Libraries/LibPlacement/CrashSuspectsWithdrawal.cpp
@@ -55,6 +55,9 @@
 {
   std::set<CrashTrait> taken_back;
   for (const auto& [id, evidence] : aCrash.m_evidence) {
+    if (const auto found = m_traits.find(id); found != m_traits.end()) {
+      found->second.m_history.Remove(aCrash.m_at);
+    }
     TakeBack(id, evidence, aNow);
     taken_back.insert(id);
   }
--- a/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashSuspects.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibPlacement/CrashHistory.h>
 #include <LibPlacement/CrashTrait.h>
 #include <LibPlacement/SlotRequest.h>
 #include <absl/container/flat_hash_map.h>
@@ -25,14 +26,26 @@
   auto operator<=>(const TraitSuspicion&) const = default;
 };
 
+/// The crashes behind a TraitSuspicion against a part of prompts. Sent after it.
+struct TraitCrashes
+{
+  CrashTrait m_trait;
+  std::vector<CrashHistory::Requests> m_crashes;
+  /// How many requests that may be harmless have been admitted since.
+  int m_trials = 0;
+
+  auto operator<=>(const TraitCrashes&) const = default;
+};
+
 /// Decides which traits of requests crash the endpoints that run them. Each crash of an endpoint is
 /// evidence against the traits of the requests that had not begun to respond there; each complete
 /// response is evidence for its traits. The evidence is weighed as a likelihood ratio against the
 /// rate of crashes that no trait explains, so a trait is refused after few crashes while endpoints
 /// are otherwise stable, and after more while they crash for other reasons. Requests with a
-/// suspected trait run one at a time. A request that comes again may not have crashed many
-/// endpoints before it is refused, so whole requests have limits of their own, and all suspected
-/// ones together run one at a time. Owns no clock. Not thread-safe.
+/// suspected trait run one at a time. Parts of prompts that were always together at a crash cannot
+/// be told apart by it: a request that has only one of them is tried at once. A request that comes
+/// again may not have crashed many endpoints before it is refused, so whole requests have limits of
+/// their own, and all suspected ones together run one at a time. Owns no clock. Not thread-safe.
 class CrashSuspects
 {
 public:
@@ -134,6 +147,13 @@
   /// Applies what another daemon knows, unless more is known here. If it has withdrawn evidence
   /// that was taken over from it, that is withdrawn here too.
   void Merge(const TraitSuspicion& aSuspicion, const HostName& aSender, TimePoint aNow);
+  /// Applies the crashes behind a suspicion that was applied or taken over from a sender.
+  void ApplyCrashes(const TraitCrashes& aCrashes,
+                    const HostName& aSender,
+                    bool aIsFromCoordinator,
+                    TimePoint aNow);
+  /// The crashes behind suspicions that were returned by TakeChanges() or All().
+  std::vector<TraitCrashes> CrashesBehind(const std::vector<TraitSuspicion>& aSuspicions) const;
   /// What other daemons need to know of changes since the last call.
   std::vector<TraitSuspicion> TakeChanges(TimePoint aNow);
   /// All that other daemons need to know.
@@ -158,6 +178,11 @@
 
   struct Trait
   {
+    explicit Trait(const CrashTrait& aId)
+      : m_history(aId)
+    {
+    }
+
     double m_log_odds = 0;
     /// Crashes in a row that were evidence against it; for a whole request also those that were
     /// not independent.
@@ -171,6 +196,11 @@
     /// When a crash was evidence against it last.
     std::optional<TimePoint> m_last_evidence_at;
     std::optional<TakenOver> m_taken_over;
+    /// Of a part: the crashes that were evidence against it.
+    CrashHistory m_history;
+    /// Trials since requests with the part are refused that did not wait for the end of the
+    /// refusal, whatever came of them.
+    int m_early_trials = 0;
     int m_failed_trials = 0;
     bool m_is_changed = false;
   };
@@ -210,6 +240,8 @@
     std::vector<std::pair<CrashTrait, double>> m_evidence;
     /// What was weighed.
     std::set<CrashTrait> m_candidates;
+    /// The prompts that ran, without parts that were known to be harmless.
+    CrashHistory::Requests m_prompts;
     /// What was added to the crashes that no trait explains.
     double m_unexplained = 0;
     /// Whether the endpoint has registered as another incarnation since.
@@ -222,6 +254,11 @@
   bool IsSuspected(const CrashTrait& aId) const;
   /// Whether complete responses have shown that a whole request does not crash endpoints.
   bool IsProvenHarmless(const CrashTrait& aId, double aLogOdds) const;
+  /// Whether complete responses have shown that a part does not crash endpoints.
+  bool IsKnownHarmless(const CrashTrait& aPart) const;
+  /// Whether a request with a refused part may be harmless, since another part may have caused the
+  /// part's crashes that the request lacks.
+  bool MayBeHarmless(const Trait& aPart, const std::vector<CrashTrait>& aTraits) const;
   /// Whether a request that runs may still crash its endpoint.
   bool IsAtRisk(const SlotRequestId& aRequestId,
                 const RunningRequest& aRequest,
@@ -234,6 +271,10 @@
   /// Withdraws what the sender of aSuspicion has withdrawn of the evidence taken over from it.
   void WithdrawTakenOver(Trait& aTrait, const TraitSuspicion& aSuspicion, TimePoint aNow);
   void MarkChanged(const CrashTrait& aId, Trait& aTrait);
+  /// The requests at an endpoint that may have crashed it, and when they ended or may have.
+  std::vector<std::pair<const RunningRequest*, TimePoint>> RequestsAt(const EndpointId& aEndpoint,
+                                                                      TimePoint aNow) const;
+  CrashHistory::Requests PromptsAt(const EndpointId& aEndpoint, TimePoint aNow) const;
   std::map<CrashTrait, Candidate> CandidatesAt(const EndpointId& aEndpoint, TimePoint aNow);
   /// The last known crash in which a request broke off, if there is one: it ran there then, or was
   /// granted before all daemons had noticed.
--- a/Tests/Process/TestCrashingPrompts.cpp
+++ b/Tests/Process/TestCrashingPrompts.cpp
@@ -185,6 +185,40 @@
   CHECK(cluster->FirstViolation() == "none");
 }
 
+// Guards against sound requests that stay refused for a part that always came with the harmful one.
+TEST_CASE(
+  "Crashing prompts: daemons that know of no response tell two parts apart by sound requests")
+{
+  constexpr std::size_t kDaemons = 3;
+  constexpr int kMaxCrashes = 3;
+  GatewayCluster cluster(kDaemons, kEndpoints);
+  for (std::size_t endpoint = 0; endpoint < kEndpoints; ++endpoint) {
+    cluster.Endpoint(endpoint).SetBehaviour(
+      [](RawConnection& aConnection, const RawRequest& aRequest) {
+        const bool crashes = aRequest.Header("x-prefix-hash").find("bad0:") != std::string::npos;
+        return !crashes && RespondWithSuccess(aConnection, aRequest);
+      });
+  }
+  int number = 0;
+  const auto call = [&](std::size_t aDaemon, const char* aParts) {
+    const std::string id = absl::StrCat("r-", ++number);
+    const std::string prompt =
+      absl::StrCat("X-Prefix-Hash: ", aParts, ",", 1000 + number, ":9\r\n");
+    return cluster.Call(absl::StrCat("/stream/", number), id, prompt, aDaemon).m_status;
+  };
+  int crashes = 0;
+  CHECK(WaitFor([&] {
+    const bool is_refused = call(number % kDaemons, "c0:60,bad0:40") == 503;
+    crashes += is_refused ? 0 : 1;
+    return is_refused;
+  }));
+  CHECK(crashes <= kMaxCrashes);
+  for (std::size_t daemon = 0; daemon < kDaemons; ++daemon) {
+    CHECK(WaitFor([&] { return call(daemon, "c0:60") == 200; }));
+    CHECK(call(daemon, "c0:60,bad0:40") == 503);
+  }
+}
+
 TEST_CASE("Crashing prompts: no part is refused when endpoints crash for other reasons")
 {
   PromptCluster cluster({});
--- a/Tests/Unit/TestCrashSuspectTable.cpp
+++ b/Tests/Unit/TestCrashSuspectTable.cpp
@@ -19,6 +19,12 @@
   return { kService, { { aTrait, aProbability, 3, Milliseconds(60'000) } } };
 }
 
+std::size_t
+SuspicionsIn(const SlotMessage& aMessage)
+{
+  return std::get<TraitSuspicionsMessage>(aMessage).m_suspicions.size();
+}
+
 }
 
 TEST_CASE("Crashes: only the coordinator's word replaces a stronger suspicion")
@@ -45,7 +51,7 @@
   CHECK(table.TakeChanges(kNow).size() == 1);
   CHECK(table.TakeChanges(kNow).empty());
   REQUIRE(table.MessagesForDaemon(kNow).size() == 1);
-  CHECK(table.MessagesForDaemon(kNow).front().m_suspicions.size() == 2);
+  CHECK(SuspicionsIn(table.MessagesForDaemon(kNow).front()) == 2);
 }
 
 TEST_CASE("Crashes: a full table is divided into messages that fit on a link")
@@ -58,10 +64,10 @@
     table.OnMessage(MessageOf(CrashTrait(id), 0.987654321), kFirst, true, kNow);
   }
   std::size_t received = 0;
-  for (const TraitSuspicionsMessage& message : table.MessagesForDaemon(kNow)) {
+  for (const SlotMessage& message : table.MessagesForDaemon(kNow)) {
     const auto bytes = nlohmann::json::to_msgpack(EncodeSlotMessage(message));
     CHECK(bytes.size() <= PeerLink::kMaxMessageBytes / 2);
-    received += message.m_suspicions.size();
+    received += SuspicionsIn(message);
   }
   CHECK(received == size);
 }
--- a/Tests/Unit/TestCrashSuspects.cpp
+++ b/Tests/Unit/TestCrashSuspects.cpp
@@ -85,11 +85,12 @@
   {
     return m_suspects.AdmissionOf({ aTrait }, m_now);
   }
-  /// The number of crashes until a trait is refused, at most aMax.
+  /// The number of crashes until requests like the first are refused, at most aMax.
   int CrashesUntilRefused(const std::vector<std::vector<CrashTrait>>& aRequests, int aMax = 20)
   {
     int crashes = 0;
-    while (crashes < aMax && AdmissionOf(kHarmful) != Admission::Refuse) {
+    while (crashes < aMax &&
+           m_suspects.AdmissionOf(aRequests.front(), m_now) != Admission::Refuse) {
       Crash(aRequests);
       ++crashes;
     }
@@ -406,14 +407,96 @@
   CHECK(suspected[0].m_trait == kHarmful);
 }
 
-TEST_CASE("Crashes: traits that always occur together are refused together")
+// Guards against a shared part that stays refused for the crashes of one that came with it.
+TEST_CASE("Crashes: parts that always occur together are refused together, one alone is tried")
 {
-  Trace trace;
-  trace.RunHarmless(300);
   const CrashTrait companion("c1");
-  CHECK(trace.CrashesUntilRefused({ { kCommon, companion, kHarmful } }) <= 3);
-  CHECK(trace.AdmissionOf(companion) == Admission::Refuse);
-  CHECK(trace.AdmissionOf(kCommon) == Admission::Admit);
+  for (const bool crashes : { false, true }) {
+    CAPTURE(crashes);
+    Trace trace;
+    trace.RunHarmless(300);
+    CHECK(trace.CrashesUntilRefused({ { kCommon, companion, kHarmful } }) <= 3);
+    CHECK(trace.m_suspects.AdmissionOf({ companion, kHarmful }, trace.m_now) == Admission::Refuse);
+    CHECK(trace.AdmissionOf(kCommon) == Admission::Admit);
+    CHECK(trace.AdmissionOf(companion) == Admission::Trial);
+    CHECK(trace.m_suspects.AdmissionOf({ kCommon, companion, Session(1) }, trace.m_now) ==
+          Admission::Trial);
+    if (crashes) {
+      trace.Crash({ { companion, Session(1) } });
+      CHECK(trace.AdmissionOf(companion) == Admission::Refuse);
+      CHECK(trace.m_suspects.AdmissionOf({ companion, Session(2) }, trace.m_now) ==
+            Admission::Refuse);
+      continue;
+    }
+    trace.Run({ kCommon, companion, Session(1) }, SlotOutcome::Complete);
+    trace.Run({ kCommon, companion, Session(2) }, SlotOutcome::Complete);
+    CHECK(trace.AdmissionOf(companion) == Admission::Admit);
+    CHECK(trace.AdmissionOf(kHarmful) == Admission::Refuse);
+  }
+}
+
+// Guards against trials without end of a part whose responses prove nothing.
+TEST_CASE(
+  "Crashes: a part that came with another is tried three times at most if nothing is proved")
+{
+  Trace trace;
+  trace.CrashesUntilRefused({ { kCommon, kHarmful } });
+  int trials = 0;
+  while (trials < 20 && trace.AdmissionOf(kHarmful) == Admission::Trial) {
+    trace.Run({ kHarmful }, SlotOutcome::Cancelled);
+    ++trials;
+  }
+  CHECK(trials == 3);
+  CHECK(trace.AdmissionOf(kHarmful) == Admission::Refuse);
+  CHECK(trace.AdmissionOf(kCommon) == Admission::Trial);
+}
+
+// Guards against a shared part that stays refused for the crashes of two that came with it in turn.
+TEST_CASE("Crashes: a part that comes with two harmful ones in turn is tried alone, once")
+{
+  const CrashTrait other("bad1");
+  for (const bool crashes : { false, true }) {
+    CAPTURE(crashes);
+    Trace trace;
+    for (int i = 0; i < 3; ++i) {
+      trace.Crash({ { kCommon, i == 1 ? other : kHarmful } });
+    }
+    CHECK(trace.m_suspects.AdmissionOf({ kCommon, kHarmful }, trace.m_now) == Admission::Refuse);
+    CHECK(trace.m_suspects.AdmissionOf({ kCommon, other }, trace.m_now) == Admission::Refuse);
+    CHECK(trace.AdmissionOf(kCommon) == Admission::Trial);
+    if (crashes) {
+      trace.Crash({ { kCommon } });
+      CHECK(trace.AdmissionOf(kCommon) == Admission::Refuse);
+      CHECK(trace.m_suspects.AdmissionOf({ kCommon, Session(1) }, trace.m_now) ==
+            Admission::Refuse);
+      continue;
+    }
+    trace.Run({ kCommon }, SlotOutcome::Complete);
+    CHECK(trace.AdmissionOf(kCommon) != Admission::Refuse);
+  }
+}
+
+// Guards against a next coordinator, or a daemon that asks none, that refuses what may be harmless.
+TEST_CASE("Crashes: a daemon that takes a suspicion over knows with which parts it came")
+{
+  Trace trace;
+  trace.CrashesUntilRefused({ { kCommon, kHarmful } });
+  const std::vector<TraitSuspicion> all = trace.m_suspects.All(trace.m_now);
+  for (const bool is_from_coordinator : { true, false }) {
+    CrashSuspects other;
+    for (const TraitSuspicion& suspicion : all) {
+      if (is_from_coordinator) {
+        other.Apply(suspicion, At(0));
+      } else {
+        other.Merge(suspicion, kOther, At(0));
+      }
+    }
+    for (const TraitCrashes& crashes : trace.m_suspects.CrashesBehind(all)) {
+      other.ApplyCrashes(crashes, kOther, is_from_coordinator, At(0));
+    }
+    CHECK(other.AdmissionOf({ kCommon, kHarmful }, At(0)) == Admission::Refuse);
+    CHECK(other.AdmissionOf({ kCommon, Session(1) }, At(0)) == Admission::Trial);
+  }
 }
 
 TEST_CASE("Crashes: a scheduler refuses harmful requests at once, and lets suspected ones wait")
--- a/Tests/Unit/TestSlotMessages.cpp
+++ b/Tests/Unit/TestSlotMessages.cpp
@@ -41,6 +41,11 @@
            CrashTraitsMessage{ 7, { CrashTrait("5c"), CrashTrait("e4") } },
            UnprovenEndMessage{ service, 7 },
            TraitSuspicionsMessage{ service, { { CrashTrait("5c"), 0.5, 2, Milliseconds(7) } } },
+           TraitCrashesMessage{
+             service,
+             { CrashTrait("5c"),
+               { { { CrashTrait("5c"), CrashTrait("5d") }, { CrashTrait("5e") } }, {} },
+               2 } },
            UncertainGrantMessage{ 7 },
            RequestRouteMessage{ 7, KindName("r") } };
 }
