Count the grace of a removal from its announcement, not its reading

Cause: within 2.2 s after an outage a removal may be a lapse, and the endpoint is used for a grace of 1.5 s more. The grace ran from the moment of reading, which for a follower is up to 0.7 s after a reader has announced the record. Evidence: readers log removed at 16.18 s, the coordinator lapsed at 16.76 s and removed at 18.26 s; the last request came at 18.24 s. That other daemons sent them, or grants from before, is ruled out: only the coordinator had callers, and they end with the grace.

Change: records say since when this daemon has known that they exist, by an announcement or by reading, and the grace runs from there. Found by reading: the next outage began the grace anew, although the removal had been read; it keeps its time now, unless the removal may be of that outage. What lapsed in an outage is kept until 2.2 s after it as before.

--- a/Libraries/LibCluster/include/LibCluster/KeyedRecord.h
+++ b/Libraries/LibCluster/include/LibCluster/KeyedRecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Time.h>
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -18,6 +19,9 @@
   std::optional<std::string> m_value;
   /// Where it stands in its topic, if it was read and the store has stated that.
   std::optional<std::uint64_t> m_offset;
+  /// Since when this daemon has known that the record exists, if it was read or forwarded after a
+  /// snapshot: the store acknowledged the record before that.
+  std::optional<TimePoint> m_known_at;
 
   auto operator<=>(const KeyedRecord&) const = default;
 };
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -146,9 +146,9 @@
 }
 
 void
-Gateway::RemoveEndpoint(const EndpointId& aId)
+Gateway::RemoveEndpoint(const EndpointId& aId, TimePoint aKnownAt)
 {
-  OnRegistryChanges(m_registry.Remove(aId, Now()));
+  OnRegistryChanges(m_registry.Remove(aId, aKnownAt, Now()));
 }
 
 void
--- a/Libraries/LibGateway/include/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/include/LibGateway/Gateway.h
@@ -29,7 +29,8 @@
   /// Applies a configuration if it is newer than the current one.
   void SetRoutingTable(RoutingTablePtr aTable);
   void RenewEndpoint(const EndpointEntry& aEntry);
-  void RemoveEndpoint(const EndpointId& aId);
+  /// aKnownAt: since when the record of the removal has been known to exist.
+  void RemoveEndpoint(const EndpointId& aId, TimePoint aKnownAt);
   void ReplaceEndpoints(const std::vector<EndpointEntry>& aEntries);
   /// Called when all existing registrations have been read.
   void OnRegistryRead();
--- a/Libraries/LibRegistry/EndpointRegistry.cpp
+++ b/Libraries/LibRegistry/EndpointRegistry.cpp
@@ -50,7 +50,7 @@
     }
     const bool is_restarted = aEntry.m_started_at_ms > registration.m_entry.m_started_at_ms;
     const bool starts_draining = aEntry.m_is_draining && !registration.m_entry.m_is_draining;
-    const bool is_changed = aEntry != registration.m_entry || registration.m_lapsed_at.has_value();
+    const bool is_changed = aEntry != registration.m_entry || registration.m_lapse.has_value();
     if (is_restarted) {
       changes.push_back({ RegistryChange::Type::Restarted, aEntry });
     } else if (starts_draining) {
@@ -65,7 +65,7 @@
 }
 
 EndpointRegistry::Changes
-EndpointRegistry::Remove(const EndpointId& aId, TimePoint aNow)
+EndpointRegistry::Remove(const EndpointId& aId, TimePoint aKnownAt, TimePoint aNow)
 {
   Changes changes;
   const auto found = m_entries.find(aId);
@@ -74,7 +74,7 @@
   }
   // A draining endpoint deregisters for good, so its removal is final even during an outage.
   if (IsDuringOrJustAfterOutage(aNow) && !found->second.m_entry.m_is_draining) {
-    Lapse(found->second, aNow, changes);
+    RecordLapse(found->second, aKnownAt, changes);
     return changes;
   }
   RemoveForGood(found, aNow, changes);
@@ -113,7 +113,7 @@
   const TimePoint missing_since =
     IsDuringOrJustAfterOutage(aNow) ? m_reachable_since.value_or(aNow) : aNow;
   for (const EndpointId& id : missing) {
-    const Changes of_entry = Remove(id, missing_since);
+    const Changes of_entry = Remove(id, missing_since, aNow);
     changes.insert(changes.end(), of_entry.begin(), of_entry.end());
   }
   return changes;
@@ -128,12 +128,10 @@
   };
   std::erase_if(m_departures, is_forgotten);
   std::erase_if(m_unlisted_departures, is_forgotten);
-  if (!m_is_reachable) {
-    return changes;
-  }
   for (auto entry = m_entries.begin(); entry != m_entries.end();) {
-    const Registration& registration = entry->second;
-    if (!registration.m_lapsed_at || aNow <= RemovalTime(*registration.m_lapsed_at)) {
+    const auto& lapse = entry->second.m_lapse;
+    const auto removed_at = lapse ? RemovalTime(*lapse) : std::nullopt;
+    if (!removed_at || aNow <= *removed_at) {
       ++entry;
       continue;
     }
@@ -172,12 +170,15 @@
   return !has_returned;
 }
 
-TimePoint
-EndpointRegistry::RemovalTime(TimePoint aLapsedAt) const
+std::optional<TimePoint>
+EndpointRegistry::RemovalTime(const Lapse& aLapse) const
 {
-  const TimePoint reachable_since = m_reachable_since.value_or(aLapsedAt);
-  return aLapsedAt > reachable_since ? aLapsedAt + m_limits.m_removal_grace
-                                     : reachable_since + m_limits.m_renewal_window;
+  if (aLapse.m_is_after_outage) {
+    return aLapse.m_known_at + m_limits.m_removal_grace;
+  }
+  return m_is_reachable ? std::optional(m_reachable_since.value_or(aLapse.m_known_at) +
+                                        m_limits.m_renewal_window)
+                        : std::nullopt;
 }
 
 void
@@ -219,12 +220,13 @@
 }
 
 void
-EndpointRegistry::Lapse(Registration& aRegistration, TimePoint aNow, Changes& aChanges)
+EndpointRegistry::RecordLapse(Registration& aRegistration, TimePoint aKnownAt, Changes& aChanges)
 {
-  if (aRegistration.m_lapsed_at) {
+  if (aRegistration.m_lapse) {
     return;
   }
-  aRegistration.m_lapsed_at = aNow;
+  const bool is_after_outage = m_is_reachable && m_reachable_since && aKnownAt > *m_reachable_since;
+  aRegistration.m_lapse = Lapse{ aKnownAt, is_after_outage };
   aChanges.push_back({ RegistryChange::Type::Lapsed, aRegistration.m_entry });
 }
 
--- a/Libraries/LibRegistry/include/LibRegistry/EndpointRegistry.h
+++ b/Libraries/LibRegistry/include/LibRegistry/EndpointRegistry.h
@@ -83,7 +83,7 @@
     Milliseconds m_renewal_window{ 2'200 };
     /// How long an endpoint may still receive work when its registration is removed within the
     /// renewal window after an outage: the removal may be a lapse, or the endpoint may have shut
-    /// down.
+    /// down. Another outage does not prolong it.
     Milliseconds m_removal_grace{ 1'500 };
     /// How long it is remembered that an endpoint has left; longer than the store goes back.
     Milliseconds m_departure_memory{ 60'000 };
@@ -98,8 +98,9 @@
 
   /// Applies a registration or its renewal.
   Changes AddOrRenew(const EndpointEntry& aEntry);
-  /// Applies the removal of a registration.
-  Changes Remove(const EndpointId& aId, TimePoint aNow);
+  /// Applies the removal of a registration. aKnownAt: since when it has been known that there is a
+  /// record of it, from which its time bounds run; it may be read later.
+  Changes Remove(const EndpointId& aId, TimePoint aKnownAt, TimePoint aNow);
   /// Replaces all registrations by the complete list aEntries.
   Changes Replace(const std::vector<EndpointEntry>& aEntries, TimePoint aNow);
   /// Removes the lapsed registrations that were not renewed in time.
@@ -123,11 +124,18 @@
   bool IsLoaded() const { return m_is_loaded; }
 
 private:
+  struct Lapse
+  {
+    TimePoint m_known_at;
+    /// Whether the store could be read then, so that the removal is not of the outage.
+    bool m_is_after_outage = false;
+  };
+
   struct Registration
   {
     EndpointEntry m_entry;
     /// Set while the registration has lapsed and may still be renewed.
-    std::optional<TimePoint> m_lapsed_at;
+    std::optional<Lapse> m_lapse;
   };
 
   enum class Source
@@ -155,9 +163,10 @@
                      Changes& aChanges);
   /// Whether the store is unreachable, or was until at most m_renewal_window ago.
   bool IsDuringOrJustAfterOutage(TimePoint aNow) const;
-  /// When a lapsed registration is removed unless it has been renewed.
-  TimePoint RemovalTime(TimePoint aLapsedAt) const;
-  void Lapse(Registration& aRegistration, TimePoint aNow, Changes& aChanges);
+  /// When a lapsed registration is removed unless it has been renewed; nothing as long as the store
+  /// is unreachable in whose outage it lapsed.
+  std::optional<TimePoint> RemovalTime(const Lapse& aLapse) const;
+  void RecordLapse(Registration& aRegistration, TimePoint aKnownAt, Changes& aChanges);
 
   Limits m_limits;
   std::map<EndpointId, Registration> m_entries;
--- a/Tests/Unit/TestEndpointRegistry.cpp
+++ b/Tests/Unit/TestEndpointRegistry.cpp
@@ -45,7 +45,7 @@
 {
   EndpointRegistry registry = RegistryOf({ "a", "b", "c" });
   registry.AddOrRenew(EntryOf("a", 1, true));
-  registry.Remove(EndpointId("b"), At(0));
+  registry.Remove(EndpointId("b"), At(0), At(0));
   CHECK_FALSE(registry.FindUsable(EndpointId("a")));
   CHECK_FALSE(registry.FindUsable(EndpointId("b")));
   CHECK(registry.UsableEndpoints(ServiceName("s")).size() == 1);
@@ -67,18 +67,18 @@
 {
   EndpointRegistry registry = RegistryOf({ "a", "b", "c" });
   registry.SetStoreReachable(false, At(1'000));
-  registry.Remove(EndpointId("a"), At(4'000));
+  registry.Remove(EndpointId("a"), At(4'000), At(4'000));
   CHECK(registry.FindUsable(EndpointId("a")));
   // Known endpoints stay in use however long the store is unreachable.
   CHECK(registry.Expire(At(60'000)).empty());
   registry.SetStoreReachable(true, At(60'000));
-  registry.Remove(EndpointId("b"), At(60'500));
+  registry.Remove(EndpointId("b"), At(60'500), At(60'500));
   CHECK(registry.FindUsable(EndpointId("b")));
   registry.AddOrRenew(EntryOf("a"));
   registry.Expire(At(62'900));
   CHECK(registry.FindUsable(EndpointId("a")));
   CHECK_FALSE(registry.FindUsable(EndpointId("b")));
-  registry.Remove(EndpointId("a"), At(64'000));
+  registry.Remove(EndpointId("a"), At(64'000), At(64'000));
   CHECK_FALSE(registry.FindUsable(EndpointId("a")));
 }
 
@@ -87,18 +87,58 @@
   EndpointRegistry registry = RegistryOf({ "a", "b" });
   registry.SetStoreReachable(false, At(0));
   registry.SetStoreReachable(true, At(10'000));
-  registry.Remove(EndpointId("a"), At(11'000));
+  registry.Remove(EndpointId("a"), At(11'000), At(11'000));
   registry.Expire(At(12'550));
   CHECK_FALSE(registry.FindUsable(EndpointId("a")));
   CHECK(registry.FindUsable(EndpointId("b")));
 }
 
+// Guards against requests to an endpoint whose removal was announced long before it was read.
+TEST_CASE("The grace of a removal after a store outage runs from when it was known to exist")
+{
+  EndpointRegistry registry = RegistryOf({ "a", "b" });
+  registry.SetStoreReachable(false, At(0));
+  registry.SetStoreReachable(true, At(10'000));
+  registry.Remove(EndpointId("a"), At(11'000), At(11'700));
+  registry.Expire(At(12'400));
+  CHECK(registry.FindUsable(EndpointId("a")));
+  registry.Expire(At(12'550));
+  CHECK_FALSE(registry.FindUsable(EndpointId("a")));
+  // One that was announced during the outage may have lapsed in it.
+  registry.Remove(EndpointId("b"), At(9'000), At(12'100));
+  registry.Expire(At(12'150));
+  CHECK(registry.FindUsable(EndpointId("b")));
+  registry.Expire(At(12'250));
+  CHECK_FALSE(registry.FindUsable(EndpointId("b")));
+}
+
+// Guards against requests to an endpoint that has left, through all of the next outage.
+TEST_CASE("The next store outage does not prolong the grace of a removal that was read before it")
+{
+  EndpointRegistry registry = RegistryOf({ "a", "b" });
+  registry.SetStoreReachable(false, At(0));
+  registry.SetStoreReachable(true, At(5'000));
+  registry.Remove(EndpointId("a"), At(6'000), At(6'000));
+  registry.SetStoreReachable(false, At(6'500));
+  // Read from another daemon: the registration may have lapsed in this outage.
+  registry.Remove(EndpointId("b"), At(7'000), At(7'000));
+  registry.Expire(At(7'550));
+  CHECK_FALSE(registry.FindUsable(EndpointId("a")));
+  registry.Expire(At(20'000));
+  CHECK(registry.FindUsable(EndpointId("b")));
+  registry.SetStoreReachable(true, At(20'000));
+  registry.Expire(At(22'150));
+  CHECK(registry.FindUsable(EndpointId("b")));
+  registry.Expire(At(22'250));
+  CHECK_FALSE(registry.FindUsable(EndpointId("b")));
+}
+
 TEST_CASE("A draining endpoint is removed at once even during a store outage")
 {
   EndpointRegistry registry = RegistryOf({ "a" });
   registry.AddOrRenew(EntryOf("a", 1, true));
   registry.SetStoreReachable(false, At(0));
-  CHECK(registry.Remove(EndpointId("a"), At(100)).size() == 1);
+  CHECK(registry.Remove(EndpointId("a"), At(100), At(100)).size() == 1);
   CHECK(registry.Size() == 0);
 }
 
@@ -140,7 +180,7 @@
           removed_at[id] = std::nullopt;
           break;
         case 2:
-          registry.Remove(EndpointId(id), At(now));
+          registry.Remove(EndpointId(id), At(now), At(now));
           removed_at[id] = removed_at[id].value_or(now);
           break;
         case 3:
@@ -186,7 +226,7 @@
     EndpointRegistry registry = RegistryOf({ "a", "b" });
     registry.AddOrRenew(EntryOf("b", 1, true));
     if (is_removed) {
-      registry.Remove(EndpointId("b"), At(500));
+      registry.Remove(EndpointId("b"), At(500), At(500));
     }
     registry.OnStoreWentBack(At(1'000));
     registry.Replace({ EntryOf("a"), EntryOf("b") }, At(1'010));
@@ -202,7 +242,7 @@
   "Store gone back: an endpoint whose registration was removed returns when it writes again")
 {
   EndpointRegistry registry = RegistryOf({ "a", "b" });
-  registry.Remove(EndpointId("b"), At(500));
+  registry.Remove(EndpointId("b"), At(500), At(500));
   registry.OnStoreWentBack(At(1'000));
   registry.Replace({ EntryOf("a"), EntryOf("b") }, At(1'010));
   CHECK_FALSE(registry.FindUsable(EndpointId("b")));
@@ -213,7 +253,7 @@
 TEST_CASE("An endpoint that a store lists again without having gone back is used")
 {
   EndpointRegistry registry = RegistryOf({ "a", "b" });
-  registry.Remove(EndpointId("b"), At(500));
+  registry.Remove(EndpointId("b"), At(500), At(500));
   registry.Replace({ EntryOf("a"), EntryOf("b") }, At(1'010));
   CHECK(registry.FindUsable(EndpointId("b")));
 }
