--- a/Libraries/LibBroker/CrashSuspectTable.cpp
+++ b/Libraries/LibBroker/CrashSuspectTable.cpp
@@ -1,7 +1,7 @@
 #include <LibBroker/CrashSuspectTable.h>
 
 #include <LibCore/Log.h>
-#include <algorithm>
+#include <utility>
 
 namespace auburnhitch {
 
@@ -16,10 +16,15 @@
                const std::vector<TraitSuspicion>& aSuspicions,
                std::vector<SlotMessage>& aMessages)
 {
-  for (std::size_t i = 0; i < aSuspicions.size(); i += kMaxSuspicionsInMessage) {
-    const std::size_t end = std::min(aSuspicions.size(), i + kMaxSuspicionsInMessage);
-    aMessages.emplace_back(
-      TraitSuspicionsMessage{ aService, { aSuspicions.begin() + i, aSuspicions.begin() + end } });
+  TraitSuspicionsMessage message{ aService, {} };
+  for (const TraitSuspicion& suspicion : aSuspicions) {
+    message.m_suspicions.push_back(suspicion);
+    if (message.m_suspicions.size() == kMaxSuspicionsInMessage) {
+      aMessages.emplace_back(std::exchange(message, { aService, {} }));
+    }
+  }
+  if (!message.m_suspicions.empty()) {
+    aMessages.emplace_back(std::move(message));
   }
   for (TraitCrashes& crashes : aSuspects.CrashesBehind(aSuspicions)) {
     aMessages.emplace_back(TraitCrashesMessage{ aService, std::move(crashes) });
