--- a/Libraries/LibPlacement/CrashHistory.cpp
+++ b/Libraries/LibPlacement/CrashHistory.cpp
@@ -64,7 +64,7 @@
 }
 
 bool
-CrashHistory::HadTheLikeOf(const Crash& aCrash, const PromptParts& aRequest) const
+CrashHistory::HadSubsetOf(const Crash& aCrash, const PromptParts& aRequest) const
 {
   return std::any_of(
     aCrash.m_requests.begin(), aCrash.m_requests.end(), [&](const PromptParts& aOther) {
@@ -77,7 +77,7 @@
 {
   if (m_crashes.empty() ||
       std::all_of(m_crashes.begin(), m_crashes.end(), [&](const Crash& aCrash) {
-        return HadTheLikeOf(aCrash, aRequest);
+        return HadSubsetOf(aCrash, aRequest);
       })) {
     return false;
   }
@@ -98,7 +98,7 @@
   return !m_crashes.empty() &&
          std::all_of(m_crashes.begin(), m_crashes.end(), [&](const Crash& aCrash) {
            const PromptParts parts = PartsOf(aCrash.m_requests);
-           return !HadTheLikeOf(aCrash, aRequest) &&
+           return !HadSubsetOf(aCrash, aRequest) &&
                   std::any_of(parts.begin(), parts.end(), [&](const CrashTrait& aPart) {
                     return !aRequest.contains(aPart) && aMayBeHarmful(aPart);
                   });
--- a/Libraries/LibPlacement/include/LibPlacement/CrashHistory.h
+++ b/Libraries/LibPlacement/include/LibPlacement/CrashHistory.h
@@ -39,11 +39,11 @@
 
   using Predicate = std::function<bool(const CrashTrait&)>;
 
-  /// Whether a request lacks a part that was there at every crash and is as suspect as this one,
-  /// unless the like of the request ran at every crash too.
+  /// Whether a request lacks a part that was there at every crash and is as suspect as this one.
+  /// False if every crash is explained by the parts of the request: one with no others ran at it.
   bool LacksCompanion(const PromptParts& aRequest, const Predicate& aIsAsSuspect) const;
   /// Whether each crash had a part that the request lacks and that is not known to be harmless, and
-  /// the like of the request ran at none.
+  /// at none a request ran that had no other parts than this one.
   bool LacksPartOfEachCrash(const PromptParts& aRequest, const Predicate& aMayBeHarmful) const;
 
 private:
@@ -53,7 +53,8 @@
     TimePoint m_at;
   };
 
-  bool HadTheLikeOf(const Crash& aCrash, const PromptParts& aRequest) const;
+  /// Whether a request with the part ran at a crash that had no part which aRequest lacks.
+  bool HadSubsetOf(const Crash& aCrash, const PromptParts& aRequest) const;
 
   CrashTrait m_part;
   std::deque<Crash> m_crashes;
